--- a/cranberrywick/bench/capacity_platform.py
+++ b/cranberrywick/bench/capacity_platform.py
@@ -10,7 +10,7 @@
 
 from cranberrywick.bench.capacity_worker import make_endpoints
 from cranberrywick.endpoints.load import fetch_load
-from cranberrywick.platform.vms import VmList
+from cranberrywick.external.vms import VmList
 from cranberrywick.standin import engine
 from cranberrywick.standin.vms import start_vm_list
 
--- a/cranberrywick/claims/commit.py
+++ b/cranberrywick/claims/commit.py
@@ -8,7 +8,7 @@
 from cranberrywick.claims.outcomes import ClaimOutcome, ClaimsFull
 from cranberrywick.claims.slices import RetentionSlices
 from cranberrywick.errors import PlatformUnavailable
-from cranberrywick.platform.key_value import (
+from cranberrywick.external.key_value import (
     AmbiguousWrite,
     Entry,
     KeyValueStore,
--- a/cranberrywick/claims/slices.py
+++ b/cranberrywick/claims/slices.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from cranberrywick.platform.key_value import KeyValueStore
+from cranberrywick.external.key_value import KeyValueStore
 
 __all__ = ["RETENTION_SECONDS", "SLICE_SECONDS", "RetentionSlices"]
 
--- a/cranberrywick/claims/store.py
+++ b/cranberrywick/claims/store.py
@@ -24,7 +24,7 @@
 from cranberrywick.claims.queue import ClaimQueue
 from cranberrywick.claims.slices import SLICE_SECONDS, RetentionSlices
 from cranberrywick.errors import PlatformUnavailable
-from cranberrywick.platform.key_value import KeyValueStore
+from cranberrywick.external.key_value import KeyValueStore
 
 __all__ = ["ClaimStore", "claim_digest"]
 
--- /dev/null
+++ b/cranberrywick/cli/gateway.py
@@ -0,0 +1,33 @@
+"""``cranberrywick gateway``."""
+
+import sys
+
+import click
+
+from cranberrywick.errors import InvalidSettings
+from cranberrywick.gateway.app import run_gateway
+from cranberrywick.gateway.log_output import BoundedOutput
+from cranberrywick.logs import set_up_logs
+
+__all__ = ["gateway"]
+
+EXIT_INVALID_SETTINGS = 2
+
+
+@click.command()
+@click.option("--settings", type=click.Path(), help="JSON file of the platform.")
+@click.option("--log-level", default="info", show_default=True)
+def gateway(settings: str | None, log_level: str) -> None:
+    """Run the gateway of one entry VM, as the users' platform starts it.
+
+    Without --settings the file's path is taken from CRANBERRYWICK_CONFIG. SIGTERM
+    or SIGINT starts a graceful stop.
+
+    Exit codes: 0 after a stop, 2 for invalid settings.
+    """
+    set_up_logs(log_level, BoundedOutput(sys.stdout))
+    try:
+        run_gateway(settings)
+    except InvalidSettings as error:
+        click.echo(f"{error.type}: {error.message}", err=True)
+        raise SystemExit(EXIT_INVALID_SETTINGS) from error
--- a/cranberrywick/cli/main.py
+++ b/cranberrywick/cli/main.py
@@ -1,23 +1,38 @@
 """The ``cranberrywick`` command."""
 
+from importlib import import_module
+
 import click
 
 from cranberrywick import __version__
-from cranberrywick.cli.ask import ask
-from cranberrywick.cli.config import config
-from cranberrywick.cli.domain import domain
-from cranberrywick.cli.endpoint import endpoint
-from cranberrywick.cli.report import report
-from cranberrywick.cli.serve import demo, serve, standin
 
 __all__ = ["main"]
 
+# Where each command is found. Loaded only when it is asked for: the gateway must be
+# ready soon after its start and keep little in memory, and needs none of the others.
+MODULES_BY_COMMAND = {
+    "ask": "cranberrywick.cli.ask",
+    "config": "cranberrywick.cli.config",
+    "demo": "cranberrywick.cli.serve",
+    "domain": "cranberrywick.cli.domain",
+    "endpoint": "cranberrywick.cli.endpoint",
+    "gateway": "cranberrywick.cli.gateway",
+    "report": "cranberrywick.cli.report",
+    "serve": "cranberrywick.cli.serve",
+    "standin": "cranberrywick.cli.serve",
+}
+
+
+class _LazyGroup(click.Group):
+    def list_commands(self, context: click.Context) -> list[str]:
+        return sorted(MODULES_BY_COMMAND)
+
+    def get_command(self, context: click.Context, name: str) -> click.Command | None:
+        module = MODULES_BY_COMMAND.get(name)
+        return getattr(import_module(module), name) if module else None
 
-@click.group()
+
+@click.group(cls=_LazyGroup)
 @click.version_option(__version__)
 def main() -> None:
     """Serve language-model prompts of very unlike lengths."""
-
-
-for command in (ask, config, demo, domain, endpoint, report, serve, standin):
-    main.add_command(command)
--- a/cranberrywick/configuration/store.py
+++ b/cranberrywick/configuration/store.py
@@ -27,7 +27,7 @@
     PlatformUnavailable,
     VersionConflict,
 )
-from cranberrywick.platform.key_value import (
+from cranberrywick.external.key_value import (
     AmbiguousWrite,
     KeyValueStore,
     RevisionConflict,
--- a/cranberrywick/controllers/authority.py
+++ b/cranberrywick/controllers/authority.py
@@ -12,14 +12,14 @@
 
 from cranberrywick.decisions.stewards import Shard
 from cranberrywick.errors import PlatformUnavailable
-from cranberrywick.logs import EventLog
-from cranberrywick.platform.key_value import (
+from cranberrywick.external.key_value import (
     AmbiguousWrite,
     KeyValueStore,
     Lease,
     LeaseLapsed,
     RevisionConflict,
 )
+from cranberrywick.logs import EventLog
 
 __all__ = ["ShardAuthority"]
 
--- a/cranberrywick/controllers/configuration.py
+++ b/cranberrywick/controllers/configuration.py
@@ -20,8 +20,8 @@
     ConfigurationStore,
 )
 from cranberrywick.errors import CranberrywickError, InvalidConfiguration
+from cranberrywick.external.key_value import KeyValueStore
 from cranberrywick.logs import EventLog
-from cranberrywick.platform.key_value import KeyValueStore
 
 __all__ = ["ConfigurationController"]
 
--- a/cranberrywick/controllers/endpoints.py
+++ b/cranberrywick/controllers/endpoints.py
@@ -16,9 +16,9 @@
 from cranberrywick.dispatcher import Dispatcher
 from cranberrywick.endpoints.load import fetch_load
 from cranberrywick.errors import CranberrywickError
+from cranberrywick.external.vms import Vm, VmList, VmRole, VmState
 from cranberrywick.logs import EventLog
 from cranberrywick.model import Endpoint, EndpointLoad, EndpointRefusal
-from cranberrywick.platform.vms import Vm, VmList, VmRole, VmState
 
 __all__ = ["EndpointBoard", "EndpointController"]
 
--- a/cranberrywick/daemon.py
+++ b/cranberrywick/daemon.py
@@ -27,6 +27,10 @@
 from cranberrywick.endpoints.orders import OrderGiver
 from cranberrywick.endpoints.relay import Relay
 from cranberrywick.errors import CranberrywickError
+from cranberrywick.external.budget import BudgetedKeyValueStore
+from cranberrywick.external.key_value import open_key_value_store
+from cranberrywick.external.vms import VmList
+from cranberrywick.external.weights import WeightStore
 from cranberrywick.filters.chain import Filter, FilterChain
 from cranberrywick.filters.completion import CompletionFilter
 from cranberrywick.filters.dispatch import DispatchFilter
@@ -42,10 +46,6 @@
 from cranberrywick.observed import observe_parts
 from cranberrywick.peers.messages import LeavingEndpoint
 from cranberrywick.peers.node import PeerNode
-from cranberrywick.platform.budget import BudgetedKeyValueStore
-from cranberrywick.platform.key_value import open_key_value_store
-from cranberrywick.platform.vms import VmList
-from cranberrywick.platform.weights import WeightStore
 from cranberrywick.reports.recorder import BurnRecorder
 from cranberrywick.timers import TimerService
 
--- a/cranberrywick/endpoints/orders.py
+++ b/cranberrywick/endpoints/orders.py
@@ -24,13 +24,13 @@
 
 from cranberrywick.decisions.orders import Order, OrderKind
 from cranberrywick.errors import AnswerLost, CranberrywickError, PlatformUnavailable
-from cranberrywick.model import Endpoint
-from cranberrywick.platform.key_value import (
+from cranberrywick.external.key_value import (
     KeyValueStore,
     LeaseLapsed,
     RevisionConflict,
 )
-from cranberrywick.platform.weights import WeightStore
+from cranberrywick.external.weights import WeightStore
+from cranberrywick.model import Endpoint
 
 __all__ = [
     "EngineState",
--- a/cranberrywick/platform/budget.py
+++ b/cranberrywick/external/budget.py
@@ -6,7 +6,7 @@
 what the others need; the platform would answer late, every daemon would time out
 and try again, and the outage would last.
 
-Three bounds answer it, decided in `cranberrywick.platform.call_limits`. Each
+Three bounds answer it, decided in `cranberrywick.external.call_limits`. Each
 daemon takes its part of half of the rates, so that the other half is left for the
 operators' own use of the service. After a few failures in a row no call is made
 but a probe now and then, at a random moment, so callers get their refusal at once
@@ -22,8 +22,8 @@
 from typing import NamedTuple, TypeVar
 
 from cranberrywick.errors import CranberrywickError, PlatformUnavailable
-from cranberrywick.platform.call_limits import OutageGuard, TokenBucket
-from cranberrywick.platform.key_value import (
+from cranberrywick.external.call_limits import OutageGuard, TokenBucket
+from cranberrywick.external.key_value import (
     AmbiguousWrite,
     Entry,
     KeyValueStore,
--- a/cranberrywick/platform/key_value.py
+++ b/cranberrywick/external/key_value.py
@@ -10,7 +10,7 @@
     PlatformUnavailable,
     VersionConflict,
 )
-from cranberrywick.platform.exchange import (
+from cranberrywick.external.exchange import (
     AmbiguousWrite,
     Exchange,
     RateLimited,
--- a/cranberrywick/platform/vms.py
+++ b/cranberrywick/external/vms.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from cranberrywick.errors import PlatformUnavailable
-from cranberrywick.platform.exchange import Exchange
+from cranberrywick.external.exchange import Exchange
 
 __all__ = ["Vm", "VmList", "VmListing", "VmRole", "VmState"]
 
--- a/cranberrywick/platform/weights.py
+++ b/cranberrywick/external/weights.py
@@ -4,7 +4,7 @@
 from urllib.parse import quote
 
 from cranberrywick.errors import NotFound, PlatformUnavailable
-from cranberrywick.platform.exchange import Exchange
+from cranberrywick.external.exchange import Exchange
 
 __all__ = ["ModelWeights", "WeightStore"]
 
--- /dev/null
+++ b/cranberrywick/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The gateway: the daemon that passes HTTP requests on to registered endpoints."""
--- /dev/null
+++ b/cranberrywick/gateway/attempt.py
@@ -0,0 +1,200 @@
+"""One attempt: a request sent to one endpoint, and its answer passed on."""
+
+import asyncio
+from collections.abc import Callable, Mapping
+from typing import NamedTuple
+
+from cranberrywick.errors import AmbiguousSend, AnswerLost, EndpointRefused
+from cranberrywick.gateway.events import EventSplitter
+from cranberrywick.gateway.exchange import Exchange
+from cranberrywick.gateway.upstream import EndpointAnswer, EndpointConnection
+from cranberrywick.model import EndpointRefusal, Executed
+from cranberrywick.platform.headers import (
+    HOP_BY_HOP,
+    ResponseMeta,
+    SetHeaders,
+    decode_response,
+    endpoint_headers,
+)
+from cranberrywick.routing.placement import Placement
+from cranberrywick.routing.registry import EndpointBelief
+
+__all__ = ["Attempt", "Passed"]
+
+# An endpoint that lives answers a connection within a millisecond or two, a lost
+# packet is sent again after a second: another endpoint is quicker than that.
+CONNECT_SECONDS = 0.25
+
+
+class Passed(NamedTuple):
+    """An answer that has been passed on whole."""
+
+    status: int
+
+
+class Attempt:
+    """Sends an exchange to the endpoint of a placement.
+
+    `run` raises `EndpointRefused` where the endpoint did not run it, `AmbiguousSend`
+    or `AnswerLost` where it may have.
+    """
+
+    def __init__(
+        self,
+        exchange: Exchange,
+        placement: Placement,
+        beliefs_by_id: Mapping[str, EndpointBelief],
+        still_usable: Callable[[str], bool],
+        first_event: Callable[[Exchange], None],
+    ):
+        self._exchange = exchange
+        self._placement = placement
+        self._beliefs_by_id = beliefs_by_id
+        self._still_usable = still_usable
+        self._first_event = first_event
+        self._loop = asyncio.get_running_loop()
+
+    async def run(self) -> Passed:
+        """Make the attempt."""
+        exchange = self._exchange
+        record = self._beliefs_by_id[self._placement.endpoint_id].record
+        async with EndpointConnection(record.address) as connection:
+            remaining = exchange.deadline - self._loop.time()
+            await connection.open(min(CONNECT_SECONDS, remaining))
+            # Asked again now, not when the place was given: an endpoint that began
+            # to leave meanwhile would get work after its last moment for it.
+            if not self._still_usable(record.endpoint_id):
+                raise EndpointRefused(
+                    "the endpoint is leaving", reason=EndpointRefusal.LEAVING
+                )
+            await self._send(connection)
+            try:
+                passed = await self._receive(connection)
+            except EndpointRefused:
+                exchange.under_way = False
+                raise
+            except (AmbiguousSend, AnswerLost):
+                exchange.under_way = False
+                exchange.may_have_run = True
+                raise
+        exchange.under_way = False
+        return passed
+
+    async def _send(self, connection: EndpointConnection) -> None:
+        exchange, placement = self._exchange, self._placement
+        organisation = exchange.organisation
+        headers = endpoint_headers(
+            exchange.request.raw_headers,
+            SetHeaders(
+                remaining_seconds=exchange.deadline - self._loop.time(),
+                endpoint_id=placement.endpoint_id,
+                organisation=organisation.name if organisation else None,
+                helpers=self._helper_addresses(),
+                last_event_id=exchange.last_event_id,
+                weights_version=exchange.weights_version,
+            ),
+        )
+        exchange.sent_count += 1
+        exchange.under_way = True
+        exchange.predicted = placement.first_event_seconds
+        exchange.parts = 1 + len(placement.helper_ids)
+        request = exchange.request
+        await connection.send(request.method, request.target, headers, request.body)
+
+    def _helper_addresses(self) -> tuple[str, ...]:
+        return tuple(
+            self._beliefs_by_id[endpoint_id].record.address
+            for endpoint_id in self._placement.helper_ids
+            if endpoint_id in self._beliefs_by_id
+        )
+
+    async def _receive(self, connection: EndpointConnection) -> Passed:
+        answer = await connection.read_head()
+        meta = decode_response(answer.status, answer.headers_by_name)
+        self._check(answer, meta)
+        if self._exchange.is_stream and answer.status == 200:
+            await self._pass_stream(connection, answer, meta)
+        else:
+            await self._pass_whole(connection, answer)
+        return Passed(answer.status)
+
+    def _check(self, answer: EndpointAnswer, meta: ResponseMeta) -> None:
+        if meta.not_executed:
+            moved = answer.status == 421
+            raise EndpointRefused(
+                f"status {answer.status}, not run, at fault: {meta.at_fault}",
+                reason=EndpointRefusal.LEAVING if moved else EndpointRefusal.FULL,
+            )
+        expected = self._exchange.meta.request_id
+        if meta.request_id != expected:
+            # A late answer to another request, or one of nobody.
+            raise AnswerLost("the answer belongs to another request")
+        if answer.is_encoded:
+            raise AnswerLost("the answer's body is encoded")
+        if answer.status < 300 and not meta.sealed:
+            raise AnswerLost("the answer is not the endpoint's own")
+        if answer.status >= 500 and self._exchange.route.idempotent:
+            raise AnswerLost(f"status {answer.status}", executed=Executed.YES)
+
+    async def _pass_whole(
+        self, connection: EndpointConnection, answer: EndpointAnswer
+    ) -> None:
+        """Pass an answer on once all of it is here: half of one is none."""
+        parts = [part async for part in connection.body()]
+        body = b"".join(parts)
+        exchange = self._exchange
+        if exchange.caller.started:
+            raise AnswerLost(f"status {answer.status} in place of more events")
+        headers = _passed_headers(answer)
+        headers.append((b"Content-Length", str(len(body)).encode()))
+        await exchange.caller.send_head(answer.status, answer.reason, headers)
+        if body:
+            await exchange.caller.send_body(body)
+        exchange.caller.end()
+
+    async def _pass_stream(
+        self,
+        connection: EndpointConnection,
+        answer: EndpointAnswer,
+        meta: ResponseMeta,
+    ) -> None:
+        exchange = self._exchange
+        splitter = EventSplitter()
+        async for data in connection.body():
+            whole = splitter.feed(data)
+            if splitter.is_too_long:
+                raise AnswerLost("the stream has no events")
+            if whole:
+                await self._pass_events(answer, meta, whole)
+                exchange.last_event_id = splitter.last_id or exchange.last_event_id
+        rest = splitter.flush()
+        if rest.strip():
+            raise AnswerLost("the stream ended in the middle of an event")
+        if not exchange.caller.started:
+            await self._begin(answer, meta)
+        exchange.caller.end()
+
+    async def _pass_events(
+        self, answer: EndpointAnswer, meta: ResponseMeta, whole: bytes
+    ) -> None:
+        if not self._exchange.caller.started:
+            await self._begin(answer, meta)
+        if self._is_first:
+            self._is_first = False
+            self._first_event(self._exchange)
+        await self._exchange.caller.send_body(whole)
+
+    async def _begin(self, answer: EndpointAnswer, meta: ResponseMeta) -> None:
+        self._exchange.weights_version = meta.weights_version
+        headers = _passed_headers(answer)
+        await self._exchange.caller.send_head(answer.status, answer.reason, headers)
+
+    _is_first = True
+
+
+def _passed_headers(answer: EndpointAnswer) -> list[tuple[bytes, bytes]]:
+    return [
+        (name, value)
+        for name, value in answer.raw_headers
+        if name.lower() not in HOP_BY_HOP and name.lower() != b"content-length"
+    ]
--- /dev/null
+++ b/cranberrywick/gateway/exchange.py
@@ -0,0 +1,94 @@
+"""What is known of one request while it is served."""
+
+import json
+from math import ceil
+
+from cranberrywick.errors import CranberrywickError, EndpointRefused, InvalidRequest
+from cranberrywick.gateway.ingress import CallerConnection, HttpRequest
+from cranberrywick.model import Executed
+from cranberrywick.platform.headers import RequestMeta
+from cranberrywick.routing.model import Organisation, Route, RouteKind, Service
+
+__all__ = ["Exchange"]
+
+# Told to callers where no failure gives a time of its own: one round of news about
+# endpoints that have become free or failed.
+RETRY_SECONDS = 0.3
+
+_keys = iter(range(1, 2**62))
+
+
+class Exchange:
+    """One request, its caller and what has come of it so far.
+
+    ``key`` is unique in this process; a caller's request id is only its word.
+    ``tried_ids`` are the endpoints that failed it, ``sent_count`` how many it was
+    sent to, ``under_way`` whether one has it now.
+    """
+
+    def __init__(
+        self, request: HttpRequest, caller: CallerConnection, meta: RequestMeta
+    ):
+        self.key = str(next(_keys))
+        self.request = request
+        self.caller = caller
+        self.meta = meta
+        self.route: Route | None = None
+        self.organisation: Organisation | None = None
+        self.service: Service | None = None
+        self.priority = 0
+        self.version = 0
+        self.deadline = float("inf")
+        self.tried_ids: set[str] = set()
+        self.sent_count = 0
+        self.under_way = False
+        self.may_have_run = False
+        self.placed_at: float | None = None
+        self.first_event_at: float | None = None
+        self.predicted: float | None = None
+        self.parts = 1
+        self.last_event_id = meta.last_event_id
+        self.weights_version: str | None = None
+        self.endpoint_id = ""
+        self.status = 0
+
+    @property
+    def host(self) -> str:
+        """The host that the caller asked for."""
+        return (self.request.header(b"host") or b"").decode("latin-1")
+
+    @property
+    def path(self) -> str:
+        """The path as the caller wrote it, without the query."""
+        return self.request.target.partition(b"?")[0].decode("latin-1")
+
+    @property
+    def is_stream(self) -> bool:
+        """Whether the answer is a series of events."""
+        return self.route.kind is RouteKind.STREAMING
+
+    def failure_status(self, error: CranberrywickError) -> int:
+        """Return the status for a failure.
+
+        Statuses that promise "not run" are given only while that is known.
+        """
+        if isinstance(error, InvalidRequest) and not self.sent_count:
+            return error.status
+        may_have_run = self.may_have_run or self.under_way
+        if error.executed is Executed.NO and not may_have_run:
+            return 503
+        return 504 if error.status == 504 else 502
+
+    def retry_after(self, error: CranberrywickError) -> bytes:
+        """Return the value of ``Retry-After``, in seconds."""
+        seconds = error.retry_after if error.retry_after else RETRY_SECONDS
+        return f"{ceil(seconds * 1000) / 1000:g}".encode()
+
+    def failure_body(self, error: CranberrywickError) -> bytes:
+        """Return the body that tells a caller of a failure."""
+        if isinstance(error, EndpointRefused):
+            error.public_message = "no endpoint took the request"
+        body = error.body(self.meta.request_id)
+        if self.may_have_run or self.under_way:
+            body["executed"] = Executed.UNKNOWN.value
+        return json.dumps({"error": body}).encode()
--- /dev/null
+++ b/cranberrywick/gateway/fleet.capnp
@@ -0,0 +1,60 @@
+@0xb7c1f4a2d95e6038;
+# What gateways tell one another. Ages and times to come are in milliseconds: clocks
+# of different VMs are never compared.
+
+struct Job {
+  endpointId @0 :Text;
+  promptTokens @1 :UInt32;
+  outputTokens @2 :UInt32;
+  ageMs @3 :UInt32;
+  firstEventMs @4 :Int32;
+  writing @5 :Bool;
+  helper @6 :Bool;
+}
+
+struct Heartbeat {
+  daemonId @0 :Text;
+  incarnation @1 :UInt64;
+  sequence @2 :UInt32;
+  peerAddress @3 :Text;
+  entryAddress @4 :Text;
+  failureDomain @5 :Text;
+  leaving @6 :Bool;
+  operatorRevision @7 :UInt64;
+  operatorAgeMs @8 :UInt32;
+  jobs @9 :List(Job);
+  operatorDigest @10 :UInt64;
+}
+
+struct EndpointRecord {
+  endpointId @0 :Text;
+  service @1 :Text;
+  address @2 :Text;
+  failureDomain @3 :Text;
+  slots @4 :UInt32;
+  draining @5 :Bool;
+  coldMs @6 :UInt32;
+  born @7 :Int64;
+}
+
+struct EndpointReading {
+  revision @0 :UInt64;
+  ageMs @1 :UInt32;
+  records @2 :List(EndpointRecord);
+}
+
+struct OperatorReading {
+  revision @0 :UInt64;
+  ageMs @1 :UInt32;
+  document @2 :Data;
+  domainsOut @3 :List(Text);
+}
+
+struct Message {
+  union {
+    heartbeat @0 :Heartbeat;
+    endpoints @1 :EndpointReading;
+    operatorWanted @2 :Void;
+    operator @3 :OperatorReading;
+  }
+}
--- /dev/null
+++ b/cranberrywick/gateway/fleet_link.py
@@ -0,0 +1,148 @@
+"""Messages to and from the other daemons: datagrams, and connections for documents.
+
+Heartbeats and readings are complete in themselves, so a lost datagram is made good
+by the next. A configuration can be a megabyte and is fetched over a connection.
+"""
+
+import asyncio
+import struct
+from collections.abc import Callable, Iterable
+
+from cranberrywick.errors import PeerMessageInvalid
+from cranberrywick.gateway.messages import (
+    MAX_MESSAGE_BYTES,
+    Message,
+    OperatorReading,
+    OperatorWanted,
+    decode_message,
+    encode_message,
+)
+from cranberrywick.logs import EventLog
+
+__all__ = ["FleetLink"]
+
+# The largest UDP payload, less some room for headers.
+MAX_DATAGRAM_BYTES = 60_000
+LENGTH = struct.Struct(">I")
+# A peer answers from memory; a link that takes longer is worse than the store.
+FETCH_SECONDS = 1.0
+# One line for invalid messages in so many seconds.
+INVALID_LOG_SECONDS = 10.0
+
+
+class FleetLink(asyncio.DatagramProtocol):
+    """One UDP socket and one TCP listener on the same port.
+
+    ``hear`` gets each valid datagram's message; ``operator`` returns what is handed
+    to a peer that asks for the operators' view, or None while there is none.
+    """
+
+    def __init__(
+        self,
+        hear: Callable[[Message], None],
+        operator: Callable[[], OperatorReading | None],
+        log: EventLog,
+    ):
+        self._hear = hear
+        self._operator = operator
+        self._log = log
+        self._loop = asyncio.get_running_loop()
+        self._udp: asyncio.DatagramTransport | None = None
+        self._tcp: asyncio.Server | None = None
+        self._invalid_logged_at = float("-inf")
+        self.datagrams_sent = 0
+        self.datagrams_received = 0
+
+    async def start(self, ip: str, port: int) -> None:
+        """Open both sockets."""
+        self._udp, _ = await self._loop.create_datagram_endpoint(
+            lambda: self, local_addr=(ip, port)
+        )
+        self._tcp = await asyncio.start_server(self._serve, ip, port)
+
+    def close(self) -> None:
+        """Close both sockets."""
+        if self._udp is not None:
+            self._udp.close()
+        if self._tcp is not None:
+            self._tcp.close()
+
+    def send(self, message: Message, addresses: Iterable[str]) -> None:
+        """Send a message to each address, without waiting."""
+        data = encode_message(message, self._loop.time())
+        if self._udp is None or len(data) > MAX_DATAGRAM_BYTES:
+            # Too much for a datagram: the peers' knowledge gets old, and each reads
+            # for itself.
+            return
+        for address in addresses:
+            host, _, port = address.rpartition(":")
+            self._udp.sendto(data, (host, int(port)))
+            self.datagrams_sent += 1
+
+    def datagram_received(self, data: bytes, address: tuple[str, int]) -> None:
+        """Called by asyncio."""
+        self.datagrams_received += 1
+        try:
+            message = decode_message(data, self._loop.time())
+        except PeerMessageInvalid as error:
+            self._note_invalid(error)
+            return
+        self._hear(message)
+
+    def error_received(self, error: Exception) -> None:
+        """Called by asyncio: a peer's port is closed, which its silence shows too."""
+
+    def _note_invalid(self, error: PeerMessageInvalid) -> None:
+        now = self._loop.time()
+        if now - self._invalid_logged_at >= INVALID_LOG_SECONDS:
+            self._invalid_logged_at = now
+            self._log.warning("peer_message_invalid", error=error)
+
+    async def fetch_operator(self, address: str) -> OperatorReading | None:
+        """Ask a peer for the operators' view; None without an answer."""
+        try:
+            async with asyncio.timeout(FETCH_SECONDS):
+                return await self._fetch(address)
+        except (OSError, TimeoutError, asyncio.IncompleteReadError) as error:
+            self._log.warning("peer_fetch_failed", peer=address, error=error)
+        except PeerMessageInvalid as error:
+            self._note_invalid(error)
+        return None
+
+    async def _fetch(self, address: str) -> OperatorReading | None:
+        host, _, port = address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        try:
+            _write(writer, encode_message(OperatorWanted(), self._loop.time()))
+            message = decode_message(await _read(reader), self._loop.time())
+            return message if isinstance(message, OperatorReading) else None
+        finally:
+            writer.transport.abort()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            async with asyncio.timeout(FETCH_SECONDS):
+                message = decode_message(await _read(reader), self._loop.time())
+                reading = self._operator()
+                if isinstance(message, OperatorWanted) and reading is not None:
+                    _write(writer, encode_message(reading, self._loop.time()))
+                    await writer.drain()
+        except (OSError, TimeoutError, asyncio.IncompleteReadError) as error:
+            self._log.debug("peer_request_broken", error=error)
+        except PeerMessageInvalid as error:
+            self._note_invalid(error)
+        finally:
+            writer.close()
+
+
+def _write(writer: asyncio.StreamWriter, data: bytes) -> None:
+    writer.write(LENGTH.pack(len(data)) + data)
+
+
+async def _read(reader: asyncio.StreamReader) -> bytes:
+    (length,) = LENGTH.unpack(await reader.readexactly(LENGTH.size))
+    if length > MAX_MESSAGE_BYTES:
+        raise PeerMessageInvalid("the message is too long")
+    return await reader.readexactly(length)
--- /dev/null
+++ b/cranberrywick/gateway/messages.py
@@ -0,0 +1,207 @@
+"""Messages between gateways, as Cap'n Proto.
+
+Ages take the place of moments on the wire: each side counts from its own clock.
+"""
+
+from importlib.resources import as_file, files
+from typing import Any, NamedTuple
+
+import capnp
+
+from cranberrywick.errors import PeerMessageInvalid
+from cranberrywick.routing.load import Job
+from cranberrywick.routing.members import Heartbeat
+from cranberrywick.routing.model import EndpointRecord, EndpointView, OperatorView
+
+__all__ = [
+    "EndpointReading",
+    "OperatorReading",
+    "OperatorWanted",
+    "decode_message",
+    "encode_message",
+]
+
+# A configuration of at most 1 MiB, with room for the rest.
+MAX_MESSAGE_BYTES = 1_500_000
+MAX_MESSAGE_WORDS = 400_000
+MAX_NESTING = 8
+# Unsigned 32-bit milliseconds; an age that never was counts as the longest.
+LONGEST_MS = 2**31 - 1
+
+
+class EndpointReading(NamedTuple):
+    """The registered endpoints as they were read ``age`` seconds ago."""
+
+    view: EndpointView
+    age: float
+
+
+class OperatorReading(NamedTuple):
+    """What operators have written, known to be the newest ``age`` seconds ago."""
+
+    view: OperatorView
+    age: float
+
+
+class OperatorWanted(NamedTuple):
+    """Asks a peer for its `OperatorReading`."""
+
+
+Message = Heartbeat | EndpointReading | OperatorReading | OperatorWanted
+
+
+def _load_schema() -> Any:
+    with as_file(files("cranberrywick.gateway") / "fleet.capnp") as path:
+        return capnp.load(str(path))
+
+
+_SCHEMA = _load_schema()
+
+
+def encode_message(message: Message, now: float) -> bytes:
+    """Return the bytes of a message; ``now`` is the clock of its moments."""
+    if isinstance(message, Heartbeat):
+        body = {"heartbeat": _write_heartbeat(message, now)}
+    elif isinstance(message, EndpointReading):
+        body = {"endpoints": _write_endpoints(message)}
+    elif isinstance(message, OperatorReading):
+        body = {"operator": _write_operator(message)}
+    else:
+        body = {"operatorWanted": None}
+    return _SCHEMA.Message.new_message(**body).to_bytes_packed()
+
+
+def decode_message(data: bytes, now: float) -> Message:
+    """Return a message; raises `PeerMessageInvalid`."""
+    if len(data) > MAX_MESSAGE_BYTES:
+        raise PeerMessageInvalid("the message is too long")
+    try:
+        message = _SCHEMA.Message.from_bytes_packed(
+            data,
+            traversal_limit_in_words=MAX_MESSAGE_WORDS,
+            nesting_limit=MAX_NESTING,
+        )
+        which = message.which()
+        if which == "heartbeat":
+            return _read_heartbeat(message.heartbeat, now)
+        if which == "endpoints":
+            return _read_endpoints(message.endpoints)
+        if which == "operator":
+            return _read_operator(message.operator)
+        return OperatorWanted()
+    except (capnp.KjException, ValueError, IndexError) as error:
+        raise PeerMessageInvalid(f"malformed message: {error!s:.100}") from error
+
+
+def _milliseconds(seconds: float) -> int:
+    return int(min(max(0.0, seconds) * 1000, LONGEST_MS))
+
+
+def _write_heartbeat(beat: Heartbeat, now: float) -> dict[str, Any]:
+    return {
+        "daemonId": beat.daemon_id,
+        "incarnation": beat.incarnation,
+        "sequence": beat.sequence,
+        "peerAddress": beat.peer_address,
+        "entryAddress": beat.entry_address,
+        "failureDomain": beat.failure_domain,
+        "leaving": beat.leaving,
+        "operatorRevision": beat.operator_revision,
+        "operatorDigest": beat.operator_digest,
+        "operatorAgeMs": _milliseconds(beat.operator_age),
+        "jobs": [
+            {
+                "endpointId": job.endpoint_id,
+                "promptTokens": job.prompt_tokens,
+                "outputTokens": job.output_tokens,
+                "ageMs": _milliseconds(now - job.started_at),
+                "firstEventMs": _milliseconds(job.first_event_at - now),
+                "writing": job.writing,
+                "helper": job.helper,
+            }
+            for job in beat.jobs
+        ],
+    }
+
+
+def _read_heartbeat(beat: Any, now: float) -> Heartbeat:
+    return Heartbeat(
+        daemon_id=beat.daemonId,
+        incarnation=beat.incarnation,
+        sequence=beat.sequence,
+        peer_address=beat.peerAddress,
+        entry_address=beat.entryAddress,
+        failure_domain=beat.failureDomain,
+        leaving=beat.leaving,
+        operator_revision=beat.operatorRevision,
+        operator_digest=beat.operatorDigest,
+        operator_age=beat.operatorAgeMs / 1000,
+        jobs=tuple(
+            Job(
+                endpoint_id=job.endpointId,
+                prompt_tokens=job.promptTokens,
+                output_tokens=job.outputTokens,
+                started_at=now - job.ageMs / 1000,
+                first_event_at=now + job.firstEventMs / 1000,
+                writing=job.writing,
+                helper=job.helper,
+            )
+            for job in beat.jobs
+        ),
+    )
+
+
+def _write_endpoints(reading: EndpointReading) -> dict[str, Any]:
+    return {
+        "revision": reading.view.revision,
+        "ageMs": _milliseconds(reading.age),
+        "records": [
+            {
+                "endpointId": record.endpoint_id,
+                "service": record.service,
+                "address": record.address,
+                "failureDomain": record.failure_domain,
+                "slots": record.slots,
+                "draining": record.draining,
+                "coldMs": _milliseconds(record.cold_seconds),
+                "born": record.born,
+            }
+            for record in reading.view.records_by_id.values()
+        ],
+    }
+
+
+def _read_endpoints(reading: Any) -> EndpointReading:
+    records = {
+        record.endpointId: EndpointRecord(
+            endpoint_id=record.endpointId,
+            service=record.service,
+            address=record.address,
+            failure_domain=record.failureDomain,
+            slots=record.slots,
+            draining=record.draining,
+            cold_seconds=record.coldMs / 1000,
+            born=record.born,
+        )
+        for record in reading.records
+    }
+    return EndpointReading(
+        EndpointView(reading.revision, records), reading.ageMs / 1000
+    )
+
+
+def _write_operator(reading: OperatorReading) -> dict[str, Any]:
+    view = reading.view
+    return {
+        "revision": view.revision,
+        "ageMs": _milliseconds(reading.age),
+        "document": view.document,
+        "domainsOut": sorted(view.domains_out),
+    }
+
+
+def _read_operator(reading: Any) -> OperatorReading:
+    view = OperatorView.of(
+        reading.revision, bytes(reading.document), frozenset(reading.domainsOut)
+    )
+    return OperatorReading(view, reading.ageMs / 1000)
--- /dev/null
+++ b/cranberrywick/gateway/upstream.py
@@ -0,0 +1,159 @@
+"""HTTP/1.1 towards endpoints: one connection for each attempt.
+
+A kept connection saves a millisecond and brings the answers of others: a late
+second answer, bytes after the end, a reset for a request that may have been read.
+A connection of its own for each attempt leaves nothing to be mistaken, and its end
+tells the endpoint that nobody waits any longer.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import h11
+
+from cranberrywick.errors import AmbiguousSend, AnswerLost, EndpointRefused
+from cranberrywick.gateway.ingress import keep_probing
+from cranberrywick.model import EndpointRefusal
+
+__all__ = ["EndpointAnswer", "EndpointConnection"]
+
+READ_BYTES = 65536
+# An answer's head of more than this is no answer of ours.
+MAX_HEAD_BYTES = 65536
+
+
+class EndpointAnswer:
+    """The head of an endpoint's answer; the body follows from the connection."""
+
+    def __init__(self, response: h11.Response):
+        self.status = response.status_code
+        self.reason = bytes(response.reason)
+        self.raw_headers = [
+            (bytes(name), bytes(value)) for name, value in response.headers.raw_items()
+        ]
+        self.headers_by_name = {
+            bytes(name): bytes(value) for name, value in response.headers
+        }
+
+    @property
+    def is_encoded(self) -> bool:
+        """Whether the body is not the plain bytes that were asked for."""
+        encoding = self.headers_by_name.get(b"content-encoding", b"identity")
+        return encoding.lower() != b"identity"
+
+
+class EndpointConnection:
+    """One attempt at one endpoint.
+
+    >>> async with EndpointConnection("10.0.0.9:8080") as connection:
+    ...     await connection.open(timeout=0.3)
+    ...     await connection.send(b"GET", b"/x", headers, b"")
+    ...     answer = await connection.read_head()
+    ...     async for part in connection.body():
+    ...         ...
+    """
+
+    def __init__(self, address: str):
+        self._host, _, port = address.rpartition(":")
+        self._port = int(port)
+        self._http = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
+        )
+        self._reader: asyncio.StreamReader | None = None
+        self._writer: asyncio.StreamWriter | None = None
+        self.sent = False
+
+    async def __aenter__(self) -> "EndpointConnection":
+        """Return the connection, not opened yet."""
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        """Close at once, whatever is left unread."""
+        self.close()
+
+    def close(self) -> None:
+        """Close at once; the endpoint drops the request if it still runs."""
+        if self._writer is not None:
+            self._writer.transport.abort()
+            self._writer = None
+
+    async def open(self, timeout: float) -> None:
+        """Connect; raises `EndpointRefused`, for nothing has been sent."""
+        try:
+            async with asyncio.timeout(timeout):
+                self._reader, self._writer = await asyncio.open_connection(
+                    self._host, self._port
+                )
+        except (OSError, TimeoutError) as error:
+            raise EndpointRefused(
+                f"no connection: {type(error).__name__}",
+                reason=EndpointRefusal.UNREACHABLE,
+            ) from error
+        keep_probing(self._writer.transport)
+
+    async def send(
+        self,
+        method: bytes,
+        target: bytes,
+        headers: list[tuple[bytes, bytes]],
+        body: bytes,
+    ) -> None:
+        """Send a whole request; an answer may come before it is sent."""
+        framing = [(b"Connection", b"close")]
+        if body or method not in (b"GET", b"HEAD"):
+            framing.append((b"Content-Length", str(len(body)).encode()))
+        request = h11.Request(method=method, target=target, headers=headers + framing)
+        data = self._http.send(request)
+        if body:
+            data += self._http.send(h11.Data(data=body))
+        data += self._http.send(h11.EndOfMessage())
+        # From the first byte on, the endpoint may have what it needs to run.
+        self.sent = True
+        self._writer.write(data)
+
+    async def read_head(self) -> EndpointAnswer:
+        """Return the head of the answer.
+
+        Raises `AmbiguousSend` for a connection that ends before it, `AnswerLost`
+        for bytes that are no answer.
+        """
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.Response):
+                return EndpointAnswer(event)
+            if isinstance(event, h11.ConnectionClosed):
+                raise AmbiguousSend("the endpoint closed without an answer")
+
+    async def body(self) -> AsyncIterator[bytes]:
+        """Yield the parts of the body; raises `AnswerLost` if it breaks off."""
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.Data):
+                yield bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                return
+            elif isinstance(event, h11.ConnectionClosed):
+                raise AnswerLost("the answer broke off")
+
+    async def _next_event(self) -> h11.Event:
+        while True:
+            try:
+                event = self._http.next_event()
+            except h11.RemoteProtocolError as error:
+                raise AnswerLost(f"malformed answer: {error!s:.80}") from error
+            if event is not h11.NEED_DATA:
+                return event
+            try:
+                data = await self._reader.read(READ_BYTES)
+            except OSError as error:
+                raise self._broken(error) from error
+            try:
+                self._http.receive_data(data)
+            except h11.RemoteProtocolError as error:
+                raise AnswerLost(f"malformed answer: {error!s:.80}") from error
+
+    def _broken(self, error: OSError) -> AmbiguousSend | AnswerLost:
+        message = f"the connection broke: {type(error).__name__}"
+        if self._http.their_state is h11.SEND_BODY:
+            return AnswerLost(message)
+        return AmbiguousSend(message)
--- a/cranberrywick/platform/__init__.py
+++ b/cranberrywick/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Ports and adapters for the platform: key-value service, VM list, weight store."""
+"""Adapter to the users' platform: its names, formats and calls, and no decision."""
--- /dev/null
+++ b/cranberrywick/platform/headers.py
@@ -0,0 +1,204 @@
+"""Names of the platform's headers and what they hold."""
+
+from collections.abc import Iterable, Mapping
+from typing import NamedTuple
+
+from cranberrywick.routing.model import PromptSize
+
+__all__ = [
+    "AUTHORIZATION",
+    "HOP_BY_HOP",
+    "REQUEST_ID",
+    "RequestMeta",
+    "ResponseMeta",
+    "SetHeaders",
+    "decode_request",
+    "decode_response",
+    "endpoint_headers",
+]
+
+REQUEST_ID = b"cranberrywick-request-id"
+AUTHORIZATION = b"authorization"
+DEADLINE = b"cranberrywick-deadline-ms"
+TOKEN_COUNT = b"cranberrywick-token-count"
+LAST_EVENT_ID = b"last-event-id"
+EXPECT_INSTANCE = b"cranberrywick-expect-instance"
+EXPECT_VERSION = b"cranberrywick-expect-version"
+TENANT = b"cranberrywick-tenant"
+PRIORITY = b"cranberrywick-request-priority"
+HELPERS = b"cranberrywick-helpers"
+NOT_EXECUTED = b"cranberrywick-not-executed"
+SEAL = b"cranberrywick-response-seal"
+LOAD = b"cranberrywick-server-load"
+WEIGHTS_VERSION = b"cranberrywick-weights-version"
+AT_FAULT = b"at-server"
+
+# Headers that concern one connection and are never passed on.
+HOP_BY_HOP = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"expect",
+    )
+)
+# What the gateway sets itself; a caller's own values are dropped.
+_OURS = frozenset(
+    (
+        AUTHORIZATION,
+        DEADLINE,
+        EXPECT_INSTANCE,
+        EXPECT_VERSION,
+        TENANT,
+        PRIORITY,
+        HELPERS,
+        LAST_EVENT_ID,
+    )
+)
+
+
+class RequestMeta(NamedTuple):
+    """What a caller's headers say; absent or unreadable values are None."""
+
+    request_id: str
+    key: str | None
+    deadline_seconds: float | None
+    prompt: PromptSize | None
+    last_event_id: str | None
+
+
+class ResponseMeta(NamedTuple):
+    """What an endpoint's headers say.
+
+    ``not_executed`` is the endpoint's word that it did not run the request;
+    ``sealed`` marks an answer of the endpoint itself. ``running`` and ``waiting``
+    are its requests as of now, -1 where it does not say.
+    """
+
+    request_id: str | None
+    not_executed: bool
+    sealed: bool
+    running: int
+    waiting: int
+    weights_version: str | None
+    at_fault: str | None
+
+
+class SetHeaders(NamedTuple):
+    """What the gateway tells an endpoint beside the caller's own headers.
+
+    ``remaining_seconds`` is the time left. ``endpoint_id`` names who is meant, so
+    that an endpoint which has taken over the address refuses. ``helpers`` are
+    addresses, each with the reservation that its part of the prompt may use.
+    """
+
+    remaining_seconds: float
+    endpoint_id: str
+    organisation: str | None
+    urgency: int | None = None
+    helpers: tuple[str, ...] = ()
+    last_event_id: str | None = None
+    weights_version: str | None = None
+
+
+def decode_request(headers: Iterable[tuple[bytes, bytes]]) -> RequestMeta:
+    """Return what the headers of a caller's request say; names are lower case."""
+    by_name = dict(headers)
+    return RequestMeta(
+        request_id=_text(by_name.get(REQUEST_ID)) or "",
+        key=_decode_key(by_name.get(AUTHORIZATION)),
+        deadline_seconds=_decode_milliseconds(by_name.get(DEADLINE)),
+        prompt=_decode_prompt(by_name.get(TOKEN_COUNT)),
+        last_event_id=_text(by_name.get(LAST_EVENT_ID)),
+    )
+
+
+def decode_response(status: int, headers: Mapping[bytes, bytes]) -> ResponseMeta:
+    """Return what the headers of an endpoint's answer say."""
+    # A request for another instance is refused with this status alone.
+    not_executed = NOT_EXECUTED in headers or status == 421
+    running, waiting = _decode_load(headers.get(LOAD))
+    return ResponseMeta(
+        request_id=_text(headers.get(REQUEST_ID)),
+        not_executed=not_executed,
+        sealed=SEAL in headers,
+        running=running,
+        waiting=waiting,
+        weights_version=_text(headers.get(WEIGHTS_VERSION)),
+        at_fault=_text(headers.get(AT_FAULT)),
+    )
+
+
+def endpoint_headers(
+    raw: Iterable[tuple[bytes, bytes]], own: SetHeaders
+) -> list[tuple[bytes, bytes]]:
+    """Return the headers for an endpoint: the caller's, less its secrets, and ours."""
+    dropped = _OURS | HOP_BY_HOP | _named_by_connection(raw)
+    passed = [
+        (name, value)
+        for name, value in raw
+        if name.lower() not in dropped and name.lower() != b"content-length"
+    ]
+    milliseconds = max(1, int(own.remaining_seconds * 1000))
+    passed.append((b"Cranberrywick-Deadline-Ms", str(milliseconds).encode()))
+    passed.append((b"Cranberrywick-Expect-Instance", own.endpoint_id.encode()))
+    if own.organisation is not None:
+        passed.append((b"Cranberrywick-Tenant", own.organisation.encode()))
+    if own.urgency is not None:
+        passed.append((b"Cranberrywick-Request-Priority", b"%d" % own.urgency))
+    if own.helpers:
+        passed.append((b"Cranberrywick-Helpers", ",".join(own.helpers).encode()))
+    if own.last_event_id is not None:
+        passed.append((b"Last-Event-Id", own.last_event_id.encode()))
+    if own.weights_version is not None:
+        passed.append((b"Cranberrywick-Expect-Version", own.weights_version.encode()))
+    return passed
+
+
+def _named_by_connection(raw: Iterable[tuple[bytes, bytes]]) -> frozenset[bytes]:
+    named: set[bytes] = set()
+    for name, value in raw:
+        if name.lower() == b"connection":
+            named.update(token.strip().lower() for token in value.split(b","))
+    # Naming these as private to the connection must not take them from the request.
+    return frozenset(named - {REQUEST_ID, TOKEN_COUNT, b"host", b"content-type"})
+
+
+def _text(value: bytes | None) -> str | None:
+    return None if value is None else value.decode("latin-1")
+
+
+def _decode_key(value: bytes | None) -> str | None:
+    scheme, _, key = (_text(value) or "").partition(" ")
+    return key.strip() if scheme.lower() == "token" and key.strip() else None
+
+
+def _decode_milliseconds(value: bytes | None) -> float | None:
+    try:
+        milliseconds = float(value) if value is not None else None
+    except ValueError:
+        return None
+    if milliseconds is None or not 0 <= milliseconds < 1e12:
+        return None
+    return milliseconds / 1000
+
+
+def _decode_prompt(value: bytes | None) -> PromptSize | None:
+    prompt, _, output = (_text(value) or "").partition(",")
+    if not prompt.strip().isdigit():
+        return None
+    output = output.strip()
+    return PromptSize(int(prompt), int(output) if output.isdigit() else 0)
+
+
+def _decode_load(value: bytes | None) -> tuple[int, int]:
+    parts = (_text(value) or "").split(",")
+    if len(parts) < 2 or not all(part.strip().isdigit() for part in parts[:2]):
+        return -1, -1
+    return int(parts[0]), int(parts[1])
--- /dev/null
+++ b/cranberrywick/routing/health.py
@@ -0,0 +1,61 @@
+"""Which endpoints fail, judged by this daemon's own attempts.
+
+Load pattern: an endpoint crashes, goes dark or fails part of its requests while its
+record in the store still says that it is ready. It answers faster than the others
+and looks idle, so without this it draws all new work and fails it.
+"""
+
+from typing import NamedTuple
+
+__all__ = ["EndpointHealth"]
+
+# An endpoint that failed rests this long, doubled with each failure in a row: it is
+# noticed as gone from the store within some three heartbeats, a few seconds.
+REST_SECONDS = 0.5
+MAX_REST_SECONDS = 4.0
+# Weight of the newest outcome in the share of failures: some ten outcomes count.
+OUTCOME_WEIGHT = 0.1
+
+
+class _State(NamedTuple):
+    failures: int
+    rest_until: float
+    failure_share: float
+
+
+_FRESH = _State(0, float("-inf"), 0.0)
+
+
+class EndpointHealth:
+    """Rests endpoints that fail, and remembers how often each fails."""
+
+    def __init__(self) -> None:
+        self._states_by_id: dict[str, _State] = {}
+
+    def succeeded(self, endpoint_id: str) -> None:
+        """Note an answer as it should be."""
+        state = self._states_by_id.get(endpoint_id)
+        if state is not None:
+            share = state.failure_share * (1 - OUTCOME_WEIGHT)
+            self._states_by_id[endpoint_id] = _State(0, float("-inf"), share)
+
+    def failed(self, endpoint_id: str, now: float) -> float:
+        """Note a failure of the endpoint and return how long it rests, in seconds."""
+        state = self._states_by_id.get(endpoint_id, _FRESH)
+        rest = min(REST_SECONDS * 2**state.failures, MAX_REST_SECONDS)
+        share = state.failure_share + OUTCOME_WEIGHT * (1 - state.failure_share)
+        self._states_by_id[endpoint_id] = _State(state.failures + 1, now + rest, share)
+        return rest
+
+    def is_resting(self, endpoint_id: str, now: float) -> bool:
+        """Whether the endpoint has just failed and should get nothing now."""
+        return self._states_by_id.get(endpoint_id, _FRESH).rest_until > now
+
+    def failure_share(self, endpoint_id: str) -> float:
+        """Return how many of the last attempts failed, between 0 and 1."""
+        return self._states_by_id.get(endpoint_id, _FRESH).failure_share
+
+    def keep_only(self, endpoint_ids: set[str]) -> None:
+        """Forget endpoints that are gone."""
+        for endpoint_id in self._states_by_id.keys() - endpoint_ids:
+            del self._states_by_id[endpoint_id]
--- /dev/null
+++ b/cranberrywick/routing/table.py
@@ -0,0 +1,72 @@
+"""Which route a request takes, and who its key belongs to."""
+
+import random
+from collections.abc import Iterable
+
+from cranberrywick.errors import NotFound, Unauthorised
+from cranberrywick.routing.model import GatewayConfiguration, Organisation, Route
+
+__all__ = ["RouteTable", "pick_service"]
+
+
+class RouteTable:
+    """One configuration, indexed for look-ups.
+
+    >>> RouteTable(configuration).match("example.org", "/letters/2026/1").prefix
+    '/letters/'
+    """
+
+    def __init__(self, configuration: GatewayConfiguration):
+        self.configuration = configuration
+        self._routes_by_prefix_by_host: dict[str, dict[str, Route]] = {}
+        for route in configuration.routes:
+            by_prefix = self._routes_by_prefix_by_host.setdefault(route.host, {})
+            by_prefix[route.prefix] = route
+
+    def match(self, host: str, path: str) -> Route:
+        """Return the route with the longest prefix; raises `NotFound`.
+
+        ``path`` is as the caller wrote it, without a query. Prefixes end with a
+        slash, so only the places of slashes are looked up: the cost does not grow
+        with the number of routes.
+        """
+        by_prefix = self._routes_by_prefix_by_host.get(_host_name(host), {})
+        end = path.rfind("/")
+        while end >= 0:
+            route = by_prefix.get(path[: end + 1])
+            if route is not None:
+                return route
+            end = path.rfind("/", 0, end)
+        raise NotFound("no route for this host and path")
+
+    def identify(self, route: Route, key: str | None) -> Organisation | None:
+        """Return who sends the request; raises `Unauthorised`."""
+        by_key = self.configuration.organisations_by_key
+        if by_key is None:
+            return None
+        organisation = by_key.get(key) if key is not None else None
+        if organisation is None and not route.public:
+            raise Unauthorised("the key is missing or unknown")
+        return organisation
+
+    def priority(self, route: Route, organisation: Organisation | None) -> int:
+        """Return the rank of a request; 0 comes first."""
+        if organisation is not None and organisation.priority is not None:
+            return organisation.priority
+        return route.priority
+
+
+def _host_name(host: str) -> str:
+    name = host.lower()
+    return name.rpartition(":")[0] if ":" in name else name
+
+
+def pick_service(
+    weights: Iterable[tuple[str, float]], rng: random.Random
+) -> str | None:
+    """Return one service, each as often as its weight says; None without any."""
+    choices = [(name, weight) for name, weight in weights if weight > 0]
+    if not choices:
+        return None
+    names, shares = zip(*choices, strict=True)
+    return rng.choices(names, shares)[0]
--- a/cranberrywick/standin/kv.py
+++ b/cranberrywick/standin/kv.py
@@ -17,8 +17,8 @@
 from typing import NamedTuple
 from urllib.parse import unquote
 
-from cranberrywick.platform.exchange import RateLimited, Reply, no_answer
-from cranberrywick.platform.key_value import HttpKeyValueStore
+from cranberrywick.external.exchange import RateLimited, Reply, no_answer
+from cranberrywick.external.key_value import HttpKeyValueStore
 from cranberrywick.standin.server import (
     Answer,
     Request,
--- a/tests/claim_fakes.py
+++ b/tests/claim_fakes.py
@@ -2,7 +2,7 @@
 
 from cranberrywick.claims.slices import RetentionSlices
 from cranberrywick.claims.store import ClaimStore
-from cranberrywick.platform.exchange import no_answer
+from cranberrywick.external.exchange import no_answer
 from cranberrywick.standin.kv import InProcessKeyValueStore
 
 
--- a/tests/test_endpoint_controller.py
+++ b/tests/test_endpoint_controller.py
@@ -6,9 +6,9 @@
 from cranberrywick.controllers.endpoints import EndpointBoard, EndpointController
 from cranberrywick.decisions.strategies import make_strategy
 from cranberrywick.dispatcher import Dispatcher
+from cranberrywick.external.vms import Vm, VmListing, VmRole, VmState
 from cranberrywick.logs import EventLog
 from cranberrywick.model import EndpointLoad, EndpointPhase
-from cranberrywick.platform.vms import Vm, VmListing, VmRole, VmState
 
 KIND = "drafting"
 
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -24,8 +24,8 @@
     OrderGiver,
     Unconfirmed,
 )
+from cranberrywick.external.weights import WeightStore
 from cranberrywick.model import Endpoint, EndpointKind, EndpointPhase
-from cranberrywick.platform.weights import WeightStore
 from cranberrywick.standin.engine import EngineStandIn
 from cranberrywick.standin.engine_core import EngineSettings
 from cranberrywick.standin.kv import InProcessKeyValueStore, KeyValueStandIn
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -5,15 +5,15 @@
 import pytest
 
 from cranberrywick.errors import NotFound, PlatformUnavailable
-from cranberrywick.platform.exchange import AmbiguousWrite, RateLimited
-from cranberrywick.platform.key_value import (
+from cranberrywick.external.exchange import AmbiguousWrite, RateLimited
+from cranberrywick.external.key_value import (
     HttpKeyValueStore,
     LeaseLapsed,
     RevisionConflict,
     open_key_value_store,
 )
-from cranberrywick.platform.vms import VmList, VmState
-from cranberrywick.platform.weights import WeightStore
+from cranberrywick.external.vms import VmList, VmState
+from cranberrywick.external.weights import WeightStore
 from cranberrywick.standin.kv import KeyValueStandIn
 from cranberrywick.standin.server import start
 from cranberrywick.standin.vms import VmListStandIn
--- a/tests/test_platform_budget.py
+++ b/tests/test_platform_budget.py
@@ -5,15 +5,15 @@
 import pytest
 
 from cranberrywick.errors import PlatformUnavailable
-from cranberrywick.platform.budget import BudgetedKeyValueStore, PlatformRates
-from cranberrywick.platform.call_limits import (
+from cranberrywick.external.budget import BudgetedKeyValueStore, PlatformRates
+from cranberrywick.external.call_limits import (
     OUTAGE_FAILURES,
     PROBE_MAXIMUM_SECONDS,
     RETURN_SECONDS,
     OutageGuard,
 )
-from cranberrywick.platform.exchange import RateLimited
-from cranberrywick.platform.key_value import RevisionConflict
+from cranberrywick.external.exchange import RateLimited
+from cranberrywick.external.key_value import RevisionConflict
 from cranberrywick.standin.kv import InProcessKeyValueStore, KeyValueStandIn
 
 
