--- a/cranberrywick/gateway/attempt.py
+++ b/cranberrywick/gateway/attempt.py
@@ -7,7 +7,9 @@
 from cranberrywick.errors import AmbiguousSend, AnswerLost, EndpointRefused
 from cranberrywick.gateway.events import EventSplitter
 from cranberrywick.gateway.exchange import Exchange
+from cranberrywick.gateway.reservations import Reservations
 from cranberrywick.gateway.upstream import EndpointAnswer, EndpointConnection
+from cranberrywick.logs import EventLog
 from cranberrywick.model import EndpointRefusal, Executed
 from cranberrywick.platform.headers import (
     HOP_BY_HOP,
@@ -16,6 +18,8 @@
     decode_response,
     endpoint_headers,
 )
+from cranberrywick.platform.orders import helper_entry
+from cranberrywick.routing.model import EndpointRecord
 from cranberrywick.routing.placement import Placement
 from cranberrywick.routing.registry import EndpointBelief
 
@@ -46,7 +50,9 @@
         beliefs_by_id: Mapping[str, EndpointBelief],
         still_usable: Callable[[str], bool],
         first_event: Callable[[Exchange], None],
+        log: EventLog,
     ):
+        self._log = log
         self._exchange = exchange
         self._placement = placement
         self._beliefs_by_id = beliefs_by_id
@@ -56,8 +62,27 @@
 
     async def run(self) -> Passed:
         """Make the attempt."""
-        exchange = self._exchange
         record = self._beliefs_by_id[self._placement.endpoint_id].record
+        reservations = Reservations(self._wanted_memory(), self._log)
+        try:
+            await reservations.take()
+            return await self._run(record, reservations)
+        finally:
+            reservations.release()
+
+    def _wanted_memory(self) -> list[tuple[str, str, int]]:
+        return [
+            (
+                part.endpoint_id,
+                self._beliefs_by_id[part.endpoint_id].record.address,
+                part.reserved_tokens,
+            )
+            for part in self._placement.helpers
+            if part.reserved_tokens and part.endpoint_id in self._beliefs_by_id
+        ]
+
+    async def _run(self, record: EndpointRecord, reservations: Reservations) -> Passed:
+        exchange = self._exchange
         async with EndpointConnection(record.address) as connection:
             remaining = exchange.deadline - self._loop.time()
             await connection.open(min(CONNECT_SECONDS, remaining))
@@ -67,7 +92,7 @@
                 raise EndpointRefused(
                     "the endpoint is leaving", reason=EndpointRefusal.LEAVING
                 )
-            await self._send(connection)
+            await self._send(connection, reservations)
             try:
                 passed = await self._receive(connection)
             except EndpointRefused:
@@ -80,7 +105,9 @@
         exchange.under_way = False
         return passed
 
-    async def _send(self, connection: EndpointConnection) -> None:
+    async def _send(
+        self, connection: EndpointConnection, reservations: Reservations
+    ) -> None:
         exchange, placement = self._exchange, self._placement
         organisation = exchange.organisation
         headers = endpoint_headers(
@@ -89,7 +116,7 @@
                 remaining_seconds=exchange.deadline - self._loop.time(),
                 endpoint_id=placement.endpoint_id,
                 organisation=organisation.name if organisation else None,
-                helpers=self._helper_addresses(),
+                helpers=self._helpers(reservations),
                 last_event_id=exchange.last_event_id,
                 weights_version=exchange.weights_version,
             ),
@@ -97,15 +124,20 @@
         exchange.sent_count += 1
         exchange.under_way = True
         exchange.predicted = placement.first_event_seconds
-        exchange.parts = 1 + len(placement.helper_ids)
+        exchange.parts = 1 + len(placement.helpers)
         request = exchange.request
         await connection.send(request.method, request.target, headers, request.body)
 
-    def _helper_addresses(self) -> tuple[str, ...]:
+    def _helpers(self, reservations: Reservations) -> tuple[str, ...]:
+        """Return the helpers, those that hold memory first, as they are filled."""
+        ids_by_endpoint = {r.endpoint_id: r.reservation_id for r in reservations.held}
         return tuple(
-            self._beliefs_by_id[endpoint_id].record.address
-            for endpoint_id in self._placement.helper_ids
-            if endpoint_id in self._beliefs_by_id
+            helper_entry(
+                self._beliefs_by_id[part.endpoint_id].record.address,
+                ids_by_endpoint.get(part.endpoint_id),
+            )
+            for part in self._placement.helpers
+            if part.endpoint_id in self._beliefs_by_id
         )
 
     async def _receive(self, connection: EndpointConnection) -> Passed:
@@ -177,6 +209,7 @@
     async def _pass_events(
         self, answer: EndpointAnswer, meta: ResponseMeta, whole: bytes
     ) -> None:
+        self._exchange.note_events(self._loop.time())
         if not self._exchange.caller.started:
             await self._begin(answer, meta)
         if self._is_first:
--- a/cranberrywick/gateway/exchange.py
+++ b/cranberrywick/gateway/exchange.py
@@ -45,6 +45,8 @@
         self.may_have_run = False
         self.placed_at: float | None = None
         self.first_event_at: float | None = None
+        self.last_event_at: float | None = None
+        self.longest_gap = 0.0
         self.predicted: float | None = None
         self.parts = 1
         self.last_event_id = meta.last_event_id
@@ -52,6 +54,12 @@
         self.endpoint_id = ""
         self.status = 0
 
+    def note_events(self, now: float) -> None:
+        """Note that events have come, for the pauses between them."""
+        if self.last_event_at is not None:
+            self.longest_gap = max(self.longest_gap, now - self.last_event_at)
+        self.last_event_at = now
+
     @property
     def host(self) -> str:
         """The host that the caller asked for."""
--- a/cranberrywick/gateway/fleet.capnp
+++ b/cranberrywick/gateway/fleet.capnp
@@ -4,12 +4,15 @@
 
 struct Job {
   endpointId @0 :Text;
-  promptTokens @1 :UInt32;
-  outputTokens @2 :UInt32;
-  ageMs @3 :UInt32;
-  firstEventMs @4 :Int32;
-  writing @5 :Bool;
-  helper @6 :Bool;
+  heldTokens @1 :UInt32;
+  ageMs @2 :UInt32;
+  firstEventMs @3 :UInt32;
+  writing @4 :Bool;
+  helper @5 :Bool;
+  gapMs @6 :UInt32;
+  value @7 :Float32;
+  readingMs @8 :UInt32;
+  dueMs @9 :Int32;
 }
 
 struct Heartbeat {
--- a/cranberrywick/gateway/forwarder.py
+++ b/cranberrywick/gateway/forwarder.py
@@ -130,15 +130,17 @@
             return
 
     async def _place(self, exchange: Exchange) -> Placement:
+        due_at = exchange.request.arrived + exchange.route.target_seconds
         demand = Demand(
             request_id=exchange.key,
             service=exchange.service,
             prompt=exchange.meta.prompt,
             target_seconds=exchange.route.target_seconds,
+            due_at=due_at,
+            gap_seconds=exchange.route.gap_target_seconds,
             failure_domain=self._settings.failure_domain,
             tried_ids=frozenset(exchange.tried_ids),
         )
-        due_at = exchange.request.arrived + exchange.route.target_seconds
         placement = await self._waiting.place(demand, exchange.priority, due_at)
         if exchange.placed_at is None:
             exchange.placed_at = self._loop.time()
@@ -147,7 +149,12 @@
     async def _attempt(self, exchange: Exchange, placement: Placement) -> Passed:
         beliefs = self._state.registry.beliefs_by_id
         attempt = Attempt(
-            exchange, placement, beliefs, self._still_usable, self._first_event
+            exchange,
+            placement,
+            beliefs,
+            self._still_usable,
+            self._first_event,
+            self._log,
         )
         return await attempt.run()
 
@@ -168,7 +175,7 @@
         jobs = [
             job._replace(writing=True, first_event_at=now)
             for job in self._state.load.jobs_of(exchange.key)
-            if not job.helper
+            if job.held_tokens
         ]
         self._state.load.put(exchange.key, jobs)
         self._state.load_changed()
@@ -275,6 +282,7 @@
             first_event=first,
             predicted=exchange.predicted,
             parts=exchange.parts,
+            longest_gap=exchange.longest_gap,
             tokens=exchange.meta.prompt.prompt_tokens if exchange.meta.prompt else None,
             version=exchange.version,
             endpoints_age=self._state.registry.age(now),
--- a/cranberrywick/gateway/messages.py
+++ b/cranberrywick/gateway/messages.py
@@ -97,6 +97,10 @@
     return int(min(max(0.0, seconds) * 1000, LONGEST_MS))
 
 
+def _signed_milliseconds(seconds: float) -> int:
+    return int(max(-LONGEST_MS, min(seconds * 1000, LONGEST_MS)))
+
+
 def _write_heartbeat(beat: Heartbeat, now: float) -> dict[str, Any]:
     return {
         "daemonId": beat.daemon_id,
@@ -112,12 +116,15 @@
         "jobs": [
             {
                 "endpointId": job.endpoint_id,
-                "promptTokens": job.prompt_tokens,
-                "outputTokens": job.output_tokens,
+                "heldTokens": job.held_tokens,
                 "ageMs": _milliseconds(now - job.started_at),
                 "firstEventMs": _milliseconds(job.first_event_at - now),
                 "writing": job.writing,
                 "helper": job.helper,
+                "gapMs": _milliseconds(job.gap_seconds),
+                "value": job.value,
+                "readingMs": _milliseconds(job.reading_seconds),
+                "dueMs": _signed_milliseconds(job.due_at - now),
             }
             for job in beat.jobs
         ],
@@ -139,12 +146,15 @@
         jobs=tuple(
             Job(
                 endpoint_id=job.endpointId,
-                prompt_tokens=job.promptTokens,
-                output_tokens=job.outputTokens,
+                held_tokens=job.heldTokens,
                 started_at=now - job.ageMs / 1000,
                 first_event_at=now + job.firstEventMs / 1000,
                 writing=job.writing,
                 helper=job.helper,
+                gap_seconds=job.gapMs / 1000,
+                value=job.value,
+                reading_seconds=job.readingMs / 1000,
+                due_at=now + job.dueMs / 1000,
             )
             for job in beat.jobs
         ),
--- /dev/null
+++ b/cranberrywick/platform/orders.py
@@ -0,0 +1,29 @@
+"""Orders to endpoints that reserve and release their memory."""
+
+import json
+
+__all__ = ["ORDER_TARGET", "encode_release", "encode_reserve", "helper_entry"]
+
+ORDER_TARGET = b"/order"
+
+
+def encode_reserve(reservation_id: str, tokens: int, hold_seconds: float) -> bytes:
+    """Return the body that reserves memory, or renews a reservation of this id."""
+    return json.dumps(
+        {
+            "operation": "reserve",
+            "id": reservation_id,
+            "tokens": tokens,
+            "holdMs": int(hold_seconds * 1000),
+        }
+    ).encode()
+
+
+def encode_release(reservation_id: str) -> bytes:
+    """Return the body that ends a reservation."""
+    return json.dumps({"operation": "release", "id": reservation_id}).encode()
+
+
+def helper_entry(address: str, reservation_id: str | None) -> str:
+    """Return how a helper is named to the endpoint that answers."""
+    return f"{address}/{reservation_id}" if reservation_id else address
--- a/cranberrywick/routing/engine_model.py
+++ b/cranberrywick/routing/engine_model.py
@@ -1,22 +1,28 @@
 """When a model engine will answer, predicted from what it declares of itself.
 
-An engine works in passes. A pass reads a chunk of one waiting prompt and, if answers
-are being written, makes a number of steps for all of them. So a prompt's first token
-comes after what is read before it, its own reading, and the steps of the passes that
-its reading takes.
+An engine works in passes. While answers are being written, a pass makes ``stride``
+steps for all of them, and between the steps it reads up to a chunk of a waiting
+prompt each: what a writer notices as a pause is the whole pass. So a long prompt
+holds up every answer at its engine for as long as its reading takes, and a new
+prompt's first event comes with the end of the pass that has read it.
 
->>> size = PromptSize(prompt_tokens=154_000, output_tokens=800)
->>> read_seconds(profile, size.prompt_tokens, parts=4)
+>>> read_seconds(profile, prompt_tokens=154_000, parts=4)
 0.763
 """
 
-from collections.abc import Iterable
-from math import ceil
+from collections.abc import Iterable, Sequence
+from typing import NamedTuple
 
 from cranberrywick.routing.load import Job
 from cranberrywick.routing.model import EngineProfile
 
-__all__ = ["first_event_seconds", "read_seconds", "step_seconds", "waiting_seconds"]
+__all__ = ["EngineForecast", "forecast", "read_seconds"]
+
+# A new prompt waits for the end of the pass that is running: half of one on average.
+RUNNING_PASS_SHARE = 0.5
+# A pause this close to what is still on time is counted as too long: prediction and
+# delivery are off by some milliseconds.
+GAP_MARGIN = 0.9
 
 
 def read_seconds(profile: EngineProfile, prompt_tokens: int, parts: int = 1) -> float:
@@ -29,37 +35,73 @@
     return whole / parts
 
 
-def step_seconds(profile: EngineProfile, jobs: Iterable[Job]) -> float:
-    """Return how long one step for all running answers takes; 0 without any."""
+class EngineForecast(NamedTuple):
+    """An engine's near future, in seconds from now.
+
+    ``pass_seconds`` is what the steps of one pass take for the answers being
+    written, ``reading_seconds`` how long it still reads what it has, and
+    ``helper_seconds`` the same for the parts of others' prompts alone: these are
+    read ahead of the engine's own prompts.
+    """
+
+    now: float
+    pass_seconds: float
+    reading_seconds: float
+    helper_seconds: float
+    jobs: Sequence[Job]
+
+    def first_event(self, own_reading: float, helper: bool = False) -> float:
+        """Return when a prompt with so much reading would be read here."""
+        before = self.helper_seconds if helper else self.reading_seconds
+        steps = (1 + RUNNING_PASS_SHARE) * self.pass_seconds
+        return before + own_reading + steps
+
+    def harm(self, reading: float, helper: bool = False) -> float:
+        """Return the value of the requests here that more reading makes late."""
+        pause = self.pass_seconds + self.reading_seconds
+        lost = 0.0
+        for job in self.jobs:
+            if job.helper:
+                continue
+            if job.writing:
+                is_lost = pause <= GAP_MARGIN * job.gap_seconds < pause + reading
+            else:
+                read_at = max(job.first_event_at, self.now)
+                is_lost = helper and read_at <= job.due_at < read_at + reading
+            lost += job.value * is_lost
+        return lost
+
+
+def forecast(profile: EngineProfile, jobs: Sequence[Job], now: float) -> EngineForecast:
+    """Return what is to come at an engine with these jobs."""
+    pending = [job for job in jobs if not job.writing]
+    return EngineForecast(
+        now=now,
+        pass_seconds=_pass_seconds(profile, jobs),
+        reading_seconds=_backlog(pending, now),
+        helper_seconds=_backlog([job for job in pending if job.helper], now),
+        jobs=jobs,
+    )
+
+
+def _backlog(pending: Sequence[Job], now: float) -> float:
+    """Return how long these are still read, one after the other."""
+    if not pending:
+        return 0.0
+    since = now - min(job.started_at for job in pending)
+    work = sum(job.reading_seconds for job in pending) - since
+    last = max(job.first_event_at for job in pending) - now
+    return max(0.0, work, last)
+
+
+def _pass_seconds(profile: EngineProfile, jobs: Iterable[Job]) -> float:
     writers = 0
-    context = 0.0
+    context = 0
     for job in jobs:
-        if job.writing and not job.helper:
+        if job.writing:
             writers += 1
-            context += job.prompt_tokens + job.output_tokens / 2
+            context += job.held_tokens
     if not writers:
         return 0.0
     own = writers * profile.writer_seconds + context * profile.context_seconds
-    return profile.step_seconds + own
-
-
-def waiting_seconds(jobs: Iterable[Job], now: float) -> float:
-    """Return how long the engine still reads what it has."""
-    return max(
-        (job.first_event_at - now for job in jobs if not job.writing), default=0.0
-    )
-
-
-def first_event_seconds(
-    profile: EngineProfile,
-    jobs: Iterable[Job],
-    prompt_tokens: int,
-    parts: int,
-    now: float,
-) -> float:
-    """Return when the first event of a new prompt would come, in seconds from now."""
-    jobs = list(jobs)
-    passes = ceil(prompt_tokens / parts / profile.chunk_tokens)
-    steps = passes * profile.stride * step_seconds(profile, jobs)
-    own = read_seconds(profile, prompt_tokens, parts) + steps
-    return max(0.0, waiting_seconds(jobs, now)) + own
+    return profile.stride * (profile.step_seconds + own)
--- a/cranberrywick/routing/load.py
+++ b/cranberrywick/routing/load.py
@@ -21,76 +21,68 @@
 class Job(NamedTuple):
     """One request, or a helper's part of one, at an endpoint.
 
-    ``first_event_at`` is when its reading is expected to end; ``writing`` says that
-    it has. Moments are on the clock of whoever holds the value.
+    ``held_tokens`` is the engine memory that it takes there, ``reading_seconds`` how
+    long the engine reads for it. ``first_event_at`` is when that is expected to have
+    ended; ``writing`` says that it has. ``helper`` marks a part of a prompt that
+    another endpoint answers. Its first event is on time until ``due_at`` and a pause
+    between events up to ``gap_seconds``; ``value`` is what is lost when it is late,
+    in requests of the shortest kind. Moments are on the clock of whoever holds the
+    value.
     """
 
     endpoint_id: str
-    prompt_tokens: int
-    output_tokens: int
+    held_tokens: int
+    reading_seconds: float
     started_at: float
     first_event_at: float
-    writing: bool
-    helper: bool
-
-    def later(self, seconds: float) -> "Job":
-        """Return the same job on a clock that is ``seconds`` ahead."""
-        return self._replace(
-            started_at=self.started_at + seconds,
-            first_event_at=self.first_event_at + seconds,
-        )
+    due_at: float = float("inf")
+    writing: bool = False
+    helper: bool = False
+    gap_seconds: float = float("inf")
+    value: float = 1.0
 
 
 class FleetLoad:
     """The jobs of this daemon and of its peers, by endpoint."""
 
     def __init__(self) -> None:
-        self._own_by_key: dict[tuple[str, int], Job] = {}
+        self._own_by_request: dict[str, tuple[Job, ...]] = {}
         self._peers: dict[str, tuple[float, tuple[Job, ...]]] = {}
         self._by_endpoint: dict[str, list[Job]] | None = None
-        self.version = 0
-
-    def _changed(self) -> None:
-        self._by_endpoint = None
-        self.version += 1
 
     def put(self, request_id: str, jobs: Sequence[Job]) -> None:
         """Replace what one of our requests has at endpoints."""
-        self.drop(request_id)
-        for index, job in enumerate(jobs):
-            self._own_by_key[request_id, index] = job
-        self._changed()
+        self._own_by_request[request_id] = tuple(jobs)
+        self._by_endpoint = None
 
     def drop(self, request_id: str) -> None:
         """Forget a request that has ended."""
-        index = 0
-        while self._own_by_key.pop((request_id, index), None) is not None:
-            index += 1
-        self._changed()
+        if self._own_by_request.pop(request_id, None) is not None:
+            self._by_endpoint = None
 
-    def jobs_of(self, request_id: str) -> list[Job]:
+    def jobs_of(self, request_id: str) -> tuple[Job, ...]:
         """Return what one of our requests has at endpoints."""
-        jobs = []
-        while (request_id, len(jobs)) in self._own_by_key:
-            jobs.append(self._own_by_key[request_id, len(jobs)])
-        return jobs
+        return self._own_by_request.get(request_id, ())
 
     @property
     def own(self) -> list[Job]:
         """This daemon's jobs, to be told to the others."""
-        return list(self._own_by_key.values())
+        return [job for jobs in self._own_by_request.values() for job in jobs]
 
     def hear(self, daemon_id: str, jobs: Iterable[Job], now: float) -> None:
         """Replace what a peer has at endpoints."""
-        self._peers[daemon_id] = (now, tuple(jobs))
-        self._changed()
+        jobs = tuple(jobs)
+        known = self._peers.get(daemon_id)
+        self._peers[daemon_id] = (now, jobs)
+        if jobs or (known is not None and known[1]):
+            self._by_endpoint = None
 
     def forget_silent(self, now: float) -> None:
         """Drop the jobs of peers that have not been heard for long."""
         for daemon_id, (heard_at, _) in list(self._peers.items()):
             if now - heard_at > OWNER_SILENCE_SECONDS:
                 del self._peers[daemon_id]
-                self._changed()
+                self._by_endpoint = None
 
     def at(self, endpoint_id: str) -> Sequence[Job]:
         """Return the jobs at an endpoint."""
@@ -100,8 +92,9 @@
 
     def _index(self) -> dict[str, list[Job]]:
         by_endpoint: dict[str, list[Job]] = defaultdict(list)
-        for job in self._own_by_key.values():
-            by_endpoint[job.endpoint_id].append(job)
+        for jobs in self._own_by_request.values():
+            for job in jobs:
+                by_endpoint[job.endpoint_id].append(job)
         for _, jobs in self._peers.values():
             for job in jobs:
                 by_endpoint[job.endpoint_id].append(job)
--- a/cranberrywick/routing/model.py
+++ b/cranberrywick/routing/model.py
@@ -71,7 +71,8 @@
     plus, for each answer, ``writer_seconds`` and ``context_seconds`` for each token
     of its context. Reading takes ``1 / read_rate`` a token and ``pair_seconds`` for
     each pair of a token and an earlier one, ``chunk_tokens`` at a time. A pass
-    with running answers makes ``stride`` steps.
+    with running answers makes ``stride`` steps. ``usual_prompt_tokens`` is the mean
+    length of a prompt.
     """
 
     slots: int
@@ -84,7 +85,7 @@
     pair_seconds: float
     chunk_tokens: int
     hop_seconds: float
-    usual_output_tokens: float
+    usual_prompt_tokens: float
 
 
 class Service(NamedTuple):
--- a/cranberrywick/routing/placement.py
+++ b/cranberrywick/routing/placement.py
@@ -1,43 +1,81 @@
-"""Where a request goes: which endpoint, and for long prompts which helpers."""
+"""Where a request goes: which endpoint, and for long prompts which helpers.
+
+Load pattern: prompts from a thousand to several hundred thousand tokens share
+engines. A long prompt's reading, seconds on one engine, stops every answer that is
+being written there; a short prompt behind it waits as long. Sent to the engine with
+the fewest requests, one long prompt made a dozen short answers late.
+
+Two things answer it. A long prompt is read in even parts on several engines, as many
+as its target needs. And each choice is priced by what it makes late, of the request
+itself and of what is being written where it goes: long prompts go where nothing
+fragile is written, short ones keep together, so that such engines are left.
+"""
 
 import random
 from collections.abc import Mapping, Sequence
+from math import ceil
 from typing import NamedTuple
 
-from cranberrywick.routing.engine_model import first_event_seconds
+from cranberrywick.routing.engine_model import EngineForecast, forecast, read_seconds
 from cranberrywick.routing.health import EndpointHealth
 from cranberrywick.routing.load import FleetLoad, Job
 from cranberrywick.routing.model import EngineProfile, PromptSize, Service
 from cranberrywick.routing.registry import EndpointBelief
 
-__all__ = ["Candidate", "Demand", "Placement", "Placer", "usable_endpoints"]
+__all__ = ["Candidate", "Demand", "Part", "Placement", "Placer", "usable_endpoints"]
 
 # Into how many parts a prompt may be divided. An endpoint takes at most 16 helpers.
-PART_CHOICES = (1, 2, 3, 4, 6, 8, 12)
-# A prompt is divided until its first event is expected within this share of its
-# target: the rest is for what comes between, which the prediction cannot know.
-TARGET_SHARE = 0.4
+PART_CHOICES = (1, 2, 3, 4, 6, 8, 12, 16)
+# Expected within this share of its target, a first event is on time whatever comes
+# between; expected at the target, it is late as often as not.
+SAFE_SHARE = 0.5
+# Prices in units of a short request's lateness. Each is far below one, so that it
+# only decides between choices that make the same requests late: time is worth
+# something, and an engine without fragile answers is worth keeping so.
+TIME_PRICE = 0.1
+ENGINE_PRICE = 0.02
+FRESH_ENGINE_PRICE = 0.05
+# Against keeping short prompts together: those that meet in one pass wait for one
+# another. Grows with the square of the places taken, so that an engine is filled to
+# a little over half before the next is opened.
+CROWD_PRICE = 0.15
+# Answers whose pauses may be no longer than this are fragile: any long prompt's
+# part, which takes some hundreds of milliseconds, makes them late.
+FRAGILE_GAP_SECONDS = 0.5
 
 
 class Demand(NamedTuple):
     """What a request needs of the decision.
 
-    ``tried_ids`` are the endpoints that have already had it.
+    ``due_at`` is the moment until which its first event is on time. ``tried_ids``
+    are the endpoints that have already had it.
     """
 
     request_id: str
     service: Service
     prompt: PromptSize | None
     target_seconds: float
+    due_at: float
+    gap_seconds: float
     failure_domain: str
     tried_ids: frozenset[str] = frozenset()
 
 
+class Part(NamedTuple):
+    """What one endpoint does for a request.
+
+    ``reserved_tokens`` of its memory are reserved for the prompt, if any.
+    """
+
+    endpoint_id: str
+    reserved_tokens: int = 0
+
+
 class Placement(NamedTuple):
     """The endpoint that answers, its helpers, and the jobs to be counted there."""
 
     endpoint_id: str
-    helper_ids: tuple[str, ...]
+    helpers: tuple[Part, ...]
     first_event_seconds: float
     jobs: tuple[Job, ...]
 
@@ -55,6 +93,29 @@
         return self.belief.record.endpoint_id
 
 
+class _Engine(NamedTuple):
+    endpoint_id: str
+    forecast: EngineForecast
+    free_tokens: int
+    occupied: float
+    failure_share: float
+    shuffle: float
+
+    @property
+    def has_fragile(self) -> bool:
+        return any(
+            job.gap_seconds <= FRAGILE_GAP_SECONDS and not job.helper
+            for job in self.forecast.jobs
+        )
+
+
+class _Choice(NamedTuple):
+    cost: float
+    seconds: float
+    reading: float
+    engines: tuple[_Engine, ...]
+
+
 def usable_endpoints(
     beliefs_by_id: Mapping[str, EndpointBelief],
     service: str,
@@ -112,7 +173,9 @@
     def _is_full(
         self, service: Service, belief: EndpointBelief, jobs: Sequence[Job], now: float
     ) -> bool:
-        if len(jobs) >= belief.record.slots:
+        if sum(not job.helper for job in jobs) >= belief.record.slots:
+            return True
+        if sum(job.helper for job in jobs) >= belief.record.slots:
             return True
         if now >= belief.cold_until or service.cold_rate <= 0:
             return False
@@ -133,90 +196,149 @@
             return occupied, away, self._rng.random()
 
         best = min(candidates, key=cost)
-        job = Job(best.endpoint_id, 0, 0, now, now, False, False)
+        job = Job(best.endpoint_id, 0, 0.0, now, now)
         return Placement(best.endpoint_id, (), 0.0, (job,))
 
     def _place_prompt(
         self,
         demand: Demand,
-        engine: EngineProfile,
+        profile: EngineProfile,
         prompt: PromptSize,
         candidates: list[Candidate],
         now: float,
     ) -> Placement | None:
-        fitting = [c for c in candidates if self._fits(engine, prompt, c)]
-        if not fitting:
-            return None
-        aim = TARGET_SHARE * demand.target_seconds
-        best: tuple[float, list[Candidate]] | None = None
+        engines = [self._engine(profile, c, now) for c in candidates]
+        holders = ceil(prompt.total / profile.memory_tokens)
+        value = _value(profile, prompt)
+        best: _Choice | None = None
         for parts in PART_CHOICES:
-            if parts > len(candidates):
-                break
-            chosen = self._choose(engine, prompt, fitting, candidates, parts, now)
-            seconds = max(
-                first_event_seconds(engine, c.jobs, prompt.prompt_tokens, parts, now)
-                for c in chosen
-            )
-            if best is None or seconds < best[0]:
-                best = (seconds, chosen)
-            if seconds <= aim:
-                break
-        return self._placement(prompt, best[0], best[1], now)
-
-    def _fits(
-        self, engine: EngineProfile, prompt: PromptSize, candidate: Candidate
-    ) -> bool:
-        used = sum(
-            job.prompt_tokens + job.output_tokens
-            for job in candidate.jobs
-            if not job.helper
+            if not holders <= parts <= len(engines):
+                continue
+            choice = self._choose(demand, profile, prompt, engines, parts, value)
+            if choice is not None and (best is None or choice.cost < best.cost):
+                best = choice
+        if best is None:
+            return None
+        return _placement(demand, prompt, best, holders, value, now)
+
+    def _engine(
+        self, profile: EngineProfile, candidate: Candidate, now: float
+    ) -> _Engine:
+        held = sum(job.held_tokens for job in candidate.jobs)
+        return _Engine(
+            candidate.endpoint_id,
+            forecast(profile, candidate.jobs, now),
+            profile.memory_tokens - held,
+            sum(not job.helper for job in candidate.jobs)
+            / candidate.belief.record.slots,
+            self._health.failure_share(candidate.endpoint_id),
+            self._rng.random(),
         )
-        return used + prompt.total <= engine.memory_tokens
 
     def _choose(
         self,
-        engine: EngineProfile,
+        demand: Demand,
+        profile: EngineProfile,
         prompt: PromptSize,
-        fitting: list[Candidate],
-        candidates: list[Candidate],
+        engines: list[_Engine],
         parts: int,
-        now: float,
-    ) -> list[Candidate]:
-        def cost(candidate: Candidate) -> tuple[float, float]:
-            seconds = first_event_seconds(
-                engine, candidate.jobs, prompt.prompt_tokens, parts, now
-            )
-            share = self._health.failure_share(candidate.endpoint_id)
-            return seconds + share, self._rng.random()
-
-        first = min(fitting, key=cost)
-        others = [c for c in candidates if c is not first]
-        return [first, *sorted(others, key=cost)[: parts - 1]]
-
-    def _placement(
-        self, prompt: PromptSize, seconds: float, chosen: list[Candidate], now: float
-    ) -> Placement:
-        first, *helpers = chosen
-        parts = len(chosen)
-        part_tokens = prompt.prompt_tokens // parts
-        jobs = [
-            Job(
-                first.endpoint_id,
-                prompt.prompt_tokens,
-                prompt.output_tokens,
-                now,
-                now + seconds,
-                False,
-                False,
-            )
-        ]
-        jobs += [
-            Job(c.endpoint_id, part_tokens, 0, now, now + seconds, False, True)
-            for c in helpers
-        ]
-        return Placement(
-            first.endpoint_id,
-            tuple(c.endpoint_id for c in helpers),
-            seconds,
-            tuple(jobs),
+        value: float,
+    ) -> _Choice | None:
+        """Return the best engines for this number of parts and their cost."""
+        reading = read_seconds(profile, prompt.prompt_tokens, parts)
+        holders = ceil(prompt.total / profile.memory_tokens)
+        share = ceil(prompt.total / holders)
+
+        def cost(engine: _Engine, helper: bool) -> float:
+            seconds = engine.forecast.first_event(reading, helper)
+            late = _lateness(seconds, demand.target_seconds) + engine.failure_share
+            price = value * late + engine.forecast.harm(reading, helper)
+            if not helper:
+                price += _place_price(demand, engine)
+            return price + TIME_PRICE * seconds / demand.target_seconds
+
+        by_cost = sorted(engines, key=lambda e: (cost(e, False), e.shuffle))
+        holding = [e for e in by_cost if e.free_tokens >= share][:holders]
+        if len(holding) < holders:
+            return None
+        others = [e for e in engines if e not in holding]
+        others.sort(key=lambda e: (cost(e, True), e.shuffle))
+        helping = [*holding[1:], *others[: parts - holders]]
+        return _price(demand, reading, value, holding[0], helping)
+
+
+def _price(
+    demand: Demand, reading: float, value: float, first: _Engine, helping: list[_Engine]
+) -> _Choice:
+    seconds = first.forecast.first_event(reading)
+    total = first.forecast.harm(reading) + value * first.failure_share
+    total += _place_price(demand, first)
+    for engine in helping:
+        seconds = max(seconds, engine.forecast.first_event(reading, helper=True))
+        total += engine.forecast.harm(reading, helper=True) + ENGINE_PRICE
+        total += value * engine.failure_share
+    total += value * _lateness(seconds, demand.target_seconds)
+    total += TIME_PRICE * seconds / demand.target_seconds
+    return _Choice(total, seconds, reading, (first, *helping))
+
+
+def _value(profile: EngineProfile, prompt: PromptSize) -> float:
+    """Return what a late answer loses, in requests of the shortest kind.
+
+    It grows with the prompt, as what the caller has put into it and what its
+    repetition costs the fleet do.
+    """
+    return 1.0 + prompt.prompt_tokens / profile.usual_prompt_tokens
+
+
+def _lateness(seconds: float, target: float) -> float:
+    """Return how likely a first event expected after ``seconds`` is late."""
+    return min(1.0, max(0.0, (seconds / target - SAFE_SHARE) / SAFE_SHARE))
+
+
+def _place_price(demand: Demand, engine: _Engine) -> float:
+    """Return the price of one more answer being written at an engine."""
+    price = CROWD_PRICE * engine.occupied**2
+    if demand.gap_seconds <= FRAGILE_GAP_SECONDS and not engine.has_fragile:
+        price += FRESH_ENGINE_PRICE
+    return price
+
+
+def _placement(
+    demand: Demand,
+    prompt: PromptSize,
+    choice: _Choice,
+    holders: int,
+    value: float,
+    now: float,
+) -> Placement:
+    first, *helpers = choice.engines
+    share = ceil(prompt.total / holders)
+    expected_at = now + choice.seconds
+    kept = prompt.total - share * (holders - 1)
+    main = Job(
+        endpoint_id=first.endpoint_id,
+        held_tokens=kept,
+        reading_seconds=choice.reading,
+        started_at=now,
+        first_event_at=expected_at,
+        due_at=demand.due_at,
+        gap_seconds=demand.gap_seconds,
+        value=value,
+    )
+    parts = [
+        Part(engine.endpoint_id, share if index < holders - 1 else 0)
+        for index, engine in enumerate(helpers)
+    ]
+    jobs = [
+        Job(
+            part.endpoint_id,
+            part.reserved_tokens,
+            choice.reading,
+            now,
+            expected_at,
+            helper=True,
         )
+        for part in parts
+    ]
+    return Placement(first.endpoint_id, tuple(parts), choice.seconds, (main, *jobs))
