--- a/cranberrywick/routing/engine_model.py
+++ b/cranberrywick/routing/engine_model.py
@@ -66,7 +66,9 @@
             if job.writing:
                 is_lost = pause <= GAP_MARGIN * job.gap_seconds < pause + reading
             else:
-                read_at = max(job.first_event_at, self.now)
+                # Parts that came after it are read before it, so that what its owner
+                # expected no longer holds: the whole backlog counts.
+                read_at = max(job.first_event_at, self.now + self.reading_seconds)
                 is_lost = helper and read_at <= job.due_at < read_at + reading
             lost += job.value * is_lost
         return lost
--- a/cranberrywick/routing/placement.py
+++ b/cranberrywick/routing/placement.py
@@ -34,11 +34,11 @@
 # something, and an engine without fragile answers is worth keeping so.
 TIME_PRICE = 0.1
 ENGINE_PRICE = 0.02
-FRESH_ENGINE_PRICE = 0.05
+FRESH_ENGINE_PRICE = 0.15
 # Against keeping short prompts together: those that meet in one pass wait for one
 # another. Grows with the square of the places taken, so that an engine is filled to
 # a little over half before the next is opened.
-CROWD_PRICE = 0.15
+CROWD_PRICE = 0.25
 # Answers whose pauses may be no longer than this are fragile: any long prompt's
 # part, which takes some hundreds of milliseconds, makes them late.
 FRAGILE_GAP_SECONDS = 0.5
