--- a/cranberrywick/errors.py
+++ b/cranberrywick/errors.py
@@ -11,6 +11,7 @@
 __all__ = [
     "AmbiguousSend",
     "AnswerLost",
+    "EndpointFailed",
     "CallerGone",
     "CranberrywickError",
     "Draining",
@@ -227,6 +228,20 @@
     status = 502
 
 
+class EndpointFailed(AnswerLost):
+    """The endpoint ran the request and answered with a failure of its own.
+
+    ``answer`` is that whole answer, for the caller if no other endpoint is asked.
+    """
+
+    type = "endpoint_failed"
+    executed = Executed.YES
+
+    def __init__(self, message: str, answer: object):
+        super().__init__(message)
+        self.answer = answer
+
+
 class CallerGone(CranberrywickError):
     """The caller hung up, or reads so slowly that its answer was stopped."""
 
--- a/cranberrywick/gateway/attempt.py
+++ b/cranberrywick/gateway/attempt.py
@@ -4,13 +4,19 @@
 from collections.abc import Callable, Mapping
 from typing import NamedTuple
 
-from cranberrywick.errors import AmbiguousSend, AnswerLost, EndpointRefused
+from cranberrywick.errors import (
+    AmbiguousSend,
+    AnswerLost,
+    EndpointFailed,
+    EndpointRefused,
+)
 from cranberrywick.gateway.events import EventSplitter
 from cranberrywick.gateway.exchange import Exchange
+from cranberrywick.gateway.ingress import CallerConnection
 from cranberrywick.gateway.reservations import Reservations
 from cranberrywick.gateway.upstream import EndpointAnswer, EndpointConnection
 from cranberrywick.logs import EventLog
-from cranberrywick.model import EndpointRefusal, Executed
+from cranberrywick.model import EndpointRefusal
 from cranberrywick.platform.headers import (
     HOP_BY_HOP,
     ResponseMeta,
@@ -23,13 +29,29 @@
 from cranberrywick.routing.placement import Placement
 from cranberrywick.routing.registry import EndpointBelief
 
-__all__ = ["Attempt", "Passed"]
+__all__ = ["Attempt", "Passed", "WholeAnswer"]
 
 # An endpoint that lives answers a connection within a millisecond or two, a lost
 # packet is sent again after a second: another endpoint is quicker than that.
 CONNECT_SECONDS = 0.25
 
 
+class WholeAnswer(NamedTuple):
+    """An endpoint's answer with its whole body."""
+
+    head: EndpointAnswer
+    body: bytes
+
+    async def pass_to(self, caller: CallerConnection) -> None:
+        """Send it to the caller as it came."""
+        headers = _passed_headers(self.head)
+        headers.append((b"Content-Length", str(len(self.body)).encode()))
+        await caller.send_head(self.head.status, self.head.reason, headers)
+        if self.body:
+            await caller.send_body(self.body)
+        caller.end()
+
+
 class Passed(NamedTuple):
     """An answer that has been passed on whole."""
 
@@ -165,24 +187,19 @@
             raise AnswerLost("the answer's body is encoded")
         if answer.status < 300 and not meta.sealed:
             raise AnswerLost("the answer is not the endpoint's own")
-        if answer.status >= 500 and self._exchange.route.idempotent:
-            raise AnswerLost(f"status {answer.status}", executed=Executed.YES)
 
     async def _pass_whole(
         self, connection: EndpointConnection, answer: EndpointAnswer
     ) -> None:
         """Pass an answer on once all of it is here: half of one is none."""
         parts = [part async for part in connection.body()]
-        body = b"".join(parts)
+        whole = WholeAnswer(answer, b"".join(parts))
         exchange = self._exchange
         if exchange.caller.started:
             raise AnswerLost(f"status {answer.status} in place of more events")
-        headers = _passed_headers(answer)
-        headers.append((b"Content-Length", str(len(body)).encode()))
-        await exchange.caller.send_head(answer.status, answer.reason, headers)
-        if body:
-            await exchange.caller.send_body(body)
-        exchange.caller.end()
+        if answer.status >= 500 and exchange.route.idempotent:
+            raise EndpointFailed(f"status {answer.status}", whole)
+        await whole.pass_to(exchange.caller)
 
     async def _pass_stream(
         self,
--- a/cranberrywick/gateway/forwarder.py
+++ b/cranberrywick/gateway/forwarder.py
@@ -12,6 +12,7 @@
     AmbiguousSend,
     AnswerLost,
     CranberrywickError,
+    EndpointFailed,
     EndpointRefused,
     NotFound,
     Overloaded,
@@ -195,7 +196,7 @@
         """Return if the request may be sent to another endpoint, else raise."""
         now = self._loop.time()
         endpoint_id = placement.endpoint_id
-        rest = self._health.failed(endpoint_id, now)
+        rest = self._note_failure(endpoint_id, error, now)
         exchange.tried_ids.add(endpoint_id)
         exchange.may_have_run |= error.executed is not Executed.NO
         reason = self._reason_to_stop(exchange, error, now)
@@ -214,6 +215,15 @@
         if reason:
             raise error
 
+    def _note_failure(
+        self, endpoint_id: str, error: CranberrywickError, now: float
+    ) -> float:
+        """Hold a failure against the endpoint; return how long that rests."""
+        if isinstance(error, EndpointFailed):
+            self._health.answered_failure(endpoint_id)
+            return 0.0
+        return self._health.failed(endpoint_id, now)
+
     def _reason_to_stop(
         self, exchange: Exchange, error: CranberrywickError, now: float
     ) -> str:
@@ -240,6 +250,8 @@
         if exchange.caller.started:
             # Part of an answer is out: the connection closes without its end.
             return error.type
+        if isinstance(error, EndpointFailed):
+            return await self._pass_failure(exchange, error)
         status = exchange.failure_status(error)
         exchange.status = status
         headers = [(b"Content-Type", b"application/json")]
@@ -254,6 +266,15 @@
             return "caller_gone"
         return error.type
 
+    async def _pass_failure(self, exchange: Exchange, error: EndpointFailed) -> str:
+        """Pass on the endpoint's own answer, which is better than one of ours."""
+        try:
+            await error.answer.pass_to(exchange.caller)
+        except ConnectionError:
+            return "caller_gone"
+        exchange.status = error.answer.head.status
+        return error.type
+
     def _note_end(self, exchange: Exchange, outcome: str) -> None:
         now = self._loop.time()
         route = exchange.route
--- a/cranberrywick/gateway/upstream.py
+++ b/cranberrywick/gateway/upstream.py
@@ -147,6 +147,8 @@
                 data = await self._reader.read(READ_BYTES)
             except OSError as error:
                 raise self._broken(error) from error
+            if not data and self._http.their_state is h11.SEND_RESPONSE:
+                raise AmbiguousSend("the endpoint closed without an answer")
             try:
                 self._http.receive_data(data)
             except h11.RemoteProtocolError as error:
--- a/cranberrywick/routing/engine_model.py
+++ b/cranberrywick/routing/engine_model.py
@@ -51,8 +51,13 @@
     jobs: Sequence[Job]
 
     def first_event(self, own_reading: float, helper: bool = False) -> float:
-        """Return when a prompt with so much reading would be read here."""
-        before = self.helper_seconds if helper else self.reading_seconds
+        """Return when a prompt with so much reading would be read here.
+
+        A helper's part goes ahead of other reading, but not of the pass that runs:
+        with answers being written, that one reads most of what waits.
+        """
+        overtakes = helper and not self.pass_seconds
+        before = self.helper_seconds if overtakes else self.reading_seconds
         steps = (1 + RUNNING_PASS_SHARE) * self.pass_seconds
         return before + own_reading + steps
 
--- a/cranberrywick/routing/health.py
+++ b/cranberrywick/routing/health.py
@@ -47,6 +47,16 @@
         self._states_by_id[endpoint_id] = _State(state.failures + 1, now + rest, share)
         return rest
 
+    def answered_failure(self, endpoint_id: str) -> None:
+        """Note an answer that is a failure; the endpoint itself lives.
+
+        Some requests fail at every endpoint: resting those that say so would take
+        all of them out, one after the other.
+        """
+        state = self._states_by_id.get(endpoint_id, _FRESH)
+        share = state.failure_share + OUTCOME_WEIGHT * (1 - state.failure_share)
+        self._states_by_id[endpoint_id] = state._replace(failure_share=share)
+
     def is_resting(self, endpoint_id: str, now: float) -> bool:
         """Whether the endpoint has just failed and should get nothing now."""
         return self._states_by_id.get(endpoint_id, _FRESH).rest_until > now
