--- a/cranberrywick/gateway/ingress.py
+++ b/cranberrywick/gateway/ingress.py
@@ -104,8 +104,14 @@
         """How many requests are being served."""
         return sum(connection.busy for connection in self.connections)
 
+    @property
+    def address(self) -> str:
+        """Where it listens, as ``ip:port``."""
+        host, port = self._server.sockets[0].getsockname()[:2]
+        return f"{host}:{port}"
+
     async def start(self, address: str) -> None:
-        """Begin to listen on ``ip:port``."""
+        """Begin to listen on ``ip:port``; port 0 takes a free one."""
         host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
--- /dev/null
+++ b/cranberrywick/standin/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins that speak the users' platform: its store and its endpoints."""
--- /dev/null
+++ b/cranberrywick/standin/platform/endpoint.py
@@ -0,0 +1,249 @@
+"""A stand-in for the platform's endpoints: plain services and model engines.
+
+It counts what it ran by request id, which is what tests of "at most once" ask for.
+Its behaviour is one of:
+
+============ ===========================================================
+well         answers as it should
+failing      runs the request and answers 500
+full         503 and says that it did not run
+reset        runs the request and resets the connection
+hang         runs the request and never answers
+twice        sends a second whole answer after the first
+other        answers with another request's id
+unframed     sends a body without a length that ends with the connection
+short        announces more bytes than it sends
+noise        sends bytes that are no answer
+cut          stops a stream in the middle of an event and closes
+silent       stops a stream after some events and stays silent
+============ ===========================================================
+"""
+
+import asyncio
+import json
+from collections import Counter
+from typing import NamedTuple
+
+import h11
+
+__all__ = ["BEHAVIOURS", "EndpointStandIn"]
+
+BEHAVIOURS = (
+    *("well", "failing", "full", "reset", "hang", "twice", "other", "unframed"),
+    *("short", "noise", "cut", "silent"),
+)
+# After so many events a stream is cut or falls silent.
+EVENTS_BEFORE_CUT = 3
+READ_BYTES = 65536
+
+
+class _Ticket(NamedTuple):
+    tokens: int
+    expires_at: float
+
+
+class EndpointStandIn:
+    """One endpoint; made and used on one event loop.
+
+    ``work_seconds`` is how long a call, or the reading of a prompt, takes;
+    ``event_seconds`` the pause between a stream's events. A registry of addresses
+    lets an engine find its helpers' tickets.
+    """
+
+    by_address: dict[str, "EndpointStandIn"] = {}
+
+    def __init__(
+        self,
+        endpoint_id: str,
+        work_seconds: float = 0.005,
+        event_seconds: float = 0.01,
+        events: int = 8,
+        memory_tokens: int = 300_000,
+    ):
+        self.endpoint_id = endpoint_id
+        self.behaviour = "well"
+        self.work_seconds = work_seconds
+        self.event_seconds = event_seconds
+        self.events = events
+        self.memory_tokens = memory_tokens
+        self.runs: Counter[str] = Counter()
+        self.heads: list[tuple[bytes, bytes, dict[str, str], bytes]] = []
+        self.at_work: set[str] = set()
+        self.tickets: dict[str, _Ticket] = {}
+        self.address = ""
+        self._server: asyncio.Server | None = None
+
+    async def start(self, port: int = 0) -> str:
+        """Listen and return the address."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", port)
+        host, port = self._server.sockets[0].getsockname()[:2]
+        self.address = f"{host}:{port}"
+        self.by_address[self.address] = self
+        return self.address
+
+    def stop(self) -> None:
+        """Stop to listen, as after a crash."""
+        self._server.close()
+
+    @property
+    def reserved(self) -> int:
+        """Tokens of memory that are reserved now."""
+        now = asyncio.get_running_loop().time()
+        for name, ticket in list(self.tickets.items()):
+            if ticket.expires_at < now:
+                del self.tickets[name]
+        return sum(ticket.tokens for ticket in self.tickets.values())
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        http = h11.Connection(h11.SERVER)
+        try:
+            head, body = await _read_request(http, reader)
+            if head is not None:
+                await self._answer(head, body, http, reader, writer)
+                await writer.drain()
+        except (ConnectionError, h11.RemoteProtocolError):
+            pass  # The gateway has closed: what was at work is dropped below.
+        finally:
+            writer.close()
+
+    async def _answer(self, head, body, http, reader, writer) -> None:
+        headers = {bytes(n).decode(): bytes(v).decode() for n, v in head.headers}
+        if head.target == b"/order":
+            writer.write(_whole(http, *self._order(json.loads(body))))
+            return
+        expected = headers.get("cranberrywick-expect-instance")
+        if expected not in (None, self.endpoint_id):
+            own = [("Cranberrywick-Instance-Id", self.endpoint_id)]
+            writer.write(_whole(http, 421, own, b""))
+            return
+        if self.behaviour == "full" or not self._has_tickets(headers):
+            writer.write(
+                _whole(http, 503, [("Cranberrywick-Not-Executed", "1")], b"")
+            )
+            return
+        request_id = headers.get("cranberrywick-request-id", "")
+        self.heads.append((bytes(head.method), bytes(head.target), headers, body))
+        self.runs[request_id] += 1
+        self.at_work.add(request_id)
+        try:
+            await _unless_closed(reader, self._run(http, headers, writer))
+        finally:
+            self.at_work.discard(request_id)
+
+    def _order(self, order: dict) -> tuple[int, list, bytes]:
+        now = asyncio.get_running_loop().time()
+        if order["operation"] == "release":
+            self.tickets.pop(order["id"], None)
+            return 200, [], b"{}"
+        held = self.reserved
+        known = self.tickets.get(order["id"])
+        if known is None and held + order["tokens"] > self.memory_tokens:
+            return 409, [], b"{}"
+        expires_at = now + order["holdMs"] / 1000
+        self.tickets[order["id"]] = _Ticket(order["tokens"], expires_at)
+        return 200, [], b'{"free": 0}'
+
+    def _has_tickets(self, headers: dict[str, str]) -> bool:
+        for entry in headers.get("cranberrywick-helpers", "").split(","):
+            address, _, ticket = entry.partition("/")
+            if ticket and ticket not in self.by_address[address].tickets:
+                return False
+        return True
+
+    async def _run(self, http, headers, writer) -> None:
+        await asyncio.sleep(self.work_seconds)
+        if self.behaviour == "reset":
+            writer.transport.abort()
+            return
+        if self.behaviour == "hang":
+            await asyncio.sleep(3600)
+        request_id = headers.get("cranberrywick-request-id", "")
+        echoed = "not-yours" if self.behaviour == "other" else request_id
+        own = [
+            ("Cranberrywick-Request-Id", echoed),
+            ("Cranberrywick-Response-Seal", f"seal.{self.endpoint_id}"),
+            ("Cranberrywick-Server-Load", "1,0,8"),
+        ]
+        if "cranberrywick-token-count" in headers and self.behaviour != "failing":
+            await self._stream(http, headers, own, writer)
+        else:
+            self._call(http, own, request_id, writer)
+
+    def _call(self, http, own, request_id: str, writer) -> None:
+        body = f"answer to {request_id}".encode()
+        if self.behaviour == "noise":
+            writer.write(b"\x00\x01 no answer at all\r\n\r\n")
+        elif self.behaviour == "short":
+            lines = "".join(f"{n}: {v}\r\n" for n, v in own)
+            writer.write(
+                f"HTTP/1.1 200 OK\r\n{lines}Content-Length: 99\r\n\r\n".encode() + body
+            )
+        elif self.behaviour == "unframed":
+            lines = "".join(f"{n}: {v}\r\n" for n, v in own)
+            writer.write(f"HTTP/1.1 200 OK\r\n{lines}\r\n".encode() + body)
+        else:
+            status = 500 if self.behaviour == "failing" else 200
+            answer = _whole(http, status, own, body)
+            writer.write(answer)
+            if self.behaviour == "twice":
+                writer.write(answer)
+
+    async def _stream(self, http, headers, own, writer) -> None:
+        start = int(headers.get("last-event-id", "0"))
+        stream = [*own, ("Content-Type", "text/event-stream")]
+        writer.write(http.send(h11.Response(status_code=200, headers=stream)))
+        for number in range(start + 1, self.events + 1):
+            event = f"id: {number}\ndata: piece {number}\n\n".encode()
+            if number > EVENTS_BEFORE_CUT and self.behaviour in ("cut", "silent"):
+                half = event[: len(event) // 2]
+                writer.write(http.send(h11.Data(data=half)))
+                if self.behaviour == "silent":
+                    await asyncio.sleep(3600)
+                return
+            writer.write(http.send(h11.Data(data=event)))
+            await asyncio.sleep(self.event_seconds)
+        writer.write(http.send(h11.EndOfMessage()))
+
+
+async def _read_request(
+    http: h11.Connection, reader: asyncio.StreamReader
+) -> tuple[h11.Request | None, bytes]:
+    head, body = None, b""
+    while True:
+        event = http.next_event()
+        if event is h11.NEED_DATA:
+            http.receive_data(await reader.read(READ_BYTES))
+        elif isinstance(event, h11.Request):
+            head = event
+        elif isinstance(event, h11.Data):
+            body += bytes(event.data)
+        elif isinstance(event, h11.EndOfMessage):
+            return head, body
+        else:
+            return None, b""
+
+
+async def _unless_closed(reader: asyncio.StreamReader, work) -> None:
+    """Do the work unless the other side closes the connection before its end."""
+    task = asyncio.ensure_future(work)
+    closed = asyncio.ensure_future(reader.read(1))
+    try:
+        await asyncio.wait({task, closed}, return_when=asyncio.FIRST_COMPLETED)
+    finally:
+        if not task.done():
+            task.cancel()
+        closed.cancel()
+        await asyncio.gather(task, closed, return_exceptions=True)
+
+
+def _whole(
+    http: h11.Connection, status: int, headers: list[tuple[str, str]], body: bytes
+) -> bytes:
+    fields = [*headers, ("Content-Length", str(len(body)))]
+    if http.our_state is not h11.SEND_RESPONSE:
+        return b""
+    head = http.send(h11.Response(status_code=status, headers=fields))
+    data = http.send(h11.Data(data=body)) if body else b""
+    return head + data + http.send(h11.EndOfMessage())
--- /dev/null
+++ b/cranberrywick/standin/platform/store.py
@@ -0,0 +1,207 @@
+"""A stand-in for the platform's metadata store.
+
+Each daemon can be given an address of its own (`StoreStandIn.add_door`), so that a
+test turns one daemon away while the others are served. A door's mode is one of:
+
+======== =======================================================
+open     calls are served
+busy     503, nothing done
+many     429, nothing done
+silent   the call is read and never answered
+reset    the connection is closed without an answer
+lost     the call is done, the connection closed without an answer
+======== =======================================================
+"""
+
+import asyncio
+import base64
+import json
+from collections.abc import Mapping
+from typing import Any, NamedTuple
+from urllib.parse import parse_qsl
+
+from cranberrywick.gateway.ingress import CallerConnection, HttpRequest, Ingress
+
+__all__ = ["DOOR_MODES", "StoreStandIn"]
+
+DOOR_MODES = ("open", "busy", "many", "silent", "reset", "lost")
+# How often leases are looked at, in seconds.
+LEASE_LOOK_SECONDS = 0.05
+# Keys that only operators and endpoints may write.
+RESERVED_PREFIXES = ("op/", "servers/")
+
+
+class _Item(NamedTuple):
+    value: bytes
+    revision: int
+    created: int
+    lease: int
+
+
+class _Lease(NamedTuple):
+    ttl_seconds: float
+    expires_at: float
+
+
+class StoreStandIn:
+    """Keys and leases in memory; made and used on one event loop."""
+
+    def __init__(self) -> None:
+        self._items: dict[str, _Item] = {}
+        self._leases: dict[int, _Lease] = {}
+        self._revision = 1
+        self._next_lease = 100
+        self._ingresses: list[Ingress] = []
+        self.modes_by_door: dict[str, str] = {}
+        self.calls_by_door: dict[str, int] = {}
+        self._expiry: asyncio.Task | None = None
+
+    async def start(self) -> None:
+        """Begin to end leases that have run out."""
+        self._expiry = asyncio.get_running_loop().create_task(self._expire())
+
+    async def add_door(self, name: str) -> str:
+        """Listen on one more address and return it."""
+        self.modes_by_door[name] = "open"
+        self.calls_by_door[name] = 0
+
+        async def handle(request: HttpRequest, caller: CallerConnection) -> None:
+            await self._handle(name, request, caller)
+
+        ingress = Ingress(handle)
+        await ingress.start("127.0.0.1:0")
+        self._ingresses.append(ingress)
+        return ingress.address
+
+    def put(self, key: str, value: bytes, lease: int = 0) -> int:
+        """Write a key, as operators and endpoints do; return the revision."""
+        self._revision += 1
+        old = self._items.get(key)
+        created = old.created if old else self._revision
+        self._items[key] = _Item(value, self._revision, created, lease)
+        return self._revision
+
+    def put_json(self, key: str, fields: Mapping[str, Any]) -> int:
+        """Write a key with a JSON object."""
+        return self.put(key, json.dumps(fields).encode())
+
+    def remove(self, key: str) -> None:
+        """Delete a key."""
+        if self._items.pop(key, None) is not None:
+            self._revision += 1
+
+    def keys(self, prefix: str) -> list[str]:
+        """Return the keys under a prefix."""
+        return sorted(key for key in self._items if key.startswith(prefix))
+
+    async def _handle(
+        self, door: str, request: HttpRequest, caller: CallerConnection
+    ) -> None:
+        self.calls_by_door[door] += 1
+        mode = self.modes_by_door[door]
+        if mode == "busy":
+            await _answer(caller, 503, {})
+        elif mode == "many":
+            await _answer(caller, 429, {})
+        elif mode == "silent":
+            await asyncio.sleep(3600)
+        elif mode != "reset":
+            status, fields = self._serve(request)
+            if mode != "lost":
+                await _answer(caller, status, fields)
+
+    def _serve(self, request: HttpRequest) -> tuple[int, dict[str, Any]]:
+        path, _, query = request.target.decode().partition("?")
+        arguments = dict(parse_qsl(query))
+        body = json.loads(request.body) if request.body else {}
+        if path == "/kv-range":
+            return self._range(arguments)
+        if path == "/kv-key":
+            return self._key(arguments["key"])
+        if path == "/kv-txn":
+            return self._transact(body)
+        if path == "/kv-lease":
+            return self._grant(body)
+        kind, _, lease = path.rpartition("/")
+        if kind == "/kv-keep":
+            return self._keep(int(lease))
+        if kind == "/kv-lease-end":
+            return self._end(int(lease))
+        return 404, {}
+
+    def _range(self, arguments: Mapping[str, str]) -> tuple[int, dict[str, Any]]:
+        after = arguments.get("after", "")
+        keys = [key for key in self.keys(arguments.get("prefix", "")) if key > after]
+        items = [_shown(key, self._items[key]) for key in keys]
+        return 200, {"items": items, "truncated": False, "asOf": self._revision}
+
+    def _key(self, key: str) -> tuple[int, dict[str, Any]]:
+        item = self._items.get(key)
+        if item is None:
+            return 404, {"asOf": self._revision}
+        return 200, {**_shown(key, item), "asOf": self._revision}
+
+    def _transact(self, body: Mapping[str, Any]) -> tuple[int, dict[str, Any]]:
+        writes = body.get("writes", [])
+        for row in body.get("expected", []):
+            item = self._items.get(row["key"])
+            if (item.revision if item else 0) != row["revision"]:
+                return 412, {"items": []}
+        if any(row["key"].startswith(RESERVED_PREFIXES) for row in writes):
+            return 403, {}
+        leases = {row.get("lease", 0) for row in writes} - {0}
+        if leases - self._leases.keys():
+            return 404, {}
+        for row in writes:
+            value = base64.b64decode(row["value"])
+            self.put(row["key"], value, row.get("lease", 0))
+        for key in body.get("remove", []):
+            self.remove(key)
+        return 200, {"revision": self._revision}
+
+    def _grant(self, body: Mapping[str, Any]) -> tuple[int, dict[str, Any]]:
+        self._next_lease += 1
+        ttl = body["ttlMs"] / 1000
+        self._leases[self._next_lease] = _Lease(ttl, _now() + ttl)
+        return 200, {"lease": self._next_lease, "ttlMs": body["ttlMs"]}
+
+    def _keep(self, lease: int) -> tuple[int, dict[str, Any]]:
+        known = self._leases.get(lease)
+        if known is None:
+            return 404, {}
+        renewed = known._replace(expires_at=_now() + known.ttl_seconds)
+        self._leases[lease] = renewed
+        return 200, {"ttlMs": int(known.ttl_seconds * 1000)}
+
+    def _end(self, lease: int) -> tuple[int, dict[str, Any]]:
+        if self._leases.pop(lease, None) is None:
+            return 404, {}
+        for key in [k for k, item in self._items.items() if item.lease == lease]:
+            self.remove(key)
+        return 200, {}
+
+    async def _expire(self) -> None:
+        while True:
+            await asyncio.sleep(LEASE_LOOK_SECONDS)
+            for lease, known in list(self._leases.items()):
+                if known.expires_at < _now():
+                    self._end(lease)
+
+
+def _shown(key: str, item: _Item) -> dict[str, Any]:
+    return {
+        "key": key,
+        "value": base64.b64encode(item.value).decode(),
+        "revision": item.revision,
+        "createRev": item.created,
+        "lease": item.lease,
+    }
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
+
+
+async def _answer(caller: CallerConnection, status: int, fields: object) -> None:
+    body = json.dumps(fields).encode()
+    await caller.answer(status, [(b"Content-Type", b"application/json")], body)
