Test the gateway on real processes; forget old failures, bound whole heads, refuse what never fits

The tests found three faults, each failing before its mend: an endpoint with any failure left was passed over for good while others were idle; a head that came whole was not held to its limit; a prompt above the fleet's memory waited for its deadline.

--- a/cranberrywick/gateway/forwarder.py
+++ b/cranberrywick/gateway/forwarder.py
@@ -188,7 +188,7 @@
         exchange.status = passed.status
         exchange.endpoint_id = placement.endpoint_id
         if passed.status < 500:
-            self._health.succeeded(placement.endpoint_id)
+            self._health.succeeded(placement.endpoint_id, self._loop.time())
 
     def _raise_unless_retried(
         self, exchange: Exchange, placement: Placement, error: CranberrywickError
@@ -220,7 +220,7 @@
     ) -> float:
         """Hold a failure against the endpoint; return how long that rests."""
         if isinstance(error, EndpointFailed):
-            self._health.answered_failure(endpoint_id)
+            self._health.answered_failure(endpoint_id, now)
             return 0.0
         return self._health.failed(endpoint_id, now)
 
--- a/cranberrywick/gateway/ingress.py
+++ b/cranberrywick/gateway/ingress.py
@@ -59,6 +59,11 @@
         return None
 
 
+def _head_bytes(head: h11.Request) -> int:
+    lines = sum(len(name) + len(value) + 4 for name, value in head.headers)
+    return len(head.method) + len(head.target) + lines
+
+
 Handler = Callable[[HttpRequest, "CallerConnection"], Awaitable[None]]
 
 
@@ -155,6 +160,7 @@
         self._can_write = asyncio.Event()
         self._can_write.set()
         self._closed = False
+        self._refused = False
         self.started = False
 
     @property
@@ -202,7 +208,7 @@
         except h11.RemoteProtocolError:
             self._abort()
             return
-        if self._task is None:
+        if self._task is None and not self._refused:
             if self._request is None:
                 limits = self._ingress.limits
                 self._set_timer(limits.header_seconds, self._head_timed_out)
@@ -215,7 +221,7 @@
 
     def _read_events(self) -> None:
         try:
-            while self._task is None and not self._closed:
+            while self._task is None and not self._closed and not self._refused:
                 event = self._http.next_event()
                 if event in (h11.NEED_DATA, h11.PAUSED):
                     return
@@ -225,6 +231,10 @@
 
     def _take_event(self, event: h11.Event) -> None:
         if isinstance(event, h11.Request):
+            if _head_bytes(event) > self._ingress.limits.header_bytes:
+                # h11 bounds only a head that is not complete yet.
+                self._refuse(431)
+                return
             self._request = event
             self._head_at = self._loop.time()
             self._body, self._body_bytes = [], 0
@@ -320,6 +330,7 @@
 
     def _refuse(self, status: int) -> None:
         """Answer a request that could not be read, and close."""
+        self._refused = True
         self._clear_timer()
         try:
             headers = [(b"Content-Length", b"0"), (b"Connection", b"close")]
--- a/cranberrywick/gateway/waiting.py
+++ b/cranberrywick/gateway/waiting.py
@@ -9,6 +9,7 @@
     Demand,
     Placement,
     Placer,
+    fits_fleet,
     usable_endpoints,
 )
 from cranberrywick.routing.queue_order import order_key
@@ -99,9 +100,10 @@
             demand.service.name,
             self._state.domains_out,
         )
-        if not any(b.record.endpoint_id not in demand.tried_ids for b in usable):
+        left = [b for b in usable if b.record.endpoint_id not in demand.tried_ids]
+        if not fits_fleet(demand, left):
             raise Overloaded(
-                "no endpoint of the service is known",
+                "no endpoints that could hold the request are known",
                 retry_after=NO_ENDPOINT_RETRY_SECONDS,
             )
         placement = self._placer.place(demand, usable, self._loop.time())
--- a/cranberrywick/routing/health.py
+++ b/cranberrywick/routing/health.py
@@ -15,15 +15,23 @@
 MAX_REST_SECONDS = 4.0
 # Weight of the newest outcome in the share of failures: some ten outcomes count.
 OUTCOME_WEIGHT = 0.1
+# After so long without an attempt, half of a share of failures is forgotten. An
+# endpoint that is passed over for its failures gets no chance to do better, and would
+# stay out for good while others are free.
+HALF_LIFE_SECONDS = 2.0
 
 
 class _State(NamedTuple):
     failures: int
     rest_until: float
     failure_share: float
+    judged_at: float
 
+    def share(self, now: float) -> float:
+        return self.failure_share * 0.5 ** ((now - self.judged_at) / HALF_LIFE_SECONDS)
 
-_FRESH = _State(0, float("-inf"), 0.0)
+
+_FRESH = _State(0, float("-inf"), 0.0, 0.0)
 
 
 class EndpointHealth:
@@ -32,40 +40,48 @@
     def __init__(self) -> None:
         self._states_by_id: dict[str, _State] = {}
 
-    def succeeded(self, endpoint_id: str) -> None:
+    def succeeded(self, endpoint_id: str, now: float) -> None:
         """Note an answer as it should be."""
         state = self._states_by_id.get(endpoint_id)
         if state is not None:
-            share = state.failure_share * (1 - OUTCOME_WEIGHT)
-            self._states_by_id[endpoint_id] = _State(0, float("-inf"), share)
+            share = state.share(now) * (1 - OUTCOME_WEIGHT)
+            self._states_by_id[endpoint_id] = _State(0, float("-inf"), share, now)
 
     def failed(self, endpoint_id: str, now: float) -> float:
         """Note a failure of the endpoint and return how long it rests, in seconds."""
         state = self._states_by_id.get(endpoint_id, _FRESH)
         rest = min(REST_SECONDS * 2**state.failures, MAX_REST_SECONDS)
-        share = state.failure_share + OUTCOME_WEIGHT * (1 - state.failure_share)
-        self._states_by_id[endpoint_id] = _State(state.failures + 1, now + rest, share)
+        self._states_by_id[endpoint_id] = _State(
+            state.failures + 1, now + rest, _worse(state, now), now
+        )
         return rest
 
-    def answered_failure(self, endpoint_id: str) -> None:
+    def answered_failure(self, endpoint_id: str, now: float) -> None:
         """Note an answer that is a failure; the endpoint itself lives.
 
         Some requests fail at every endpoint: resting those that say so would take
         all of them out, one after the other.
         """
         state = self._states_by_id.get(endpoint_id, _FRESH)
-        share = state.failure_share + OUTCOME_WEIGHT * (1 - state.failure_share)
-        self._states_by_id[endpoint_id] = state._replace(failure_share=share)
+        self._states_by_id[endpoint_id] = state._replace(
+            failure_share=_worse(state, now), judged_at=now
+        )
 
     def is_resting(self, endpoint_id: str, now: float) -> bool:
         """Whether the endpoint has just failed and should get nothing now."""
         return self._states_by_id.get(endpoint_id, _FRESH).rest_until > now
 
-    def failure_share(self, endpoint_id: str) -> float:
+    def failure_share(self, endpoint_id: str, now: float) -> float:
         """Return how many of the last attempts failed, between 0 and 1."""
-        return self._states_by_id.get(endpoint_id, _FRESH).failure_share
+        state = self._states_by_id.get(endpoint_id)
+        return state.share(now) if state else 0.0
 
     def keep_only(self, endpoint_ids: set[str]) -> None:
         """Forget endpoints that are gone."""
         for endpoint_id in self._states_by_id.keys() - endpoint_ids:
             del self._states_by_id[endpoint_id]
+
+
+def _worse(state: _State, now: float) -> float:
+    share = state.share(now)
+    return share + OUTCOME_WEIGHT * (1 - share)
--- a/cranberrywick/routing/placement.py
+++ b/cranberrywick/routing/placement.py
@@ -22,7 +22,15 @@
 from cranberrywick.routing.model import EngineProfile, PromptSize, Service
 from cranberrywick.routing.registry import EndpointBelief
 
-__all__ = ["Candidate", "Demand", "Part", "Placement", "Placer", "usable_endpoints"]
+__all__ = [
+    "Candidate",
+    "Demand",
+    "Part",
+    "Placement",
+    "Placer",
+    "fits_fleet",
+    "usable_endpoints",
+]
 
 # Into how many parts a prompt may be divided. An endpoint takes at most 16 helpers.
 PART_CHOICES = (1, 2, 3, 4, 6, 8, 12, 16)
@@ -39,6 +47,9 @@
 # another. Grows with the square of the places taken, so that an engine is filled to
 # a little over half before the next is opened.
 CROWD_PRICE = 0.25
+# An endpoint that fails all of its calls counts as having so many more in hand: half
+# of a plain service's places, so that it is tried when the others are half full.
+FAILURE_JOBS = 4
 # Answers whose pauses may be no longer than this are fragile: any long prompt's
 # part, which takes some hundreds of milliseconds, makes them late.
 FRAGILE_GAP_SECONDS = 0.5
@@ -135,6 +146,18 @@
     ]
 
 
+def fits_fleet(demand: Demand, usable: Sequence[EndpointBelief]) -> bool:
+    """Whether these endpoints could hold the request if they had nothing else.
+
+    What does not fit will not fit later either: its caller is told at once.
+    """
+    engine = demand.service.engine
+    if engine is None or demand.prompt is None:
+        return bool(usable)
+    holders = ceil(demand.prompt.total / engine.memory_tokens)
+    return holders <= min(len(usable), PART_CHOICES[-1])
+
+
 class Placer:
     """Places requests on endpoints; the caller passes what is known."""
 
@@ -191,7 +214,9 @@
         def cost(candidate: Candidate) -> tuple[float, bool, float]:
             record = candidate.belief.record
             endpoint_id = record.endpoint_id
-            occupied = len(candidate.jobs) + 4 * self._health.failure_share(endpoint_id)
+            share = self._health.failure_share(endpoint_id, now)
+            # Rounded: a share that has all but decayed must not decide for good.
+            occupied = len(candidate.jobs) + round(FAILURE_JOBS * share, 1)
             away = record.failure_domain != demand.failure_domain
             return occupied, away, self._rng.random()
 
@@ -231,7 +256,7 @@
             profile.memory_tokens - held,
             sum(not job.helper for job in candidate.jobs)
             / candidate.belief.record.slots,
-            self._health.failure_share(candidate.endpoint_id),
+            self._health.failure_share(candidate.endpoint_id, now),
             self._rng.random(),
         )
 
--- a/cranberrywick/standin/platform/endpoint.py
+++ b/cranberrywick/standin/platform/endpoint.py
@@ -119,9 +119,7 @@
             writer.write(_whole(http, 421, own, b""))
             return
         if self.behaviour == "full" or not self._has_tickets(headers):
-            writer.write(
-                _whole(http, 503, [("Cranberrywick-Not-Executed", "1")], b"")
-            )
+            writer.write(_whole(http, 503, [("Cranberrywick-Not-Executed", "1")], b""))
             return
         request_id = headers.get("cranberrywick-request-id", "")
         self.heads.append((bytes(head.method), bytes(head.target), headers, body))
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -137,6 +137,7 @@
         self.endpoints: dict[str, EndpointStandIn] = {}
         self.gateways: list[Gateway] = []
         self._ids = count(1)
+        self._subnet = next(_SUBNETS)
 
     def on_loop(self, function: Callable, *arguments: object):
         """Run a function on the stand-ins' loop and return its result."""
@@ -207,7 +208,7 @@
     def _ip(self, name: str) -> str:
         # All gateways share their ports, as the machines of the platform do, so
         # each needs an address of its own on the loopback network.
-        return f"127.0.{os.getpid() % 200 + 1}.{len(self.gateways) + 2}"
+        return f"127.{self._subnet}.{os.getpid() % 200 + 1}.{len(self.gateways) + 2}"
 
     def wait_ready(self, gateway: Gateway) -> None:
         """Wait until the gateway says that it is ready."""
@@ -280,6 +281,7 @@
 
 
 _PORTS: list[int] = []
+_SUBNETS = count(1)
 
 
 def gateway_settings(name: str, ip: str, store: str) -> dict:
