--- a/cranberrywick/gateway/forwarder.py
+++ b/cranberrywick/gateway/forwarder.py
@@ -23,7 +23,7 @@
 from cranberrywick.gateway.exchange import Exchange
 from cranberrywick.gateway.ingress import CallerConnection, HttpRequest
 from cranberrywick.gateway.state import FleetState
-from cranberrywick.gateway.waiting import WaitingRequests
+from cranberrywick.gateway.waiting import STORE_AWAY_RETRY_SECONDS, WaitingRequests
 from cranberrywick.logs import EventLog
 from cranberrywick.metrics import Metrics
 from cranberrywick.model import EndpointRefusal, Executed
@@ -36,8 +36,9 @@
 
 __all__ = ["Forwarder"]
 
-# Told to callers of a daemon that does not know a configuration yet.
-STARTING_RETRY_SECONDS = 0.5
+# Told to callers of a daemon that has just started: its first reading of the store
+# takes some milliseconds.
+STARTING_RETRY_SECONDS = 0.3
 # An answer of the gateway's own leaves this much before the route's time-out, so
 # that it is there when the time is over.
 TIMEOUT_MARGIN_SECONDS = 0.01
@@ -98,8 +99,12 @@
         """Find the route, the organisation and the time there is."""
         table = self._state.table
         if table is None:
+            away = self._state.store_is_away
             raise PlatformUnavailable(
-                "no configuration is known yet", retry_after=STARTING_RETRY_SECONDS
+                "no configuration is known yet",
+                retry_after=(
+                    STORE_AWAY_RETRY_SECONDS if away else STARTING_RETRY_SECONDS
+                ),
             )
         exchange.version = table.configuration.version
         exchange.route = table.match(exchange.host, exchange.path)
--- a/cranberrywick/gateway/state.py
+++ b/cranberrywick/gateway/state.py
@@ -7,7 +7,7 @@
 import asyncio
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from functools import partial
 from typing import Any
 
@@ -78,6 +78,7 @@
         self.members = Members(settings.daemon_id)
         self.load = FleetLoad()
         self.operator: OperatorView | None = None
+        self._endpoint_view: EndpointView | None = None
         self.table: RouteTable | None = None
         self.leaving = False
         self.changed: Callable[[], None] = lambda: None
@@ -131,6 +132,11 @@
             and not self.leaving
         )
 
+    @property
+    def store_is_away(self) -> bool:
+        """Whether the last call of the store got no answer."""
+        return bool(self._store_lost)
+
     def operator_age(self, now: float) -> float:
         """Return how many seconds ago the operators' view was the newest."""
         return now - self._operator_at
@@ -191,8 +197,10 @@
             return
         if is_new:
             self._log.info("peer_met", peer=beat.daemon_id, address=beat.entry_address)
-            # So that it knows us at once and not only by its next reading.
+            # So that it knows us at once, and serves even if the store, which may
+            # be away just now, has told it nothing yet.
             self.send_heartbeat()
+            self._tell_endpoints({beat.peer_address})
         self.load.hear(beat.daemon_id, beat.jobs, now)
         self._compare_operator(beat, now)
         self.changed()
@@ -280,12 +288,18 @@
 
     def _endpoints_read(self, view: EndpointView, read_at: float) -> None:
         self._take_endpoints(view, read_at)
-        age = self._loop.time() - read_at
-        self.link.send(EndpointReading(view, age), self._peer_addresses())
+        self._tell_endpoints(self._peer_addresses())
+
+    def _tell_endpoints(self, addresses: Iterable[str]) -> None:
+        if self._endpoint_view is not None:
+            age = self.registry.age(self._loop.time())
+            self.link.send(EndpointReading(self._endpoint_view, age), addresses)
 
     def _take_endpoints(self, view: EndpointView, read_at: float) -> None:
         now = self._loop.time()
         changes = self.registry.apply(view, read_at, now)
+        if self.registry.read_at == read_at:
+            self._endpoint_view = view
         for change in changes:
             self._log.info(
                 "endpoint_changed",
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -185,10 +185,14 @@
         """Write the operators' configuration."""
         self.on_loop(self.store.put_json, "op/config", fields)
 
-    def start_gateway(self, name: str, wait: bool = True) -> Gateway:
+    def start_gateway(
+        self, name: str, wait: bool = True, store_mode: str = "open"
+    ) -> Gateway:
         """Start a gateway process with a store address of its own."""
         door = self.await_on_loop(self.store.add_door(name))
+        self.store.modes_by_door[name] = store_mode
         settings = gateway_settings(name, self._ip(name), door)
+        settings["seeds"] = [g.settings["listen"]["control"] for g in self.gateways]
         path = self.path / f"{name}.json"
         path.write_text(json.dumps(settings))
         log_path = self.path / f"{name}.log"
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -549,11 +549,19 @@
         are is not known, which is no reason to say that there are none.
         """
         with running_gateways(tmp_path, gateways=0) as fleet:
-            gateway = fleet.start_gateway("alone", wait=False)
-            fleet.store.modes_by_door["alone"] = "busy"
-            wait_for(lambda: "gateway_started" in gateway.log, "the start")
-            if "configuration_applied" in gateway.log:
-                pytest.skip("it had read the store before it was turned away")
+            gateway = fleet.start_gateway("alone", wait=False, store_mode="busy")
+            wait_for(lambda: "event=store_lost" in gateway.log, "the refusal")
             answer = fleet.call(gateway, "GET", "/reads/1")
             assert answer.status == 503
-            assert float(answer.headers["retry-after"]) > 0
+            assert float(answer.headers["retry-after"]) >= 1
+
+    def test_a_gateway_that_starts_while_the_store_is_away_serves(self, tmp_path):
+        """The caller is served by a gateway that has never reached the store.
+
+        One gateway runs, another starts and is turned away by the store. The first
+        tells it the configuration and the endpoints.
+        """
+        with running_gateways(tmp_path, gateways=1) as fleet:
+            fleet.store.modes_by_door[fleet.gateways[0].name] = "busy"
+            late = fleet.start_gateway("late", store_mode="busy")
+            assert fleet.call(late, "GET", "/reads/1").status == 200
