Send fewer messages in large fleets: longer heartbeats, late news of ended jobs, readings that say 'the same'

At 84 daemons every one told each of 83 others of each change within 10 ms: some thirty thousand datagrams a second over the fleet.

--- a/cranberrywick/gateway/fleet.capnp
+++ b/cranberrywick/gateway/fleet.capnp
@@ -40,10 +40,13 @@
   born @7 :Int64;
 }
 
+# With isSame, no records follow: they are those that the digest stands for.
 struct EndpointReading {
   revision @0 :UInt64;
   ageMs @1 :UInt32;
   records @2 :List(EndpointRecord);
+  digest @3 :UInt64;
+  isSame @4 :Bool;
 }
 
 struct OperatorReading {
--- a/cranberrywick/gateway/messages.py
+++ b/cranberrywick/gateway/messages.py
@@ -30,10 +30,15 @@
 
 
 class EndpointReading(NamedTuple):
-    """The registered endpoints as they were read ``age`` seconds ago."""
+    """The registered endpoints as they were read ``age`` seconds ago.
 
-    view: EndpointView
+    Without a ``view`` they are the same as before, which ``digest`` identifies.
+    """
+
+    revision: int
     age: float
+    digest: int
+    view: EndpointView | None
 
 
 class OperatorReading(NamedTuple):
@@ -162,9 +167,12 @@
 
 
 def _write_endpoints(reading: EndpointReading) -> dict[str, Any]:
+    records = reading.view.records_by_id.values() if reading.view else ()
     return {
-        "revision": reading.view.revision,
+        "revision": reading.revision,
         "ageMs": _milliseconds(reading.age),
+        "digest": reading.digest,
+        "isSame": reading.view is None,
         "records": [
             {
                 "endpointId": record.endpoint_id,
@@ -176,12 +184,15 @@
                 "coldMs": _milliseconds(record.cold_seconds),
                 "born": record.born,
             }
-            for record in reading.view.records_by_id.values()
+            for record in records
         ],
     }
 
 
 def _read_endpoints(reading: Any) -> EndpointReading:
+    age = reading.ageMs / 1000
+    if reading.isSame:
+        return EndpointReading(reading.revision, age, reading.digest, None)
     records = {
         record.endpointId: EndpointRecord(
             endpoint_id=record.endpointId,
@@ -195,9 +206,8 @@
         )
         for record in reading.records
     }
-    return EndpointReading(
-        EndpointView(reading.revision, records), reading.ageMs / 1000
-    )
+    view = EndpointView(reading.revision, records)
+    return EndpointReading(reading.revision, age, reading.digest, view)
 
 
 def _write_operator(reading: OperatorReading) -> dict[str, Any]:
--- a/cranberrywick/gateway/state.py
+++ b/cranberrywick/gateway/state.py
@@ -21,7 +21,7 @@
 from cranberrywick.logs import EventLog
 from cranberrywick.routing.freshness import ReadingPolicy
 from cranberrywick.routing.load import FleetLoad
-from cranberrywick.routing.members import HEARTBEAT_SECONDS, Heartbeat, Members
+from cranberrywick.routing.members import Heartbeat, Members, heartbeat_seconds
 from cranberrywick.routing.model import (
     EndpointView,
     GatewayConfiguration,
@@ -35,9 +35,13 @@
 
 # How often it is looked whether knowledge has got old; a tenth of the shortest limit.
 LOOK_SECONDS = 0.05
-# News of our own jobs goes out at the latest so long after they changed: several
-# changes of one moment make one datagram.
+# A new job is told to the others after this: several of one moment make one datagram.
 NEWS_SECONDS = 0.01
+# That one writes or has ended is told later, the more so the more daemons hear it:
+# a place that is thought taken for a moment longer costs less than a datagram to each.
+ENDED_NEWS_SECONDS_PER_MEMBER = 0.004
+# Peers that missed the last whole reading of the endpoints get another so often.
+WHOLE_READING_SECONDS = 1.0
 # A daemon that died is off the members' list after this; heartbeats tell sooner.
 LEASE_SECONDS = 15.0
 RENEW_SECONDS = 5.0
@@ -79,6 +83,9 @@
         self.load = FleetLoad()
         self.operator: OperatorView | None = None
         self._endpoint_view: EndpointView | None = None
+        self._endpoint_digest = 0
+        self._told_digest = 0
+        self._told_whole_at = float("-inf")
         self.table: RouteTable | None = None
         self.leaving = False
         self.changed: Callable[[], None] = lambda: None
@@ -103,11 +110,11 @@
         await self.link.start(self._settings.ip, self._port)
         self._look()
         self._register()
+        self.send_heartbeat()
         for seconds in MEMBERS_AT_START:
             self._loop.call_later(seconds, self._read_members)
         every = self._ticker.every
         every(LOOK_SECONDS, self._look)
-        every(HEARTBEAT_SECONDS, self.send_heartbeat, jitter=0.1)
         every(RENEW_SECONDS, self._register, jitter=0.1)
         every(MEMBERS_SECONDS, self._read_members, jitter=0.2)
 
@@ -141,17 +148,30 @@
         """Return how many seconds ago the operators' view was the newest."""
         return now - self._operator_at
 
-    def load_changed(self) -> None:
-        """Tell the others soon what this daemon now has at endpoints."""
-        if self._news is None:
-            self._news = self._loop.call_later(NEWS_SECONDS, self.send_heartbeat)
+    def job_added(self) -> None:
+        """Tell the others at once what this daemon now has at endpoints."""
+        self._tell_within(NEWS_SECONDS)
+
+    def job_ended(self) -> None:
+        """Tell the others some time soon."""
+        members = 1 + len(self.members.members_by_id)
+        self._tell_within(members * ENDED_NEWS_SECONDS_PER_MEMBER)
+
+    def _tell_within(self, seconds: float) -> None:
+        at = self._loop.time() + seconds
+        if self._news is None or self._news.when() > at:
+            if self._news is not None:
+                self._news.cancel()
+            self._news = self._loop.call_at(at, self.send_heartbeat)
 
     def send_heartbeat(self) -> None:
         """Tell the others what this daemon is and knows."""
+        now = self._loop.time()
         if self._news is not None:
             self._news.cancel()
-            self._news = None
-        now = self._loop.time()
+        members = 1 + len(self.members.members_by_id)
+        pause = heartbeat_seconds(members) * self._rng.uniform(0.9, 1.1)
+        self._news = self._loop.call_later(pause, self.send_heartbeat)
         self._sequence += 1
         operator = self.operator
         beat = Heartbeat(
@@ -187,8 +207,7 @@
         if isinstance(message, Heartbeat):
             self._hear_heartbeat(message)
         elif isinstance(message, EndpointReading):
-            now = self._loop.time()
-            self._take_endpoints(message.view, now - message.age)
+            self._hear_endpoints(message)
 
     def _hear_heartbeat(self, beat: Heartbeat) -> None:
         now = self._loop.time()
@@ -205,6 +224,14 @@
         self._compare_operator(beat, now)
         self.changed()
 
+    def _hear_endpoints(self, reading: EndpointReading) -> None:
+        read_at = self._loop.time() - reading.age
+        if reading.view is not None:
+            self._take_endpoints(reading.view, read_at)
+        elif reading.digest == self._endpoint_digest:
+            view = self._endpoint_view._replace(revision=reading.revision)
+            self._take_endpoints(view, read_at)
+
     def _compare_operator(self, beat: Heartbeat, now: float) -> None:
         own = self.operator
         if own is not None and beat.operator_digest == own.digest:
@@ -288,18 +315,29 @@
 
     def _endpoints_read(self, view: EndpointView, read_at: float) -> None:
         self._take_endpoints(view, read_at)
-        self._tell_endpoints(self._peer_addresses())
+        now = self._loop.time()
+        is_new = self._endpoint_digest != self._told_digest
+        if is_new or now - self._told_whole_at > WHOLE_READING_SECONDS:
+            self._told_digest, self._told_whole_at = self._endpoint_digest, now
+            self._tell_endpoints(self._peer_addresses())
+        else:
+            self._tell_endpoints(self._peer_addresses(), same=True)
 
-    def _tell_endpoints(self, addresses: Iterable[str]) -> None:
-        if self._endpoint_view is not None:
-            age = self.registry.age(self._loop.time())
-            self.link.send(EndpointReading(self._endpoint_view, age), addresses)
+    def _tell_endpoints(self, addresses: Iterable[str], same: bool = False) -> None:
+        view = self._endpoint_view
+        if view is None:
+            return
+        age = self.registry.age(self._loop.time())
+        told = None if same else view
+        digest = self._endpoint_digest
+        self.link.send(EndpointReading(view.revision, age, digest, told), addresses)
 
     def _take_endpoints(self, view: EndpointView, read_at: float) -> None:
         now = self._loop.time()
         changes = self.registry.apply(view, read_at, now)
         if self.registry.read_at == read_at:
             self._endpoint_view = view
+            self._endpoint_digest = view.digest
         for change in changes:
             self._log.info(
                 "endpoint_changed",
@@ -317,7 +355,7 @@
         if self.operator is not None and before != self.operator.digest:
             self.send_heartbeat()
         else:
-            self.load_changed()
+            self.job_added()
 
     def _take_operator(self, view: OperatorView, read_at: float, source: str) -> None:
         own = self.operator
--- a/cranberrywick/routing/members.py
+++ b/cranberrywick/routing/members.py
@@ -10,13 +10,18 @@
 
 from cranberrywick.routing.load import Job
 
-__all__ = ["Heartbeat", "Member", "Members"]
+__all__ = ["Heartbeat", "Member", "Members", "heartbeat_seconds"]
 
-# Daemons send one at least so often.
+# Daemons send one at least so often; in a large fleet less often, since everybody
+# hears everybody: so many seconds for each member keep what a daemon receives at some
+# eighty heartbeats a second whatever the fleet's size, up to the longest interval.
 HEARTBEAT_SECONDS = 0.4
-# Five heartbeats lost in a row: a link that loses one in thirty loses five once in
-# twenty million, and callers of a dead daemon are told within two seconds.
-SILENCE_SECONDS = 2.0
+HEARTBEAT_SECONDS_PER_MEMBER = 0.012
+LONGEST_HEARTBEAT_SECONDS = 1.2
+# Lost in a row: a link that loses one in thirty loses five once in twenty million,
+# and callers of a dead daemon are told within two seconds, in a large fleet within
+# six, before its address may no longer be named.
+SILENT_HEARTBEATS = 5
 # A member that has been silent for so long is forgotten and not written to.
 FORGET_SECONDS = 60.0
 # A pause in this daemon's own run, as by a freeze: what it has not heard meanwhile
@@ -53,6 +58,16 @@
     heard_at: float
 
 
+def heartbeat_seconds(members: int) -> float:
+    """Return how often a daemon of a fleet of this size sends one.
+
+    >>> heartbeat_seconds(9), heartbeat_seconds(84)
+    (0.4, 1.008)
+    """
+    wished = members * HEARTBEAT_SECONDS_PER_MEMBER
+    return min(max(HEARTBEAT_SECONDS, wished), LONGEST_HEARTBEAT_SECONDS)
+
+
 class Members:
     """The other daemons, by id."""
 
@@ -80,12 +95,13 @@
         if paused > OWN_PAUSE_SECONDS and self._looked_at > float("-inf"):
             self._excuse(paused)
         before, self._looked_at = self._looked_at, now
+        silence = self.silence_seconds
         silent = []
         for daemon_id, member in list(self.members_by_id.items()):
             age = now - member.heard_at
             if age > FORGET_SECONDS:
                 del self.members_by_id[daemon_id]
-            elif age > SILENCE_SECONDS and before - member.heard_at <= SILENCE_SECONDS:
+            elif age > silence and before - member.heard_at <= silence:
                 silent.append(daemon_id)
         return silent
 
@@ -94,12 +110,19 @@
             heard_at = member.heard_at + seconds
             self.members_by_id[daemon_id] = member._replace(heard_at=heard_at)
 
+    @property
+    def silence_seconds(self) -> float:
+        """How long a daemon may be silent and still counts as alive."""
+        known = 1 + len(self.members_by_id)
+        return SILENT_HEARTBEATS * heartbeat_seconds(known)
+
     def alive(self, now: float) -> list[Heartbeat]:
         """Return the daemons that live, as they last described themselves."""
+        silence = self.silence_seconds
         return [
             member.heartbeat
             for member in self.members_by_id.values()
-            if now - member.heard_at <= SILENCE_SECONDS
+            if now - member.heard_at <= silence
         ]
 
     def serving(self, now: float) -> list[Heartbeat]:
--- a/cranberrywick/routing/model.py
+++ b/cranberrywick/routing/model.py
@@ -193,13 +193,23 @@
 class EndpointView(NamedTuple):
     """Every registered endpoint at one revision of the store.
 
-    ``unusable_ids`` are records that could not be read as an endpoint.
+    ``unusable_ids`` are records that could not be read as an endpoint. Two views with
+    the same ``digest`` say the same, but for how long endpoints stay cold.
     """
 
     revision: int
     records_by_id: Mapping[str, EndpointRecord]
     unusable_ids: tuple[str, ...] = ()
 
+    @property
+    def digest(self) -> int:
+        """A hash of what the records say."""
+        hashed = blake2b(digest_size=8)
+        for _, record in sorted(self.records_by_id.items()):
+            lasting = record._replace(cold_seconds=float(record.cold_seconds > 0))
+            hashed.update(repr(lasting).encode())
+        return int.from_bytes(hashed.digest(), "big")
+
 
 class OperatorView(NamedTuple):
     """What operators have written, as of one revision of the store.
