--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -196,19 +196,17 @@
         path = self.path / f"{name}.json"
         path.write_text(json.dumps(settings))
         log_path = self.path / f"{name}.log"
-        process = subprocess.Popen(
-            [sys.executable, "-m", "cranberrywick", "gateway"],
-            cwd=ROOT,
-            env={**os.environ, "CRANBERRYWICK_CONFIG": str(path)},
-            stdout=log_path.open("a"),
-            stderr=subprocess.STDOUT,
-        )
-        gateway = Gateway(name, process, settings, log_path)
+        gateway = Gateway(name, start_process(path, log_path), settings, log_path)
         self.gateways.append(gateway)
         if wait:
             self.wait_ready(gateway)
         return gateway
 
+    def restart(self, gateway: Gateway) -> Gateway:
+        """Start a gateway that has ended again, with its settings."""
+        path = self.path / f"{gateway.name}.json"
+        return gateway._replace(process=start_process(path, gateway.log_path))
+
     def _ip(self, name: str) -> str:
         # All gateways share their ports, as the machines of the platform do, so
         # each needs an address of its own on the loopback network.
@@ -272,6 +270,17 @@
         self._thread.join()
 
 
+def start_process(settings: Path, log: Path) -> subprocess.Popen:
+    """Start a gateway process."""
+    return subprocess.Popen(
+        [sys.executable, "-m", "cranberrywick", "gateway"],
+        cwd=ROOT,
+        env={**os.environ, "CRANBERRYWICK_CONFIG": str(settings)},
+        stdout=log.open("a"),
+        stderr=subprocess.STDOUT,
+    )
+
+
 def free_ports(number: int) -> list[int]:
     """Return ports that are free on every loopback address."""
     sockets = [socket.socket() for _ in range(number)]
--- /dev/null
+++ b/tests/gateway_soak.py
@@ -0,0 +1,328 @@
+"""A randomized soak: real gateways, faults from outside, promises checked throughout.
+
+    python tests/gateway_soak.py --seeds 50 --seconds 20
+
+Each seed starts three gateways as processes, with a proxy before each endpoint, and
+lets callers press while faults come one after the other and overlap: processes are
+killed, stopped, paused and restarted, connections delayed, silenced, cut one way or
+reset, the store turns gateways away, endpoints misbehave, operators change what is in
+force. What callers were told is held against what endpoints ran:
+
+- a call that may not run twice ran at most once;
+- a refusal that promises "not run" is true, also later;
+- a success is the whole answer to this very request.
+"""
+
+import asyncio
+import random
+import signal
+import sys
+import tempfile
+import threading
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import NamedTuple
+
+import click
+from gateway_fleet import (
+    PROMPT_HEADERS,
+    Answer,
+    Fleet,
+    configuration,
+    running_gateways,
+    wait_for,
+)
+
+STREAM = b"".join(f"id: {n}\ndata: piece {n}\n\n".encode() for n in range(1, 9))
+# Statuses with which a gateway promises that a request has not run and never will.
+PROMISES = (408, 421, 429, 503)
+CALLERS = 6
+# Between two faults, in seconds; each lasts up to a few times as long.
+FAULT_GAP_SECONDS = 0.5
+LONGEST_FAULT_SECONDS = 3.0
+# After the last fault a fleet serves again within this.
+RECOVERY_SECONDS = 20.0
+BEHAVIOURS = ("failing", "full", "reset", "hang", "twice", "other", "short", "cut")
+
+
+class Proxy:
+    """Passes a connection's bytes on, as its mode says.
+
+    ``delay`` holds each piece back, ``silent`` passes nothing, ``one_way`` nothing
+    from the endpoint, and ``reset`` ends every connection at once.
+    """
+
+    MODES = ("delay", "silent", "one_way", "reset")
+
+    def __init__(self, target: str):
+        self._target = target
+        self.mode = "open"
+        self.address = ""
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def start(self) -> str:
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()[:2]
+        self.address = f"{host}:{port}"
+        return self.address
+
+    def set_mode(self, mode: str) -> None:
+        self.mode = mode
+        if mode == "reset":
+            for writer in self._writers:
+                writer.transport.abort()
+
+    async def _serve(self, reader, writer) -> None:
+        host, _, port = self._target.rpartition(":")
+        try:
+            upstream, onward = await asyncio.open_connection(host, int(port))
+        except OSError:
+            writer.transport.abort()
+            return
+        self._writers |= {writer, onward}
+        try:
+            ways = (
+                self._pass(reader, onward, "silent"),
+                self._pass(upstream, writer, "one_way"),
+            )
+            await asyncio.gather(*ways)
+        finally:
+            self._writers -= {writer, onward}
+            writer.close()
+            onward.close()
+
+    async def _pass(self, reader, writer, blocked_by: str) -> None:
+        while True:
+            try:
+                data = await reader.read(65536)
+                if self.mode == "delay":
+                    await asyncio.sleep(0.05)
+                while self.mode in ("silent", blocked_by):
+                    await asyncio.sleep(0.05)
+                if not data:
+                    writer.close()
+                    return
+                writer.write(data)
+                await writer.drain()
+            except OSError:
+                writer.transport.abort()
+                return
+
+
+class Call(NamedTuple):
+    """One request of a caller and what it was told; no answer is None."""
+
+    request_id: str
+    kind: str
+    answer: Answer | None
+
+
+class Soak:
+    """One seed's run."""
+
+    def __init__(self, fleet: Fleet, seed: int):
+        self.fleet = fleet
+        self.rng = random.Random(seed)
+        self.calls: list[Call] = []
+        self.proxies: dict[str, Proxy] = {}
+        self._stopping = threading.Event()
+        self._undo: list[tuple[float, Callable[[], None]]] = []
+        self._version = 100
+        self.faults: list[str] = []
+
+    def prepare(self) -> None:
+        """Put a proxy before each endpoint."""
+        for endpoint_id, endpoint in self.fleet.endpoints.items():
+            proxy = Proxy(endpoint.address)
+            self.fleet.await_on_loop(proxy.start())
+            self.proxies[endpoint_id] = proxy
+            self.register(endpoint_id)
+
+    def register(self, endpoint_id: str, **fields: object) -> None:
+        service = "desk" if endpoint_id.startswith("desk") else "pool"
+        address = self.proxies[endpoint_id].address
+        self.fleet.register(endpoint_id, service, address=address, **fields)
+
+    def run(self, seconds: float) -> None:
+        """Press and harm for so long, mend everything, and see it serve again."""
+        callers = [
+            threading.Thread(target=self._press, args=(random.Random(number),))
+            for number in range(CALLERS)
+        ]
+        for caller in callers:
+            caller.start()
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            time.sleep(self.rng.uniform(0.1, 2 * FAULT_GAP_SECONDS))
+            self._undo_due(time.monotonic())
+            self._harm()
+        self._undo_due(float("inf"))
+        self._stopping.set()
+        for caller in callers:
+            caller.join()
+        self._restart_dead()
+        deadline = time.monotonic() + RECOVERY_SECONDS
+        for gateway in self.fleet.gateways:
+            wait_for(lambda g=gateway: self._serves(g), f"{gateway.name} to serve")
+        assert time.monotonic() < deadline, "it took too long to serve again"
+
+    def check(self) -> list[str]:
+        """Return what was promised and not kept."""
+        broken = []
+        for call in self.calls:
+            runs = self.fleet.runs(call.request_id)
+            if call.kind == "books" and runs > 1:
+                broken.append(f"{call.request_id} ran {runs} times")
+            answer = call.answer
+            if answer is None or not answer.status:
+                continue
+            if call.kind == "books" and answer.status in PROMISES and runs:
+                broken.append(f"{call.request_id}: {answer.status}, but it ran")
+            if answer.status == 200 and not self._is_own(call, answer):
+                broken.append(f"{call.request_id}: {answer.body[:60]!r}")
+        return broken
+
+    def _is_own(self, call: Call, answer: Answer) -> bool:
+        if call.kind == "prompts":
+            whole = answer.body == STREAM
+            return whole if answer.whole else STREAM.startswith(answer.body)
+        expected = f"answer to {call.request_id}".encode()
+        return answer.body == expected if answer.whole else True
+
+    def _press(self, rng: random.Random) -> None:
+        while not self._stopping.is_set():
+            kind = rng.choice(("reads", "books", "prompts"))
+            headers = dict(PROMPT_HEADERS) if kind == "prompts" else {}
+            headers["Cranberrywick-Deadline-Ms"] = "2000"
+            request_id = self.fleet.new_id()
+            gateway = rng.choice(self.fleet.gateways)
+            method = "GET" if kind == "reads" else "POST"
+            try:
+                answer = self.fleet.call(
+                    gateway, method, f"/{kind}/1", b"", headers, request_id, 6.0
+                )
+            except (OSError, ValueError, IndexError):
+                answer = None  # No connection, or one that was cut in its head.
+            self.calls.append(Call(request_id, kind, answer))
+            time.sleep(rng.uniform(0.0, 0.05))
+
+    def _serves(self, gateway) -> bool:
+        try:
+            return self.fleet.call(gateway, "GET", "/reads/1").status == 200
+        except (OSError, ValueError, IndexError):
+            return False
+
+    def _harm(self) -> None:
+        harms = (
+            self._kill,
+            self._stop,
+            self._pause,
+            self._harm_link,
+            self._harm_store,
+            self._harm_endpoint,
+            self._drain,
+            self._reconfigure,
+            self._take_out,
+        )
+        harm = self.rng.choice(harms)
+        self.faults.append(harm.__name__)
+        harm()
+
+    def _later(self, undo: Callable[[], None]) -> None:
+        lasts = self.rng.uniform(0.3, LONGEST_FAULT_SECONDS)
+        self._undo.append((time.monotonic() + lasts, undo))
+
+    def _undo_due(self, now: float) -> None:
+        for entry in sorted(self._undo, key=lambda each: each[0]):
+            if entry[0] <= now:
+                self._undo.remove(entry)
+                entry[1]()
+
+    def _kill(self) -> None:
+        gateway = self.rng.choice(self.fleet.gateways)
+        gateway.process.kill()
+        gateway.process.wait()
+        self._later(self._restart_dead)
+
+    def _stop(self) -> None:
+        self.rng.choice(self.fleet.gateways).process.send_signal(signal.SIGTERM)
+        self._later(self._restart_dead)
+
+    def _pause(self) -> None:
+        process = self.rng.choice(self.fleet.gateways).process
+        process.send_signal(signal.SIGSTOP)
+        self._later(lambda: process.send_signal(signal.SIGCONT))
+
+    def _restart_dead(self) -> None:
+        for number, gateway in enumerate(self.fleet.gateways):
+            if gateway.process.poll() is not None:
+                self.fleet.gateways[number] = self.fleet.restart(gateway)
+
+    def _harm_link(self) -> None:
+        proxy = self.rng.choice(list(self.proxies.values()))
+        self.fleet.on_loop(proxy.set_mode, self.rng.choice(Proxy.MODES))
+        self._later(lambda: self.fleet.on_loop(proxy.set_mode, "open"))
+
+    def _harm_store(self) -> None:
+        doors = self.fleet.store.modes_by_door
+        name = self.rng.choice(list(doors))
+        doors[name] = self.rng.choice(("busy", "many", "silent", "reset", "lost"))
+        self._later(lambda: doors.update({name: "open"}))
+
+    def _harm_endpoint(self) -> None:
+        endpoint = self.rng.choice(list(self.fleet.endpoints.values()))
+        endpoint.behaviour = self.rng.choice(BEHAVIOURS)
+
+        def mend() -> None:
+            endpoint.behaviour = "well"
+
+        self._later(mend)
+
+    def _drain(self) -> None:
+        endpoint_id = self.rng.choice(list(self.fleet.endpoints))
+        self.register(endpoint_id, state="draining")
+        self._later(lambda: self.register(endpoint_id))
+
+    def _reconfigure(self) -> None:
+        self._version += self.rng.randint(1, 5)
+        self.fleet.configure(configuration(self._version))
+
+    def _take_out(self) -> None:
+        store = self.fleet.store
+        self.fleet.on_loop(store.put_json, "op/evacuate/b", {})
+        self._later(lambda: self.fleet.on_loop(store.remove, "op/evacuate/b"))
+
+
+def run_seed(seed: int, seconds: float) -> tuple[Soak, list[str]]:
+    """Run one seed and return what was broken."""
+    path = Path(tempfile.mkdtemp(prefix="soak-"))
+    with running_gateways(path, gateways=3) as fleet:
+        soak = Soak(fleet, seed)
+        soak.prepare()
+        soak.run(seconds)
+        return soak, soak.check()
+
+
+@click.command()
+@click.option("--seeds", default=5, show_default=True)
+@click.option("--first", default=1, show_default=True)
+@click.option("--seconds", default=20.0, show_default=True)
+def main(seeds: int, first: int, seconds: float) -> None:
+    """Run seeds one after the other; exit 1 if a promise was broken."""
+    failed = 0
+    for seed in range(first, first + seeds):
+        soak, broken = run_seed(seed, seconds)
+        answered = sum(bool(c.answer and c.answer.status) for c in soak.calls)
+        click.echo(
+            f"seed {seed}: {len(soak.calls)} calls, {answered} answered, "
+            f"{len(soak.faults)} faults, {len(broken)} promises broken"
+        )
+        for line in broken:
+            click.echo(f"  {line}")
+        failed += bool(broken)
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    main()
