--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: run test lint format bench bench-relay capacity binary lock clean
+.PHONY: run run-gateway test lint format bench bench-relay bench-prompts soak capacity binary lock clean
 
 $(VENV)/.installed: requirements.lock pyproject.toml
 	@echo "setting up $(VENV) with pinned dependencies"
@@ -19,6 +19,9 @@
 run: $(VENV)/.installed
 	$(BIN)/cranberrywick demo
 
+run-gateway: $(VENV)/.installed
+	$(BIN)/cranberrywick gateway-demo
+
 test: $(VENV)/.installed
 	$(BIN)/python -m pytest
 
@@ -50,3 +53,9 @@
 
 capacity: $(VENV)/.installed
 	$(BIN)/python -m cranberrywick.bench.capacity
+
+bench-prompts: $(VENV)/.installed
+	$(BIN)/python -m cranberrywick.bench.prompts $(ARGS)
+
+soak: $(VENV)/.installed
+	$(BIN)/python tests/gateway_soak.py $(ARGS)
--- a/cranberrywick/cli/main.py
+++ b/cranberrywick/cli/main.py
@@ -17,6 +17,7 @@
     "domain": "cranberrywick.cli.domain",
     "endpoint": "cranberrywick.cli.endpoint",
     "gateway": "cranberrywick.cli.gateway",
+    "gateway-demo": "cranberrywick.standin.platform.demo",
     "report": "cranberrywick.cli.report",
     "serve": "cranberrywick.cli.serve",
     "standin": "cranberrywick.cli.serve",
@@ -29,7 +30,9 @@
 
     def get_command(self, context: click.Context, name: str) -> click.Command | None:
         module = MODULES_BY_COMMAND.get(name)
-        return getattr(import_module(module), name) if module else None
+        if module is None:
+            return None
+        return getattr(import_module(module), name.replace("-", "_"))
 
 
 @click.group(cls=_LazyGroup)
--- a/cranberrywick/gateway/app.py
+++ b/cranberrywick/gateway/app.py
@@ -2,10 +2,8 @@
 
 import asyncio
 import contextlib
-import json
 import random
 import signal
-from urllib.parse import parse_qs
 
 from cranberrywick.gateway.forwarder import Forwarder
 from cranberrywick.gateway.ingress import CallerConnection, HttpRequest, Ingress
@@ -14,6 +12,7 @@
 from cranberrywick.gateway.waiting import WaitingRequests
 from cranberrywick.logs import EventLog
 from cranberrywick.metrics import CONTENT_TYPE, Metrics
+from cranberrywick.platform.directory import DIRECTORY_PATH, encode_directory
 from cranberrywick.platform.documents import decode_configuration
 from cranberrywick.platform.settings import load_settings
 from cranberrywick.platform.store import PlatformStore
@@ -70,6 +69,12 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._stopping.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
+        await self.start()
+        await self._stopping.wait()
+        await self._drain()
+
+    async def start(self) -> None:
+        """Begin to serve."""
         await self.state.start()
         if self._settings.entry_address:
             await self._ingress.start(self._settings.entry_address)
@@ -77,8 +82,6 @@
             if address:
                 await ingress.start(address)
         self._log.info("gateway_started", address=self._settings.entry_address)
-        await self._stopping.wait()
-        await self._drain()
 
     def _reload(self) -> None:
         """Note a reload: all that changes while a daemon runs lies in the store."""
@@ -104,8 +107,8 @@
     async def _answer_directory(
         self, request: HttpRequest, caller: CallerConnection
     ) -> None:
-        path, _, query = request.target.partition(b"?")
-        if path != b"/resolve":
+        path = request.target.partition(b"?")[0]
+        if path != DIRECTORY_PATH:
             await caller.answer(404, [], b"")
             return
         now = asyncio.get_running_loop().time()
@@ -115,8 +118,7 @@
             self.state.leaving,
             self._rng,
         )
-        self._log.debug("directory_asked", query=parse_qs(query.decode("latin-1")))
-        body = json.dumps({"addresses": addresses, "ttlS": ANSWER_SECONDS}).encode()
+        body = encode_directory(addresses, ANSWER_SECONDS)
         await caller.answer(200, [(b"Content-Type", b"application/json")], body)
 
     async def _answer_ready(
--- a/cranberrywick/gateway/exchange.py
+++ b/cranberrywick/gateway/exchange.py
@@ -1,7 +1,6 @@
 """What is known of one request while it is served."""
 
 import json
-from math import ceil
 
 from cranberrywick.errors import CranberrywickError, EndpointRefused, InvalidRequest
 from cranberrywick.gateway.ingress import CallerConnection, HttpRequest
@@ -87,10 +86,9 @@
             return 503
         return 504 if error.status == 504 else 502
 
-    def retry_after(self, error: CranberrywickError) -> bytes:
-        """Return the value of ``Retry-After``, in seconds."""
-        seconds = error.retry_after if error.retry_after else RETRY_SECONDS
-        return f"{ceil(seconds * 1000) / 1000:g}".encode()
+    def retry_seconds(self, error: CranberrywickError) -> float:
+        """Return when the caller should come back."""
+        return error.retry_after or RETRY_SECONDS
 
     def failure_body(self, error: CranberrywickError) -> bytes:
         """Return the body that tells a caller of a failure."""
--- a/cranberrywick/gateway/forwarder.py
+++ b/cranberrywick/gateway/forwarder.py
@@ -27,7 +27,7 @@
 from cranberrywick.logs import EventLog
 from cranberrywick.metrics import Metrics
 from cranberrywick.model import EndpointRefusal, Executed
-from cranberrywick.platform.headers import decode_request
+from cranberrywick.platform.headers import decode_request, failure_headers
 from cranberrywick.routing.health import EndpointHealth
 from cranberrywick.routing.model import GatewaySettings
 from cranberrywick.routing.placement import Demand, Placement
@@ -259,12 +259,8 @@
             return await self._pass_failure(exchange, error)
         status = exchange.failure_status(error)
         exchange.status = status
-        headers = [(b"Content-Type", b"application/json")]
-        if exchange.meta.request_id:
-            request_id = exchange.meta.request_id.encode("latin-1")
-            headers.append((b"Cranberrywick-Request-Id", request_id))
-        if status in (429, 503):
-            headers.append((b"Retry-After", exchange.retry_after(error)))
+        retry_seconds = exchange.retry_seconds(error) if status in (429, 503) else None
+        headers = failure_headers(exchange.meta.request_id, retry_seconds)
         try:
             await exchange.caller.answer(status, headers, exchange.failure_body(error))
         except ConnectionError:
--- a/cranberrywick/gateway/state.py
+++ b/cranberrywick/gateway/state.py
@@ -9,17 +9,15 @@
 import time
 from collections.abc import Callable, Iterable
 from functools import partial
-from typing import Any
 
-from cranberrywick.controllers.actor import ControllerHandle
-from cranberrywick.errors import CranberrywickError, InvalidConfiguration
+from cranberrywick.errors import InvalidConfiguration
 from cranberrywick.external.key_value import LeaseLapsed
 from cranberrywick.gateway.fleet_link import FleetLink
 from cranberrywick.gateway.messages import EndpointReading, Message, OperatorReading
-from cranberrywick.gateway.store_reader import Store, StoreReader
+from cranberrywick.gateway.store_calls import StoreCalls
+from cranberrywick.gateway.store_reader import Store
 from cranberrywick.gateway.ticker import Ticker
 from cranberrywick.logs import EventLog
-from cranberrywick.routing.freshness import ReadingPolicy
 from cranberrywick.routing.load import FleetLoad
 from cranberrywick.routing.members import Heartbeat, Members, heartbeat_seconds
 from cranberrywick.routing.model import (
@@ -95,15 +93,12 @@
         self._lease: int | None = None
         self._news: asyncio.TimerHandle | None = None
         self._fetching = False
-        self._store_lost: set[str] = set()
-        self._readers = {
-            name: ControllerHandle(StoreReader) for name in ("endpoints", "operator")
-        }
-        drain = settings.bounds.drain_seconds
-        self._policies = {
-            name: ReadingPolicy(drain, self._rng) for name in self._readers
-        }
-        self._pending: set[str] = set()
+        self._calls = StoreCalls(
+            settings.bounds.drain_seconds,
+            lambda: self.members.count(self._loop.time()),
+            log,
+            self._rng,
+        )
 
     async def start(self) -> None:
         """Begin to listen, read and tell."""
@@ -123,7 +118,7 @@
         self.leaving = True
         self.send_heartbeat()
         if self._lease is not None:
-            self._call("operator", partial(self._store.end, self._lease), _ignore)
+            self._calls.make("operator", partial(self._store.end, self._lease), _ignore)
 
     @property
     def domains_out(self) -> frozenset[str]:
@@ -142,7 +137,7 @@
     @property
     def store_is_away(self) -> bool:
         """Whether the last call of the store got no answer."""
-        return bool(self._store_lost)
+        return self._calls.store_is_away
 
     def operator_age(self, now: float) -> float:
         """Return how many seconds ago the operators' view was the newest."""
@@ -263,55 +258,13 @@
             self._log.warning("peer_silent", peer=daemon_id)
         self.load.forget_silent(now)
         rank = self.members.rank(now)
-        if self._policies["endpoints"].is_due(self.registry.age(now), rank, now):
-            self._call("endpoints", self._store.read_endpoints, self._endpoints_read)
-        if self._policies["operator"].is_due(self.operator_age(now), rank, now):
-            self._call("operator", self._store.read_operator, self._operator_read)
-
-    def _call(
-        self,
-        reader: str,
-        make: Callable[[], object],
-        done: Callable[[Any, float], None],
-    ) -> None:
-        """Make a call of the store unless the same one is under way."""
-        name = f"{reader}.{_call_name(make)}"
-        if name in self._pending:
-            return
-        self._pending.add(name)
-        asked_at = self._loop.time()
-
-        def hand_over(answer: object) -> None:
-            self._loop.call_soon_threadsafe(
-                self._answered, name, reader, answer, done, asked_at
+        policies = self._calls.policies
+        if policies["endpoints"].is_due(self.registry.age(now), rank, now):
+            self._calls.make(
+                "endpoints", self._store.read_endpoints, self._endpoints_read
             )
-
-        self._readers[reader].tell(StoreReader.call, make, hand_over)
-
-    def _answered(
-        self,
-        name: str,
-        reader: str,
-        answer: object,
-        done: Callable[[Any, float], None],
-        asked_at: float,
-    ) -> None:
-        self._pending.discard(name)
-        now = self._loop.time()
-        if isinstance(answer, CranberrywickError):
-            pause = self._policies[reader].failed(self.members.count(now), now)
-            if name not in self._store_lost:
-                self._store_lost.add(name)
-                self._log.warning(
-                    "store_lost", call=name, error=answer, next_try_seconds=pause
-                )
-            return
-        if name in self._store_lost:
-            self._store_lost.discard(name)
-            self._log.info("store_regained", call=name, seconds=now - asked_at)
-        self._policies[reader].succeeded()
-        # Counted from the question: the answer may have been made that early.
-        done(answer, asked_at)
+        if policies["operator"].is_due(self.operator_age(now), rank, now):
+            self._calls.make("operator", self._store.read_operator, self._operator_read)
 
     def _endpoints_read(self, view: EndpointView, read_at: float) -> None:
         self._take_endpoints(view, read_at)
@@ -406,7 +359,7 @@
 
     def _register(self) -> None:
         if not self.leaving:
-            self._call("operator", self._renew, self._registered)
+            self._calls.make("operator", self._renew, self._registered)
 
     def _renew(self) -> int:
         """Renew the lease or take a new one; on the reader's thread."""
@@ -426,7 +379,7 @@
             self._log.info("registered", address=self.peer_address, lease=lease)
 
     def _read_members(self) -> None:
-        self._call("operator", self._store.read_members, self._take_members)
+        self._calls.make("operator", self._store.read_members, self._take_members)
 
     def _take_members(self, addresses_by_id: dict[str, str], asked_at: float) -> None:
         addresses_by_id.pop(self._settings.daemon_id, None)
@@ -437,8 +390,3 @@
 
 def _ignore(answer: object, asked_at: float) -> None:
     """Take an answer that says no more than that the call succeeded."""
-
-
-def _call_name(make: Callable[[], object]) -> str:
-    function = make.func if isinstance(make, partial) else make
-    return function.__name__
--- /dev/null
+++ b/cranberrywick/gateway/store_calls.py
@@ -0,0 +1,108 @@
+"""Calls of the store that never hold the event loop up."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from functools import partial
+from typing import Any
+
+from cranberrywick.controllers.actor import ControllerHandle
+from cranberrywick.errors import CranberrywickError
+from cranberrywick.gateway.store_reader import StoreReader
+from cranberrywick.logs import EventLog
+from cranberrywick.routing.freshness import ReadingPolicy
+
+__all__ = ["StoreCalls"]
+
+
+class StoreCalls:
+    """Makes calls on actors, one at a time for each reader, and hands answers back.
+
+    Each reader has a `ReadingPolicy` of its own, which hears of every answer and
+    failure. ``members`` says how many daemons live.
+
+    >>> calls.make("endpoints", store.read_endpoints, take_endpoints)
+    """
+
+    READERS = ("endpoints", "operator")
+
+    def __init__(
+        self,
+        drain_seconds: float,
+        members: Callable[[], int],
+        log: EventLog,
+        rng: random.Random,
+    ):
+        self._members = members
+        self._log = log
+        self._loop = asyncio.get_running_loop()
+        self._actors = {name: ControllerHandle(StoreReader) for name in self.READERS}
+        self.policies = {
+            name: ReadingPolicy(drain_seconds, rng) for name in self.READERS
+        }
+        self._pending: set[str] = set()
+        self._lost: set[str] = set()
+
+    @property
+    def store_is_away(self) -> bool:
+        """Whether the last call of some kind got no answer."""
+        return bool(self._lost)
+
+    def make(
+        self,
+        reader: str,
+        call: Callable[[], object],
+        done: Callable[[Any, float], None],
+    ) -> None:
+        """Make a call unless the same one is under way.
+
+        ``done`` gets the answer and the moment of the question, on the event loop;
+        it is not called for a failure.
+        """
+        name = f"{reader}.{_call_name(call)}"
+        if name in self._pending:
+            return
+        self._pending.add(name)
+        asked_at = self._loop.time()
+
+        def hand_over(answer: object) -> None:
+            self._loop.call_soon_threadsafe(
+                self._answered, name, reader, answer, done, asked_at
+            )
+
+        self._actors[reader].tell(StoreReader.call, call, hand_over)
+
+    def _answered(
+        self,
+        name: str,
+        reader: str,
+        answer: object,
+        done: Callable[[Any, float], None],
+        asked_at: float,
+    ) -> None:
+        self._pending.discard(name)
+        now = self._loop.time()
+        if isinstance(answer, CranberrywickError):
+            self._failed(name, reader, answer, now)
+            return
+        if name in self._lost:
+            self._lost.discard(name)
+            self._log.info("store_regained", call=name, seconds=now - asked_at)
+        self.policies[reader].succeeded()
+        # Counted from the question: the answer may have been made that early.
+        done(answer, asked_at)
+
+    def _failed(
+        self, name: str, reader: str, error: CranberrywickError, now: float
+    ) -> None:
+        pause = self.policies[reader].failed(self._members(), now)
+        if name not in self._lost:
+            self._lost.add(name)
+            self._log.warning(
+                "store_lost", call=name, error=error, next_try_seconds=pause
+            )
+
+
+def _call_name(call: Callable[[], object]) -> str:
+    function = call.func if isinstance(call, partial) else call
+    return function.__name__
--- /dev/null
+++ b/cranberrywick/platform/directory.py
@@ -0,0 +1,13 @@
+"""The directory's question and answer."""
+
+import json
+from collections.abc import Sequence
+
+__all__ = ["DIRECTORY_PATH", "encode_directory"]
+
+DIRECTORY_PATH = b"/resolve"
+
+
+def encode_directory(addresses: Sequence[str], seconds: float) -> bytes:
+    """Return the answer: entry addresses, and how long callers may keep them."""
+    return json.dumps({"addresses": list(addresses), "ttlS": seconds}).encode()
--- a/cranberrywick/platform/headers.py
+++ b/cranberrywick/platform/headers.py
@@ -1,6 +1,7 @@
 """Names of the platform's headers and what they hold."""
 
 from collections.abc import Iterable, Mapping
+from math import ceil
 from typing import NamedTuple
 
 from cranberrywick.routing.model import PromptSize
@@ -15,6 +16,7 @@
     "decode_request",
     "decode_response",
     "endpoint_headers",
+    "failure_headers",
 ]
 
 REQUEST_ID = b"cranberrywick-request-id"
@@ -161,6 +163,20 @@
     return passed
 
 
+def failure_headers(
+    request_id: str, retry_seconds: float | None
+) -> list[tuple[bytes, bytes]]:
+    """Return the headers of an answer of the gateway's own."""
+    headers = [(b"Content-Type", b"application/json")]
+    if request_id:
+        headers.append((b"Cranberrywick-Request-Id", request_id.encode("latin-1")))
+    if retry_seconds is not None:
+        # Fractions are understood; three digits, rounded up, never tell too soon.
+        seconds = ceil(retry_seconds * 1000) / 1000
+        headers.append((b"Retry-After", f"{seconds:g}".encode()))
+    return headers
+
+
 def _named_by_connection(raw: Iterable[tuple[bytes, bytes]]) -> frozenset[bytes]:
     named: set[bytes] = set()
     for name, value in raw:
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -23,6 +23,7 @@
 
 import urllib3
 
+from cranberrywick.standin.platform.demo import ENGINE
 from cranberrywick.standin.platform.endpoint import EndpointStandIn
 from cranberrywick.standin.platform.store import StoreStandIn
 
@@ -33,20 +34,6 @@
 WAIT_SECONDS = 30.0
 POLL_SECONDS = 0.02
 
-ENGINE = {
-    "slots": 8,
-    "kvCapacity": 300_000,
-    "stride": 51,
-    "step_ms": 0.85,
-    "per_seq_ms": 0.0085,
-    "context_per_k": 0.00285,
-    "read_per_s": 177_000.0,
-    "pairs_per_m": 0.184,
-    "chunk": 2048,
-    "hopMs": 0.05,
-    "usual": {"prompt": 11_000, "answer": 1_600},
-}
-
 
 def route(name: str, kind: str, service: str, **fields: object) -> dict:
     """Return a route of the operators' configuration."""
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -4,6 +4,7 @@
 import time
 
 import pytest
+from click.testing import CliRunner
 from gateway_fleet import (
     HOST,
     PROMPT_HEADERS,
@@ -15,6 +16,8 @@
     wait_for,
 )
 
+from cranberrywick.cli.main import main
+
 STREAM = b"".join(f"id: {n}\ndata: piece {n}\n\n".encode() for n in range(1, 9))
 
 
@@ -565,3 +568,9 @@
             fleet.store.modes_by_door[fleet.gateways[0].name] = "busy"
             late = fleet.start_gateway("late", store_mode="busy")
             assert fleet.call(late, "GET", "/reads/1").status == 200
+
+
+def test_the_demonstration_serves_three_requests_and_ends():
+    result = CliRunner().invoke(main, ["gateway-demo"])
+    assert result.exit_code == 0, result.output
+    assert result.output.count(": 200 after") == 3
