--- a/cranberrywick/gateway/app.py
+++ b/cranberrywick/gateway/app.py
@@ -115,7 +115,7 @@
         addresses = choose_addresses(
             self.state.members.serving(now),
             self._settings.entry_address,
-            self.state.leaving,
+            not self.state.ready,
             self._rng,
         )
         body = encode_directory(addresses, ANSWER_SECONDS)
--- a/cranberrywick/gateway/state.py
+++ b/cranberrywick/gateway/state.py
@@ -176,7 +176,7 @@
             peer_address=self.peer_address,
             entry_address=self._settings.entry_address,
             failure_domain=self._settings.failure_domain,
-            leaving=self.leaving,
+            leaving=not self.ready,
             operator_revision=operator.revision if operator else 0,
             operator_digest=operator.digest if operator else 0,
             operator_age=self.operator_age(now),
@@ -206,7 +206,9 @@
 
     def _hear_heartbeat(self, beat: Heartbeat) -> None:
         now = self._loop.time()
-        is_new = beat.daemon_id not in self.members.members_by_id
+        known = self.members.members_by_id.get(beat.daemon_id)
+        # A restarted daemon knows nothing, though it has been known here for long.
+        is_new = known is None or known.heartbeat.incarnation != beat.incarnation
         if not self.members.hear(beat, now):
             return
         if is_new:
@@ -285,8 +287,15 @@
         digest = self._endpoint_digest
         self.link.send(EndpointReading(view.revision, age, digest, told), addresses)
 
+    def _note_ready(self, was_ready: bool) -> None:
+        """Tell the others at once whether callers may be sent here."""
+        if self.ready != was_ready:
+            self._log.info("ready_changed", ready=self.ready)
+            self.send_heartbeat()
+
     def _take_endpoints(self, view: EndpointView, read_at: float) -> None:
         now = self._loop.time()
+        was_ready = self.ready
         changes = self.registry.apply(view, read_at, now)
         if self.registry.read_at == read_at:
             self._endpoint_view = view
@@ -299,6 +308,7 @@
                 revision=view.revision,
                 age=now - read_at,
             )
+        self._note_ready(was_ready)
         if changes:
             self.changed()
 
@@ -318,6 +328,7 @@
             self.operator = view
             self._operator_at = max(self._operator_at, read_at)
             return
+        was_ready = self.ready
         if view.document and not self._apply_document(view, source):
             return
         self._operator_at = max(self._operator_at, read_at)
@@ -329,6 +340,7 @@
                 source=source,
             )
         self.operator = view
+        self._note_ready(was_ready)
         self.changed()
 
     def _apply_document(self, view: OperatorView, source: str) -> bool:
--- a/cranberrywick/routing/members.py
+++ b/cranberrywick/routing/members.py
@@ -33,9 +33,10 @@
     """What a daemon tells of itself.
 
     ``incarnation`` grows with each start of the daemon and ``sequence`` with each
-    heartbeat. ``operator_revision`` and ``operator_digest`` describe the operators'
-    view that it holds, ``operator_age`` how many seconds ago that was the newest.
-    ``jobs`` are its requests at endpoints.
+    heartbeat. ``leaving`` says that no callers should be sent to it: it stops, or
+    does not know enough yet to serve. ``operator_revision`` and ``operator_digest``
+    describe the operators' view that it holds, ``operator_age`` how many seconds ago
+    that was the newest. ``jobs`` are its requests at endpoints.
     """
 
     daemon_id: str
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -569,6 +569,41 @@
             late = fleet.start_gateway("late", store_mode="busy")
             assert fleet.call(late, "GET", "/reads/1").status == 200
 
+    def test_a_gateway_that_restarts_while_the_store_is_away_serves(self, tmp_path):
+        """Callers are served by a gateway that restarts under its old name.
+
+        The others know it from before; they must tell it again what they know. Until
+        it knows endpoints, the directory does not send callers to it.
+        """
+        with running_gateways(tmp_path, gateways=2) as fleet:
+            other, restarted = fleet.gateways
+            both = sorted([other.front, restarted.front])
+            wait_for(lambda: fleet.addresses(other) == both, "both to be known")
+            for gateway in fleet.gateways:
+                fleet.store.modes_by_door[gateway.name] = "busy"
+            restarted.process.kill()
+            restarted.process.wait()
+            restarted = fleet.gateways[1] = fleet.restart(restarted)
+            fleet.wait_ready(restarted)
+            assert fleet.call(restarted, "GET", "/reads/1").status == 200
+            wait_for(lambda: fleet.addresses(other) == both, "it to be named again")
+
+    def test_the_directory_does_not_name_a_gateway_that_is_not_ready(self, tmp_path):
+        """Callers are not sent to a gateway that would refuse all of them.
+
+        It has started while neither the store nor a peer could tell it of endpoints.
+        """
+        with running_gateways(tmp_path, gateways=1) as fleet:
+            fleet.on_loop(fleet.store.remove, "op/config")
+            for name in list(fleet.endpoints):
+                fleet.on_loop(fleet.store.remove, f"servers/{name}")
+            (gateway,) = fleet.gateways
+            wait_for(lambda: not fleet.is_ready(gateway), "it to know of none")
+            late = fleet.start_gateway("late", wait=False)
+            wait_for(lambda: "peer_met" in late.log, "the meeting")
+            time.sleep(1.0)
+            assert fleet.addresses(gateway) == [gateway.front]
+
 
 def test_the_demonstration_serves_three_requests_and_ends():
     result = CliRunner().invoke(main, ["gateway-demo"])
