--- a/cranberrywick/routing/directory.py
+++ b/cranberrywick/routing/directory.py
@@ -20,8 +20,8 @@
     """Return the entry addresses of the daemons that live and take callers.
 
     ``own`` is this daemon's address, empty if it takes none. A daemon that is
-    leaving, or not ready yet, names itself only where nobody else is known: an address that still
-    answers is better than none.
+    leaving, or not ready yet, names itself only where nobody else is known: an
+    address that still answers is better than none.
     """
     addresses = [beat.entry_address for beat in serving if beat.entry_address]
     if own and not leaving:
