Say in one place whether an endpoint may get new work

The list of usable endpoints and the check right before a send each had the condition. Behaviour is the same.

--- a/cranberrywick/gateway/forwarder.py
+++ b/cranberrywick/gateway/forwarder.py
@@ -2,7 +2,7 @@
 
 A failure says whether the request ran. Until the first byte leaves for an endpoint
 it has not; after that only the endpoint's own word says so. One place keeps this,
-`_Exchange.may_have_run`, and every answer of the gateway's own is made from it.
+`Exchange.may_have_run`, and every answer of the gateway's own is made from it.
 """
 
 import asyncio
@@ -30,7 +30,7 @@
 from cranberrywick.platform.headers import decode_request, failure_headers
 from cranberrywick.routing.health import EndpointHealth
 from cranberrywick.routing.model import GatewaySettings
-from cranberrywick.routing.placement import Demand, Placement
+from cranberrywick.routing.placement import Demand, Placement, is_usable
 from cranberrywick.routing.retry_budget import RetryBudget
 from cranberrywick.routing.table import pick_service
 
@@ -167,11 +167,7 @@
     def _still_usable(self, endpoint_id: str) -> bool:
         """Whether an endpoint may be sent to in this very moment."""
         belief = self._state.registry.beliefs_by_id.get(endpoint_id)
-        return (
-            belief is not None
-            and not belief.record.draining
-            and belief.record.failure_domain not in self._state.domains_out
-        )
+        return belief is not None and is_usable(belief, self._state.domains_out)
 
     def _first_event(self, exchange: Exchange) -> None:
         """Note that an endpoint has read the prompt and now writes."""
--- a/cranberrywick/routing/placement.py
+++ b/cranberrywick/routing/placement.py
@@ -29,6 +29,7 @@
     "Placement",
     "Placer",
     "fits_fleet",
+    "is_usable",
     "usable_endpoints",
 ]
 
@@ -127,22 +128,26 @@
     engines: tuple[_Engine, ...]
 
 
+def is_usable(belief: EndpointBelief, domains_out: frozenset[str]) -> bool:
+    """Whether an endpoint may get new work.
+
+    This is the one place that says so: neither one that is leaving nor one in a
+    failure domain that operators have taken out may.
+    """
+    record = belief.record
+    return not record.draining and record.failure_domain not in domains_out
+
+
 def usable_endpoints(
     beliefs_by_id: Mapping[str, EndpointBelief],
     service: str,
     domains_out: frozenset[str],
 ) -> list[EndpointBelief]:
-    """Return the endpoints of a service that may get new work.
-
-    This is the one place that says so: neither one that is leaving nor one in a
-    failure domain that operators have taken out is ever among them.
-    """
+    """Return the endpoints of a service that may get new work."""
     return [
         belief
         for belief in beliefs_by_id.values()
-        if belief.record.service == service
-        and not belief.record.draining
-        and belief.record.failure_domain not in domains_out
+        if belief.record.service == service and is_usable(belief, domains_out)
     ]
 
 
