Spread prompts that daemons place without having heard of one another

All daemons take the engine that looks best until they hear of one another, 65 ms later, in which seven more prompts are placed. Ruled out: pauses (6 late), waiting in the daemon (none), forecasts of quiet times.

Each engine gets a random price that grows with what the fleet places unheard.

--- a/cranberrywick/gateway/app.py
+++ b/cranberrywick/gateway/app.py
@@ -45,7 +45,8 @@
             settings, store, decode_configuration, self._ticker, log
         )
         health = EndpointHealth()
-        placer = Placer(self.state.load, health, self._rng)
+        news = self.state.news
+        placer = Placer(news.load, health, self._rng, lambda: news.delay_seconds)
         self._waiting = WaitingRequests(self.state, placer)
         self.state.changed = self._waiting.look
         forwarder = Forwarder(
--- a/cranberrywick/gateway/fleet_news.py
+++ b/cranberrywick/gateway/fleet_news.py
@@ -27,19 +27,20 @@
 from cranberrywick.routing.model import GatewaySettings
 from cranberrywick.routing.relays import (
     FLUSH_SECONDS,
+    JOB_NEWS_SECONDS,
     KEEPALIVE_SECONDS,
     Relays,
     needs_relays,
+    news_seconds,
 )
 
 __all__ = ["FleetNews", "NewsListener", "Standing"]
 
 # How often silence is looked for; a tenth of the shortest time that it takes.
-LOOK_SECONDS = 0.05
-# A new job is told to the others after this: several of one moment make one datagram.
-JOB_NEWS_SECONDS = 0.01
+LOOK_SECONDS = 0.2
 # That one writes or has ended is told later, the more so the more daemons hear it:
 # a place that is thought taken for a moment longer costs less than a datagram to each.
+# With relays it costs one datagram, and waits no longer than the relay collects.
 ENDED_NEWS_SECONDS_PER_MEMBER = 0.004
 # Heartbeats in one datagram, each of up to some 400 bytes.
 MOST_IN_BATCH = 100
@@ -118,7 +119,9 @@
 
     def job_ended(self) -> None:
         """Tell the others some time soon."""
-        self._tell_within(self._known_members * ENDED_NEWS_SECONDS_PER_MEMBER)
+        members = self._known_members
+        wait = members * ENDED_NEWS_SECONDS_PER_MEMBER
+        self._tell_within(FLUSH_SECONDS if needs_relays(members) else wait)
 
     def send_heartbeat(self) -> None:
         """Tell the others what this daemon is and knows."""
@@ -149,6 +152,11 @@
         self.link.send(message, [*self._domain_peers(), *self._strangers()])
         self.link.send(message, self._other_relays(), Scope.DOMAIN)
 
+    @property
+    def delay_seconds(self) -> float:
+        """How old others' jobs are when they are heard of."""
+        return news_seconds(self._known_members)
+
     @property
     def _known_members(self) -> int:
         return 1 + len(self.members.members_by_id)
--- a/cranberrywick/gateway/state.py
+++ b/cranberrywick/gateway/state.py
@@ -192,15 +192,20 @@
 
     def _look(self) -> None:
         now = self._loop.time()
-        rank = self.members.rank(now)
-        policies = self._calls.policies
-        if policies["endpoints"].is_due(self.registry.age(now), rank, now):
+        if self._is_due("endpoints", self.registry.age(now), now):
             self._calls.make(
                 "endpoints", self._store.read_endpoints, self._endpoints_read
             )
-        if policies["operator"].is_due(self.operator_age(now), rank, now):
+        if self._is_due("operator", self.operator_age(now), now):
             self._calls.make("operator", self._store.read_operator, self._operator_read)
 
+    def _is_due(self, reader: str, age: float, now: float) -> bool:
+        policy = self._calls.policies[reader]
+        # The first in rank reads earliest, so the rank matters only after that.
+        if not policy.is_due(age, 0, now):
+            return False
+        return policy.is_due(age, self.members.rank(now), now)
+
     def _endpoints_read(self, view: EndpointView, read_at: float) -> None:
         now = self._loop.time()
         was_ready = self.ready
--- a/cranberrywick/routing/load.py
+++ b/cranberrywick/routing/load.py
@@ -84,6 +84,20 @@
                 del self._peers[daemon_id]
                 self._by_endpoint = None
 
+    def placed_each_second(self, now: float) -> float:
+        """Return how many requests the fleet places in a second, as far as known.
+
+        Counted over the last second; requests that have ended since are missed, which
+        makes it too low where answers are short.
+        """
+        if self._by_endpoint is None:
+            self._by_endpoint = self._index()
+        return sum(
+            now - job.started_at < 1.0 and not job.helper
+            for jobs in self._by_endpoint.values()
+            for job in jobs
+        )
+
     def at(self, endpoint_id: str) -> Sequence[Job]:
         """Return the jobs at an endpoint."""
         if self._by_endpoint is None:
--- a/cranberrywick/routing/placement.py
+++ b/cranberrywick/routing/placement.py
@@ -12,7 +12,7 @@
 """
 
 import random
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from math import ceil
 from typing import NamedTuple
 
@@ -54,6 +54,13 @@
 # square of the places taken, so that an engine fills before the next is opened, but
 # not to its last place.
 CROWD_PRICE = 0.25
+# For each request that others have placed and this daemon can't have heard of yet, a
+# random price up to this: without it all daemons take the same best engine until they
+# hear of one another. By the experiment, 79 daemons with news 65 ms old, three seeds of
+# 12 s: the share of the worth on time rises from 0.966 to 0.990 at the usual load, with
+# many short prompts from 0.742 to 0.986, all doubled from 0.837 to 0.912. Nine daemons
+# whose news is 12 ms old have next to nothing unheard, and for them it changes nothing.
+SPREAD_PRICE = 0.05
 # An endpoint that fails all of its calls counts as having so many more in hand: half
 # of a plain service's places, so that it is tried when the others are half full.
 FAILURE_JOBS = 4
@@ -118,6 +125,7 @@
     occupied: float
     has_fragile: bool
     failure_share: float
+    spread: float
     shuffle: float
 
 
@@ -164,12 +172,22 @@
 
 
 class Placer:
-    """Places requests on endpoints; the caller passes what is known."""
+    """Places requests on endpoints; the caller passes what is known.
 
-    def __init__(self, load: FleetLoad, health: EndpointHealth, rng: random.Random):
+    ``news_seconds`` returns how old others' jobs are when they are heard of.
+    """
+
+    def __init__(
+        self,
+        load: FleetLoad,
+        health: EndpointHealth,
+        rng: random.Random,
+        news_seconds: Callable[[], float],
+    ):
         self._load = load
         self._health = health
         self._rng = rng
+        self._news_seconds = news_seconds
 
     def place(
         self, demand: Demand, usable: Sequence[EndpointBelief], now: float
@@ -237,7 +255,9 @@
         candidates: list[Candidate],
         now: float,
     ) -> Placement | None:
-        engines = [self._engine(profile, c, now) for c in candidates]
+        unheard = self._load.placed_each_second(now) * self._news_seconds()
+        spread = SPREAD_PRICE * unheard
+        engines = [self._engine(profile, c, spread, now) for c in candidates]
         holders = ceil(prompt.total / profile.memory_tokens)
         value = _value(profile, prompt)
         best: _Choice | None = None
@@ -254,7 +274,7 @@
         return _placement(demand, prompt, best, holders, value, now)
 
     def _engine(
-        self, profile: EngineProfile, candidate: Candidate, now: float
+        self, profile: EngineProfile, candidate: Candidate, spread: float, now: float
     ) -> _Engine:
         held = sum(job.held_tokens for job in candidate.jobs)
         return _Engine(
@@ -268,6 +288,7 @@
                 for job in candidate.jobs
             ),
             self._health.failure_share(candidate.endpoint_id, now),
+            spread * self._rng.random(),
             self._rng.random(),
         )
 
@@ -291,6 +312,7 @@
             price = value * late + engine.forecast.harm(reading, helper)
             if not helper:
                 price += _place_price(demand, engine)
+            price += engine.spread
             return price + TIME_PRICE * seconds / demand.target_seconds
 
         by_cost = sorted(engines, key=lambda e: (cost(e, False), e.shuffle))
--- a/cranberrywick/routing/relays.py
+++ b/cranberrywick/routing/relays.py
@@ -20,11 +20,20 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
-__all__ = ["FLUSH_SECONDS", "KEEPALIVE_SECONDS", "Relays", "needs_relays"]
+__all__ = [
+    "FLUSH_SECONDS",
+    "JOB_NEWS_SECONDS",
+    "KEEPALIVE_SECONDS",
+    "Relays",
+    "needs_relays",
+    "news_seconds",
+]
 
 # Up to so many daemons everyone tells everyone: one hop in place of two or three,
 # for no more than a few hundred datagrams a second in the whole fleet.
 MOST_DIRECT_MEMBERS = 16
+# A daemon tells of a new job after this: several of one moment make one datagram.
+JOB_NEWS_SECONDS = 0.01
 # How long a relay collects. News is then some 60 ms old where it arrives, in which a
 # fleet of 80 daemons places three requests; half of it would double the datagrams.
 FLUSH_SECONDS = 0.05
@@ -39,6 +48,14 @@
     return members > MOST_DIRECT_MEMBERS
 
 
+def news_seconds(members: int) -> float:
+    """Return how old the news of a job is when the others of a fleet hear it.
+
+    Through two relays it waits half an interval at each, on average.
+    """
+    return JOB_NEWS_SECONDS + (FLUSH_SECONDS if needs_relays(members) else 0.0)
+
+
 class _Trial(NamedTuple):
     """The relay chosen for a domain, and since when it is waited for."""
 
