Take limits from the settings, drop what nothing uses, pass on a request whose endpoint is gone

The hold of reservations and the silence after which a relayed daemon is dead came from constants that fit the known deployments; both now follow the settings' bounds. Outcomes of endpoints that are gone are forgotten. Removed: fields and methods without a reader.

--- a/cranberrywick/bench/prompts.py
+++ b/cranberrywick/bench/prompts.py
@@ -55,7 +55,6 @@
     read_rate=177_000.0,
     pair_seconds=1.84e-10,
     chunk_tokens=2048,
-    hop_seconds=0.00005,
     usual_prompt_tokens=11_000.0,
 )
 # How long after its last arrival an experiment goes on, so that every answer ends.
@@ -377,7 +376,7 @@
 
 def _belief(name: str) -> EndpointBelief:
     record = EndpointRecord(name, "pool", "", "", PROFILE.slots, False, 0.0, 1)
-    return EndpointBelief(record, float("-inf"), 0.0)
+    return EndpointBelief(record, float("-inf"))
 
 
 def _result(prompt: _Prompt) -> Result:
--- a/cranberrywick/gateway/app.py
+++ b/cranberrywick/gateway/app.py
@@ -29,6 +29,9 @@
 # Kept back from the time that a stop may take, for closing.
 STOP_MARGIN_SECONDS = 0.4
 IDLE_LOOK_SECONDS = 0.02
+# How often outcomes of endpoints that are gone are dropped: much longer than one that
+# flaps is away, so that it comes back with what is held against it.
+FORGET_SECONDS = 30.0
 
 
 class Gateway:
@@ -47,6 +50,7 @@
         health = EndpointHealth()
         news = self.state.news
         placer = Placer(news.load, health, self._rng, lambda: news.delay_seconds)
+        self._health = health
         self._waiting = WaitingRequests(self.state, placer)
         self.state.changed = self._waiting.look
         forwarder = Forwarder(
@@ -82,8 +86,13 @@
         for address, ingress in self._others:
             if address:
                 await ingress.start(address)
+        self._ticker.every(FORGET_SECONDS, self._forget_gone)
         self._log.info("gateway_started", address=self._settings.entry_address)
 
+    def _forget_gone(self) -> None:
+        """Drop what is held against endpoints that are gone, or it grows for ever."""
+        self._health.keep_only(self.state.registry.beliefs_by_id.keys())
+
     def _reload(self) -> None:
         """Note a reload: all that changes while a daemon runs lies in the store."""
         self._log.info("settings_reload_asked", effect="none")
--- a/cranberrywick/gateway/attempt.py
+++ b/cranberrywick/gateway/attempt.py
@@ -72,8 +72,10 @@
         beliefs_by_id: Mapping[str, EndpointBelief],
         still_usable: Callable[[str], bool],
         first_event: Callable[[Exchange], None],
+        free_seconds: float,
         log: EventLog,
     ):
+        self._free_seconds = free_seconds
         self._log = log
         self._exchange = exchange
         self._placement = placement
@@ -84,11 +86,17 @@
 
     async def run(self) -> Passed:
         """Make the attempt."""
-        record = self._beliefs_by_id[self._placement.endpoint_id].record
-        reservations = Reservations(self._wanted_memory(), self._log)
+        belief = self._beliefs_by_id.get(self._placement.endpoint_id)
+        if belief is None:
+            # Gone between the moment when the place was given and this one.
+            raise EndpointRefused(
+                "the endpoint is gone", reason=EndpointRefusal.LEAVING
+            )
+        wanted = self._wanted_memory()
+        reservations = Reservations(wanted, self._free_seconds, self._log)
         try:
             await reservations.take()
-            return await self._run(record, reservations)
+            return await self._run(belief.record, reservations)
         finally:
             reservations.release()
 
--- a/cranberrywick/gateway/events.py
+++ b/cranberrywick/gateway/events.py
@@ -23,7 +23,6 @@
     def __init__(self) -> None:
         self._rest = b""
         self.last_id: str | None = None
-        self.count = 0
 
     def feed(self, data: bytes) -> bytes:
         """Take bytes and return the whole events among all that is held."""
@@ -44,15 +43,10 @@
         rest, self._rest = self._rest, b""
         return rest
 
-    def restart(self) -> None:
-        """Drop a part of an event: another endpoint goes on after the last id."""
-        self._rest = b""
-
     def _note(self, whole: bytes) -> None:
         for line in whole.splitlines():
             if line.startswith(b"id:"):
                 self.last_id = line[3:].strip().decode("latin-1")
-                self.count += 1
 
 
 def _end_after(data: bytes, mark: bytes) -> int:
--- a/cranberrywick/gateway/fleet_news.py
+++ b/cranberrywick/gateway/fleet_news.py
@@ -90,7 +90,8 @@
         self._port = settings.internal_ports[0]
         self.peer_address = f"{settings.ip}:{self._port}"
         self.link = FleetLink(self._hear, listener.operator_reading, log)
-        self.members = Members(settings.daemon_id)
+        contact = settings.bounds.contact_seconds
+        self.members = Members(settings.daemon_id, contact)
         self.load = FleetLoad()
         self._relays = Relays(settings.daemon_id, settings.failure_domain)
         self._known_addresses: dict[str, str] = {}
--- a/cranberrywick/gateway/forwarder.py
+++ b/cranberrywick/gateway/forwarder.py
@@ -160,6 +160,7 @@
             beliefs,
             self._still_usable,
             self._first_event,
+            self._settings.bounds.free_seconds,
             self._log,
         )
         return await attempt.run()
--- a/cranberrywick/gateway/operator_knowledge.py
+++ b/cranberrywick/gateway/operator_knowledge.py
@@ -43,10 +43,10 @@
         """Return how many seconds ago the view was known to be the newest."""
         return now - self._newest_at
 
-    def is_behind(self, revision: int, digest: int, newest_at: float) -> bool:
-        """Whether a peer's view, the newest at ``newest_at``, is newer than this.
+    def compare(self, revision: int, digest: int, newest_at: float) -> bool:
+        """Compare with a peer's view; True if that is newer and should be fetched.
 
-        If it says the same, it is noted that this was the newest until then.
+        It was the newest at ``newest_at``: if it says the same, so was this one.
         """
         if self.view is None or digest != self.digest:
             return revision > self.revision
--- a/cranberrywick/gateway/reservations.py
+++ b/cranberrywick/gateway/reservations.py
@@ -24,11 +24,11 @@
 
 __all__ = ["Reservation", "Reservations"]
 
-# How long memory stays reserved for a daemon that died: less than the time after
-# which memory without a request counts as lost, with room for a slow link.
-HOLD_SECONDS = 3.0
-# Two renewals may fail before the reservation runs out.
-RENEW_SECONDS = 0.9
+# How long memory stays reserved for a daemon that died, as a share of the time after
+# which it must be free again: the rest is room for a slow link.
+HOLD_SHARE = 0.75
+# A reservation is renewed after this share of it: two renewals may fail before it ends.
+RENEW_SHARE = 0.3
 # An endpoint answers an order at once; one that doesn't is worth no wait.
 ORDER_SECONDS = 0.5
 # When a release is repeated after an order without an answer: endpoints have been
@@ -48,14 +48,22 @@
 class Reservations:
     """The reservations of one request.
 
-    >>> held = Reservations([(record, tokens)], log)
+    ``free_seconds`` is how soon memory must be free after its last use.
+
+    >>> held = Reservations([(endpoint_id, address, tokens)], 4.0, log)
     >>> await held.take()
     >>> held.release()
     """
 
-    def __init__(self, wanted: Sequence[tuple[str, str, int]], log: EventLog):
+    def __init__(
+        self,
+        wanted: Sequence[tuple[str, str, int]],
+        free_seconds: float,
+        log: EventLog,
+    ):
         self._loop = asyncio.get_running_loop()
         self._log = log
+        self._hold_seconds = HOLD_SHARE * free_seconds
         name = secrets.token_hex(6)
         self.held = [
             Reservation(endpoint_id, address, f"{name}-{index}", tokens)
@@ -88,12 +96,12 @@
 
     async def _renew(self) -> None:
         while True:
-            await asyncio.sleep(RENEW_SECONDS)
+            await asyncio.sleep(RENEW_SHARE * self._hold_seconds)
             await asyncio.gather(*(self._reserve(each) for each in self.held))
 
     async def _reserve(self, reservation: Reservation) -> bool:
         body = encode_reserve(
-            reservation.reservation_id, reservation.tokens, HOLD_SECONDS
+            reservation.reservation_id, reservation.tokens, self._hold_seconds
         )
         status = await self._order(reservation, body)
         if status == 0:
--- a/cranberrywick/gateway/state.py
+++ b/cranberrywick/gateway/state.py
@@ -152,10 +152,10 @@
     def heartbeat_heard(self, heartbeat: Heartbeat, heard_at: float) -> None:
         """Compare the operators' view of a peer with this daemon's."""
         newest_at = heard_at - heartbeat.operator_age
-        is_behind = self._operator.is_behind(
+        is_newer = self._operator.compare(
             heartbeat.operator_revision, heartbeat.operator_digest, newest_at
         )
-        if is_behind and not self._fetching:
+        if is_newer and not self._fetching:
             self._fetching = True
             self._loop.create_task(self._fetch_operator(heartbeat))
         self.changed()
--- a/cranberrywick/platform/documents.py
+++ b/cranberrywick/platform/documents.py
@@ -117,7 +117,6 @@
         # Given for a million pairs.
         pair_seconds=number(row, "pairs_per_m", 0) / 1000 / 1e6,
         chunk_tokens=whole(row, "chunk", 2048),
-        hop_seconds=number(row, "hopMs", 0) / 1000,
         usual_prompt_tokens=max(1.0, number(usual, "prompt", 10_000)),
     )
 
--- a/cranberrywick/platform/settings.py
+++ b/cranberrywick/platform/settings.py
@@ -43,8 +43,6 @@
         daemon_id=text(fields, "nodeName"),
         ip=text(fields, "ip"),
         failure_domain=text(fields, "zone"),
-        region=text(fields, "region", ""),
-        regions_by_domain=table(fields, "zones"),
         entry_address=text(listen, "front", ""),
         directory_address=text(listen, "directory", ""),
         ready_address=text(listen, "ready", ""),
@@ -52,7 +50,6 @@
         metrics_address=f"{text(fields, 'ip')}:{int(ports[1])}",
         store_address=text(table(fields, "platform"), "address"),
         seeds=strings(fields, "seeds"),
-        heartbeat_seconds=number(fields, "heartbeatMs", 1000) / 1000,
         bounds=_decode_bounds(table(fields, "bounds")),
     )
 
@@ -62,12 +59,8 @@
         contact_seconds=number(bounds, "contactMs", 3000) / 1000,
         drain_seconds=number(bounds, "drainMs", 2000) / 1000,
         grace_seconds=number(bounds, "graceS", 8),
-        evacuate_seconds=number(bounds, "evacuateMs", 5000) / 1000,
         retry_ratio=number(bounds, "retryBudgetRatio", 0.1),
         retry_window_seconds=number(bounds, "budgetWindowS", 10),
         retry_slack=number(bounds, "budgetSlack", 0),
-        cold_over=number(bounds, "coldOver", 1),
-        cold_slack=number(bounds, "coldSlack", 0),
-        stall_seconds=number(bounds, "stall_ms", 1500) / 1000,
-        hold_max_seconds=number(bounds, "holdMaxMs", 20000) / 1000,
+        free_seconds=number(bounds, "freeMs", 4000) / 1000,
     )
--- a/cranberrywick/routing/health.py
+++ b/cranberrywick/routing/health.py
@@ -5,6 +5,7 @@
 and looks idle, so without this it draws all new work and fails it.
 """
 
+from collections.abc import Set
 from typing import NamedTuple
 
 __all__ = ["EndpointHealth"]
@@ -76,7 +77,7 @@
         state = self._states_by_id.get(endpoint_id)
         return state.share(now) if state else 0.0
 
-    def keep_only(self, endpoint_ids: set[str]) -> None:
+    def keep_only(self, endpoint_ids: Set[str]) -> None:
         """Forget endpoints that are gone."""
         for endpoint_id in self._states_by_id.keys() - endpoint_ids:
             del self._states_by_id[endpoint_id]
--- a/cranberrywick/routing/members.py
+++ b/cranberrywick/routing/members.py
@@ -22,10 +22,11 @@
 # Lost in a row: a link that loses one in thirty loses five once in twenty million,
 # and callers of a dead daemon are told within two seconds.
 SILENT_HEARTBEATS = 5
-# In a fleet with relays each heartbeat passes three links, of which one in thirty makes
-# it lost one time in ten: six in a row are one in a million. A dead daemon's address
-# may be named for six seconds at the most.
-RELAYED_SILENCE_SECONDS = 5.5
+# In a fleet with relays each heartbeat passes three links: one lost in thirty on each
+# makes it one in ten, and five in a row one in a hundred thousand. A dead daemon's
+# address may be named three seconds longer than the deployment gives daemons to be in
+# contact; one of them is kept back for callers' kept answers.
+RELAYED_SILENCE_AFTER_CONTACT_SECONDS = 2.0
 # A member that has been silent for so long is forgotten and not written to.
 FORGET_SECONDS = 60.0
 # A pause in this daemon's own run, as by a freeze: what it has not heard meanwhile
@@ -74,10 +75,14 @@
 
 
 class Members:
-    """The other daemons, by id."""
+    """The other daemons, by id.
 
-    def __init__(self, daemon_id: str):
+    ``contact_seconds`` is how long the deployment gives a daemon to be in contact.
+    """
+
+    def __init__(self, daemon_id: str, contact_seconds: float):
         self._daemon_id = daemon_id
+        self._relayed_silence = contact_seconds + RELAYED_SILENCE_AFTER_CONTACT_SECONDS
         self.members_by_id: dict[str, Member] = {}
         self._looked_at = float("-inf")
         self.was_paused = False
@@ -126,7 +131,7 @@
         """How long a daemon may be silent and still counts as alive."""
         known = 1 + len(self.members_by_id)
         if needs_relays(known):
-            return RELAYED_SILENCE_SECONDS
+            return self._relayed_silence
         return SILENT_HEARTBEATS * heartbeat_seconds(known)
 
     def alive(self, now: float) -> list[Heartbeat]:
--- a/cranberrywick/routing/model.py
+++ b/cranberrywick/routing/model.py
@@ -84,7 +84,6 @@
     read_rate: float
     pair_seconds: float
     chunk_tokens: int
-    hop_seconds: float
     usual_prompt_tokens: float
 
 
@@ -152,19 +151,22 @@
 
 
 class BoundsSettings(NamedTuple):
-    """Limits that the deployment sets for how the fleet behaves."""
+    """Limits that the deployment sets for how the fleet behaves.
+
+    A daemon that is lost must be noticed some seconds after ``contact_seconds``; an
+    endpoint that leaves gets new work for up to ``drain_seconds``; a daemon that is
+    told to stop has ``grace_seconds``. Second tries within ``retry_window_seconds``
+    are at most ``retry_ratio`` of the requests and ``retry_slack`` more. Memory at an
+    engine must be free again ``free_seconds`` after its last use.
+    """
 
     contact_seconds: float
     drain_seconds: float
     grace_seconds: float
-    evacuate_seconds: float
     retry_ratio: float
     retry_window_seconds: float
     retry_slack: float
-    cold_over: float
-    cold_slack: float
-    stall_seconds: float
-    hold_max_seconds: float
+    free_seconds: float
 
 
 class GatewaySettings(NamedTuple):
@@ -177,8 +179,6 @@
     daemon_id: str
     ip: str
     failure_domain: str
-    region: str
-    regions_by_domain: Mapping[str, str]
     entry_address: str
     directory_address: str
     ready_address: str
@@ -186,7 +186,6 @@
     metrics_address: str
     store_address: str
     seeds: tuple[str, ...]
-    heartbeat_seconds: float
     bounds: BoundsSettings
 
 
--- a/cranberrywick/routing/registry.py
+++ b/cranberrywick/routing/registry.py
@@ -21,14 +21,13 @@
 
 
 class EndpointBelief(NamedTuple):
-    """An endpoint that may be used, until when it is cold, and since when known.
+    """An endpoint that may be used, and until when it is cold.
 
     ``missing_since`` is set while its record has lapsed in an outage.
     """
 
     record: EndpointRecord
     cold_until: float
-    known_since: float
     missing_since: float | None = None
 
 
@@ -63,7 +62,7 @@
             self._grace_until = now + RETURN_GRACE_SECONDS
         self.revision, self.read_at = view.revision, read_at
         changes: list[EndpointChange] = []
-        beliefs = self._merge(view.records_by_id, read_at, now, first, changes)
+        beliefs = self._merge(view.records_by_id, read_at, changes)
         self._keep_missing(beliefs, now, changes)
         self.beliefs_by_id = beliefs
         return changes
@@ -72,8 +71,6 @@
         self,
         records_by_id: Mapping[str, EndpointRecord],
         read_at: float,
-        now: float,
-        first: bool,
         changes: list[EndpointChange],
     ) -> dict[str, EndpointBelief]:
         beliefs = {}
@@ -89,8 +86,7 @@
             cold_until = read_at + record.cold_seconds
             if record.cold_seconds <= 0:
                 cold_until = float("-inf")
-            known_since = old.known_since if old else (0.0 if first else now)
-            beliefs[endpoint_id] = EndpointBelief(record, cold_until, known_since)
+            beliefs[endpoint_id] = EndpointBelief(record, cold_until)
         return beliefs
 
     def _keep_missing(
--- a/tests/test_fleet_news.py
+++ b/tests/test_fleet_news.py
@@ -64,6 +64,7 @@
             entry_address=f"{name}:80",
             internal_ports=(7000, 7010),
             seeds=(),
+            bounds=SimpleNamespace(contact_seconds=3.0),
         )
         self.news = FleetNews(settings, self, EventLog())
         self.news.link = self
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -135,7 +135,7 @@
 
 class TestMembers:
     def test_a_silent_daemon_is_no_longer_named(self):
-        members = Members("d1")
+        members = Members("d1", 3.0)
         members.hear(heartbeat(), 0.0)
         assert members.serving(2.0)
         assert not members.serving(2.1)
@@ -144,24 +144,24 @@
         """A daemon of 300 hears no more heartbeats a second than one of 100."""
         assert 100 / heartbeat_seconds(100) <= 84
         assert 320 / heartbeat_seconds(320) < 300
-        members = Members("d1")
+        members = Members("d1", 3.0)
         for number in range(100):
             members.hear(heartbeat(f"m{number}"), 0.0)
         assert members.silence_seconds <= 6.0
 
     def test_a_leaving_daemon_lives_but_serves_nobody_new(self):
-        members = Members("d1")
+        members = Members("d1", 3.0)
         members.hear(heartbeat(leaving=True), 0.0)
         assert members.alive(0.1) and not members.serving(0.1)
 
     def test_an_old_heartbeat_changes_nothing(self):
-        members = Members("d1")
+        members = Members("d1", 3.0)
         members.hear(heartbeat(sequence=7, leaving=True), 0.0)
         assert not members.hear(heartbeat(sequence=6), 0.1)
         assert not members.serving(0.1)
 
     def test_a_restarted_daemon_counts_from_one(self):
-        members = Members("d1")
+        members = Members("d1", 3.0)
         members.hear(heartbeat(sequence=700), 0.0)
         assert members.hear(heartbeat(incarnation=2, sequence=1), 0.1)
 
@@ -171,14 +171,14 @@
         The VM stood still for five seconds. That nobody was heard meanwhile says
         nothing of the others.
         """
-        members = Members("d1")
+        members = Members("d1", 3.0)
         members.hear(heartbeat(), 0.0)
         members.look(0.1)
         assert members.look(5.1) == []
         assert members.serving(5.1)
 
     def test_the_rank_counts_only_those_that_serve(self):
-        members = Members("d5")
+        members = Members("d5", 3.0)
         for name in ("d1", "d2", "d9"):
             members.hear(heartbeat(name, leaving=name == "d2"), 0.0)
         assert members.rank(0.1) == 1
@@ -386,3 +386,12 @@
         one = OperatorView.of(1, b"{}", frozenset({"a", "b"}))
         assert one.digest == OperatorView.of(9, b"{}", frozenset({"b", "a"})).digest
         assert one.digest != OperatorView.of(1, b"{}", frozenset({"a"})).digest
+
+
+def test_what_is_held_against_endpoints_that_are_gone_is_forgotten():
+    health = EndpointHealth()
+    health.failed("e1", 0.0)
+    health.failed("e2", 0.0)
+    health.keep_only({"e2"})
+    assert not health.is_resting("e1", 0.1)
+    assert health.is_resting("e2", 0.1)
