--- a/cranberrywick/bench/prompts.py
+++ b/cranberrywick/bench/prompts.py
@@ -27,6 +27,7 @@
     PromptSize,
     Service,
 )
+from cranberrywick.routing.pace import EnginePaces
 from cranberrywick.routing.placement import Demand, Part, Placement, Placer
 from cranberrywick.routing.registry import EndpointBelief
 
@@ -208,7 +209,8 @@
 
 @register_strategy("priced")
 def _priced(load: FleetLoad, rng: random.Random, news_seconds: float) -> Place:
-    return Placer(load, EndpointHealth(), rng, lambda: news_seconds).place
+    placer = Placer(load, EndpointHealth(), EnginePaces(), rng, lambda: news_seconds)
+    return placer.place
 
 
 @register_strategy("fewest requests")
--- a/cranberrywick/gateway/app.py
+++ b/cranberrywick/gateway/app.py
@@ -49,7 +49,9 @@
         )
         health = EndpointHealth()
         news = self.state.news
-        placer = Placer(news.load, health, self._rng, lambda: news.delay_seconds)
+        placer = Placer(
+            news.load, health, news.paces, self._rng, lambda: news.delay_seconds
+        )
         self._health = health
         self._waiting = WaitingRequests(self.state, placer)
         self.state.changed = self._waiting.look
--- a/cranberrywick/gateway/attempt.py
+++ b/cranberrywick/gateway/attempt.py
@@ -72,6 +72,7 @@
         beliefs_by_id: Mapping[str, EndpointBelief],
         still_usable: Callable[[str], bool],
         first_event: Callable[[Exchange], None],
+        pause: Callable[[str, float], None],
         free_seconds: float,
         log: EventLog,
     ):
@@ -82,6 +83,7 @@
         self._beliefs_by_id = beliefs_by_id
         self._still_usable = still_usable
         self._first_event = first_event
+        self._pause = pause
         self._loop = asyncio.get_running_loop()
 
     async def run(self) -> Passed:
@@ -234,7 +236,9 @@
     async def _pass_events(
         self, answer: EndpointAnswer, meta: ResponseMeta, whole: bytes
     ) -> None:
-        self._exchange.note_events(self._loop.time())
+        pause = self._exchange.note_events(self._loop.time())
+        if pause is not None and not self._is_first:
+            self._pause(self._placement.endpoint_id, pause)
         if not self._exchange.caller.started:
             await self._begin(answer, meta)
         if self._is_first:
--- a/cranberrywick/gateway/exchange.py
+++ b/cranberrywick/gateway/exchange.py
@@ -53,11 +53,13 @@
         self.endpoint_id = ""
         self.status = 0
 
-    def note_events(self, now: float) -> None:
-        """Note that events have come, for the pauses between them."""
-        if self.last_event_at is not None:
-            self.longest_gap = max(self.longest_gap, now - self.last_event_at)
-        self.last_event_at = now
+    def note_events(self, now: float) -> float | None:
+        """Note that events have come; return the pause before them, if any."""
+        last, self.last_event_at = self.last_event_at, now
+        if last is None:
+            return None
+        self.longest_gap = max(self.longest_gap, now - last)
+        return now - last
 
     @property
     def host(self) -> str:
--- a/cranberrywick/gateway/fleet.capnp
+++ b/cranberrywick/gateway/fleet.capnp
@@ -15,6 +15,11 @@
   dueMs @9 :Int32;
 }
 
+struct EnginePace {
+  endpointId @0 :Text;
+  pace @1 :Float32;
+}
+
 struct Heartbeat {
   daemonId @0 :Text;
   incarnation @1 :UInt64;
@@ -27,6 +32,7 @@
   operatorAgeMs @8 :UInt32;
   jobs @9 :List(Job);
   operatorDigest @10 :UInt64;
+  slowEngines @11 :List(EnginePace);
 }
 
 struct EndpointRecord {
--- a/cranberrywick/gateway/fleet_news.py
+++ b/cranberrywick/gateway/fleet_news.py
@@ -25,6 +25,7 @@
 from cranberrywick.routing.load import FleetLoad
 from cranberrywick.routing.members import Heartbeat, Members, heartbeat_seconds
 from cranberrywick.routing.model import GatewaySettings
+from cranberrywick.routing.pace import EnginePaces
 from cranberrywick.routing.relays import (
     FLUSH_SECONDS,
     JOB_NEWS_SECONDS,
@@ -75,7 +76,7 @@
 
 
 class FleetNews:
-    """Hears and tells; keeps the members and the load of the fleet."""
+    """Hears and tells; keeps the members, the load and the paces of the fleet."""
 
     def __init__(
         self, settings: GatewaySettings, listener: NewsListener, log: EventLog
@@ -93,6 +94,7 @@
         contact = settings.bounds.contact_seconds
         self.members = Members(settings.daemon_id, contact)
         self.load = FleetLoad()
+        self.paces = EnginePaces()
         self._relays = Relays(settings.daemon_id, settings.failure_domain)
         self._known_addresses: dict[str, str] = {}
         self._next_heartbeat: asyncio.TimerHandle | None = None
@@ -118,6 +120,10 @@
         """Tell the others at once what this daemon now has at endpoints."""
         self._tell_within(JOB_NEWS_SECONDS)
 
+    def pace_changed(self) -> None:
+        """Tell the others soon that an engine is found to be slow, or fast again."""
+        self._tell_within(JOB_NEWS_SECONDS)
+
     def job_ended(self) -> None:
         """Tell the others some time soon."""
         members = self._known_members
@@ -176,6 +182,7 @@
             operator_digest=standing.operator_digest,
             operator_age=standing.operator_age,
             jobs=self.load.own,
+            slow_engines=self.paces.own(now),
         )
 
     def _tell_within(self, seconds: float) -> None:
@@ -317,6 +324,7 @@
         if is_unknown:
             self._log.info("peer_met", peer=daemon_id, address=heartbeat.entry_address)
         self.load.hear(daemon_id, heartbeat.jobs, heard_at)
+        self.paces.hear(heartbeat.slow_engines, heard_at)
         self._listener.heartbeat_heard(heartbeat, heard_at)
         return True
 
--- a/cranberrywick/gateway/forwarder.py
+++ b/cranberrywick/gateway/forwarder.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 
 from cranberrywick.errors import (
     AmbiguousSend,
@@ -30,6 +31,7 @@
 from cranberrywick.platform.headers import decode_request, failure_headers
 from cranberrywick.routing.health import EndpointHealth
 from cranberrywick.routing.model import GatewaySettings
+from cranberrywick.routing.pace import StreamPauses
 from cranberrywick.routing.placement import Demand, Placement, is_usable
 from cranberrywick.routing.retry_budget import RetryBudget
 from cranberrywick.routing.table import pick_service
@@ -160,6 +162,7 @@
             beliefs,
             self._still_usable,
             self._first_event,
+            self._pause_watch(exchange),
             self._settings.bounds.free_seconds,
             self._log,
         )
@@ -170,6 +173,32 @@
         belief = self._state.registry.beliefs_by_id.get(endpoint_id)
         return belief is not None and is_usable(belief, self._state.domains_out)
 
+    def _pause_watch(self, exchange: Exchange) -> Callable[[str, float], None]:
+        """Return what takes the pauses of an attempt's stream."""
+        profile = exchange.service.engine
+        declared = profile.stride * profile.step_seconds if profile else 0.0
+        pauses = StreamPauses(declared)
+
+        def note(endpoint_id: str, seconds: float) -> None:
+            # What the engine is known to read meanwhile says nothing of its pace.
+            pace = pauses.note(seconds - self._state.load.reading_at(endpoint_id))
+            if pace is not None:
+                self._note_pace(exchange, endpoint_id, pace)
+
+        return note
+
+    def _note_pace(self, exchange: Exchange, endpoint_id: str, pace: float) -> None:
+        news = self._state.news
+        if not news.paces.observe(endpoint_id, pace, self._loop.time()):
+            return
+        news.pace_changed()
+        self._log.warning(
+            "engine_pace_changed",
+            endpoint=endpoint_id,
+            pace=pace,
+            request_id=exchange.meta.request_id,
+        )
+
     def _first_event(self, exchange: Exchange) -> None:
         """Note that an endpoint has read the prompt and now writes."""
         now = self._loop.time()
--- a/cranberrywick/gateway/messages.py
+++ b/cranberrywick/gateway/messages.py
@@ -14,6 +14,7 @@
 from cranberrywick.routing.load import Job
 from cranberrywick.routing.members import Heartbeat
 from cranberrywick.routing.model import EndpointRecord, EndpointView, OperatorView
+from cranberrywick.routing.pace import EnginePace
 
 __all__ = [
     "Batch",
@@ -181,6 +182,10 @@
             }
             for job in beat.jobs
         ],
+        "slowEngines": [
+            {"endpointId": each.endpoint_id, "pace": each.pace}
+            for each in beat.slow_engines
+        ],
     }
 
 
@@ -211,6 +216,9 @@
             )
             for job in beat.jobs
         ),
+        slow_engines=tuple(
+            EnginePace(each.endpointId, each.pace) for each in beat.slowEngines
+        ),
     )
 
 
--- a/cranberrywick/routing/engine_model.py
+++ b/cranberrywick/routing/engine_model.py
@@ -47,10 +47,14 @@
     ``pass_seconds`` is what the steps of one pass take for the answers being
     written, ``reading_seconds`` how long it still reads what it has, and
     ``helper_seconds`` the same for the parts of others' prompts alone: these are
-    read ahead of the engine's own prompts.
+    read ahead of the engine's own prompts. ``pace`` is how many times as long as
+    declared the engine takes, ``least_pause`` the shortest time between two events of
+    an answer.
     """
 
     now: float
+    pace: float
+    least_pause: float
     pass_seconds: float
     reading_seconds: float
     helper_seconds: float
@@ -65,11 +69,16 @@
         overtakes = helper and not self.pass_seconds
         before = self.helper_seconds if overtakes else self.reading_seconds
         steps = (1 + RUNNING_PASS_SHARE) * self.pass_seconds
-        return before + own_reading + steps
+        return before + self.pace * own_reading + steps
+
+    def breaks(self, gap_seconds: float) -> bool:
+        """Whether every answer here has longer pauses than this."""
+        return self.least_pause > GAP_MARGIN * gap_seconds
 
     def harm(self, reading: float, helper: bool = False) -> float:
         """Return the value of the requests here that more reading makes late."""
-        return sum(self._harm(job, reading, helper) for job in self.jobs)
+        seconds = self.pace * reading
+        return sum(self._harm(job, seconds, helper) for job in self.jobs)
 
     def _harm(self, job: Job, reading: float, helper: bool) -> float:
         if job.helper:
@@ -88,12 +97,16 @@
         return job.value * is_lost
 
 
-def forecast(profile: EngineProfile, jobs: Sequence[Job], now: float) -> EngineForecast:
+def forecast(
+    profile: EngineProfile, jobs: Sequence[Job], now: float, pace: float = 1.0
+) -> EngineForecast:
     """Return what is to come at an engine with these jobs."""
     pending = [job for job in jobs if not job.writing]
     return EngineForecast(
         now=now,
-        pass_seconds=_pass_seconds(profile, jobs),
+        pace=pace,
+        least_pause=pace * profile.stride * profile.step_seconds,
+        pass_seconds=pace * _pass_seconds(profile, jobs),
         reading_seconds=_backlog(pending, now),
         helper_seconds=_backlog([job for job in pending if job.helper], now),
         jobs=jobs,
--- a/cranberrywick/routing/load.py
+++ b/cranberrywick/routing/load.py
@@ -104,6 +104,11 @@
             self._by_endpoint = self._index()
         return self._by_endpoint.get(endpoint_id, ())
 
+    def reading_at(self, endpoint_id: str) -> float:
+        """Return how many seconds of reading an endpoint has been given."""
+        jobs = self.at(endpoint_id)
+        return sum(job.reading_seconds for job in jobs if not job.writing)
+
     def _index(self) -> dict[str, list[Job]]:
         by_endpoint: dict[str, list[Job]] = defaultdict(list)
         for jobs in self._own_by_request.values():
--- a/cranberrywick/routing/members.py
+++ b/cranberrywick/routing/members.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 from cranberrywick.routing.load import Job
+from cranberrywick.routing.pace import EnginePace
 from cranberrywick.routing.relays import needs_relays
 
 __all__ = ["Heartbeat", "Member", "Members", "heartbeat_seconds"]
@@ -41,7 +42,8 @@
     heartbeat. ``leaving`` says that no callers should be sent to it: it stops, or
     does not know enough yet to serve. ``operator_revision`` and ``operator_digest``
     describe the operators' view that it holds, ``operator_age`` how many seconds ago
-    that was the newest. ``jobs`` are its requests at endpoints.
+    that was the newest. ``jobs`` are its requests at endpoints, ``slow_engines`` what
+    its streams show of engines that are slower than declared.
     """
 
     daemon_id: str
@@ -55,6 +57,7 @@
     operator_digest: int
     operator_age: float
     jobs: Sequence[Job]
+    slow_engines: Sequence[EnginePace] = ()
 
 
 class Member(NamedTuple):
--- a/cranberrywick/routing/placement.py
+++ b/cranberrywick/routing/placement.py
@@ -20,6 +20,7 @@
 from cranberrywick.routing.health import EndpointHealth
 from cranberrywick.routing.load import FleetLoad, Job
 from cranberrywick.routing.model import EngineProfile, PromptSize, Service
+from cranberrywick.routing.pace import EnginePaces
 from cranberrywick.routing.registry import EndpointBelief
 
 __all__ = [
@@ -181,11 +182,13 @@
         self,
         load: FleetLoad,
         health: EndpointHealth,
+        paces: EnginePaces,
         rng: random.Random,
         news_seconds: Callable[[], float],
     ):
         self._load = load
         self._health = health
+        self._paces = paces
         self._rng = rng
         self._news_seconds = news_seconds
 
@@ -257,7 +260,8 @@
     ) -> Placement | None:
         unheard = self._load.placed_each_second(now) * self._news_seconds()
         spread = SPREAD_PRICE * unheard
-        engines = [self._engine(profile, c, spread, now) for c in candidates]
+        is_long = demand.gap_seconds > FRAGILE_GAP_SECONDS
+        engines = [self._engine(profile, c, spread, is_long, now) for c in candidates]
         holders = ceil(prompt.total / profile.memory_tokens)
         value = _value(profile, prompt)
         best: _Choice | None = None
@@ -274,12 +278,18 @@
         return _placement(demand, prompt, best, holders, value, now)
 
     def _engine(
-        self, profile: EngineProfile, candidate: Candidate, spread: float, now: float
+        self,
+        profile: EngineProfile,
+        candidate: Candidate,
+        spread: float,
+        is_long: bool,
+        now: float,
     ) -> _Engine:
         held = sum(job.held_tokens for job in candidate.jobs)
+        pace = self._paces.pace(candidate.endpoint_id, now, is_long)
         return _Engine(
             candidate.endpoint_id,
-            forecast(profile, candidate.jobs, now),
+            forecast(profile, candidate.jobs, now, pace),
             profile.memory_tokens - held,
             sum(not job.helper for job in candidate.jobs)
             / candidate.belief.record.slots,
@@ -309,6 +319,8 @@
         def cost(engine: _Engine, helper: bool) -> float:
             seconds = engine.forecast.first_event(reading, helper)
             late = _lateness(seconds, demand.target_seconds) + engine.failure_share
+            if not helper:
+                late += engine.forecast.breaks(demand.gap_seconds)
             price = value * late + engine.forecast.harm(reading, helper)
             if not helper:
                 price += _place_price(demand, engine)
@@ -333,6 +345,7 @@
 ) -> _Choice:
     seconds = first.forecast.first_event(reading)
     total = first.forecast.harm(reading) + value * first.failure_share
+    total += value * first.forecast.breaks(demand.gap_seconds)
     total += _place_price(demand, first)
     for engine in helping:
         seconds = max(seconds, engine.forecast.first_event(reading, helper=True))
--- a/tests/gateway_soak.py
+++ b/tests/gateway_soak.py
@@ -2,11 +2,12 @@
 
     python tests/gateway_soak.py --seeds 50 --seconds 20
 
-Each seed starts three gateways as processes, with a proxy before each endpoint, and
-lets callers press while faults come one after the other and overlap: processes are
-killed, stopped, paused and restarted, connections delayed, silenced, cut one way or
-reset, the store turns gateways away, endpoints misbehave, operators change what is in
-force. What callers were told is held against what endpoints ran:
+Each seed starts three gateways, or as many as ``--gateways`` says, as processes, with
+a proxy before each endpoint, and lets callers press while faults come one after the
+other and overlap: processes are killed, stopped, paused and restarted, connections
+delayed, silenced, cut one way or reset, the store turns gateways away, endpoints
+misbehave, operators change what is in force. What callers were told is held against
+what endpoints ran:
 
 - a call that may not run twice ran at most once;
 - a refusal that promises "not run" is true, also later;
@@ -294,10 +295,10 @@
         self._later(lambda: self.fleet.on_loop(store.remove, "op/evacuate/b"))
 
 
-def run_seed(seed: int, seconds: float) -> tuple[Soak, list[str]]:
+def run_seed(seed: int, seconds: float, gateways: int = 3) -> tuple[Soak, list[str]]:
     """Run one seed and return what was broken."""
     path = Path(tempfile.mkdtemp(prefix="soak-"))
-    with running_gateways(path, gateways=3) as fleet:
+    with running_gateways(path, gateways=gateways) as fleet:
         soak = Soak(fleet, seed)
         soak.prepare()
         soak.run(seconds)
@@ -308,11 +309,12 @@
 @click.option("--seeds", default=5, show_default=True)
 @click.option("--first", default=1, show_default=True)
 @click.option("--seconds", default=20.0, show_default=True)
-def main(seeds: int, first: int, seconds: float) -> None:
+@click.option("--gateways", default=3, show_default=True)
+def main(seeds: int, first: int, seconds: float, gateways: int) -> None:
     """Run seeds one after the other; exit 1 if a promise was broken."""
     failed = 0
     for seed in range(first, first + seeds):
-        soak, broken = run_seed(seed, seconds)
+        soak, broken = run_seed(seed, seconds, gateways)
         answered = sum(bool(c.answer and c.answer.status) for c in soak.calls)
         click.echo(
             f"seed {seed}: {len(soak.calls)} calls, {answered} answered, "
--- a/tests/test_gateway_soak.py
+++ b/tests/test_gateway_soak.py
@@ -14,3 +14,10 @@
     soak, broken = run_seed(seed, seconds=6.0)
     assert not broken
     assert len(soak.calls) > 20
+
+
+def test_promises_hold_in_a_fleet_with_relays():
+    """The same for a fleet that tells its news through a relay, which dies as well."""
+    soak, broken = run_seed(3, seconds=6.0, gateways=20)
+    assert not broken
+    assert len(soak.calls) > 20
--- /dev/null
+++ b/tests/test_pace.py
@@ -0,0 +1,100 @@
+"""Slow engines, found by the pauses of their streams; no network, no clock."""
+
+import random
+
+import pytest
+
+from cranberrywick.bench.prompts import PROFILE
+from cranberrywick.routing.engine_model import forecast
+from cranberrywick.routing.health import EndpointHealth
+from cranberrywick.routing.load import FleetLoad
+from cranberrywick.routing.model import EndpointRecord, PromptSize, Service
+from cranberrywick.routing.pace import EnginePace, EnginePaces, StreamPauses
+from cranberrywick.routing.placement import Demand, Placer
+from cranberrywick.routing.registry import EndpointBelief
+
+PASS_SECONDS = PROFILE.stride * PROFILE.step_seconds
+
+
+def test_one_long_pause_is_no_slow_engine():
+    """A prompt was read between two events; the engine is as fast as ever."""
+    pauses = StreamPauses(0.05)
+    paces = [pauses.note(seconds) for seconds in (0.05, 0.06, 0.6, 0.6, 0.05)]
+    assert max(pace for pace in paces if pace) < 2.0
+
+
+def test_pauses_that_are_all_long_show_the_pace():
+    pauses = StreamPauses(0.05)
+    assert [pauses.note(0.25) for _ in range(4)] == [None, None, 5.0, 5.0]
+
+
+def test_a_slow_engine_is_told_and_tried_again():
+    """Short prompts try a slow engine again after two seconds, long ones much later."""
+    paces, peers = EnginePaces(), EnginePaces()
+    assert paces.observe("e1", 5.0, 0.0)
+    assert not paces.observe("e1", 5.0, 0.5)
+    peers.hear(paces.own(0.5), 0.6)
+    assert peers.pace("e1", 2.5, is_long=False) == 5.0
+    assert peers.pace("e1", 2.7, is_long=False) == 1.0
+    assert peers.pace("e1", 10.0, is_long=True) == 5.0
+    assert peers.pace("e1", 16.0, is_long=True) == 1.0
+    assert paces.own(2.6) == []
+
+
+def test_an_engine_that_is_fast_again_is_told_too():
+    """Long prompts go there at once, and do not wait for the news to get old."""
+    paces, peers = EnginePaces(), EnginePaces()
+    paces.observe("e1", 5.0, 0.0)
+    peers.hear(paces.own(0.0), 0.0)
+    assert paces.observe("e1", 1.1, 0.5)
+    peers.hear(paces.own(0.5), 0.5)
+    assert peers.pace("e1", 0.6, is_long=True) == 1.0
+
+
+def test_an_engine_that_was_never_slow_is_not_told():
+    paces = EnginePaces()
+    assert not paces.observe("e1", 1.1, 0.0)
+    assert paces.own(0.0) == []
+
+
+def test_old_news_of_a_pace_does_not_replace_newer():
+    paces = EnginePaces()
+    paces.hear([EnginePace("e1", 5.0)], 2.0)
+    paces.hear([EnginePace("e1", 2.5)], 1.0)
+    assert paces.pace("e1", 2.5, is_long=False) == 5.0
+
+
+def test_a_forecast_follows_the_pace():
+    slow = forecast(PROFILE, [], 0.0, pace=5.0)
+    fast = forecast(PROFILE, [], 0.0)
+    assert slow.first_event(0.1) == pytest.approx(5 * fast.first_event(0.1))
+    assert slow.breaks(0.2) and not fast.breaks(0.2)
+
+
+def test_short_prompts_avoid_a_slow_engine_while_others_have_room():
+    """Callers of short prompts get no answer with pauses that are all too long.
+
+    One of four engines takes five times as long as declared; it is idle, and the
+    others each have a few answers to write.
+    """
+    beliefs = [
+        EndpointBelief(EndpointRecord(f"e{n}", "pool", "", "", 8, False, 0.0, 1), -1.0)
+        for n in range(4)
+    ]
+    load, paces = FleetLoad(), EnginePaces()
+    paces.hear([EnginePace("e0", 5.0)], 0.0)
+    placer = Placer(load, EndpointHealth(), paces, random.Random(1), lambda: 0.0)
+    for number in range(12):
+        demand = Demand(
+            request_id=f"r{number}",
+            service=Service("pool", 0.0, 0.0, PROFILE),
+            prompt=PromptSize(4000, 1000),
+            target_seconds=0.3,
+            due_at=0.3,
+            gap_seconds=0.25,
+            failure_domain="",
+        )
+        placement = placer.place(demand, beliefs, 0.0)
+        assert placement.endpoint_id != "e0"
+        writing = [j._replace(writing=True) for j in placement.jobs if j.held_tokens]
+        load.put(demand.request_id, writing)
