--- a/cranberrywick/bench/prompts.py
+++ b/cranberrywick/bench/prompts.py
@@ -19,11 +19,18 @@
 
 import click
 
+from cranberrywick.bench.prompt_engines import (
+    KINDS,
+    PROFILE,
+    Kind,
+    Reading,
+    SimulatedEngine,
+    SimulatedPrompt,
+)
 from cranberrywick.routing.health import EndpointHealth
 from cranberrywick.routing.load import FleetLoad, Job
 from cranberrywick.routing.model import (
     EndpointRecord,
-    EngineProfile,
     PromptSize,
     Service,
 )
@@ -33,58 +40,20 @@
 
 __all__ = [
     "FLEETS",
-    "KINDS",
     "SCENARIOS",
     "STRATEGIES",
     "Experiment",
     "FleetShape",
-    "Kind",
     "Result",
     "on_time_by_kind",
     "register_strategy",
     "scaled",
 ]
 
-# An engine as a service declares it: a 70-billion model on one accelerator.
-PROFILE = EngineProfile(
-    slots=8,
-    memory_tokens=315_000,
-    stride=51,
-    step_seconds=0.00085,
-    writer_seconds=0.0000085,
-    context_seconds=2.85e-9,
-    read_rate=177_000.0,
-    pair_seconds=1.84e-10,
-    chunk_tokens=2048,
-    usual_prompt_tokens=11_000.0,
-)
 # How long after its last arrival an experiment goes on, so that every answer ends.
 TAIL_SECONDS = 30.0
 
 
-class Kind(NamedTuple):
-    """A kind of prompt: how often, how long, and what its callers expect.
-
-    ``spread`` is the standard deviation of the logarithm of its length.
-    """
-
-    name: str
-    per_second: float
-    prompt_tokens: float
-    spread: float
-    events: float
-    target_seconds: float
-    gap_seconds: float
-    worth: float
-
-
-KINDS = (
-    Kind("short", 16.3, 4_960, 0.8, 33, 0.3, 0.25, 1.3),
-    Kind("middle", 0.83, 45_000, 0.4, 20, 1.5, 0.6, 4.2),
-    Kind("long", 0.5, 154_000, 0.55, 16, 3.0, 1.0, 21.0),
-)
-
-
 class FleetShape(NamedTuple):
     """How many engines and daemons there are.
 
@@ -116,81 +85,6 @@
     worth: float
 
 
-class _Prompt:
-    def __init__(self, name: str, kind: Kind, size: PromptSize, at: float, events: int):
-        self.name = name
-        self.kind = kind
-        self.size = size
-        self.at = at
-        self.events_left = events
-        self.parts_left = 1
-        self.daemon = 0
-        self.first_at: float | None = None
-        self.last_at = at
-        self.longest_gap = 0.0
-        self.home: _Engine | None = None
-
-
-class _Reading(NamedTuple):
-    prompt: _Prompt
-    tokens: float
-    seconds_per_token: float
-    helper: bool
-
-
-class _Engine:
-    """One engine, advanced pass by pass."""
-
-    def __init__(self, name: str):
-        self.name = name
-        self.readings: list[_Reading] = []
-        self.writers: list[_Prompt] = []
-        self.waiting: list[_Reading] = []
-        self.busy = False
-
-    def add(self, reading: _Reading) -> None:
-        if reading.helper:
-            # Parts of others' prompts are read ahead of the engine's own.
-            index = sum(each.helper for each in self.readings)
-            self.readings.insert(index, reading)
-        elif self._own >= PROFILE.slots:
-            self.waiting.append(reading)
-        else:
-            self.readings.append(reading)
-
-    @property
-    def _own(self) -> int:
-        return len(self.writers) + sum(not each.helper for each in self.readings)
-
-    def admit(self) -> None:
-        while self.waiting and self._own < PROFILE.slots:
-            self.readings.append(self.waiting.pop(0))
-
-    def run_pass(self) -> tuple[float, list[_Prompt], list[_Prompt]]:
-        """Make one pass; return its length, who wrote and whose part was read."""
-        self.admit()
-        seconds, steps = 0.0, 1
-        if self.writers:
-            steps = PROFILE.stride
-            context = sum(each.size.total for each in self.writers)
-            own = len(self.writers) * PROFILE.writer_seconds
-            step = PROFILE.step_seconds + own + context * PROFILE.context_seconds
-            seconds = steps * step
-        budget = steps * PROFILE.chunk_tokens
-        read: list[_Prompt] = []
-        while self.readings and budget > 0:
-            reading = self.readings[0]
-            taken = min(budget, reading.tokens)
-            budget -= taken
-            seconds += taken * reading.seconds_per_token
-            if taken >= reading.tokens:
-                self.readings.pop(0)
-                read.append(reading.prompt)
-            else:
-                self.readings[0] = reading._replace(tokens=reading.tokens - taken)
-        return seconds, list(self.writers), read
-
-
 Place = Callable[[Demand, Sequence[EndpointBelief], float], Placement | None]
 # Made from what a daemon knows, its random numbers and the age of others' news.
 MakePlace = Callable[[FleetLoad, random.Random, float], Place]
@@ -246,7 +140,9 @@
         self._rng = random.Random(seed)
         self._kinds = [k._replace(per_second=k.per_second * fleet.rate) for k in kinds]
         self._news_seconds = fleet.news_seconds
-        self._engines = {f"e{n}": _Engine(f"e{n}") for n in range(fleet.engines)}
+        self._engines = {
+            f"e{n}": SimulatedEngine(f"e{n}") for n in range(fleet.engines)
+        }
         self._beliefs = [_belief(name) for name in self._engines]
         self._service = Service("pool", 0.0, 0.0, PROFILE)
         self._loads = [FleetLoad() for _ in range(fleet.daemons)]
@@ -272,7 +168,7 @@
     def _at(self, moment: float, act: Callable[[float], None]) -> None:
         heapq.heappush(self._events, (moment, next(self._order), act))
 
-    def _arrivals(self, seconds: float) -> Iterator[tuple[float, _Prompt]]:
+    def _arrivals(self, seconds: float) -> Iterator[tuple[float, SimulatedPrompt]]:
         names = count()
         for kind in self._kinds:
             at = self._rng.expovariate(kind.per_second)
@@ -284,14 +180,14 @@
                 tokens = min(max(200, int(tokens)), 4 * int(mean))
                 events = max(1, round(self._rng.lognormvariate(0, 0.5) * kind.events))
                 size = PromptSize(tokens, events * PROFILE.stride)
-                yield at, _Prompt(f"p{next(names)}", kind, size, at, events)
+                yield at, SimulatedPrompt(f"p{next(names)}", kind, size, at, events)
                 at += self._rng.expovariate(kind.per_second)
 
-    def _arrive(self, prompt: _Prompt, now: float) -> None:
+    def _arrive(self, prompt: SimulatedPrompt, now: float) -> None:
         prompt.daemon = self._rng.randrange(len(self._loads))
         self._try(prompt, now)
 
-    def _try(self, prompt: _Prompt, now: float) -> None:
+    def _try(self, prompt: SimulatedPrompt, now: float) -> None:
         demand = Demand(
             request_id=prompt.name,
             service=self._service,
@@ -311,7 +207,7 @@
         pairs = prompt.size.prompt_tokens**2 / 2 * PROFILE.pair_seconds
         each = 1 / PROFILE.read_rate + pairs / prompt.size.prompt_tokens
         for part in parts:
-            reading = _Reading(
+            reading = Reading(
                 prompt,
                 prompt.size.prompt_tokens / len(parts),
                 each,
@@ -322,7 +218,7 @@
             self._start(engine, now)
         prompt.home = self._engines[placement.endpoint_id]
 
-    def _put(self, prompt: _Prompt, jobs: Sequence[Job], now: float) -> None:
+    def _put(self, prompt: SimulatedPrompt, jobs: Sequence[Job], now: float) -> None:
         own = self._loads[prompt.daemon]
         if jobs:
             own.put(prompt.name, jobs)
@@ -331,12 +227,12 @@
         arrives = now + self._news_seconds
         self._at(arrives, lambda later: self._tell(prompt, jobs, later))
 
-    def _tell(self, prompt: _Prompt, jobs: Sequence[Job], now: float) -> None:
+    def _tell(self, prompt: SimulatedPrompt, jobs: Sequence[Job], now: float) -> None:
         for number, load in enumerate(self._loads):
             if number != prompt.daemon:
                 load.hear(prompt.name, jobs, now)
 
-    def _start(self, engine: _Engine, now: float) -> None:
+    def _start(self, engine: SimulatedEngine, now: float) -> None:
         if not engine.busy and (engine.readings or engine.writers or engine.waiting):
             engine.busy = True
             seconds, wrote, read = engine.run_pass()
@@ -346,7 +242,11 @@
             )
 
     def _end_pass(
-        self, engine: _Engine, wrote: list[_Prompt], read: list[_Prompt], now: float
+        self,
+        engine: SimulatedEngine,
+        wrote: list[SimulatedPrompt],
+        read: list[SimulatedPrompt],
+        now: float,
     ) -> None:
         engine.busy = False
         for prompt in wrote:
@@ -363,7 +263,7 @@
                 self._start(home, now)
         self._start(engine, now)
 
-    def _event(self, prompt: _Prompt, now: float) -> None:
+    def _event(self, prompt: SimulatedPrompt, now: float) -> None:
         if prompt.first_at is None:
             prompt.first_at = now
         else:
@@ -381,7 +281,7 @@
     return EndpointBelief(record, float("-inf"))
 
 
-def _result(prompt: _Prompt) -> Result:
+def _result(prompt: SimulatedPrompt) -> Result:
     kind = prompt.kind
     first = prompt.first_at - prompt.at
     on_time = first <= kind.target_seconds and prompt.longest_gap <= kind.gap_seconds
--- a/cranberrywick/gateway/forwarder.py
+++ b/cranberrywick/gateway/forwarder.py
@@ -24,7 +24,7 @@
 from cranberrywick.gateway.exchange import Exchange
 from cranberrywick.gateway.ingress import CallerConnection, HttpRequest
 from cranberrywick.gateway.state import FleetState
-from cranberrywick.gateway.waiting import STORE_AWAY_RETRY_SECONDS, WaitingRequests
+from cranberrywick.gateway.waiting import WaitingRequests
 from cranberrywick.logs import EventLog
 from cranberrywick.metrics import Metrics
 from cranberrywick.model import EndpointRefusal, Executed
@@ -32,15 +32,14 @@
 from cranberrywick.routing.health import EndpointHealth
 from cranberrywick.routing.model import GatewaySettings
 from cranberrywick.routing.pace import StreamPauses
-from cranberrywick.routing.placement import Demand, Placement, is_usable
+from cranberrywick.routing.placement import Demand, Placement
+from cranberrywick.routing.retry_after import retry_after_seconds
 from cranberrywick.routing.retry_budget import RetryBudget
 from cranberrywick.routing.table import pick_service
+from cranberrywick.routing.usable import is_usable
 
 __all__ = ["Forwarder"]
 
-# Told to callers of a daemon that has just started: its first reading of the store
-# takes some milliseconds.
-STARTING_RETRY_SECONDS = 0.3
 # An answer of the gateway's own leaves this much before the route's time-out, so
 # that it is there when the time is over.
 TIMEOUT_MARGIN_SECONDS = 0.01
@@ -101,12 +100,9 @@
         """Find the route, the organisation and the time there is."""
         table = self._state.table
         if table is None:
-            away = self._state.store_is_away
             raise PlatformUnavailable(
                 "no configuration is known yet",
-                retry_after=(
-                    STORE_AWAY_RETRY_SECONDS if away else STARTING_RETRY_SECONDS
-                ),
+                retry_after=retry_after_seconds(self._state.store_is_away, False),
             )
         exchange.version = table.configuration.version
         exchange.route = table.match(exchange.host, exchange.path)
--- a/cranberrywick/gateway/waiting.py
+++ b/cranberrywick/gateway/waiting.py
@@ -10,21 +10,16 @@
     Placement,
     Placer,
     fits_fleet,
-    usable_endpoints,
 )
 from cranberrywick.routing.queue_order import order_key
+from cranberrywick.routing.retry_after import retry_after_seconds
+from cranberrywick.routing.usable import usable_endpoints
 
-__all__ = ["STORE_AWAY_RETRY_SECONDS", "WaitingRequests"]
+__all__ = ["WaitingRequests"]
 
 # Predictions get better with time even if nothing happens: a reading that was to
 # end has ended. Looked at again after this, in seconds.
 LOOK_AGAIN_SECONDS = 0.02
-# When to come back where no endpoint is known: by then another reading of the
-# store has come, and an endpoint that starts has registered.
-NO_ENDPOINT_RETRY_SECONDS = 1.0
-# The same where the store answers nothing either: it is away for seconds rather than
-# moments, and a caller that comes back too soon may have no further try.
-STORE_AWAY_RETRY_SECONDS = 2.0
 
 
 class _Waiter(NamedTuple):
@@ -105,12 +100,9 @@
         )
         left = [b for b in usable if b.record.endpoint_id not in demand.tried_ids]
         if not fits_fleet(demand, left):
-            away = self._state.store_is_away
             raise Overloaded(
                 "no endpoints that could hold the request are known",
-                retry_after=(
-                    STORE_AWAY_RETRY_SECONDS if away else NO_ENDPOINT_RETRY_SECONDS
-                ),
+                retry_after=retry_after_seconds(self._state.store_is_away, True),
             )
         placement = self._placer.place(demand, usable, self._loop.time())
         if placement is not None:
--- a/cranberrywick/routing/placement.py
+++ b/cranberrywick/routing/placement.py
@@ -12,7 +12,7 @@
 """
 
 import random
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Sequence
 from math import ceil
 from typing import NamedTuple
 
@@ -30,8 +30,6 @@
     "Placement",
     "Placer",
     "fits_fleet",
-    "is_usable",
-    "usable_endpoints",
 ]
 
 # Into how many parts a prompt may be divided. An endpoint takes at most 16 helpers.
@@ -137,29 +135,6 @@
     engines: tuple[_Engine, ...]
 
 
-def is_usable(belief: EndpointBelief, domains_out: frozenset[str]) -> bool:
-    """Whether an endpoint may get new work.
-
-    This is the one place that says so: neither one that is leaving nor one in a
-    failure domain that operators have taken out may.
-    """
-    record = belief.record
-    return not record.draining and record.failure_domain not in domains_out
-
-
-def usable_endpoints(
-    beliefs_by_id: Mapping[str, EndpointBelief],
-    service: str,
-    domains_out: frozenset[str],
-) -> list[EndpointBelief]:
-    """Return the endpoints of a service that may get new work."""
-    return [
-        belief
-        for belief in beliefs_by_id.values()
-        if belief.record.service == service and is_usable(belief, domains_out)
-    ]
-
-
 def fits_fleet(demand: Demand, usable: Sequence[EndpointBelief]) -> bool:
     """Whether these endpoints could hold the request if they had nothing else.
 
--- a/tests/test_pace.py
+++ b/tests/test_pace.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from cranberrywick.bench.prompts import PROFILE
+from cranberrywick.bench.prompt_engines import PROFILE
 from cranberrywick.routing.engine_model import forecast
 from cranberrywick.routing.health import EndpointHealth
 from cranberrywick.routing.load import FleetLoad
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -314,7 +314,7 @@
 
     @pytest.fixture
     def profile(self):
-        from cranberrywick.bench.prompts import PROFILE
+        from cranberrywick.bench.prompt_engines import PROFILE
 
         return PROFILE
 
