--- a/cranberrywick/gateway/attempt.py
+++ b/cranberrywick/gateway/attempt.py
@@ -154,6 +154,7 @@
             ),
         )
         exchange.sent_count += 1
+        exchange.endpoint_id = placement.endpoint_id
         exchange.under_way = True
         exchange.predicted = placement.first_event_seconds
         exchange.parts = 1 + len(placement.helpers)
--- a/cranberrywick/gateway/forwarder.py
+++ b/cranberrywick/gateway/forwarder.py
@@ -213,7 +213,6 @@
         self, exchange: Exchange, placement: Placement, passed: Passed
     ) -> None:
         exchange.status = passed.status
-        exchange.endpoint_id = placement.endpoint_id
         if passed.status < 500:
             self._health.succeeded(placement.endpoint_id, self._loop.time())
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -48,6 +48,14 @@
         fleet.endpoints[endpoint_id].behaviour = behaviour
 
 
+def ended_line(gateway, request_id):
+    """Return the line that a gateway logs at a request's end, empty before it."""
+    for line in gateway.log.splitlines():
+        if "event=request_ended" in line and f"request_id={request_id} " in line:
+            return line
+    return ""
+
+
 def desks(fleet, behaviour):
     set_behaviour(fleet, behaviour, "desk-1", "desk-2")
 
@@ -205,6 +213,19 @@
         assert answer.status == 504
         assert 0.5 < time.monotonic() - started < 2.0
 
+    def test_the_log_names_the_endpoint_at_which_a_request_timed_out(self, fleet):
+        """Operators find from a request's id where it hung.
+
+        The endpoint never answers, so nothing but the gateway's own line can say.
+        """
+        desks(fleet, "hang")
+        request_id = fleet.new_id()
+        headers = {"Cranberrywick-Deadline-Ms": "700"}
+        gateway = fleet.gateways[0]
+        fleet.call(gateway, "POST", "/books/1", b"x", headers, request_id)
+        wait_for(lambda: ended_line(gateway, request_id), "the request's line")
+        assert "endpoint=desk" in ended_line(gateway, request_id)
+
 
 class TestAnswers:
     @pytest.mark.parametrize("behaviour", ["other", "short", "noise"])
