--- a/cranberrywick/gateway/fleet_news.py
+++ b/cranberrywick/gateway/fleet_news.py
@@ -140,7 +140,7 @@
         self._sequence += 1
         heartbeat = self._heartbeat(now)
         if not needs_relays(self._known_members):
-            self.link.send(heartbeat, self._peers())
+            self.link.send(heartbeat, self._peers(), self._direct_scope)
             return
         self.link.send(heartbeat, self._strangers())
         relay = self._own_relay(now)
@@ -193,6 +193,17 @@
                 due.cancel()
             self._next_heartbeat = self._loop.call_at(at, self.send_heartbeat)
 
+    @property
+    def _direct_scope(self) -> Scope:
+        """Whether those told directly pass it on.
+
+        A daemon that starts while the store is away knows the few that its settings
+        name and no more. In a large fleet none of them may be a relay: unless they
+        pass it on, it stays unknown, is told nothing and refuses its callers.
+        """
+        knows_nobody = not self.members.members_by_id and not self._known_addresses
+        return Scope.FLEET if knows_nobody else Scope.NOBODY
+
     # Whom to tell
 
     def _peers(self) -> set[str]:
--- a/tests/test_fleet_news.py
+++ b/tests/test_fleet_news.py
@@ -50,12 +50,13 @@
 class Daemon:
     """One daemon's news, with a link into the network in place of sockets."""
 
-    def __init__(self, network, name, domain):
+    def __init__(self, network, name, domain, seeds=()):
         self.name = name
         self.domain = domain
         self.address = f"{name}:7000"
         self.network = network
         self.readings = []
+        self.newcomers = []
         self.leaving = False
         settings = SimpleNamespace(
             daemon_id=name,
@@ -63,7 +64,7 @@
             failure_domain=domain,
             entry_address=f"{name}:80",
             internal_ports=(7000, 7010),
-            seeds=(),
+            seeds=seeds,
             bounds=SimpleNamespace(contact_seconds=3.0),
         )
         self.news = FleetNews(settings, self, EventLog())
@@ -92,7 +93,7 @@
         self.readings.append(reading)
 
     def newcomer_met(self, peer_address):
-        pass
+        self.newcomers.append(peer_address)
 
     def operator_reading(self):
         return None
@@ -267,6 +268,30 @@
     play(40, scene)
 
 
+def test_a_newcomer_that_the_store_does_not_answer_is_told_what_it_needs():
+    """Callers are served by a daemon that restarts while the store is away.
+
+    Its settings name three daemons, none of them a relay. They tell it the endpoints
+    and make it known to all, and it hears of all in turn.
+    """
+
+    async def scene(network, daemons):
+        seeds = daemons[9:12]
+        addresses = tuple(f"{seed.name}:9000" for seed in seeds)
+        newcomer = Daemon(network, "d999", "fd-b", addresses)
+        ticker = Ticker(EventLog())
+        await newcomer.news.start(ticker)
+        await asyncio.sleep(0.1)
+        assert any("d999:7000" in seed.newcomers for seed in seeds)
+        await asyncio.sleep(2.0)
+        ticker.stop()
+        now = asyncio.get_running_loop().time()
+        assert len(newcomer.news.members.alive(now)) == len(daemons)
+        assert all("d999" in d.news.members.members_by_id for d in daemons)
+
+    play(40, scene)
+
+
 class TestRelays:
     def test_a_silent_relay_is_passed_over_until_it_is_heard(self):
         relays = Relays("d5", "a")
