Hear a daemon again that restarts after its clock was set back

Cause, found by reading: incarnations come from the time of day, so that a daemon which restarts on a VM whose clock has jumped back has a lower one, and its heartbeats were taken for late ones of the one before until that was forgotten after 60 s: no callers were sent to it and its jobs were not counted. Now a lower incarnation counts once the higher one is silent. The test failed first.

--- a/cranberrywick/routing/members.py
+++ b/cranberrywick/routing/members.py
@@ -97,14 +97,21 @@
         if heartbeat.daemon_id == self._daemon_id:
             return False
         known = self.members_by_id.get(heartbeat.daemon_id)
-        if known is not None:
-            old = known.heartbeat
-            mark = (heartbeat.incarnation, heartbeat.sequence)
-            if mark <= (old.incarnation, old.sequence):
-                return False
+        if known is not None and self._is_old(heartbeat, known, now):
+            return False
         self.members_by_id[heartbeat.daemon_id] = Member(heartbeat, now)
         return True
 
+    def _is_old(self, heartbeat: Heartbeat, known: Member, now: float) -> bool:
+        old = known.heartbeat
+        if heartbeat.incarnation == old.incarnation:
+            return heartbeat.sequence <= old.sequence
+        # Incarnations come from the time of day, which may be set back before a
+        # restart: a lower one counts once the higher one has fallen silent. Without
+        # that its callers are sent elsewhere until the old one is forgotten.
+        is_silent = now - known.heard_at > self.silence_seconds
+        return heartbeat.incarnation < old.incarnation and not is_silent
+
     def look(self, now: float) -> list[str]:
         """Note that time has passed; return the members that fell silent by it.
 
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -173,6 +173,21 @@
         members.hear(heartbeat(sequence=700), 0.0)
         assert members.hear(heartbeat(incarnation=2, sequence=1), 0.1)
 
+    def test_a_restart_with_the_clock_set_back_is_heard_once_the_old_one_is_silent(
+        self,
+    ):
+        """Callers are sent to a daemon again that restarts after its clock jumped back.
+
+        Its incarnation, named by the time of day, is lower than before. Late news of
+        the one before looks the same, but comes while that is still heard.
+        """
+        members = Members("d1", 3.0)
+        members.hear(heartbeat(incarnation=9, sequence=700), 0.0)
+        assert not members.hear(heartbeat(incarnation=8, sequence=1), 0.5)
+        assert not members.hear(heartbeat(incarnation=9, sequence=3), 2.5)
+        assert members.hear(heartbeat(incarnation=8, sequence=2), 2.5)
+        assert members.serving(2.6)
+
     def test_after_a_pause_of_its_own_a_daemon_blames_nobody(self):
         """Callers are told of all daemons by one that has just woken up.
 
