Soak: await gateways that were told to stop, and report those that end by themselves

Now the dead are restarted until each serves, within the same time; and a process that ends without having been killed or told to is a broken promise, where it was restarted without a word before.

--- a/tests/gateway_soak.py
+++ b/tests/gateway_soak.py
@@ -131,6 +131,10 @@
         self._undo: list[tuple[float, Callable[[], None]]] = []
         self._version = 100
         self.faults: list[str] = []
+        # Processes that the soak has killed or told to stop, and gateways whose
+        # process ended without that.
+        self._ended_by_soak: set[int] = set()
+        self._ended_by_themselves: list[str] = []
 
     def prepare(self) -> None:
         """Put a proxy before each endpoint."""
@@ -162,15 +166,14 @@
         self._stopping.set()
         for caller in callers:
             caller.join()
-        self._restart_dead()
         deadline = time.monotonic() + RECOVERY_SECONDS
-        for gateway in self.fleet.gateways:
-            wait_for(lambda g=gateway: self._serves(g), f"{gateway.name} to serve")
+        for number, gateway in enumerate(list(self.fleet.gateways)):
+            wait_for(lambda n=number: self._serves_again(n), f"{gateway.name} to serve")
         assert time.monotonic() < deadline, "it took too long to serve again"
 
     def check(self) -> list[str]:
         """Return what was promised and not kept."""
-        broken = []
+        broken = [f"{name} ended by itself" for name in self._ended_by_themselves]
         for call in self.calls:
             runs = self.fleet.runs(call.request_id)
             if call.kind == "books" and runs > 1:
@@ -208,6 +211,11 @@
             self.calls.append(Call(request_id, kind, answer))
             time.sleep(rng.uniform(0.0, 0.05))
 
+    def _serves_again(self, number: int) -> bool:
+        # One that was told to stop may end only now, after all faults.
+        self._restart_dead()
+        return self._serves(self.fleet.gateways[number])
+
     def _serves(self, gateway) -> bool:
         try:
             return self.fleet.call(gateway, "GET", "/reads/1").status == 200
@@ -242,12 +250,15 @@
 
     def _kill(self) -> None:
         gateway = self.rng.choice(self.fleet.gateways)
+        self._ended_by_soak.add(gateway.process.pid)
         gateway.process.kill()
         gateway.process.wait()
         self._later(self._restart_dead)
 
     def _stop(self) -> None:
-        self.rng.choice(self.fleet.gateways).process.send_signal(signal.SIGTERM)
+        process = self.rng.choice(self.fleet.gateways).process
+        self._ended_by_soak.add(process.pid)
+        process.send_signal(signal.SIGTERM)
         self._later(self._restart_dead)
 
     def _pause(self) -> None:
@@ -258,6 +269,8 @@
     def _restart_dead(self) -> None:
         for number, gateway in enumerate(self.fleet.gateways):
             if gateway.process.poll() is not None:
+                if gateway.process.pid not in self._ended_by_soak:
+                    self._ended_by_themselves.append(gateway.name)
                 self.fleet.gateways[number] = self.fleet.restart(gateway)
 
     def _harm_link(self) -> None:
