--- a/cranberrywick/errors.py
+++ b/cranberrywick/errors.py
@@ -175,7 +175,11 @@
 
 
 class EndpointRefused(CranberrywickError):
-    """The endpoint did not take the request; ``reason`` says why."""
+    """The endpoint did not take the request; ``reason`` says why.
+
+    ``at_fault`` is the address of another endpoint for whose fault it refused, such as
+    a helper that leaves; None if it speaks for itself.
+    """
 
     type = "endpoint_refused"
     status = 503
@@ -187,9 +191,11 @@
         *,
         reason: EndpointRefusal = EndpointRefusal.FULL,
         retry_after: float | None = None,
+        at_fault: str | None = None,
     ):
         super().__init__(message, retry_after=retry_after)
         self.reason = reason
+        self.at_fault = at_fault
 
 
 class EntryUnreachable(CranberrywickError):
--- a/cranberrywick/gateway/attempt.py
+++ b/cranberrywick/gateway/attempt.py
@@ -153,9 +153,7 @@
                 weights_version=exchange.weights_version,
             ),
         )
-        exchange.sent_count += 1
-        exchange.endpoint_id = placement.endpoint_id
-        exchange.under_way = True
+        exchange.note_sent(placement.endpoint_id)
         exchange.predicted = placement.first_event_seconds
         exchange.parts = 1 + len(placement.helpers)
         exchange.helper_ids = tuple(part.endpoint_id for part in placement.helpers)
@@ -190,6 +188,7 @@
             raise EndpointRefused(
                 f"status {answer.status}, not run, at fault: {meta.at_fault}",
                 reason=EndpointRefusal.LEAVING if moved else EndpointRefusal.FULL,
+                at_fault=meta.at_fault,
             )
         expected = self._exchange.meta.request_id
         if meta.request_id != expected:
--- a/cranberrywick/gateway/exchange.py
+++ b/cranberrywick/gateway/exchange.py
@@ -21,8 +21,8 @@
     """One request, its caller and what has come of it so far.
 
     ``key`` is unique in this process; a caller's request id is only its word.
-    ``tried_ids`` are the endpoints that failed it, ``sent_count`` how many it was
-    sent to, ``under_way`` whether one has it now.
+    ``tried_ids`` are the endpoints that failed it, ``sent_ids`` those that it was sent
+    to, ``under_way`` whether one has it now.
     """
 
     def __init__(
@@ -39,7 +39,7 @@
         self.version = 0
         self.deadline = float("inf")
         self.tried_ids: set[str] = set()
-        self.sent_count = 0
+        self.sent_ids: set[str] = set()
         self.under_way = False
         self.may_have_run = False
         self.placed_at: float | None = None
@@ -54,6 +54,28 @@
         self.endpoint_id = ""
         self.status = 0
 
+    def note_sent(self, endpoint_id: str) -> None:
+        """Note that the request leaves for an endpoint."""
+        self.sent_ids.add(endpoint_id)
+        self.endpoint_id = endpoint_id
+        self.under_way = True
+
+    @property
+    def sent_count(self) -> int:
+        """How many endpoints it was sent to."""
+        return len(self.sent_ids)
+
+    @property
+    def answering_ids(self) -> frozenset[str] | None:
+        """Which endpoints may still answer it; None for any.
+
+        Once it was sent to as many as its route allows, those that have not failed it
+        may have it again, with other helpers.
+        """
+        if self.sent_count < self.route.max_endpoints:
+            return None
+        return frozenset(self.sent_ids - self.tried_ids)
+
     def note_events(self, now: float) -> float | None:
         """Note that events have come; return the pause before them, if any."""
         last, self.last_event_at = self.last_event_at, now
--- a/cranberrywick/gateway/forwarder.py
+++ b/cranberrywick/gateway/forwarder.py
@@ -144,6 +144,7 @@
             gap_seconds=exchange.route.gap_target_seconds,
             failure_domain=self._settings.failure_domain,
             tried_ids=frozenset(exchange.tried_ids),
+            answering_ids=exchange.answering_ids,
         )
         placement = await self._waiting.place(demand, exchange.priority, due_at)
         if exchange.placed_at is None:
@@ -221,7 +222,7 @@
     ) -> None:
         """Return if the request may be sent to another endpoint, else raise."""
         now = self._loop.time()
-        endpoint_id = placement.endpoint_id
+        endpoint_id = self._at_fault(placement, error)
         rest = self._note_failure(endpoint_id, error, now)
         exchange.tried_ids.add(endpoint_id)
         exchange.may_have_run |= error.executed is not Executed.NO
@@ -230,7 +231,8 @@
             "attempt_failed",
             request_id=exchange.meta.request_id,
             route=exchange.route.name,
-            endpoint=endpoint_id,
+            endpoint=placement.endpoint_id,
+            at_fault=endpoint_id,
             sent=exchange.sent_count,
             error=error,
             executed=error.executed.value,
@@ -250,6 +252,21 @@
             return 0.0
         return self._health.failed(endpoint_id, now)
 
+    def _at_fault(self, placement: Placement, error: CranberrywickError) -> str:
+        """Return the endpoint that a failed attempt is held against.
+
+        An endpoint that refuses for a helper's fault is sound. Held against it, the
+        helper stays in use, and two refusals use up all endpoints that a request may
+        be sent to, with seconds of its time left.
+        """
+        address = error.at_fault if isinstance(error, EndpointRefused) else None
+        beliefs_by_id = self._state.registry.beliefs_by_id
+        for part in placement.helpers:
+            belief = beliefs_by_id.get(part.endpoint_id)
+            if belief is not None and belief.record.address == address:
+                return part.endpoint_id
+        return placement.endpoint_id
+
     def _reason_to_stop(
         self, exchange: Exchange, error: CranberrywickError, now: float
     ) -> str:
@@ -259,7 +276,7 @@
             return "the answer has begun"
         if exchange.deadline - now < LEAST_TRY_SECONDS:
             return "no time is left"
-        if exchange.sent_count >= exchange.route.max_endpoints:
+        if exchange.answering_ids is not None and not exchange.answering_ids:
             return "no further endpoint is allowed"
         if _reached(error) and not self._budget.take(
             exchange.service.name, self._state.members.count(now), now
@@ -324,6 +341,8 @@
             waited=(exchange.placed_at or now) - exchange.request.arrived,
             first_event=first,
             predicted=exchange.predicted,
+            target=route.target_seconds if route else None,
+            gap_target=route.gap_target_seconds if route else None,
             parts=exchange.parts,
             helpers=",".join(exchange.helper_ids),
             longest_gap=exchange.longest_gap,
--- a/cranberrywick/gateway/reservations.py
+++ b/cranberrywick/gateway/reservations.py
@@ -82,6 +82,7 @@
                 raise EndpointRefused(
                     f"no memory at helper {reservation.endpoint_id}",
                     reason=EndpointRefusal.FULL,
+                    at_fault=reservation.address,
                 )
         self._renewals = self._loop.create_task(self._renew())
 
--- a/cranberrywick/gateway/waiting.py
+++ b/cranberrywick/gateway/waiting.py
@@ -98,8 +98,7 @@
             demand.service.name,
             self._state.domains_out,
         )
-        left = [b for b in usable if b.record.endpoint_id not in demand.tried_ids]
-        if not fits_fleet(demand, left):
+        if not fits_fleet(demand, usable):
             raise Overloaded(
                 "no endpoints that could hold the request are known",
                 retry_after=retry_after_seconds(self._state.store_is_away, True),
--- a/cranberrywick/routing/placement.py
+++ b/cranberrywick/routing/placement.py
@@ -72,7 +72,8 @@
     """What a request needs of the decision.
 
     ``due_at`` is the moment until which its first event is on time. ``tried_ids``
-    are the endpoints that have already had it.
+    are the endpoints that have failed it, ``answering_ids`` the only ones that may
+    answer it, if not any; others may still help.
     """
 
     request_id: str
@@ -83,6 +84,7 @@
     gap_seconds: float
     failure_domain: str
     tried_ids: frozenset[str] = frozenset()
+    answering_ids: frozenset[str] | None = None
 
 
 class Part(NamedTuple):
@@ -124,6 +126,7 @@
     occupied: float
     has_fragile: bool
     failure_share: float
+    may_answer: bool
     spread: float
     shuffle: float
 
@@ -135,16 +138,23 @@
     engines: tuple[_Engine, ...]
 
 
+def _may_answer(demand: Demand, endpoint_id: str) -> bool:
+    return demand.answering_ids is None or endpoint_id in demand.answering_ids
+
+
 def fits_fleet(demand: Demand, usable: Sequence[EndpointBelief]) -> bool:
     """Whether these endpoints could hold the request if they had nothing else.
 
     What does not fit will not fit later either: its caller is told at once.
     """
+    left_ids = {each.record.endpoint_id for each in usable} - demand.tried_ids
+    if not any(_may_answer(demand, endpoint_id) for endpoint_id in left_ids):
+        return False
     engine = demand.service.engine
     if engine is None or demand.prompt is None:
-        return bool(usable)
+        return True
     holders = ceil(demand.prompt.total / engine.memory_tokens)
-    return holders <= min(len(usable), PART_CHOICES[-1])
+    return holders <= min(len(left_ids), PART_CHOICES[-1])
 
 
 class Placer:
@@ -209,6 +219,7 @@
     def _place_call(
         self, demand: Demand, candidates: list[Candidate], now: float
     ) -> Placement | None:
+        candidates = [c for c in candidates if _may_answer(demand, c.endpoint_id)]
         if not candidates:
             return None
 
@@ -235,8 +246,7 @@
     ) -> Placement | None:
         unheard = self._load.placed_each_second(now) * self._news_seconds()
         spread = SPREAD_PRICE * unheard
-        is_long = demand.gap_seconds > FRAGILE_GAP_SECONDS
-        engines = [self._engine(profile, c, spread, is_long, now) for c in candidates]
+        engines = [self._engine(demand, profile, c, spread, now) for c in candidates]
         holders = ceil(prompt.total / profile.memory_tokens)
         value = _value(profile, prompt)
         best: _Choice | None = None
@@ -254,12 +264,13 @@
 
     def _engine(
         self,
+        demand: Demand,
         profile: EngineProfile,
         candidate: Candidate,
         spread: float,
-        is_long: bool,
         now: float,
     ) -> _Engine:
+        is_long = demand.gap_seconds > FRAGILE_GAP_SECONDS
         held = sum(job.held_tokens for job in candidate.jobs)
         pace = self._paces.pace(candidate.endpoint_id, now, is_long)
         return _Engine(
@@ -273,6 +284,7 @@
                 for job in candidate.jobs
             ),
             self._health.failure_share(candidate.endpoint_id, now),
+            _may_answer(demand, candidate.endpoint_id),
             spread * self._rng.random(),
             self._rng.random(),
         )
@@ -305,9 +317,12 @@
             return price + TIME_PRICE * seconds / demand.target_seconds
 
         by_cost = sorted(engines, key=lambda e: (cost(e, False), e.shuffle))
-        holding = [e for e in by_cost if e.free_tokens >= share][:holders]
-        if len(holding) < holders:
+        roomy = [engine for engine in by_cost if engine.free_tokens >= share]
+        answering = next((engine for engine in roomy if engine.may_answer), None)
+        if answering is None or len(roomy) < holders:
             return None
+        others = [engine for engine in roomy if engine is not answering]
+        holding = [answering, *others[: holders - 1]]
         if parts == holders:
             return _price(demand, reading, value, holding[0], holding[1:])
         held_ids = {engine.endpoint_id for engine in holding}
--- a/cranberrywick/standin/platform/endpoint.py
+++ b/cranberrywick/standin/platform/endpoint.py
@@ -6,7 +6,7 @@
 ============ ===========================================================
 well         answers as it should
 failing      runs the request and answers 500
-full         503 and says that it did not run
+full         503 and says that it did not run, also where it is to help another
 reset        runs the request and resets the connection
 hang         runs the request and never answers
 twice        sends a second whole answer after the first
@@ -118,8 +118,10 @@
             own = [("Cranberrywick-Instance-Id", self.endpoint_id)]
             writer.write(_whole(http, 421, own, b""))
             return
-        if self.behaviour == "full" or not self._has_tickets(headers):
-            writer.write(_whole(http, 503, [("Cranberrywick-Not-Executed", "1")], b""))
+        at_fault = self._at_fault(headers)
+        if at_fault is not None:
+            own = [("Cranberrywick-Not-Executed", "1"), ("At-Server", at_fault)]
+            writer.write(_whole(http, 503, own, b""))
             return
         request_id = headers.get("cranberrywick-request-id", "")
         self.heads.append((bytes(head.method), bytes(head.target), headers, body))
@@ -143,12 +145,16 @@
         self.tickets[order["id"]] = _Ticket(order["tokens"], expires_at)
         return 200, [], b'{"free": 0}'
 
-    def _has_tickets(self, headers: dict[str, str]) -> bool:
-        for entry in headers.get("cranberrywick-helpers", "").split(","):
+    def _at_fault(self, headers: dict[str, str]) -> str | None:
+        """Return the address of the endpoint for which this one refuses, if any."""
+        if self.behaviour == "full":
+            return self.address
+        for entry in filter(None, headers.get("cranberrywick-helpers", "").split(",")):
             address, _, ticket = entry.partition("/")
-            if ticket and ticket not in self.by_address[address].tickets:
-                return False
-        return True
+            helper = self.by_address[address]
+            if helper.behaviour == "full" or (ticket and ticket not in helper.tickets):
+                return address
+        return None
 
     async def _run(self, http, headers, writer) -> None:
         await asyncio.sleep(self.work_seconds)
--- /dev/null
+++ b/tests/test_at_fault.py
@@ -0,0 +1,68 @@
+"""Who is held to account for a failed attempt, and what its request loses by it."""
+
+import random
+
+from cranberrywick.bench.prompt_engines import PROFILE
+from cranberrywick.routing.health import EndpointHealth
+from cranberrywick.routing.load import FleetLoad
+from cranberrywick.routing.model import EndpointRecord, PromptSize, Service
+from cranberrywick.routing.pace import EnginePaces
+from cranberrywick.routing.placement import Demand, Placer, fits_fleet
+from cranberrywick.routing.registry import EndpointBelief
+
+
+def beliefs(count):
+    return [
+        EndpointBelief(EndpointRecord(f"e{n}", "pool", "", "", 8, False, 0.0, 1), -1.0)
+        for n in range(count)
+    ]
+
+
+def demand(prompt_tokens=4000, **fields):
+    known = Demand(
+        request_id="r",
+        service=Service("pool", 0.0, 0.0, PROFILE),
+        prompt=PromptSize(prompt_tokens, 1000),
+        target_seconds=0.3,
+        due_at=1.3,
+        gap_seconds=0.25,
+        failure_domain="",
+    )
+    return known._replace(**fields)
+
+
+def placer():
+    return Placer(
+        FleetLoad(),
+        EndpointHealth(),
+        EnginePaces(),
+        random.Random(1),
+        lambda: 0.0,
+    )
+
+
+class TestAnsweringEndpoints:
+    """A request that was sent to as many endpoints as its route allows."""
+
+    def test_one_that_has_not_failed_it_gets_it_again_with_other_helpers(self):
+        placement = placer().place(
+            demand(
+                150_000,
+                target_seconds=3.0,
+                due_at=4.0,
+                gap_seconds=1.0,
+                tried_ids=frozenset({"e2"}),
+                answering_ids=frozenset({"e1"}),
+            ),
+            beliefs(4),
+            1.0,
+        )
+        assert placement.endpoint_id == "e1"
+        assert placement.helpers
+        assert "e2" not in {part.endpoint_id for part in placement.helpers}
+
+    def test_without_any_left_it_is_refused_at_once(self):
+        """Its caller does not wait until the deadline for an endpoint that has left."""
+        assert not fits_fleet(demand(answering_ids=frozenset({"e9"})), beliefs(3))
+        assert not fits_fleet(demand(tried_ids=frozenset({"e0"})), beliefs(1))
+        assert fits_fleet(demand(answering_ids=frozenset({"e2"})), beliefs(3))
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -365,6 +365,21 @@
         wait_for(lambda: reserved(fleet) == 0, "the memory to be free")
         assert time.monotonic() - left < 1.0
 
+    def test_a_prompt_goes_on_without_the_helper_that_refuses(self, fleet):
+        """The caller sees its whole answer though one of two engines takes nothing.
+
+        The engine that is sound is asked first, names the other as a helper, and
+        refuses for the other's fault. Held against it, the request went to the other
+        one next, was refused there too and had then had all its endpoints.
+        """
+        fleet.endpoints["engine-2"].behaviour = "full"
+        headers = {**PROMPT_HEADERS, "Cranberrywick-Token-Count": "150000,1000"}
+        headers["Cranberrywick-Deadline-Ms"] = "8000"
+        for _ in range(6):
+            answer = fleet.call(fleet.gateways[0], "POST", "/prompts/1", b"p", headers)
+            assert answer.whole and answer.body == STREAM
+            time.sleep(0.6)  # Until the engine at fault has rested.
+
     def test_a_prompt_that_never_fits_is_refused_at_once(self, fleet):
         """The caller sees a refusal at once and does not wait for its deadline.
 
