Report from daemons' logs where requests were lost, and what was within reach

`cranberrywick report losses` sums request_ended lines by cause, route and second, with ids and a plot; with the share that callers were served it gives the bound. Cut and foreign lines are named.

--- a/cranberrywick/cli/report.py
+++ b/cranberrywick/cli/report.py
@@ -2,6 +2,7 @@
 
 import json
 import sys
+from collections.abc import Iterable
 from datetime import UTC, datetime
 from pathlib import Path
 
@@ -9,6 +10,9 @@
 
 from cranberrywick.errors import CranberrywickError
 from cranberrywick.reports.gather import gather_burn
+from cranberrywick.reports.log_lines import LogLine, Unreadable, read_lines
+from cranberrywick.reports.loss_table import render_losses, write_loss_plot
+from cranberrywick.reports.losses import Weights, losses_of
 from cranberrywick.reports.page import render_page
 from cranberrywick.reports.table import render_table
 
@@ -16,6 +20,8 @@
 
 EXIT_PARTIAL = 3
 EXIT_NO_ANSWER = 4
+# Of a late answer, what its caller still has of it, unless said otherwise.
+LATE_SHARE = 0.25
 
 
 @click.group()
@@ -80,3 +86,76 @@
         sys.exit(EXIT_NO_ANSWER)
     if answer["silent"]:
         sys.exit(EXIT_PARTIAL)
+
+
+@report.command()
+@click.argument(
+    "logs", nargs=-1, required=True, type=click.File(encoding="utf-8", errors="replace")
+)
+@click.option("--worth", "worths", multiple=True, help="ROUTE=WORTH; 1 if not named.")
+@click.option(
+    "--late-share",
+    default=LATE_SHARE,
+    show_default=True,
+    help="Share of its worth that a late answer keeps.",
+)
+@click.option(
+    "--served",
+    type=click.FloatRange(0, 1),
+    help="Share of the worth that callers counted as served.",
+)
+@click.option(
+    "--plot",
+    type=click.Path(dir_okay=False, path_type=Path),
+    help="Write a plot of each second to this SVG file.",
+)
+def losses(
+    logs: tuple[Iterable[str], ...],
+    worths: tuple[str, ...],
+    late_share: float,
+    served: float | None,
+    plot: Path | None,
+) -> None:
+    """Show from daemons' logs where requests were lost, and why.
+
+    With --served it also shows what was within reach: the share served had every
+    request that reached a daemon been on time.
+
+    \b
+    Example:
+      cranberrywick report losses gateway-*.log --worth captions=1.3 --plot hour.svg
+
+    \b
+    Exit codes:
+      0  the report is made
+      2  the command line is wrong
+      3  the report is made, but some lines held no event
+      4  no line told of a request
+    """
+    lines: list[LogLine] = []
+    unreadable: list[Unreadable] = []
+    for log in logs:
+        for line in read_lines(getattr(log, "name", "-"), log):
+            if isinstance(line, LogLine):
+                lines.append(line)
+            elif line is not None:
+                unreadable.append(line)
+    found = losses_of(lines, Weights(_worth_by_route(worths), late_share))
+    click.echo(render_losses(found, unreadable, served), nl=False)
+    if not found.requests:
+        sys.exit(EXIT_NO_ANSWER)
+    if plot is not None:
+        write_loss_plot(found, plot)
+    if unreadable:
+        sys.exit(EXIT_PARTIAL)
+
+
+def _worth_by_route(worths: tuple[str, ...]) -> dict[str, float]:
+    worth_by_route = {}
+    for each in worths:
+        route, _, worth = each.rpartition("=")
+        try:
+            worth_by_route[route] = float(worth)
+        except ValueError:
+            raise click.BadParameter(f"{each!r} is not ROUTE=WORTH") from None
+    return worth_by_route
--- /dev/null
+++ b/cranberrywick/reports/loss_table.py
@@ -0,0 +1,76 @@
+"""A loss report as text, and as a plot of the time."""
+
+from collections.abc import Sequence
+from pathlib import Path
+
+from pygal import Config, StackedBar
+
+from cranberrywick.reports.log_lines import Unreadable
+from cranberrywick.reports.losses import Cause, LossReport, Lost
+
+__all__ = ["render_losses", "write_loss_plot"]
+
+# Lines that could not be read are named up to this many.
+MOST_UNREADABLE = 5
+SECONDS_BETWEEN_LABELS = 5
+
+
+def render_losses(
+    report: LossReport, unreadable: Sequence[Unreadable], served: float | None
+) -> str:
+    """Return the report as lines; ``served`` is the share that callers counted."""
+    lines = [_row("cause", "requests", "worth", "lost", "examples")]
+    lines += [_lost_row(str(cause), lost) for cause, lost in report.by_cause.items()]
+    lines += ["", _row("route: cause", "requests", "worth", "lost", "examples")]
+    lines += [
+        _lost_row(f"{route}: {cause}", lost)
+        for (route, cause), lost in report.by_route.items()
+        if lost.lost
+    ]
+    lines += ["", *_sums(report, served)]
+    if unreadable:
+        named = ", ".join(
+            f"{u.source}:{u.number}" for u in unreadable[:MOST_UNREADABLE]
+        )
+        lines.append(f"lines that hold no event: {len(unreadable)} ({named})")
+    return "\n".join(lines) + "\n"
+
+
+def _row(name: str, count: str, worth: str, lost: str, examples: str) -> str:
+    return f"{name:<40} {count:>8} {worth:>9} {lost:>9}  {examples}"
+
+
+def _lost_row(name: str, lost: Lost) -> str:
+    examples = " ".join(lost.examples) if lost.lost else ""
+    return _row(
+        name, str(lost.count), f"{lost.worth:.1f}", f"{lost.lost:.1f}", examples
+    )
+
+
+def _sums(report: LossReport, served: float | None) -> list[str]:
+    if not report.owed:
+        return ["no request that was allowed"]
+    share = report.lost / report.owed
+    lines = [f"owed {report.owed:.1f}, lost {report.lost:.1f} ({share:.3f})"]
+    if served is not None:
+        # What callers lost and no daemon tells of never reached one.
+        bound = min(1.0, served + share)
+        lines.append(
+            f"callers were served {served:.3f}; had all that reached a daemon been "
+            f"on time: {bound:.3f}; never reached one: {1 - bound:.3f}"
+        )
+    return lines
+
+
+def write_loss_plot(report: LossReport, path: Path) -> None:
+    """Write a plot of what was lost in each second, by cause."""
+    seconds = range(min(report.by_second), max(report.by_second) + 1)
+    config = Config(js=[], x_labels_major_every=SECONDS_BETWEEN_LABELS)
+    chart = StackedBar(config, title="Worth lost by the second of arrival")
+    chart.show_minor_x_labels = False
+    chart.x_labels = [str(second - seconds.start) for second in seconds]
+    for cause in Cause:
+        values = [report.by_second.get(s, {}).get(cause, 0.0) for s in seconds]
+        if any(values):
+            chart.add(str(cause), values)
+    chart.render_to_file(str(path))
--- /dev/null
+++ b/tests/test_losses.py
@@ -0,0 +1,119 @@
+"""The report of where requests were lost, from daemons' log lines."""
+
+import io
+
+import pytest
+from click.testing import CliRunner
+
+from cranberrywick.cli.main import main
+from cranberrywick.logs import EventLog, make_handler
+from cranberrywick.reports.log_lines import LogLine, Unreadable, read_lines
+from cranberrywick.reports.losses import Cause, Weights, losses_of
+
+
+def line(request_id="r1", **fields):
+    """Return a line as the gateway writes it."""
+    known = {
+        "request_id": request_id,
+        "route": "captions",
+        "outcome": "completed",
+        "status": 200,
+        "sent": 1,
+        "seconds": 1.0,
+        "waited": 0.0,
+        "first_event": 0.1,
+        "predicted": 0.1,
+        "longest_gap": 0.1,
+        "tokens": 5000,
+        "target": 0.3,
+        "gap_target": 0.25,
+        **fields,
+    }
+    stream = io.StringIO()
+    with make_handler("info", stream).applicationbound():
+        EventLog(daemon="d1").info("request_ended", **known)
+    return stream.getvalue()
+
+
+def read(*lines):
+    return list(read_lines("log", lines))
+
+
+def cause_of(**fields):
+    return losses_of(read(line(**fields)), Weights({})).requests[0].cause
+
+
+@pytest.mark.parametrize(
+    ("fields", "cause"),
+    [
+        ({}, Cause.ON_TIME),
+        ({"first_event": 0.4}, Cause.UNFORESEEN),
+        ({"first_event": 0.4, "predicted": 0.25}, Cause.FORESEEN),
+        ({"first_event": 0.4, "waited": 0.2}, Cause.WAITED),
+        ({"first_event": 0.4, "sent": 2}, Cause.REPEATED),
+        ({"longest_gap": 0.3}, Cause.PAUSED),
+        ({"outcome": "endpoint_refused", "status": 503}, Cause.REFUSED),
+        ({"outcome": "answer_lost", "status": 502}, Cause.BROKEN_OFF),
+        ({"outcome": "timed_out", "status": 504, "first_event": None}, Cause.FAILED),
+        ({"outcome": "caller_gone", "status": 0}, Cause.CALLER_GONE),
+        ({"outcome": "unauthorised", "status": 401}, Cause.NOT_ALLOWED),
+        ({"first_event": None, "gap_target": 0, "seconds": 0.4}, Cause.UNFORESEEN),
+    ],
+)
+def test_each_request_has_one_cause(fields, cause):
+    assert cause_of(**fields) is cause
+
+
+def test_what_is_lost_is_weighed_by_size_and_by_whether_an_answer_came():
+    lines = read(
+        line("r1", tokens=3000, first_event=0.4),
+        line("r2", tokens=5000, outcome="endpoint_refused", status=503),
+        line("r3", tokens=4000),
+    )
+    report = losses_of(lines, Weights({"captions": 2.0}))
+    assert report.owed == pytest.approx(6.0)
+    assert report.by_cause[Cause.REFUSED].lost == pytest.approx(2 * 1.175)
+    assert report.by_cause[Cause.UNFORESEEN].lost == pytest.approx(2 * 0.825 * 0.75)
+    assert report.by_cause[Cause.REFUSED].examples == ("r2",)
+    assert next(iter(report.by_cause)) is Cause.REFUSED
+
+
+def test_lines_that_hold_no_event_are_named_and_passed_over():
+    """An operator's file was cut in the middle and another program wrote into it."""
+    whole = line()
+    found = read(whole, "\n", "Traceback (most recent call last):\n", whole[:60])
+    assert [type(each) for each in found] == [LogLine, type(None), *[Unreadable] * 2]
+    assert [each.number for each in found[2:]] == [3, 4]
+
+
+def test_what_a_collector_puts_before_a_line_is_passed_over():
+    assert read("12.5 gateway-3 " + line("r7"))[0].fields["request_id"] == "r7"
+
+
+class TestCommand:
+    def run(self, tmp_path, text, *options):
+        log = tmp_path / "gateway.log"
+        log.write_text(text, encoding="utf-8")
+        return CliRunner().invoke(main, ["report", "losses", str(log), *options])
+
+    def test_it_prints_causes_and_the_bound_and_writes_the_plot(self, tmp_path):
+        plot = tmp_path / "hour.svg"
+        text = line("r1") + line("r2", longest_gap=0.5)
+        result = self.run(tmp_path, text, "--served", "0.5", "--plot", str(plot))
+        assert result.exit_code == 0
+        assert "pause above the limit" in result.output
+        assert "been on time: 0.875; never reached one: 0.125" in result.output
+        assert "<svg" in plot.read_text(encoding="utf-8")
+
+    def test_cut_and_foreign_lines_are_named(self, tmp_path):
+        result = self.run(tmp_path, line() + "what is this\n")
+        assert result.exit_code == 3
+        assert "gateway.log:2" in result.output
+
+    def test_an_empty_log_says_so(self, tmp_path):
+        assert self.run(tmp_path, "").exit_code == 4
+
+    def test_a_worth_without_a_figure_is_refused(self, tmp_path):
+        result = self.run(tmp_path, line(), "--worth", "captions")
+        assert result.exit_code == 2
+        assert "ROUTE=WORTH" in result.output
