Take fragile answers by a ratio to what engines declare; draw deployments at random

Cause: the pause limit below which an answer counts as fragile was 0.5 s, which belongs to the first deployments. It is now a number of readings of a prompt of usual length. The price of an answer is worked out once for an engine.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: run run-gateway test lint format bench bench-relay bench-prompts soak capacity binary lock clean
+.PHONY: run run-gateway test lint format bench bench-relay bench-prompts bench-drawn soak capacity binary lock clean
 
 $(VENV)/.installed: requirements.lock pyproject.toml
 	@echo "setting up $(VENV) with pinned dependencies"
@@ -57,5 +57,8 @@
 bench-prompts: $(VENV)/.installed
 	$(BIN)/python -m cranberrywick.bench.prompts $(ARGS)
 
+bench-drawn: $(VENV)/.installed
+	$(BIN)/python -m cranberrywick.bench.drawn_deployments $(ARGS)
+
 soak: $(VENV)/.installed
 	$(BIN)/python tests/gateway_soak.py $(ARGS)
--- /dev/null
+++ b/cranberrywick/bench/drawn_deployments.py
@@ -0,0 +1,104 @@
+"""Deployments drawn at random, so that no price is fitted to one of them.
+
+    python -m cranberrywick.bench.drawn_deployments --count 50
+
+prints the share of the worth that is on time: mean, worst tenth and least.
+"""
+
+import random
+from statistics import mean
+from typing import NamedTuple
+
+import click
+
+from cranberrywick.bench.prompt_engines import KINDS, PROFILE, Kind
+from cranberrywick.bench.prompts import Experiment, FleetShape, on_time_by_kind
+from cranberrywick.routing.engine_model import read_seconds
+from cranberrywick.routing.model import EngineProfile
+from cranberrywick.routing.relays import news_seconds
+
+__all__ = ["DrawnDeployment", "draw_deployment", "worth_on_time"]
+
+# What share of the engines' time reading takes: a quiet hour to a hard one. Above it
+# most is late whatever is decided.
+LEAST_LOAD, MOST_LOAD = 0.05, 0.4
+
+
+class DrawnDeployment(NamedTuple):
+    """Engines, daemons and callers of one deployment."""
+
+    profile: EngineProfile
+    fleet: FleetShape
+    kinds: tuple[Kind, ...]
+
+
+def draw_deployment(seed: int) -> DrawnDeployment:
+    """Return the deployment of a seed."""
+    rng = random.Random(seed)
+    profile = _draw_profile(rng)
+    engines = round(4 * 15 ** rng.random())
+    daemons = round(3 * 25 ** rng.random())
+    kinds = tuple(_draw_kind(rng, kind, profile) for kind in KINDS)
+    work = sum(
+        k.per_second * read_seconds(profile, int(k.prompt_tokens)) for k in kinds
+    )
+    arrivals = sum(kind.per_second for kind in kinds)
+    tokens = sum(kind.per_second * kind.prompt_tokens for kind in kinds)
+    profile = profile._replace(usual_prompt_tokens=tokens / arrivals)
+    load = rng.uniform(LEAST_LOAD, MOST_LOAD)
+    # Longer prompts than the mean weigh more in the pairs: half as much again.
+    rate = load * engines / (1.5 * work)
+    fleet = FleetShape(engines, daemons, news_seconds(daemons) + 0.002, rate)
+    return DrawnDeployment(profile, fleet, kinds)
+
+
+def _draw_profile(rng: random.Random) -> EngineProfile:
+    return PROFILE._replace(
+        slots=rng.choice((4, 6, 8, 16)),
+        memory_tokens=round(PROFILE.memory_tokens * rng.uniform(0.5, 2.0)),
+        stride=rng.choice((10, 25, 50, 80)),
+        step_seconds=PROFILE.step_seconds * rng.uniform(0.5, 2.0),
+        read_rate=PROFILE.read_rate * rng.uniform(0.5, 2.0),
+        pair_seconds=PROFILE.pair_seconds * rng.uniform(0.5, 2.0),
+        chunk_tokens=rng.choice((512, 2048, 8192)),
+    )
+
+
+def _draw_kind(rng: random.Random, kind: Kind, profile: EngineProfile) -> Kind:
+    """Return a kind with other sizes and limits; none that its engine can't keep."""
+    tokens = kind.prompt_tokens * rng.uniform(0.5, 2.0)
+    alone = read_seconds(profile, int(tokens))
+    least_gap = 3 * profile.stride * profile.step_seconds
+    return kind._replace(
+        per_second=kind.per_second * rng.uniform(0.3, 3.0),
+        prompt_tokens=tokens,
+        target_seconds=max(kind.target_seconds * rng.uniform(0.5, 2.0), 0.6 * alone),
+        gap_seconds=max(kind.gap_seconds * rng.uniform(0.4, 2.0), least_gap),
+    )
+
+
+def worth_on_time(seed: int, seconds: float) -> float:
+    """Return the share of the worth on time in the deployment of a seed."""
+    deployment = draw_deployment(seed)
+    experiment = Experiment(
+        "priced", seed, deployment.kinds, deployment.fleet, deployment.profile
+    )
+    results = experiment.run(seconds)
+    return on_time_by_kind(results)["worth"] if results else 1.0
+
+
+@click.command()
+@click.option("--count", default=50, show_default=True)
+@click.option("--seconds", default=10.0, show_default=True)
+def main(count: int, seconds: float) -> None:
+    """Print the share of the worth on time over drawn deployments."""
+    shares = sorted(worth_on_time(seed, seconds) for seed in range(count))
+    worst = shares[: max(1, count // 10)]
+    click.echo(
+        f"{count} deployments: mean {mean(shares):.3f}, "
+        f"worst tenth {mean(worst):.3f}, least {shares[0]:.3f}"
+    )
+
+
+if __name__ == "__main__":
+    main()
--- a/cranberrywick/bench/prompt_engines.py
+++ b/cranberrywick/bench/prompt_engines.py
@@ -80,15 +80,16 @@
 class SimulatedEngine:
     """One engine, advanced pass by pass."""
 
-    def __init__(self, name: str):
+    def __init__(self, name: str, profile: EngineProfile = PROFILE):
         self.name = name
+        self._profile = profile
         self.readings: list[Reading] = []
         self.writers: list[SimulatedPrompt] = []
         self.waiting: list[Reading] = []
         self.busy = False
 
     def add(self, reading: Reading) -> None:
-        if not reading.helper and self._own >= PROFILE.slots:
+        if not reading.helper and self._own >= self._profile.slots:
             self.waiting.append(reading)
         else:
             self._admit(reading)
@@ -98,7 +99,7 @@
         return len(self.writers) + sum(not each.helper for each in self.readings)
 
     def admit(self) -> None:
-        while self.waiting and self._own < PROFILE.slots:
+        while self.waiting and self._own < self._profile.slots:
             self._admit(self.waiting.pop(0))
 
     def _admit(self, reading: Reading) -> None:
@@ -110,12 +111,16 @@
         self.admit()
         seconds, steps = 0.0, 1
         if self.writers:
-            steps = PROFILE.stride
+            steps = self._profile.stride
             context = sum(each.size.total for each in self.writers)
-            own = len(self.writers) * PROFILE.writer_seconds
-            step = PROFILE.step_seconds + own + context * PROFILE.context_seconds
+            own = len(self.writers) * self._profile.writer_seconds
+            step = (
+                self._profile.step_seconds
+                + own
+                + context * self._profile.context_seconds
+            )
             seconds = steps * step
-        budget = steps * PROFILE.chunk_tokens
+        budget = steps * self._profile.chunk_tokens
         read: list[SimulatedPrompt] = []
         while self.readings and budget > 0:
             reading = self.readings[0]
--- a/cranberrywick/bench/prompts.py
+++ b/cranberrywick/bench/prompts.py
@@ -27,10 +27,12 @@
     SimulatedEngine,
     SimulatedPrompt,
 )
+from cranberrywick.routing.engine_model import read_seconds
 from cranberrywick.routing.health import EndpointHealth
 from cranberrywick.routing.load import FleetLoad, Job
 from cranberrywick.routing.model import (
     EndpointRecord,
+    EngineProfile,
     PromptSize,
     Service,
 )
@@ -136,15 +138,17 @@
         seed: int,
         kinds: Sequence[Kind] = KINDS,
         fleet: FleetShape = FLEETS["small"],
+        profile: EngineProfile = PROFILE,
     ):
+        self._profile = profile
         self._rng = random.Random(seed)
         self._kinds = [k._replace(per_second=k.per_second * fleet.rate) for k in kinds]
         self._news_seconds = fleet.news_seconds
         self._engines = {
-            f"e{n}": SimulatedEngine(f"e{n}") for n in range(fleet.engines)
+            f"e{n}": SimulatedEngine(f"e{n}", profile) for n in range(fleet.engines)
         }
-        self._beliefs = [_belief(name) for name in self._engines]
-        self._service = Service("pool", 0.0, 0.0, PROFILE)
+        self._beliefs = [_belief(name, profile.slots) for name in self._engines]
+        self._service = Service("pool", 0.0, 0.0, profile)
         self._loads = [FleetLoad() for _ in range(fleet.daemons)]
         self._places = [
             STRATEGIES[strategy](load, random.Random(seed + n), fleet.news_seconds)
@@ -179,7 +183,7 @@
                 )
                 tokens = min(max(200, int(tokens)), 4 * int(mean))
                 events = max(1, round(self._rng.lognormvariate(0, 0.5) * kind.events))
-                size = PromptSize(tokens, events * PROFILE.stride)
+                size = PromptSize(tokens, events * self._profile.stride)
                 yield at, SimulatedPrompt(f"p{next(names)}", kind, size, at, events)
                 at += self._rng.expovariate(kind.per_second)
 
@@ -204,12 +208,12 @@
         self._put(prompt, placement.jobs, now)
         parts = [Part(placement.endpoint_id), *placement.helpers]
         prompt.parts_left = len(parts)
-        pairs = prompt.size.prompt_tokens**2 / 2 * PROFILE.pair_seconds
-        each = 1 / PROFILE.read_rate + pairs / prompt.size.prompt_tokens
+        tokens = prompt.size.prompt_tokens
+        each = read_seconds(self._profile, tokens) / tokens
         for part in parts:
             reading = Reading(
                 prompt,
-                prompt.size.prompt_tokens / len(parts),
+                tokens / len(parts),
                 each,
                 helper=part.endpoint_id != placement.endpoint_id,
                 joint=len(parts) > 1,
@@ -277,8 +281,8 @@
             self.results.append(_result(prompt))
 
 
-def _belief(name: str) -> EndpointBelief:
-    record = EndpointRecord(name, "pool", "", "", PROFILE.slots, False, 0.0, 1)
+def _belief(name: str, slots: int) -> EndpointBelief:
+    record = EndpointRecord(name, "pool", "", "", slots, False, 0.0, 1)
     return EndpointBelief(record, float("-inf"))
 
 
--- a/cranberrywick/routing/placement.py
+++ b/cranberrywick/routing/placement.py
@@ -63,9 +63,11 @@
 # An endpoint that fails all of its calls counts as having so many more in hand: half
 # of a plain service's places, so that it is tried when the others are half full.
 FAILURE_JOBS = 4
-# Answers whose pauses may be no longer than this are fragile: any long prompt's
-# part, which takes some hundreds of milliseconds, makes them late.
-FRAGILE_GAP_SECONDS = 0.5
+# Answers whose pauses may be no longer than so many readings of a prompt of usual
+# length are fragile: a long prompt's part makes them late. The share of the worth on
+# time over fifty deployments of `cranberrywick.bench.drawn_deployments` is 0.944 with
+# 4, 0.934 with 6 and 9.
+FRAGILE_READINGS = 4.0
 
 
 class Demand(NamedTuple):
@@ -120,11 +122,16 @@
 
 
 class _Engine(NamedTuple):
+    """What a choice asks of an engine.
+
+    ``answer_price`` is that of one more answer written there, ``spread`` and
+    ``shuffle`` are random.
+    """
+
     endpoint_id: str
     forecast: EngineForecast
     free_tokens: int
-    occupied: float
-    has_fragile: bool
+    answer_price: float
     failure_share: float
     may_answer: bool
     spread: float
@@ -270,19 +277,22 @@
         spread: float,
         now: float,
     ) -> _Engine:
-        is_long = demand.gap_seconds > FRAGILE_GAP_SECONDS
-        held = sum(job.held_tokens for job in candidate.jobs)
-        pace = self._paces.pace(candidate.endpoint_id, now, is_long)
+        fragile_gap = _fragile_gap(profile)
+        is_fragile = demand.gap_seconds <= fragile_gap
+        jobs = candidate.jobs
+        held = sum(job.held_tokens for job in jobs)
+        occupied = sum(not job.helper for job in jobs) / candidate.belief.record.slots
+        answer_price = CROWD_PRICE * occupied**2
+        if is_fragile and not any(
+            job.gap_seconds <= fragile_gap and not job.helper for job in jobs
+        ):
+            answer_price += FRESH_ENGINE_PRICE
+        pace = self._paces.pace(candidate.endpoint_id, now, is_long=not is_fragile)
         return _Engine(
             candidate.endpoint_id,
-            forecast(profile, candidate.jobs, now, pace),
+            forecast(profile, jobs, now, pace),
             profile.memory_tokens - held,
-            sum(not job.helper for job in candidate.jobs)
-            / candidate.belief.record.slots,
-            any(
-                job.gap_seconds <= FRAGILE_GAP_SECONDS and not job.helper
-                for job in candidate.jobs
-            ),
+            answer_price,
             self._health.failure_share(candidate.endpoint_id, now),
             _may_answer(demand, candidate.endpoint_id),
             spread * self._rng.random(),
@@ -302,7 +312,6 @@
         reading = read_seconds(profile, prompt.prompt_tokens, parts)
         holders = ceil(prompt.total / profile.memory_tokens)
         share = ceil(prompt.total / holders)
-
         joint = parts > 1
 
         def cost(engine: _Engine, helper: bool) -> float:
@@ -312,7 +321,7 @@
                 late += engine.forecast.breaks(demand.gap_seconds)
             price = value * late + engine.forecast.harm(reading, joint)
             if not helper:
-                price += _place_price(demand, engine)
+                price += engine.answer_price
             price += engine.spread
             return price + TIME_PRICE * seconds / demand.target_seconds
 
@@ -339,7 +348,7 @@
     seconds = first.forecast.first_event(reading, joint)
     total = first.forecast.harm(reading, joint) + value * first.failure_share
     total += value * first.forecast.breaks(demand.gap_seconds)
-    total += _place_price(demand, first)
+    total += first.answer_price
     for engine in helping:
         seconds = max(seconds, engine.forecast.first_event(reading, joint))
         total += engine.forecast.harm(reading, joint) + ENGINE_PRICE
@@ -363,12 +372,10 @@
     return min(1.0, max(0.0, (seconds / target - SAFE_SHARE) / SAFE_SHARE))
 
 
-def _place_price(demand: Demand, engine: _Engine) -> float:
-    """Return the price of one more answer being written at an engine."""
-    price = CROWD_PRICE * engine.occupied**2
-    if demand.gap_seconds <= FRAGILE_GAP_SECONDS and not engine.has_fragile:
-        price += FRESH_ENGINE_PRICE
-    return price
+def _fragile_gap(profile: EngineProfile) -> float:
+    """Return up to which pause limit an answer is fragile."""
+    usual = round(profile.usual_prompt_tokens)
+    return FRAGILE_READINGS * read_seconds(profile, usual)
 
 
 def _placement(
