Split the choice of engines from placement; callers that left early are not owed

One price for a part at an engine serves ranking and choosing, which added it up twice; what is left unread is typed. The report of losses leaves out callers that left while all was on time.

--- a/cranberrywick/reports/losses.py
+++ b/cranberrywick/reports/losses.py
@@ -17,7 +17,15 @@
 
 from cranberrywick.reports.log_lines import LogLine
 
-__all__ = ["Cause", "LossReport", "Lost", "Request", "Weights", "losses_of"]
+__all__ = [
+    "NOT_OWED",
+    "Cause",
+    "LossReport",
+    "Lost",
+    "Request",
+    "Weights",
+    "losses_of",
+]
 
 REQUEST_ENDED = "request_ended"
 # A first event foreseen after more than this share of its target was late by choice.
@@ -45,9 +53,15 @@
     BROKEN_OFF = "broken off"
     FAILED = "failed"
     CALLER_GONE = "caller gone"
+    LEFT_EARLY = "caller left early"
     NOT_ALLOWED = "not allowed"
 
 
+# What no daemon could have served: the configuration forbade it, or the caller left
+# while everything was still on time.
+NOT_OWED = (Cause.NOT_ALLOWED, Cause.LEFT_EARLY)
+
+
 class Request(NamedTuple):
     """What became of one request."""
 
@@ -86,9 +100,9 @@
 
     @property
     def owed(self) -> float:
-        """The worth of all requests that were allowed."""
-        allowed = (r for r in self.requests if r.cause is not Cause.NOT_ALLOWED)
-        return sum(request.worth for request in allowed)
+        """The worth of all requests but those of `NOT_OWED`."""
+        owed = (r for r in self.requests if r.cause not in NOT_OWED)
+        return sum(request.worth for request in owed)
 
     @property
     def lost(self) -> float:
@@ -156,7 +170,7 @@
 
 
 def _lost_share(cause: Cause, late_share: float) -> float:
-    if cause in (Cause.ON_TIME, Cause.NOT_ALLOWED):
+    if cause is Cause.ON_TIME or cause in NOT_OWED:
         return 0.0
     if cause in (Cause.REFUSED, Cause.BROKEN_OFF, Cause.FAILED, Cause.CALLER_GONE):
         return 1.0
@@ -168,7 +182,7 @@
     if outcome == "completed":
         return _cause_of_completed(line)
     if outcome == "caller_gone":
-        return Cause.CALLER_GONE
+        return _cause_of_left(line)
     status = line.number("status") or 0
     if status in (429, 503):
         return Cause.REFUSED
@@ -178,6 +192,14 @@
     return Cause.BROKEN_OFF if began else Cause.FAILED
 
 
+def _cause_of_left(line: LogLine) -> Cause:
+    target = line.number("target") or float("inf")
+    came = line.number("first_event") or line.number("seconds") or 0.0
+    gap_limit = line.number("gap_target") or float("inf")
+    is_late = came > target or (line.number("longest_gap") or 0.0) > gap_limit
+    return Cause.CALLER_GONE if is_late else Cause.LEFT_EARLY
+
+
 def _cause_of_completed(line: LogLine) -> Cause:
     target = line.number("target") or float("inf")
     # A stream is judged by its first event, a call by its end.
--- a/cranberrywick/routing/placement.py
+++ b/cranberrywick/routing/placement.py
@@ -16,11 +16,12 @@
 from math import ceil
 from typing import NamedTuple
 
-from cranberrywick.routing.engine_model import EngineForecast, forecast, read_seconds
+from cranberrywick.routing.engine_model import forecast, read_seconds
 from cranberrywick.routing.health import EndpointHealth
 from cranberrywick.routing.load import FleetLoad, Job
 from cranberrywick.routing.model import EngineProfile, PromptSize, Service
 from cranberrywick.routing.pace import EnginePaces
+from cranberrywick.routing.part_choice import ENGINE_PRICE, Choice, Engine, Work, choose
 from cranberrywick.routing.registry import EndpointBelief
 
 __all__ = [
@@ -34,20 +35,11 @@
 
 # Into how many parts a prompt may be divided. An endpoint takes at most 16 helpers.
 PART_CHOICES = (1, 2, 3, 4, 6, 8, 12, 16)
-# Expected within this share of its target, a first event is on time whatever comes
-# between; expected at the target, it is late as often as not.
-SAFE_SHARE = 0.5
-# Prices in units of a short request's lateness. Each is below one, so that it only
-# decides between choices that make the same requests late. A first event earlier by
-# a whole target is worth the least; one engine more has to save more than its news
-# and its connection cost.
-TIME_PRICE = 0.1
-ENGINE_PRICE = 0.02
 # For making an engine one that has fragile answers: else short answers spread over
 # all engines, and a long prompt stops some of them wherever it goes. By the experiment
-# in ``cranberrywick.bench.prompts``, eight seeds of 40 s, it raises the share of the
-# worth on time from 0.938 to 0.970 at the usual load and from 0.817 to 0.855 with many
-# long prompts, against a third of it.
+# in ``cranberrywick.bench.prompts``, seeds of 15 s, it raises the share of the worth on
+# time against a third of it from 0.969 to 0.990 at the usual load (six seeds), from
+# 0.945 to 0.963 with many long prompts (four).
 FRESH_ENGINE_PRICE = 0.15
 # Against it: short prompts that meet in one pass wait for one another. Grows with the
 # square of the places taken, so that an engine fills before the next is opened, but
@@ -121,30 +113,6 @@
         return self.belief.record.endpoint_id
 
 
-class _Engine(NamedTuple):
-    """What a choice asks of an engine.
-
-    ``answer_price`` is that of one more answer written there, ``spread`` and
-    ``shuffle`` are random.
-    """
-
-    endpoint_id: str
-    forecast: EngineForecast
-    free_tokens: int
-    answer_price: float
-    failure_share: float
-    may_answer: bool
-    spread: float
-    shuffle: float
-
-
-class _Choice(NamedTuple):
-    cost: float
-    seconds: float
-    reading: float
-    engines: tuple[_Engine, ...]
-
-
 def _may_answer(demand: Demand, endpoint_id: str) -> bool:
     return demand.answering_ids is None or endpoint_id in demand.answering_ids
 
@@ -255,14 +223,19 @@
         spread = SPREAD_PRICE * unheard
         engines = [self._engine(demand, profile, c, spread, now) for c in candidates]
         holders = ceil(prompt.total / profile.memory_tokens)
+        share = ceil(prompt.total / holders)
         value = _value(profile, prompt)
-        best: _Choice | None = None
+        best: Choice | None = None
         for parts in PART_CHOICES:
             if not holders <= parts <= len(engines):
                 continue
             if best is not None and ENGINE_PRICE * (parts - 1) >= best.cost:
                 break  # More parts cost more than all that they could save.
-            choice = self._choose(demand, profile, prompt, engines, parts, value)
+            reading = read_seconds(profile, prompt.prompt_tokens, parts)
+            work = Work(
+                demand.target_seconds, demand.gap_seconds, reading, parts > 1, value
+            )
+            choice = choose(work, engines, parts, holders, share)
             if choice is not None and (best is None or choice.cost < best.cost):
                 best = choice
         if best is None:
@@ -276,7 +249,7 @@
         candidate: Candidate,
         spread: float,
         now: float,
-    ) -> _Engine:
+    ) -> Engine:
         fragile_gap = _fragile_gap(profile)
         is_fragile = demand.gap_seconds <= fragile_gap
         jobs = candidate.jobs
@@ -288,7 +261,7 @@
         ):
             answer_price += FRESH_ENGINE_PRICE
         pace = self._paces.pace(candidate.endpoint_id, now, is_long=not is_fragile)
-        return _Engine(
+        return Engine(
             candidate.endpoint_id,
             forecast(profile, jobs, now, pace),
             profile.memory_tokens - held,
@@ -299,64 +272,6 @@
             self._rng.random(),
         )
 
-    def _choose(
-        self,
-        demand: Demand,
-        profile: EngineProfile,
-        prompt: PromptSize,
-        engines: list[_Engine],
-        parts: int,
-        value: float,
-    ) -> _Choice | None:
-        """Return the best engines for this number of parts and their cost."""
-        reading = read_seconds(profile, prompt.prompt_tokens, parts)
-        holders = ceil(prompt.total / profile.memory_tokens)
-        share = ceil(prompt.total / holders)
-        joint = parts > 1
-
-        def cost(engine: _Engine, helper: bool) -> float:
-            seconds = engine.forecast.first_event(reading, joint)
-            late = _lateness(seconds, demand.target_seconds) + engine.failure_share
-            if not helper:
-                late += engine.forecast.breaks(demand.gap_seconds)
-            price = value * late + engine.forecast.harm(reading, joint)
-            if not helper:
-                price += engine.answer_price
-            price += engine.spread
-            return price + TIME_PRICE * seconds / demand.target_seconds
-
-        by_cost = sorted(engines, key=lambda e: (cost(e, False), e.shuffle))
-        roomy = [engine for engine in by_cost if engine.free_tokens >= share]
-        answering = next((engine for engine in roomy if engine.may_answer), None)
-        if answering is None or len(roomy) < holders:
-            return None
-        others = [engine for engine in roomy if engine is not answering]
-        holding = [answering, *others[: holders - 1]]
-        if parts == holders:
-            return _price(demand, reading, value, holding[0], holding[1:])
-        held_ids = {engine.endpoint_id for engine in holding}
-        others = [e for e in engines if e.endpoint_id not in held_ids]
-        others.sort(key=lambda e: (cost(e, True), e.shuffle))
-        helping = [*holding[1:], *others[: parts - holders]]
-        return _price(demand, reading, value, holding[0], helping)
-
-
-def _price(
-    demand: Demand, reading: float, value: float, first: _Engine, helping: list[_Engine]
-) -> _Choice:
-    joint = bool(helping)
-    seconds = first.forecast.first_event(reading, joint)
-    total = first.forecast.harm(reading, joint) + value * first.failure_share
-    total += value * first.forecast.breaks(demand.gap_seconds)
-    total += first.answer_price
-    for engine in helping:
-        seconds = max(seconds, engine.forecast.first_event(reading, joint))
-        total += engine.forecast.harm(reading, joint) + ENGINE_PRICE
-        total += value * engine.failure_share
-    total += value * _lateness(seconds, demand.target_seconds)
-    total += TIME_PRICE * seconds / demand.target_seconds
-    return _Choice(total, seconds, reading, (first, *helping))
-
 
 def _value(profile: EngineProfile, prompt: PromptSize) -> float:
     """Return what a late answer loses, in requests of the shortest kind.
@@ -367,11 +282,6 @@
     return 1.0 + prompt.prompt_tokens / profile.usual_prompt_tokens
 
 
-def _lateness(seconds: float, target: float) -> float:
-    """Return how likely a first event expected after ``seconds`` is late."""
-    return min(1.0, max(0.0, (seconds / target - SAFE_SHARE) / SAFE_SHARE))
-
-
 def _fragile_gap(profile: EngineProfile) -> float:
     """Return up to which pause limit an answer is fragile."""
     usual = round(profile.usual_prompt_tokens)
@@ -381,7 +291,7 @@
 def _placement(
     demand: Demand,
     prompt: PromptSize,
-    choice: _Choice,
+    choice: Choice,
     holders: int,
     value: float,
     now: float,
