--- a/cranberrywick/standin/platform/endpoint.py
+++ b/cranberrywick/standin/platform/endpoint.py
@@ -151,7 +151,10 @@
             return self.address
         for entry in filter(None, headers.get("cranberrywick-helpers", "").split(",")):
             address, _, ticket = entry.partition("/")
-            helper = self.by_address[address]
+            helper = self.by_address.get(address)
+            # A helper behind a proxy is not known by its address, and taken for well.
+            if helper is None:
+                continue
             if helper.behaviour == "full" or (ticket and ticket not in helper.tickets):
                 return address
         return None
