--- a/cranberrywick/routing/engine_model.py
+++ b/cranberrywick/routing/engine_model.py
@@ -77,20 +77,30 @@
     pending: Sequence[Pending]
     writing: Sequence[Job]
 
+    def _is_overtaken(self, joint: bool) -> bool:
+        """Whether a new part would be read before what waits here."""
+        return joint and not self.pass_seconds
+
     def first_event(self, own_reading: float, joint: bool = False) -> float:
         """Return when a prompt with so much reading would be read here.
 
         A part of a ``joint`` prompt goes ahead of other reading, but not of the pass
         that runs: with answers being written, that one reads most of what waits.
         """
-        overtakes = joint and not self.pass_seconds
-        before = 0.0 if overtakes else self.reading_seconds
+        before = 0.0 if self._is_overtaken(joint) else self.reading_seconds
         steps = (1 + RUNNING_PASS_SHARE) * self.pass_seconds
         return before + self.pace * own_reading + steps
 
-    def breaks(self, gap_seconds: float) -> bool:
-        """Whether every answer here has longer pauses than this."""
-        return self.least_pause > GAP_MARGIN * gap_seconds
+    def breaks(self, gap_seconds: float, joint: bool = False) -> bool:
+        """Whether an answer that begins here now has a longer pause than this.
+
+        A joint prompt's first event comes before what its part has overtaken: all of
+        that is then read in the first pause of its answer.
+        """
+        pause = self.least_pause
+        if self._is_overtaken(joint):
+            pause += self.reading_seconds
+        return pause > GAP_MARGIN * gap_seconds
 
     def harm(self, reading: float, joint: bool = False) -> float:
         """Return the value of the requests here that more reading makes late."""
--- a/cranberrywick/routing/part_choice.py
+++ b/cranberrywick/routing/part_choice.py
@@ -73,7 +73,7 @@
         price += self.value * engine.failure_share
         if not answers:
             return price + ENGINE_PRICE
-        breaks = engine.forecast.breaks(self.gap_seconds)
+        breaks = engine.forecast.breaks(self.gap_seconds, self.joint)
         return price + engine.answer_price + self.value * breaks
 
     def time_price(self, seconds: float) -> float:
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -401,6 +401,18 @@
         assert engine.first_event(0.1, joint=True) == pytest.approx(0.1)
         assert engine.first_event(0.1) == pytest.approx(0.3 + 0.6 + 0.1)
 
+    def test_what_a_part_overtakes_is_read_in_its_own_answer(self, profile):
+        """A short prompt in two parts overtakes a long one's and stops a second later.
+
+        Its first event is in time; the long prompt is read before its second one.
+        """
+        part = Job("e1", 0, 0.9, 0.0, 0.9, helper=True, joint=True)
+        engine = forecast(profile, [part], 0.0)
+        assert engine.first_event(0.02, joint=True) == pytest.approx(0.02)
+        assert engine.breaks(0.25, joint=True)
+        assert not engine.breaks(0.25)
+        assert not engine.breaks(1.2, joint=True)
+
     def test_an_answer_that_is_about_to_begin_is_spared_a_pause(self, profile):
         """A short prompt is being read; behind it comes a long one's part.
 
