--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: run run-gateway test lint format bench bench-relay bench-prompts bench-drawn soak capacity binary lock clean
+.PHONY: run run-gateway test lint format bench bench-relay bench-daemon bench-prompts bench-drawn soak capacity binary lock clean
 
 $(VENV)/.installed: requirements.lock pyproject.toml
 	@echo "setting up $(VENV) with pinned dependencies"
@@ -62,3 +62,6 @@
 
 soak: $(VENV)/.installed
 	$(BIN)/python tests/gateway_soak.py $(ARGS)
+
+bench-daemon: $(VENV)/.installed
+	$(BIN)/python -m cranberrywick.bench.fleet_news $(ARGS)
--- /dev/null
+++ b/cranberrywick/bench/simulated_news.py
@@ -0,0 +1,151 @@
+"""Daemons that tell one another news on a network without sockets."""
+
+import asyncio
+import random
+import time
+from collections import Counter
+from collections.abc import Iterable, Sequence
+from types import SimpleNamespace
+
+from cranberrywick.gateway.fleet_news import FleetNews, Standing
+from cranberrywick.gateway.messages import (
+    EndpointReading,
+    Message,
+    OperatorReading,
+    Scope,
+    decode_message,
+    encode_message,
+)
+from cranberrywick.logs import EventLog
+from cranberrywick.routing.load import Job
+from cranberrywick.routing.members import Heartbeat
+
+__all__ = ["NewsDaemon", "NewsNetwork"]
+
+HOP_SECONDS = 0.001
+
+
+class NewsNetwork:
+    """Carries datagrams between daemons; some are cut off, a share is lost.
+
+    ``received_bytes`` and ``received_datagrams`` count by the receiver's address.
+    """
+
+    def __init__(self) -> None:
+        self.daemons_by_address: dict[str, NewsDaemon] = {}
+        self.cut: set[str] = set()
+        self.loss = 0.0
+        self.received_datagrams: Counter[str] = Counter()
+        self.received_bytes: Counter[str] = Counter()
+        self._rng = random.Random(1)
+
+    def carry(self, source: str, address: str, data: bytes) -> None:
+        """Take a datagram to its receiver."""
+        self.received_datagrams[address] += 1
+        self.received_bytes[address] += len(data)
+        if {source, address} & self.cut or self._rng.random() < self.loss:
+            return
+        daemon = self.daemons_by_address.get(address)
+        if daemon is not None:
+            loop = asyncio.get_running_loop()
+            loop.call_later(HOP_SECONDS, daemon.receive, data)
+
+
+class NewsDaemon:
+    """One daemon's news, with a link into the network in place of sockets.
+
+    ``hearing_seconds`` and ``telling_seconds`` are the processor time that reading and
+    taking messages, and writing them, took so far.
+    """
+
+    def __init__(
+        self, network: NewsNetwork, name: str, domain: str, seeds: Sequence[str] = ()
+    ):
+        self.name = name
+        self.domain = domain
+        self.address = f"{name}:7000"
+        self.network = network
+        self.readings: list[EndpointReading] = []
+        self.newcomers: list[str] = []
+        self.leaving = False
+        self.hearing_seconds = 0.0
+        self.telling_seconds = 0.0
+        settings = SimpleNamespace(
+            daemon_id=name,
+            ip=name,
+            failure_domain=domain,
+            entry_address=f"{name}:80",
+            internal_ports=(7000, 7010),
+            seeds=seeds,
+            bounds=SimpleNamespace(contact_seconds=3.0),
+        )
+        self.news = FleetNews(settings, self, EventLog())
+        self.news.link = self
+        network.daemons_by_address[self.address] = self
+
+    # What the news ask of a link
+
+    async def start(self, *_: object) -> None:
+        """Do nothing: the network calls `receive`."""
+
+    def send(
+        self,
+        message: Message,
+        addresses: Iterable[str],
+        scope: Scope = Scope.NOBODY,
+    ) -> None:
+        """Send a message to each address."""
+        started = time.thread_time()
+        data = encode_message(message, asyncio.get_running_loop().time(), scope)
+        self.telling_seconds += time.thread_time() - started
+        for address in addresses:
+            self.network.carry(self.address, address, data)
+
+    def receive(self, data: bytes) -> None:
+        """Take a datagram."""
+        started = time.thread_time()
+        now = asyncio.get_running_loop().time()
+        self.news._hear(decode_message(data, now))
+        self.hearing_seconds += time.thread_time() - started
+
+    # What the news ask of whom they serve
+
+    def standing(self, now: float) -> Standing:
+        """Return what this daemon tells of itself."""
+        return Standing(self.leaving, 1, 1, 0.0)
+
+    def heartbeat_heard(self, heartbeat: Heartbeat, heard_at: float) -> None:
+        """Do nothing: the news keep what was heard."""
+
+    def endpoints_heard(self, reading: EndpointReading) -> None:
+        """Keep a reading."""
+        self.readings.append(reading)
+
+    def newcomer_met(self, peer_address: str) -> None:
+        """Keep whom this daemon would tell the endpoints."""
+        self.newcomers.append(peer_address)
+
+    def operator_reading(self) -> OperatorReading | None:
+        """Return nothing: this daemon has no configuration."""
+        return None
+
+    # What scenes do and ask
+
+    def knows_job_of(self, other: "NewsDaemon") -> bool:
+        """Whether the job that another took is counted here, once."""
+        return len(self.news.load.at(f"e-{other.name}")) == 1
+
+    def take_job(self) -> None:
+        """Place a request on an endpoint that no other daemon uses."""
+        now = asyncio.get_running_loop().time()
+        self.put("request", [Job(f"e-{self.name}", 100, 1.0, now, now + 1.0)])
+
+    def put(self, request_id: str, jobs: Sequence[Job]) -> None:
+        """Place a request and tell of it."""
+        self.news.load.put(request_id, jobs)
+        self.news.job_added()
+
+    def drop(self, request_id: str) -> None:
+        """End a request and tell of it."""
+        self.news.load.drop(request_id)
+        self.news.job_ended()
--- a/cranberrywick/gateway/app.py
+++ b/cranberrywick/gateway/app.py
@@ -7,11 +7,11 @@
 
 from cranberrywick.gateway.forwarder import Forwarder
 from cranberrywick.gateway.ingress import CallerConnection, HttpRequest, Ingress
+from cranberrywick.gateway.late_metrics import LateMetrics
 from cranberrywick.gateway.state import FleetState
 from cranberrywick.gateway.ticker import Ticker
 from cranberrywick.gateway.waiting import WaitingRequests
 from cranberrywick.logs import EventLog
-from cranberrywick.metrics import CONTENT_TYPE, Metrics
 from cranberrywick.platform.directory import DIRECTORY_PATH, encode_directory
 from cranberrywick.platform.documents import decode_configuration
 from cranberrywick.platform.settings import load_settings
@@ -41,7 +41,7 @@
         self._settings = settings
         self._log = log
         self._rng = random.Random()
-        self._metrics = Metrics(settings.daemon_id)
+        self._metrics = LateMetrics(settings.daemon_id)
         self._ticker = Ticker(log)
         store = PlatformStore(settings.store_address)
         self.state = FleetState(
@@ -141,8 +141,9 @@
     async def _answer_metrics(
         self, request: HttpRequest, caller: CallerConnection
     ) -> None:
-        headers = [(b"Content-Type", CONTENT_TYPE.encode())]
-        await caller.answer(200, headers, self._metrics.render())
+        rendered = await self._metrics.render()
+        headers = [(b"Content-Type", rendered.content_type.encode())]
+        await caller.answer(200, headers, rendered.body)
 
 
 async def _run(settings: GatewaySettings, log: EventLog) -> None:
--- a/cranberrywick/gateway/endpoint_knowledge.py
+++ b/cranberrywick/gateway/endpoint_knowledge.py
@@ -28,14 +28,17 @@
         return self._take(view, view.digest, read_at, now)
 
     def take_news(self, reading: EndpointReading, now: float) -> bool:
-        """Take a peer's reading; True if it changed anything."""
+        """Take a peer's reading; True if it changed anything.
+
+        Raises `PeerMessageInvalid` for records that can't be read.
+        """
         read_at = now - reading.age
-        if reading.view is not None:
-            return self._take(reading.view, reading.digest, read_at, now)
-        if self._view is None or reading.digest != self._digest:
+        if self._view is not None and reading.digest == self._digest:
+            view = self._view._replace(revision=reading.revision)
+            return self._take(view, self._digest, read_at, now)
+        if not reading.records or read_at <= self.registry.read_at:
             return False
-        view = self._view._replace(revision=reading.revision)
-        return self._take(view, self._digest, read_at, now)
+        return self._take(reading.view, reading.digest, read_at, now)
 
     def news(self, now: float) -> EndpointReading | None:
         """Return what the others are told after a reading of this daemon's own.
@@ -56,9 +59,10 @@
     def _reading(self, now: float, with_view: bool) -> EndpointReading | None:
         if self._view is None:
             return None
-        view = self._view if with_view else None
         age = self.registry.age(now)
-        return EndpointReading(self._view.revision, age, self._digest, view)
+        if with_view:
+            return EndpointReading.of(self._view, self._digest, age)
+        return EndpointReading(self._view.revision, age, self._digest, b"")
 
     def _take(
         self, view: EndpointView, digest: int, read_at: float, now: float
--- a/cranberrywick/gateway/fleet_link.py
+++ b/cranberrywick/gateway/fleet_link.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Iterable
 
 from cranberrywick.errors import PeerMessageInvalid
+from cranberrywick.gateway.heartbeat_rows import RelayNews
 from cranberrywick.gateway.messages import (
     MAX_MESSAGE_BYTES,
     Envelope,
@@ -19,6 +20,7 @@
     decode_message,
     encode_message,
 )
+from cranberrywick.gateway.rare_log import RareLog
 from cranberrywick.logs import EventLog
 
 __all__ = ["FleetLink"]
@@ -32,8 +34,6 @@
 # asks whoever has it next; all at once, 78 copies of 60 KB would fill a link of
 # 20 Mbit/s for two seconds, and callers' answers with it.
 MOST_SERVED = 8
-# One line for invalid messages in so many seconds.
-INVALID_LOG_SECONDS = 10.0
 
 
 class FleetLink(asyncio.DatagramProtocol):
@@ -55,7 +55,8 @@
         self._loop = asyncio.get_running_loop()
         self._udp: asyncio.DatagramTransport | None = None
         self._tcp: asyncio.Server | None = None
-        self._invalid_logged_at = float("-inf")
+        self._invalid = RareLog(log, self._loop.time)
+        self._too_long = RareLog(log, self._loop.time)
         self._served = 0
 
     async def start(self, ip: str, port: int) -> None:
@@ -79,32 +80,38 @@
         scope: Scope = Scope.NOBODY,
     ) -> None:
         """Send a message to each address, without waiting."""
-        data = encode_message(message, self._loop.time(), scope)
-        if self._udp is None or len(data) > MAX_DATAGRAM_BYTES:
-            # Too much for a datagram: the peers' knowledge gets old, and each reads
-            # for itself.
+        if self._udp is None:
             return
+        datagrams = self._datagrams(message, scope)
         for address in addresses:
             host, _, port = address.rpartition(":")
-            self._udp.sendto(data, (host, int(port)))
+            for data in datagrams:
+                self._udp.sendto(data, (host, int(port)))
+
+    def _datagrams(self, message: Message, scope: Scope) -> list[bytes]:
+        """Return a message's datagrams: several for relay news that one can't hold."""
+        data = encode_message(message, self._loop.time(), scope)
+        if len(data) <= MAX_DATAGRAM_BYTES:
+            return [data]
+        halves = message.halves if isinstance(message, RelayNews) else ()
+        if not halves:
+            # The peers' knowledge gets old by it, and each reads for itself.
+            kind = type(message).__name__
+            self._too_long.warning("peer_message_too_long", kind=kind, bytes=len(data))
+        return [data for half in halves for data in self._datagrams(half, scope)]
 
     def datagram_received(self, data: bytes, address: tuple[str, int]) -> None:
         """Called by asyncio."""
         try:
-            envelope = decode_message(data, self._loop.time())
+            self._hear(decode_message(data, self._loop.time()))
         except PeerMessageInvalid as error:
             self._note_invalid(error)
-            return
-        self._hear(envelope)
 
     def error_received(self, error: Exception) -> None:
         """Called by asyncio: a peer's port is closed, which its silence shows too."""
 
     def _note_invalid(self, error: PeerMessageInvalid) -> None:
-        now = self._loop.time()
-        if now - self._invalid_logged_at >= INVALID_LOG_SECONDS:
-            self._invalid_logged_at = now
-            self._log.warning("peer_message_invalid", error=error)
+        self._invalid.warning("peer_message_invalid", error=error)
 
     async def fetch_operator(self, address: str) -> OperatorReading | None:
         """Ask a peer for the operators' view; None without an answer."""
--- a/cranberrywick/gateway/fleet_news.py
+++ b/cranberrywick/gateway/fleet_news.py
@@ -11,13 +11,12 @@
 from typing import NamedTuple, Protocol
 
 from cranberrywick.gateway.fleet_link import FleetLink
+from cranberrywick.gateway.heartbeat_rows import PassedOn, RelayNews
 from cranberrywick.gateway.messages import (
-    Batch,
     EndpointReading,
     Envelope,
     Message,
     OperatorReading,
-    PassedOn,
     Scope,
 )
 from cranberrywick.gateway.ticker import Ticker
@@ -280,7 +279,9 @@
         news = tuple(news_by_id.values())
         for start in range(0, max(1, len(news)), MOST_IN_BATCH):
             part = news[start : start + MOST_IN_BATCH]
-            batch = Batch(self._settings.daemon_id, self._settings.failure_domain, part)
+            batch = RelayNews(
+                self._settings.daemon_id, self._settings.failure_domain, part
+            )
             self.link.send(batch, addresses, scope)
 
     def _keep_alive(self) -> None:
@@ -298,7 +299,7 @@
         message, scope = envelope
         if isinstance(message, Heartbeat):
             self._hear_directly(message, scope, now)
-        elif isinstance(message, Batch):
+        elif isinstance(message, RelayNews):
             self._relays.heard(message.relay_id, message.relay_domain, now)
             for news in message.heartbeats:
                 if self._take(news.heartbeat, news.heard_at):
--- a/cranberrywick/gateway/forwarder.py
+++ b/cranberrywick/gateway/forwarder.py
@@ -23,10 +23,10 @@
 from cranberrywick.gateway.attempt import Attempt, Passed
 from cranberrywick.gateway.exchange import Exchange
 from cranberrywick.gateway.ingress import CallerConnection, HttpRequest
+from cranberrywick.gateway.late_metrics import LateMetrics
 from cranberrywick.gateway.state import FleetState
 from cranberrywick.gateway.waiting import WaitingRequests
 from cranberrywick.logs import EventLog
-from cranberrywick.metrics import Metrics
 from cranberrywick.model import EndpointRefusal, Executed
 from cranberrywick.platform.headers import decode_request, failure_headers
 from cranberrywick.routing.health import EndpointHealth
@@ -56,7 +56,7 @@
         state: FleetState,
         waiting: WaitingRequests,
         health: EndpointHealth,
-        metrics: Metrics,
+        metrics: LateMetrics,
         log: EventLog,
     ):
         self._settings = settings
--- /dev/null
+++ b/cranberrywick/gateway/heartbeat_rows.py
@@ -0,0 +1,194 @@
+"""Heartbeats as they are sent: rows of plain values.
+
+Load pattern: a daemon of a fleet of two hundred hears of some hundred heartbeats and a
+thousand jobs a second, a relay writes as many. Read field by field from a Cap'n Proto
+structure they took it more time than all requests that it served; as rows, read in one
+call of a library, they take a tenth of that. docs/design/libraries.md has the figures.
+
+Ages and times to come take the place of moments: each side counts from its own clock.
+"""
+
+from collections.abc import Sequence
+from typing import Annotated, NamedTuple
+
+from msgspec import Meta
+from msgspec.msgpack import Decoder, Encoder
+
+from cranberrywick.routing.load import Job
+from cranberrywick.routing.members import Heartbeat
+from cranberrywick.routing.pace import EnginePace
+
+__all__ = ["PassedOn", "RelayNews", "milliseconds", "pack_news", "unpack_news"]
+
+# An age that never was counts as the longest.
+LONGEST_MS = 2**31 - 1
+
+_Milliseconds = Annotated[int, Meta(ge=0, le=LONGEST_MS)]
+_SignedMilliseconds = Annotated[int, Meta(ge=-LONGEST_MS, le=LONGEST_MS)]
+_Count = Annotated[int, Meta(ge=0)]
+
+
+class PassedOn(NamedTuple):
+    """A heartbeat, and when it was heard first."""
+
+    heard_at: float
+    heartbeat: Heartbeat
+
+
+class RelayNews(NamedTuple):
+    """Heartbeats, and the relay that sends them on; both empty from their daemon."""
+
+    relay_id: str
+    relay_domain: str
+    heartbeats: tuple[PassedOn, ...]
+
+    @property
+    def halves(self) -> tuple["RelayNews", ...]:
+        """Two that together say the same; none where there is nothing to divide."""
+        middle = len(self.heartbeats) // 2
+        if not middle:
+            return ()
+        parts = self.heartbeats[:middle], self.heartbeats[middle:]
+        return tuple(self._replace(heartbeats=part) for part in parts)
+
+
+class _JobRow(NamedTuple):
+    endpoint_id: str
+    held_tokens: _Count
+    reading_ms: _Milliseconds
+    age_ms: _Milliseconds
+    first_event_ms: _Milliseconds
+    due_ms: _SignedMilliseconds
+    writing: bool
+    helper: bool
+    joint: bool
+    gap_ms: _Milliseconds
+    value: float
+
+
+class _HeartbeatRow(NamedTuple):
+    age_ms: _Milliseconds
+    daemon_id: str
+    incarnation: _Count
+    sequence: _Count
+    peer_address: str
+    entry_address: str
+    failure_domain: str
+    leaving: bool
+    operator_revision: _Count
+    operator_digest: _Count
+    operator_age_ms: _Milliseconds
+    jobs: tuple[_JobRow, ...]
+    slow_engines: tuple[EnginePace, ...]
+
+
+class _NewsRow(NamedTuple):
+    relay_id: str
+    relay_domain: str
+    heartbeats: tuple[_HeartbeatRow, ...]
+
+
+_ENCODER = Encoder()
+_DECODER = Decoder(_NewsRow)
+
+
+def milliseconds(seconds: float) -> int:
+    """Return a duration for the wire; a negative one counts as none."""
+    return int(min(max(0.0, seconds) * 1000, LONGEST_MS))
+
+
+def _signed_milliseconds(seconds: float) -> int:
+    return int(max(-LONGEST_MS, min(seconds * 1000, LONGEST_MS)))
+
+
+def pack_news(news: RelayNews, now: float) -> bytes:
+    """Return the bytes of heartbeats; ``now`` is the clock of their moments."""
+    rows = tuple(_heartbeat_row(each, now) for each in news.heartbeats)
+    return _ENCODER.encode(_NewsRow(news.relay_id, news.relay_domain, rows))
+
+
+def unpack_news(data: bytes, now: float) -> RelayNews:
+    """Return the heartbeats in these bytes.
+
+    Raises ValueError where they are not rows of these types and bounds.
+    """
+    relay_id, relay_domain, rows = _DECODER.decode(data)
+    heartbeats = tuple(_passed_on(row, now) for row in rows)
+    return RelayNews(relay_id, relay_domain, heartbeats)
+
+
+def _heartbeat_row(news: PassedOn, now: float) -> _HeartbeatRow:
+    beat = news.heartbeat
+    return _HeartbeatRow(
+        milliseconds(now - news.heard_at),
+        beat.daemon_id,
+        beat.incarnation,
+        beat.sequence,
+        beat.peer_address,
+        beat.entry_address,
+        beat.failure_domain,
+        beat.leaving,
+        beat.operator_revision,
+        beat.operator_digest,
+        milliseconds(beat.operator_age),
+        _job_rows(beat.jobs, now),
+        tuple(beat.slow_engines),
+    )
+
+
+def _job_rows(jobs: Sequence[Job], now: float) -> tuple[_JobRow, ...]:
+    return tuple(
+        _JobRow(
+            job.endpoint_id,
+            job.held_tokens,
+            milliseconds(job.reading_seconds),
+            milliseconds(now - job.started_at),
+            milliseconds(job.first_event_at - now),
+            _signed_milliseconds(job.due_at - now),
+            job.writing,
+            job.helper,
+            job.joint,
+            milliseconds(job.gap_seconds),
+            job.value,
+        )
+        for job in jobs
+    )
+
+
+def _passed_on(row: _HeartbeatRow, now: float) -> PassedOn:
+    age_ms, *facts, operator_age_ms, jobs, slow_engines = row
+    heartbeat = Heartbeat(
+        *facts, operator_age_ms / 1000, _jobs(jobs, now), slow_engines
+    )
+    return PassedOn(now - age_ms / 1000, heartbeat)
+
+
+def _jobs(rows: Sequence[_JobRow], now: float) -> tuple[Job, ...]:
+    return tuple(
+        Job(
+            endpoint_id,
+            held_tokens,
+            reading / 1000,
+            now - age / 1000,
+            now + first_event / 1000,
+            now + due / 1000,
+            writing,
+            helper,
+            joint,
+            gap / 1000,
+            value,
+        )
+        for (
+            endpoint_id,
+            held_tokens,
+            reading,
+            age,
+            first_event,
+            due,
+            writing,
+            helper,
+            joint,
+            gap,
+            value,
+        ) in rows
+    )
--- a/cranberrywick/metrics.py
+++ b/cranberrywick/metrics.py
@@ -97,6 +97,8 @@
 class Metrics:
     """What one daemon counts and times; every method may be called by any thread."""
 
+    content_type = CONTENT_TYPE
+
     def __init__(self, daemon_id: str):
         self._registry = CollectorRegistry()
         self._provider = MeterProvider(
--- a/cranberrywick/routing/load.py
+++ b/cranberrywick/routing/load.py
@@ -43,23 +43,35 @@
     value: float = 1.0
 
 
+class _Owner(NamedTuple):
+    """Whose jobs: a peer's all together, this daemon's by request."""
+
+    daemon_id: str
+    request_id: str = ""
+
+
 class FleetLoad:
-    """The jobs of this daemon and of its peers, by endpoint."""
+    """The jobs of this daemon and of its peers, by endpoint.
+
+    The index by endpoint is changed in place. News of some hundred daemons comes twenty
+    times a second: made anew after each, it takes longer than the placement that asks.
+    """
 
     def __init__(self) -> None:
         self._own_by_request: dict[str, tuple[Job, ...]] = {}
         self._peers: dict[str, tuple[float, tuple[Job, ...]]] = {}
-        self._by_endpoint: dict[str, list[Job]] | None = None
+        self._by_endpoint: dict[str, dict[_Owner, list[Job]]] = defaultdict(dict)
 
     def put(self, request_id: str, jobs: Sequence[Job]) -> None:
         """Replace what one of our requests has at endpoints."""
-        self._own_by_request[request_id] = tuple(jobs)
-        self._by_endpoint = None
+        before = self._own_by_request.get(request_id, ())
+        after = self._own_by_request[request_id] = tuple(jobs)
+        self._replace(_Owner("", request_id), before, after)
 
     def drop(self, request_id: str) -> None:
         """Forget a request that has ended."""
-        if self._own_by_request.pop(request_id, None) is not None:
-            self._by_endpoint = None
+        before = self._own_by_request.pop(request_id, ())
+        self._replace(_Owner("", request_id), before, ())
 
     def jobs_of(self, request_id: str) -> tuple[Job, ...]:
         """Return what one of our requests has at endpoints."""
@@ -72,18 +84,17 @@
 
     def hear(self, daemon_id: str, jobs: Iterable[Job], now: float) -> None:
         """Replace what a peer has at endpoints."""
-        jobs = tuple(jobs)
-        known = self._peers.get(daemon_id)
-        self._peers[daemon_id] = (now, jobs)
-        if jobs or (known is not None and known[1]):
-            self._by_endpoint = None
+        _, before = self._peers.get(daemon_id, (now, ()))
+        after = tuple(jobs)
+        self._peers[daemon_id] = (now, after)
+        self._replace(_Owner(daemon_id), before, after)
 
     def forget_silent(self, now: float) -> None:
         """Drop the jobs of peers that have not been heard for long."""
-        for daemon_id, (heard_at, _) in list(self._peers.items()):
+        for daemon_id, (heard_at, jobs) in list(self._peers.items()):
             if now - heard_at > OWNER_SILENCE_SECONDS:
                 del self._peers[daemon_id]
-                self._by_endpoint = None
+                self._replace(_Owner(daemon_id), jobs, ())
 
     def placed_each_second(self, now: float) -> float:
         """Return how many requests the fleet places in a second, as far as known.
@@ -91,31 +102,33 @@
         Counted over the last second; requests that have ended since are missed, which
         makes it too low where answers are short.
         """
-        if self._by_endpoint is None:
-            self._by_endpoint = self._index()
         return sum(
             now - job.started_at < 1.0 and not job.helper
-            for jobs in self._by_endpoint.values()
+            for by_owner in self._by_endpoint.values()
+            for jobs in by_owner.values()
             for job in jobs
         )
 
     def at(self, endpoint_id: str) -> Sequence[Job]:
         """Return the jobs at an endpoint."""
-        if self._by_endpoint is None:
-            self._by_endpoint = self._index()
-        return self._by_endpoint.get(endpoint_id, ())
+        by_owner = self._by_endpoint.get(endpoint_id)
+        if not by_owner:
+            return ()
+        return [job for jobs in by_owner.values() for job in jobs]
 
     def reading_at(self, endpoint_id: str) -> float:
         """Return how many seconds of reading an endpoint has been given."""
         jobs = self.at(endpoint_id)
         return sum(job.reading_seconds for job in jobs if not job.writing)
 
-    def _index(self) -> dict[str, list[Job]]:
-        by_endpoint: dict[str, list[Job]] = defaultdict(list)
-        for jobs in self._own_by_request.values():
-            for job in jobs:
-                by_endpoint[job.endpoint_id].append(job)
-        for _, jobs in self._peers.values():
-            for job in jobs:
-                by_endpoint[job.endpoint_id].append(job)
-        return dict(by_endpoint)
+    def _replace(
+        self, owner: _Owner, before: Iterable[Job], after: Iterable[Job]
+    ) -> None:
+        for job in before:
+            by_owner = self._by_endpoint.get(job.endpoint_id, {})
+            by_owner.pop(owner, None)
+            if not by_owner:
+                self._by_endpoint.pop(job.endpoint_id, None)
+        for job in after:
+            jobs = self._by_endpoint[job.endpoint_id].setdefault(owner, [])
+            jobs.append(job)
--- /dev/null
+++ b/tests/test_fleet_load.py
@@ -0,0 +1,74 @@
+"""The index of jobs by endpoint stays true however jobs come and go."""
+
+from collections import Counter
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from cranberrywick.routing.load import OWNER_SILENCE_SECONDS, FleetLoad, Job
+
+ENDPOINTS = ("e1", "e2", "e3")
+jobs_lists = st.lists(
+    st.builds(
+        Job,
+        st.sampled_from(ENDPOINTS),
+        st.integers(0, 9),
+        st.just(1.0),
+        st.just(0.0),
+        st.just(1.0),
+        helper=st.booleans(),
+    ),
+    max_size=4,
+)
+
+
+class LoadMachine(RuleBasedStateMachine):
+    """Compares the index with all jobs that were told and not taken back.
+
+    Requests are placed, written and ended here while peers tell theirs, fall silent
+    and come back; a job that stayed behind would keep an engine from new work for good.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.load = FleetLoad()
+        self.now = 0.0
+        self.own = {}
+        self.peers = {}
+
+    @rule(request=st.sampled_from("abc"), jobs=jobs_lists)
+    def put(self, request, jobs):
+        self.load.put(request, jobs)
+        self.own[request] = jobs
+
+    @rule(request=st.sampled_from("abc"))
+    def drop(self, request):
+        self.load.drop(request)
+        self.own.pop(request, None)
+
+    @rule(peer=st.sampled_from("abc"), jobs=jobs_lists)
+    def hear(self, peer, jobs):
+        self.load.hear(peer, jobs, self.now)
+        self.peers[peer] = (self.now, jobs)
+
+    @rule(seconds=st.floats(0.1, 4.0))
+    def wait(self, seconds):
+        self.now += seconds
+        self.load.forget_silent(self.now)
+        self.peers = {
+            peer: (heard_at, jobs)
+            for peer, (heard_at, jobs) in self.peers.items()
+            if self.now - heard_at <= OWNER_SILENCE_SECONDS
+        }
+
+    @invariant()
+    def index_is_true(self):
+        told = [*self.own.values(), *(jobs for _, jobs in self.peers.values())]
+        for endpoint_id in ENDPOINTS:
+            expected = Counter(
+                job for jobs in told for job in jobs if job.endpoint_id == endpoint_id
+            )
+            assert Counter(self.load.at(endpoint_id)) == expected
+
+
+TestLoad = LoadMachine.TestCase
--- /dev/null
+++ b/tests/test_fleet_messages.py
@@ -0,0 +1,229 @@
+"""What daemons send one another: sizes, bounds and what can't be read."""
+
+import asyncio
+import random
+from contextlib import closing
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cranberrywick.errors import PeerMessageInvalid
+from cranberrywick.gateway.fleet_link import MAX_DATAGRAM_BYTES, FleetLink
+from cranberrywick.gateway.heartbeat_rows import PassedOn, RelayNews
+from cranberrywick.gateway.messages import (
+    EndpointReading,
+    Scope,
+    decode_message,
+    encode_message,
+)
+from cranberrywick.routing.load import Job
+from cranberrywick.routing.members import Heartbeat
+from cranberrywick.routing.model import EndpointRecord, EndpointView
+from cranberrywick.routing.pace import EnginePace
+
+
+def heartbeat(number=1, jobs=2):
+    return Heartbeat(
+        daemon_id=f"front-{number:03}",
+        incarnation=1_764_000_000_000 + number,
+        sequence=number,
+        peer_address=f"10.1.0.{number % 250}:7340",
+        entry_address=f"10.1.0.{number % 250}:8227",
+        failure_domain="fd-a",
+        leaving=False,
+        operator_revision=7,
+        operator_digest=2**64 - 1,
+        operator_age=0.25,
+        jobs=tuple(job(1000 * number + step) for step in range(jobs)),
+        slow_engines=(EnginePace(f"i-{number:010x}", 2.5),),
+    )
+
+
+def job(number):
+    rng = random.Random(number)
+    endpoint_id = f"i-{rng.randrange(2**40):010x}"
+    tokens = rng.randrange(200_000)
+    return Job(endpoint_id, tokens, 0.5, 9.0, 11.0, 12.5, joint=True, value=3.0)
+
+
+def view_of(count):
+    rng = random.Random(count)
+    records = {}
+    for number in range(count):
+        endpoint_id = f"i-{rng.randrange(2**40):010x}"
+        address = f"10.{rng.randrange(250)}.{rng.randrange(250)}.{number % 250}:8100"
+        records[endpoint_id] = EndpointRecord(
+            endpoint_id,
+            "drafting",
+            address,
+            "fd-a",
+            5,
+            False,
+            0.0,
+            rng.randrange(2**40),
+        )
+    return EndpointView(3, records)
+
+
+class Recorder:
+    """Stands in for a socket, or for a log."""
+
+    def __init__(self):
+        self.sent = []
+        self.warnings = []
+
+    def sendto(self, data, address):
+        self.sent.append(data)
+
+    def close(self):
+        pass
+
+    def warning(self, event, **fields):
+        self.warnings.append((event, fields))
+
+
+def sent(messages):
+    """Return what a link sends to one address, and what it logs."""
+
+    async def main():
+        recorder = Recorder()
+        link = FleetLink(lambda envelope: None, lambda: None, recorder)
+        with closing(recorder) as link._udp:
+            for message in messages:
+                link.send(message, ["127.0.0.1:7000"], Scope.DOMAIN)
+        return recorder
+
+    return asyncio.run(main())
+
+
+def test_heartbeats_arrive_as_they_were_told():
+    """Moments are moved to the receiver's clock, all else is the same."""
+    news = RelayNews("front-001", "fd-a", (PassedOn(9.5, heartbeat()),))
+    data = encode_message(news, 10.0, Scope.DOMAIN)
+    message, scope = decode_message(data, 110.0)
+    assert scope is Scope.DOMAIN
+    assert message.relay_id == "front-001"
+    (heard,) = message.heartbeats
+    assert heard.heard_at == pytest.approx(109.5)
+    told = heartbeat()
+    assert heard.heartbeat[:-2] == told[:-2]
+    assert heard.heartbeat.slow_engines == told.slow_engines
+    for there, here in zip(heard.heartbeat.jobs, told.jobs, strict=True):
+        assert there.started_at == pytest.approx(here.started_at + 100)
+        assert there.due_at == pytest.approx(here.due_at + 100)
+        assert there.first_event_at == pytest.approx(here.first_event_at + 100)
+        same = here._replace(
+            started_at=there.started_at,
+            due_at=there.due_at,
+            first_event_at=there.first_event_at,
+            gap_seconds=there.gap_seconds,
+        )
+        assert there == same
+
+
+def test_news_that_no_datagram_holds_is_divided():
+    """Callers are spread over engines by news of all daemons, however many tell.
+
+    A relay collects 400 heartbeats with thirty jobs each within one interval. They
+    leave in several datagrams, and every one of them arrives.
+    """
+    beats = tuple(PassedOn(0.0, heartbeat(number, jobs=30)) for number in range(400))
+    recorder = sent([RelayNews("front-000", "fd-a", beats)])
+    assert len(recorder.sent) > 1
+    assert all(len(data) <= MAX_DATAGRAM_BYTES for data in recorder.sent)
+    heard = [
+        each.heartbeat.daemon_id
+        for data in recorder.sent
+        for each in decode_message(data, 0.0).message.heartbeats
+    ]
+    assert sorted(heard) == sorted(each.heartbeat.daemon_id for each in beats)
+
+
+def test_a_reading_of_620_endpoints_is_one_datagram():
+    view = view_of(620)
+    recorder = sent([EndpointReading.of(view, view.digest, 0.0)])
+    (data,) = recorder.sent
+    assert decode_message(data, 0.0).message.view == view
+
+
+def test_what_no_datagram_holds_is_logged():
+    """An operator sees why the endpoints that daemons know of get old.
+
+    Each of them reads the store for itself then, which serves callers on.
+    """
+    view = view_of(6000)
+    reading = EndpointReading.of(view, view.digest, 0.0)
+    recorder = sent([reading, reading])
+    assert not recorder.sent
+    ((event, fields),) = recorder.warnings
+    assert event == "peer_message_too_long"
+    assert fields["kind"] == "EndpointReading"
+
+
+def test_records_that_are_not_those_of_their_digest_are_refused():
+    view = view_of(3)
+    reading = EndpointReading.of(view, view.digest + 1, 0.0)
+    message = decode_message(encode_message(reading, 0.0), 0.0).message
+    with pytest.raises(PeerMessageInvalid):
+        assert message.view
+
+
+VALID = [
+    encode_message(heartbeat(), 10.0),
+    encode_message(RelayNews("a", "b", (PassedOn(9.0, heartbeat()),)), 10.0),
+    encode_message(EndpointReading.of(view_of(3), view_of(3).digest, 0.0), 10.0),
+]
+
+
+@given(st.binary(max_size=300))
+def test_random_bytes_are_refused(data):
+    with pytest.raises(PeerMessageInvalid):
+        decode_message(data, 0.0)
+
+
+@given(st.sampled_from(VALID), st.data())
+def test_a_changed_message_is_refused_or_read(message, data):
+    """Whatever a datagram holds, the daemon that hears it serves on."""
+    changed = bytearray(message)
+    for _ in range(data.draw(st.integers(1, 4))):
+        at = data.draw(st.integers(0, len(changed) - 1))
+        changed[at] = data.draw(st.integers(0, 255))
+    try:
+        read = decode_message(bytes(changed), 0.0).message
+        if isinstance(read, EndpointReading):
+            assert read.view is not None
+    except PeerMessageInvalid:
+        pass
+
+
+def rows_with(**changes):
+    """Return heartbeat rows with other values than their types allow."""
+    from msgspec.msgpack import decode, encode
+
+    from cranberrywick.gateway.heartbeat_rows import pack_news
+
+    news = RelayNews("a", "b", (PassedOn(9.0, heartbeat()),))
+    relay, domain, (row,) = decode(pack_news(news, 10.0))
+    for index, value in changes.values():
+        row[index] = value
+    return encode([relay, domain, [row]])
+
+
+@pytest.mark.parametrize(
+    ("index", "value"),
+    [
+        (0, -5),
+        (0, 2**40),
+        (2, "x"),
+        (7, 1),
+        (10, float("nan")),
+        (11, [["i-1"]]),
+        (1, 7),
+    ],
+)
+def test_rows_out_of_bounds_are_refused(index, value):
+    from cranberrywick.gateway.heartbeat_rows import unpack_news
+
+    with pytest.raises(ValueError):
+        unpack_news(rows_with(change=(index, value)), 0.0)
--- a/tests/test_fleet_news.py
+++ b/tests/test_fleet_news.py
@@ -1,118 +1,30 @@
 """What daemons of a large fleet hear of one another, on a network without sockets."""
 
 import asyncio
-import random
-from types import SimpleNamespace
 
 import pytest
-from virtual_time import run_in_virtual_time
 
-from cranberrywick.gateway.fleet_news import FleetNews, Standing
+from cranberrywick.bench.simulated_news import NewsDaemon, NewsNetwork
+from cranberrywick.bench.virtual_time import run_in_virtual_time
 from cranberrywick.gateway.messages import (
     EndpointReading,
     OperatorReading,
-    Scope,
     decode_message,
     encode_message,
 )
 from cranberrywick.gateway.ticker import Ticker
 from cranberrywick.logs import EventLog
-from cranberrywick.routing.load import Job
 from cranberrywick.routing.model import EndpointView, OperatorView
 from cranberrywick.routing.relays import Relays, needs_relays
 
 DOMAINS = ("fd-a", "fd-b", "fd-c")
-HOP_SECONDS = 0.001
-
-
-class Network:
-    """Carries datagrams between the daemons; some of them are cut off."""
-
-    def __init__(self):
-        self.daemons_by_address = {}
-        self.cut = set()
-        self.loss = 0.0
-        self.datagrams = 0
-        self.bytes = 0
-        self._rng = random.Random(1)
-
-    def carry(self, source, address, data):
-        self.datagrams += 1
-        self.bytes += len(data)
-        if {source, address} & self.cut or self._rng.random() < self.loss:
-            return
-        daemon = self.daemons_by_address.get(address)
-        if daemon is not None:
-            loop = asyncio.get_running_loop()
-            loop.call_later(HOP_SECONDS, daemon.receive, data)
-
-
-class Daemon:
-    """One daemon's news, with a link into the network in place of sockets."""
-
-    def __init__(self, network, name, domain, seeds=()):
-        self.name = name
-        self.domain = domain
-        self.address = f"{name}:7000"
-        self.network = network
-        self.readings = []
-        self.newcomers = []
-        self.leaving = False
-        settings = SimpleNamespace(
-            daemon_id=name,
-            ip=name,
-            failure_domain=domain,
-            entry_address=f"{name}:80",
-            internal_ports=(7000, 7010),
-            seeds=seeds,
-            bounds=SimpleNamespace(contact_seconds=3.0),
-        )
-        self.news = FleetNews(settings, self, EventLog())
-        self.news.link = self
-        network.daemons_by_address[self.address] = self
-
-    async def start(self, *_):
-        pass
-
-    def send(self, message, addresses, scope=Scope.NOBODY):
-        data = encode_message(message, asyncio.get_running_loop().time(), scope)
-        for address in addresses:
-            self.network.carry(self.address, address, data)
-
-    def receive(self, data):
-        now = asyncio.get_running_loop().time()
-        self.news._hear(decode_message(data, now))
-
-    def standing(self, now):
-        return Standing(self.leaving, 1, 1, 0.0)
-
-    def heartbeat_heard(self, heartbeat, heard_at):
-        pass
-
-    def endpoints_heard(self, reading):
-        self.readings.append(reading)
-
-    def newcomer_met(self, peer_address):
-        self.newcomers.append(peer_address)
-
-    def operator_reading(self):
-        return None
-
-    def knows_job_of(self, other):
-        jobs = self.news.load.at(f"e-{other.name}")
-        return len(jobs) == 1
-
-    def take_job(self):
-        now = asyncio.get_running_loop().time()
-        job = Job(f"e-{self.name}", 100, 1.0, now, now + 1.0)
-        self.news.load.put("request", (job,))
-        self.news.job_added()
 
 
 async def fleet(size, tickers):
-    network = Network()
+    network = NewsNetwork()
     daemons = [
-        Daemon(network, f"d{number:03}", DOMAINS[number % 3]) for number in range(size)
+        NewsDaemon(network, f"d{number:03}", DOMAINS[number % 3])
+        for number in range(size)
     ]
     addresses = {daemon.name: daemon.address for daemon in daemons}
     for daemon in daemons:
@@ -159,10 +71,11 @@
     """80 daemons at rest: without relays 78 datagrams a second for each daemon."""
 
     async def scene(network, daemons):
-        network.datagrams = network.bytes = 0
+        network.received_datagrams.clear()
+        network.received_bytes.clear()
         await asyncio.sleep(10.0)
-        assert network.datagrams / 10 / len(daemons) < 25
-        assert network.bytes / 10 / len(daemons) < 21_000
+        assert network.received_datagrams.total() / 10 / len(daemons) < 25
+        assert network.received_bytes.total() / 10 / len(daemons) < 21_000
 
     play(80, scene)
 
@@ -242,7 +155,8 @@
 
 def test_a_reading_of_the_endpoints_reaches_every_daemon_once():
     async def scene(network, daemons):
-        daemons[7].news.tell_all(EndpointReading(1, 0.0, 2, EndpointView(1, {})))
+        view = EndpointView(1, {})
+        daemons[7].news.tell_all(EndpointReading.of(view, view.digest, 0.0))
         await asyncio.sleep(0.1)
         assert all(len(d.readings) == 1 for d in daemons if d is not daemons[7])
 
@@ -253,7 +167,7 @@
     """A VM is replaced by one at another address, in a running fleet."""
 
     async def scene(network, daemons):
-        newcomer = Daemon(network, "d999", "fd-b")
+        newcomer = NewsDaemon(network, "d999", "fd-b")
         ticker = Ticker(EventLog())
         await newcomer.news.start(ticker)
         newcomer.news.know({d.name: d.address for d in daemons})
@@ -278,7 +192,7 @@
     async def scene(network, daemons):
         seeds = daemons[9:12]
         addresses = tuple(f"{seed.name}:9000" for seed in seeds)
-        newcomer = Daemon(network, "d999", "fd-b", addresses)
+        newcomer = NewsDaemon(network, "d999", "fd-b", addresses)
         ticker = Ticker(EventLog())
         await newcomer.news.start(ticker)
         await asyncio.sleep(0.1)
--- /dev/null
+++ b/tests/test_late_metrics.py
@@ -0,0 +1,60 @@
+"""Metrics whose library is loaded when they are first read."""
+
+import asyncio
+import subprocess
+import sys
+
+from cranberrywick.gateway.late_metrics import MOST_WAITING, LateMetrics
+
+
+def test_a_start_does_not_load_the_metrics_library():
+    """All daemons start at once after a power cut, and callers wait for the first."""
+    code = (
+        "import sys, cranberrywick.gateway.app; "
+        "print(any(name.startswith('opentelemetry') for name in sys.modules))"
+    )
+    done = subprocess.run(
+        [sys.executable, "-c", code], capture_output=True, text=True, check=True
+    )
+    assert done.stdout.strip() == "False"
+
+
+def test_what_was_noted_before_the_first_reading_is_in_it():
+    async def main():
+        metrics = LateMetrics("e1")
+        metrics.request_ended("grants", "completed", 0.5)
+        metrics.first_token("grants", 5000, 0.2)
+        metrics.queue_wait("grants", 0.01)
+        first = await metrics.render()
+        metrics.request_ended("grants", "completed", 0.5)
+        return first, await metrics.render()
+
+    first, second = asyncio.run(main())
+    assert first.content_type.startswith("text/plain")
+    assert requests_in(first) == 1
+    assert requests_in(second) == 2
+
+
+def test_notes_that_nobody_reads_stay_few():
+    """Nobody scrapes a daemon for hours: its memory does not grow with its requests."""
+
+    async def main():
+        metrics = LateMetrics("e1")
+        for _ in range(MOST_WAITING):
+            metrics.queue_wait("grants", 0.01)
+        async with asyncio.timeout(30):
+            while metrics._waiting:
+                await asyncio.sleep(0.01)
+        return await metrics.render()
+
+    rendered = asyncio.run(main())
+    assert f'queue_wait_seconds_count{{class="grants"}} {MOST_WAITING}'.encode() in (
+        rendered.body.replace(b".0\n", b"\n")
+    )
+
+
+def requests_in(rendered):
+    for line in rendered.body.decode().splitlines():
+        if line.startswith("cranberrywick_requests_total{"):
+            return float(line.rpartition(" ")[2])
+    return 0
