Tell endpoints as differences; who missed one asks a peer for the whole

Two daemons of one failure domain, while the store turns a third of the fleet away and 58 endpoints are replaced one after the other, send requests to an endpoint 5.0 and 5.5 s after it said that it leaves (bound 4 s). A daemon that the store turns away knows only what peers tell. Told was the whole list, some 10 KB, to each of 39 daemons of a domain, at every change and once a second; between these only a digest, which a daemon that missed the list can do nothing with.

Change: a reading carries what changed since the digest that the teller knew before, some hundred bytes; a daemon whose own digest is neither knows that it missed one and asks its relay for the whole over a connection, as for the operators' view. Records are no longer told and decoded once a second.

Tests: the bytes of a change, a missed one, one on top of it, changes against their digest, and a machine of three daemons that take turns at reading.

--- a/cranberrywick/bench/simulated_news.py
+++ b/cranberrywick/bench/simulated_news.py
@@ -7,12 +7,12 @@
 from collections.abc import Iterable, Sequence
 from types import SimpleNamespace
 
+from cranberrywick.gateway.endpoint_reading import EndpointReading
 from cranberrywick.gateway.fleet_news import FleetNews, Standing
 from cranberrywick.gateway.messages import (
-    EndpointReading,
     Message,
-    OperatorReading,
     Scope,
+    Wanted,
     decode_message,
     encode_message,
 )
@@ -125,8 +125,8 @@
         """Keep whom this daemon would tell the endpoints."""
         self.newcomers.append(peer_address)
 
-    def operator_reading(self) -> OperatorReading | None:
-        """Return nothing: this daemon has no configuration."""
+    def answer(self, wanted: Wanted) -> Message | None:
+        """Return nothing: this daemon knows neither endpoints nor configuration."""
         return None
 
     # What scenes do and ask
--- a/cranberrywick/gateway/endpoint_knowledge.py
+++ b/cranberrywick/gateway/endpoint_knowledge.py
@@ -1,14 +1,30 @@
 """The registered endpoints, as this daemon knows them."""
 
-from cranberrywick.gateway.messages import EndpointReading
+from enum import Enum, auto
+from typing import NamedTuple
+
+from cranberrywick.gateway.endpoint_reading import EndpointReading
 from cranberrywick.logs import EventLog
 from cranberrywick.routing.model import EndpointView
 from cranberrywick.routing.registry import EndpointRegistry
 
-__all__ = ["EndpointKnowledge"]
+__all__ = ["EndpointKnowledge", "PeerReading", "StoreReading"]
+
+
+class PeerReading(Enum):
+    """What a peer's reading says to who takes it; MISSED: one before it is lacking."""
+
+    OLD = auto()
+    SAME = auto()
+    CHANGED = auto()
+    MISSED = auto()
+
+
+class StoreReading(NamedTuple):
+    """Whether a reading of the store changed anything, and what is told of it."""
 
-# Peers that missed the last whole reading of the endpoints get another so often.
-WHOLE_READING_SECONDS = 1.0
+    changed: bool
+    reading: EndpointReading
 
 
 class EndpointKnowledge:
@@ -19,50 +35,43 @@
         self.registry = EndpointRegistry()
         self._view: EndpointView | None = None
         self._digest = 0
-        self._told_digest = 0
-        self._told_whole_at = float("-inf")
         self._unusable_ids: frozenset[str] = frozenset()
 
-    def take(self, view: EndpointView, read_at: float, now: float) -> bool:
-        """Take a reading of the store; True if it changed anything."""
-        return self._take(view, view.digest, read_at, now)
+    def take(self, view: EndpointView, read_at: float, now: float) -> StoreReading:
+        """Take a reading of the store and return what the others are told of it."""
+        base_view, base = self._view, self._digest
+        changed = self._take(view, view.digest, read_at, now)
+        age = self.registry.age(now)
+        if self._digest == base:
+            reading = EndpointReading(self.registry.revision, age, base)
+        elif base_view is None:
+            reading = self.whole_reading(now)
+        else:
+            reading = EndpointReading.difference(
+                self._view, self._digest, age, base_view, base
+            )
+        return StoreReading(changed, reading)
 
-    def take_news(self, reading: EndpointReading, now: float) -> bool:
-        """Take a peer's reading; True if it changed anything.
+    def take_news(self, reading: EndpointReading, now: float) -> PeerReading:
+        """Take a peer's reading.
 
-        Raises `PeerMessageInvalid` for records that can't be read.
+        Raises `PeerMessageInvalid` for changes that can't be read.
         """
         read_at = now - reading.age
-        if self._view is not None and reading.digest == self._digest:
-            view = self._view._replace(revision=reading.revision)
-            return self._take(view, self._digest, read_at, now)
-        if not reading.records or read_at <= self.registry.read_at:
-            return False
-        return self._take(reading.view, reading.digest, read_at, now)
-
-    def news(self, now: float) -> EndpointReading | None:
-        """Return what the others are told after a reading of this daemon's own.
-
-        The records themselves go out when they have changed and now and then: in
-        between it is enough to say that they are the same.
-        """
-        whole_is_due = now - self._told_whole_at > WHOLE_READING_SECONDS
-        if self._digest == self._told_digest and not whole_is_due:
-            return self._reading(now, with_view=False)
-        self._told_digest, self._told_whole_at = self._digest, now
-        return self.whole_reading(now)
+        if read_at <= self.registry.read_at:
+            return PeerReading.OLD
+        view = reading.applied_to(self._view, self._digest)
+        if view is None:
+            return PeerReading.MISSED
+        if self._take(view, reading.digest, read_at, now):
+            return PeerReading.CHANGED
+        return PeerReading.SAME
 
     def whole_reading(self, now: float) -> EndpointReading | None:
         """Return all that is known; None if nothing is."""
-        return self._reading(now, with_view=True)
-
-    def _reading(self, now: float, with_view: bool) -> EndpointReading | None:
         if self._view is None:
             return None
-        age = self.registry.age(now)
-        if with_view:
-            return EndpointReading.of(self._view, self._digest, age)
-        return EndpointReading(self._view.revision, age, self._digest, b"")
+        return EndpointReading.whole(self._view, self._digest, self.registry.age(now))
 
     def _take(
         self, view: EndpointView, digest: int, read_at: float, now: float
--- /dev/null
+++ b/cranberrywick/gateway/endpoint_reading.py
@@ -0,0 +1,139 @@
+"""Readings of the registered endpoints, as daemons tell them to one another.
+
+Load pattern: endpoints are replaced one after the other while every daemon must know
+within a second or two which of them leave. Told whole at each change, the records of
+some hundred endpoints fill the links of a relay that passes them on to forty daemons:
+datagrams are lost, and daemons that the store turns away send requests to endpoints
+that left seconds before. Told as differences they are some hundred bytes; who has
+missed one asks a peer for the whole over a connection, which loses nothing.
+"""
+
+import zlib
+from collections.abc import Mapping
+from typing import Any, NamedTuple
+
+import capnp
+
+from cranberrywick.errors import PeerMessageInvalid
+from cranberrywick.gateway.heartbeat_rows import milliseconds
+from cranberrywick.gateway.schema import SCHEMA, pack, unpack
+from cranberrywick.routing.model import EndpointRecord, EndpointView
+
+__all__ = ["EndpointReading"]
+
+# Stands for no records at all.
+NO_BASE = 0
+
+
+class EndpointReading(NamedTuple):
+    """The registered endpoints as they were read ``age`` seconds ago.
+
+    ``digest`` identifies their records. ``changes`` lead to these from what the teller
+    knew before; without any they are the same as before.
+    """
+
+    revision: int
+    age: float
+    digest: int
+    changes: bytes = b""
+
+    @classmethod
+    def whole(cls, view: EndpointView, digest: int, age: float) -> "EndpointReading":
+        """Return a reading with all records."""
+        changes = _pack_changes(NO_BASE, view.records_by_id, ())
+        return cls(view.revision, age, digest, changes)
+
+    @classmethod
+    def difference(
+        cls,
+        view: EndpointView,
+        digest: int,
+        age: float,
+        base_view: EndpointView,
+        base: int,
+    ) -> "EndpointReading":
+        """Return a reading for who knows ``base_view``, whose digest is ``base``."""
+        before = base_view.records_by_id
+        after = view.records_by_id
+        changed = {i: r for i, r in after.items() if before.get(i) != r}
+        gone = tuple(before.keys() - after.keys())
+        return cls(view.revision, age, digest, _pack_changes(base, changed, gone))
+
+    def applied_to(self, view: EndpointView | None, digest: int) -> EndpointView | None:
+        """Return the records, for who knows ``view`` with this digest.
+
+        None where that is not what the changes start from. Raises `PeerMessageInvalid`.
+        """
+        if view is not None and digest == self.digest:
+            return view._replace(revision=self.revision)
+        if not self.changes:
+            return None
+        base, changed, gone = _unpack_changes(self.changes)
+        if base == NO_BASE:
+            applied = EndpointView(self.revision, changed)
+        elif view is not None and base == digest:
+            kept = {i: r for i, r in view.records_by_id.items() if i not in gone}
+            applied = view._replace(
+                revision=self.revision, records_by_id=kept | changed
+            )
+        else:
+            return None
+        if applied.digest != self.digest:
+            raise PeerMessageInvalid("the records are not those of their digest")
+        return applied
+
+
+class _Changes(NamedTuple):
+    base: int
+    records_by_id: dict[str, EndpointRecord]
+    gone_ids: frozenset[str]
+
+
+def _pack_changes(
+    base: int, records_by_id: Mapping[str, EndpointRecord], gone_ids: tuple[str, ...]
+) -> bytes:
+    records = [_write_record(record) for record in records_by_id.values()]
+    return pack(
+        SCHEMA.EndpointChanges.new_message(
+            base=base, records=records, goneIds=list(gone_ids)
+        )
+    )
+
+
+def _unpack_changes(data: bytes) -> _Changes:
+    try:
+        changes = unpack(SCHEMA.EndpointChanges, data)
+        records = map(_read_record, changes.records)
+        return _Changes(
+            changes.base,
+            {record.endpoint_id: record for record in records},
+            frozenset(changes.goneIds),
+        )
+    except (capnp.KjException, ValueError, zlib.error) as error:
+        raise PeerMessageInvalid(f"malformed records: {error!s:.100}") from error
+
+
+def _write_record(record: EndpointRecord) -> dict[str, Any]:
+    return {
+        "endpointId": record.endpoint_id,
+        "service": record.service,
+        "address": record.address,
+        "failureDomain": record.failure_domain,
+        "slots": record.slots,
+        "draining": record.draining,
+        "coldMs": milliseconds(record.cold_seconds),
+        "born": record.born,
+    }
+
+
+def _read_record(record: Any) -> EndpointRecord:
+    return EndpointRecord(
+        endpoint_id=record.endpointId,
+        service=record.service,
+        address=record.address,
+        failure_domain=record.failureDomain,
+        slots=record.slots,
+        draining=record.draining,
+        cold_seconds=record.coldMs / 1000,
+        born=record.born,
+    )
--- a/cranberrywick/gateway/fleet.capnp
+++ b/cranberrywick/gateway/fleet.capnp
@@ -13,17 +13,19 @@
   born @7 :Int64;
 }
 
-struct EndpointRecords {
-  records @0 :List(EndpointRecord);
+# What has become of the records that the base stands for; all records, for base 0.
+struct EndpointChanges {
+  base @0 :UInt64;
+  records @1 :List(EndpointRecord);
+  goneIds @2 :List(Text);
 }
 
-# The records, an EndpointRecords message, are left out where they are those that the
-# digest stands for and the receiver should know them.
+# The changes, an EndpointChanges message, are left out where there are none.
 struct EndpointReading {
   revision @0 :UInt64;
   ageMs @1 :UInt32;
   digest @2 :UInt64;
-  records @3 :Data;
+  changes @3 :Data;
 }
 
 struct OperatorReading {
@@ -49,5 +51,6 @@
     operatorWanted @2 :Void;
     operator @3 :OperatorReading;
     batch @5 :Data;
+    endpointsWanted @6 :Void;
   }
 }
--- a/cranberrywick/gateway/fleet_link.py
+++ b/cranberrywick/gateway/fleet_link.py
@@ -9,18 +9,19 @@
 from collections.abc import Callable, Iterable
 
 from cranberrywick.errors import PeerMessageInvalid
+from cranberrywick.gateway.endpoint_reading import EndpointReading
 from cranberrywick.gateway.heartbeat_rows import RelayNews
 from cranberrywick.gateway.messages import (
-    MAX_MESSAGE_BYTES,
     Envelope,
     Message,
     OperatorReading,
-    OperatorWanted,
     Scope,
+    Wanted,
     decode_message,
     encode_message,
 )
 from cranberrywick.gateway.rare_log import RareLog
+from cranberrywick.gateway.schema import MAX_MESSAGE_BYTES
 from cranberrywick.logs import EventLog
 
 __all__ = ["FleetLink"]
@@ -39,18 +40,18 @@
 class FleetLink(asyncio.DatagramProtocol):
     """One UDP socket and one TCP listener on the same port.
 
-    ``hear`` gets each valid datagram's message; ``operator`` returns what is handed
-    to a peer that asks for the operators' view, or None while there is none.
+    ``hear`` gets each valid datagram's message; ``answer`` returns what a peer that
+    asks is told, or None while there is nothing to tell.
     """
 
     def __init__(
         self,
         hear: Callable[[Envelope], None],
-        operator: Callable[[], OperatorReading | None],
+        answer: Callable[[Wanted], Message | None],
         log: EventLog,
     ):
         self._hear = hear
-        self._operator = operator
+        self._answer = answer
         self._log = log
         self._loop = asyncio.get_running_loop()
         self._udp: asyncio.DatagramTransport | None = None
@@ -113,24 +114,29 @@
     def _note_invalid(self, error: PeerMessageInvalid) -> None:
         self._invalid.warning("peer_message_invalid", error=error)
 
-    async def fetch_operator(self, address: str) -> OperatorReading | None:
-        """Ask a peer for the operators' view; None without an answer."""
+    async def fetch(
+        self, address: str, wanted: Wanted
+    ) -> EndpointReading | OperatorReading | None:
+        """Ask a peer for what it knows; None without an answer."""
         try:
             async with asyncio.timeout(FETCH_SECONDS):
-                return await self._fetch(address)
+                return await self._fetch(address, wanted)
         except (OSError, TimeoutError, asyncio.IncompleteReadError) as error:
             self._log.warning("peer_fetch_failed", peer=address, error=error)
         except PeerMessageInvalid as error:
             self._note_invalid(error)
         return None
 
-    async def _fetch(self, address: str) -> OperatorReading | None:
+    async def _fetch(
+        self, address: str, wanted: Wanted
+    ) -> EndpointReading | OperatorReading | None:
         host, _, port = address.rpartition(":")
         reader, writer = await asyncio.open_connection(host, int(port))
         try:
-            _write(writer, encode_message(OperatorWanted(), self._loop.time()))
+            _write(writer, encode_message(wanted, self._loop.time()))
             message = decode_message(await _read(reader), self._loop.time()).message
-            return message if isinstance(message, OperatorReading) else None
+            is_answer = isinstance(message, EndpointReading | OperatorReading)
+            return message if is_answer else None
         finally:
             writer.transport.abort()
 
@@ -145,8 +151,10 @@
             async with asyncio.timeout(FETCH_SECONDS):
                 data = await _read(reader)
                 message = decode_message(data, self._loop.time()).message
-                reading = self._operator()
-                if isinstance(message, OperatorWanted) and reading is not None:
+                reading = None
+                if isinstance(message, Wanted):
+                    reading = self._answer(message)
+                if reading is not None:
                     _write(writer, encode_message(reading, self._loop.time()))
                     await writer.drain()
         except (OSError, TimeoutError, asyncio.IncompleteReadError) as error:
--- a/cranberrywick/gateway/fleet_news.py
+++ b/cranberrywick/gateway/fleet_news.py
@@ -10,15 +10,10 @@
 from collections.abc import Iterable
 from typing import NamedTuple, Protocol
 
+from cranberrywick.gateway.endpoint_reading import EndpointReading
 from cranberrywick.gateway.fleet_link import FleetLink
 from cranberrywick.gateway.heartbeat_rows import PassedOn, RelayNews
-from cranberrywick.gateway.messages import (
-    EndpointReading,
-    Envelope,
-    Message,
-    OperatorReading,
-    Scope,
-)
+from cranberrywick.gateway.messages import Envelope, Message, Scope, Wanted
 from cranberrywick.gateway.ticker import Ticker
 from cranberrywick.logs import EventLog
 from cranberrywick.routing.load import FleetLoad
@@ -70,8 +65,8 @@
     def newcomer_met(self, peer_address: str) -> None:
         """Tell a daemon that has just started what it needs to serve."""
 
-    def operator_reading(self) -> OperatorReading | None:
-        """Return the operators' view for a peer that asks."""
+    def answer(self, wanted: Wanted) -> Message | None:
+        """Return what a peer that asks is told; None while nothing is known."""
 
 
 class FleetNews:
@@ -89,7 +84,7 @@
         self._sequence = 0
         self._port = settings.internal_ports[0]
         self.peer_address = f"{settings.ip}:{self._port}"
-        self.link = FleetLink(self._hear, listener.operator_reading, log)
+        self.link = FleetLink(self._hear, listener.answer, log)
         contact = settings.bounds.contact_seconds
         self.members = Members(settings.daemon_id, contact)
         self.load = FleetLoad()
@@ -158,6 +153,22 @@
         self.link.send(message, [*self._domain_peers(), *self._strangers()])
         self.link.send(message, self._other_relays(), Scope.DOMAIN)
 
+    def informed_peer(self) -> str | None:
+        """Return the address of a peer to be asked for what was missed here.
+
+        That is the own domain's relay, which others' news come through, or else the
+        relay of another domain; with no relays any peer.
+        """
+        now = self._loop.time()
+        relay = None
+        others = [beat.peer_address for beat in self.members.alive(now)]
+        if needs_relays(self._known_members):
+            relay = self._own_relay(now)
+            others = self._other_relays()
+        if relay is not None:
+            return relay.peer_address
+        return self._rng.choice(others) if others else None
+
     @property
     def delay_seconds(self) -> float:
         """How old others' jobs are when they are heard of."""
--- a/cranberrywick/gateway/messages.py
+++ b/cranberrywick/gateway/messages.py
@@ -10,6 +10,7 @@
 import capnp
 
 from cranberrywick.errors import PeerMessageInvalid
+from cranberrywick.gateway.endpoint_reading import EndpointReading
 from cranberrywick.gateway.heartbeat_rows import (
     PassedOn,
     RelayNews,
@@ -17,57 +18,22 @@
     pack_news,
     unpack_news,
 )
-from cranberrywick.gateway.schema import SCHEMA
+from cranberrywick.gateway.schema import MAX_MESSAGE_BYTES, SCHEMA, pack, unpack
 from cranberrywick.routing.members import Heartbeat
-from cranberrywick.routing.model import EndpointRecord, EndpointView, OperatorView
+from cranberrywick.routing.model import OperatorView
 
 __all__ = [
-    "MAX_MESSAGE_BYTES",
-    "EndpointReading",
+    "EndpointsWanted",
     "Envelope",
     "Message",
     "OperatorReading",
     "OperatorWanted",
     "Scope",
+    "Wanted",
     "decode_message",
     "encode_message",
 ]
 
-# A configuration of at most 1 MiB, with room for the rest.
-MAX_MESSAGE_BYTES = 1_500_000
-MAX_MESSAGE_WORDS = 400_000
-MAX_NESTING = 8
-# Most of a message repeats: addresses and names of one fleet, routes of one
-# configuration. The quickest level takes a third to a sixth of the bytes.
-COMPRESSION_LEVEL = 1
-
-
-class EndpointReading(NamedTuple):
-    """The registered endpoints as they were read ``age`` seconds ago.
-
-    ``records`` is empty where they are the same as before, which ``digest``
-    identifies. They are decoded only by who needs them: in a fleet at rest every daemon
-    gets the same ones again and again.
-    """
-
-    revision: int
-    age: float
-    digest: int
-    records: bytes
-
-    @classmethod
-    def of(cls, view: EndpointView, digest: int, age: float) -> "EndpointReading":
-        """Return a reading with all records."""
-        return cls(view.revision, age, digest, _write_records(view))
-
-    @property
-    def view(self) -> EndpointView:
-        """The records; raises `PeerMessageInvalid`."""
-        view = EndpointView(self.revision, _read_records(self.records))
-        if view.digest != self.digest:
-            raise PeerMessageInvalid("the records are not those of their digest")
-        return view
-
 
 class OperatorReading(NamedTuple):
     """What operators have written, known to be the newest ``age`` seconds ago."""
@@ -80,6 +46,10 @@
     """Asks a peer for its `OperatorReading`."""
 
 
+class EndpointsWanted(NamedTuple):
+    """Asks a peer for an `EndpointReading` with all records."""
+
+
 class Scope(StrEnum):
     """To whom the receiver of a message passes it on."""
 
@@ -88,7 +58,8 @@
     FLEET = "fleet"
 
 
-Message = Heartbeat | EndpointReading | OperatorReading | OperatorWanted | RelayNews
+Wanted = OperatorWanted | EndpointsWanted
+Message = Heartbeat | EndpointReading | OperatorReading | Wanted | RelayNews
 
 
 class Envelope(NamedTuple):
@@ -109,9 +80,11 @@
         body = {"operator": _write_operator(message)}
     elif isinstance(message, RelayNews):
         body = {"batch": pack_news(message, now)}
+    elif isinstance(message, EndpointsWanted):
+        body = {"endpointsWanted": None}
     else:
         body = {"operatorWanted": None}
-    return _pack(SCHEMA.Message.new_message(scope=scope.value, **body))
+    return pack(SCHEMA.Message.new_message(scope=scope.value, **body))
 
 
 def decode_message(data: bytes, now: float) -> Envelope:
@@ -119,27 +92,12 @@
     if len(data) > MAX_MESSAGE_BYTES:
         raise PeerMessageInvalid("the message is too long")
     try:
-        message = _unpack(SCHEMA.Message, data)
+        message = unpack(SCHEMA.Message, data)
         return Envelope(_read_body(message, now), Scope(str(message.scope)))
     except (capnp.KjException, ValueError, IndexError, zlib.error) as error:
         raise PeerMessageInvalid(f"malformed message: {error!s:.100}") from error
 
 
-def _pack(message: Any) -> bytes:
-    return zlib.compress(message.to_bytes_packed(), COMPRESSION_LEVEL)
-
-
-def _unpack(kind: Any, data: bytes) -> Any:
-    # Bounded: a few bytes can be made to unpack to more than the memory there is.
-    unpacking = zlib.decompressobj()
-    packed = unpacking.decompress(data, MAX_MESSAGE_BYTES)
-    if not unpacking.eof:
-        raise ValueError("the message is cut or too long")
-    return kind.from_bytes_packed(
-        packed, traversal_limit_in_words=MAX_MESSAGE_WORDS, nesting_limit=MAX_NESTING
-    )
-
-
 def _read_body(message: Any, now: float) -> Message:
     which = message.which()
     if which == "heartbeats":
@@ -151,7 +109,7 @@
         return _read_operator(message.operator)
     if which == "batch":
         return unpack_news(message.batch, now)
-    return OperatorWanted()
+    return EndpointsWanted() if which == "endpointsWanted" else OperatorWanted()
 
 
 def _write_endpoints(reading: EndpointReading) -> dict[str, Any]:
@@ -159,53 +117,16 @@
         "revision": reading.revision,
         "ageMs": milliseconds(reading.age),
         "digest": reading.digest,
-        "records": reading.records,
+        "changes": reading.changes,
     }
 
 
 def _read_endpoints(reading: Any) -> EndpointReading:
     return EndpointReading(
-        reading.revision, reading.ageMs / 1000, reading.digest, bytes(reading.records)
+        reading.revision, reading.ageMs / 1000, reading.digest, bytes(reading.changes)
     )
 
 
-def _write_records(view: EndpointView) -> bytes:
-    records = [
-        {
-            "endpointId": record.endpoint_id,
-            "service": record.service,
-            "address": record.address,
-            "failureDomain": record.failure_domain,
-            "slots": record.slots,
-            "draining": record.draining,
-            "coldMs": milliseconds(record.cold_seconds),
-            "born": record.born,
-        }
-        for record in view.records_by_id.values()
-    ]
-    return _pack(SCHEMA.EndpointRecords.new_message(records=records))
-
-
-def _read_records(data: bytes) -> dict[str, EndpointRecord]:
-    try:
-        records = _unpack(SCHEMA.EndpointRecords, data).records
-        return {
-            record.endpointId: EndpointRecord(
-                endpoint_id=record.endpointId,
-                service=record.service,
-                address=record.address,
-                failure_domain=record.failureDomain,
-                slots=record.slots,
-                draining=record.draining,
-                cold_seconds=record.coldMs / 1000,
-                born=record.born,
-            )
-            for record in records
-        }
-    except (capnp.KjException, ValueError, zlib.error) as error:
-        raise PeerMessageInvalid(f"malformed records: {error!s:.100}") from error
-
-
 def _write_operator(reading: OperatorReading) -> dict[str, Any]:
     view = reading.view
     return {
--- a/cranberrywick/gateway/state.py
+++ b/cranberrywick/gateway/state.py
@@ -10,9 +10,16 @@
 from functools import partial
 
 from cranberrywick.external.key_value import LeaseLapsed
-from cranberrywick.gateway.endpoint_knowledge import EndpointKnowledge
+from cranberrywick.gateway.endpoint_knowledge import EndpointKnowledge, PeerReading
+from cranberrywick.gateway.endpoint_reading import EndpointReading
 from cranberrywick.gateway.fleet_news import FleetNews, Standing
-from cranberrywick.gateway.messages import EndpointReading, OperatorReading
+from cranberrywick.gateway.messages import (
+    EndpointsWanted,
+    Message,
+    OperatorReading,
+    OperatorWanted,
+    Wanted,
+)
 from cranberrywick.gateway.operator_knowledge import OperatorKnowledge
 from cranberrywick.gateway.store_calls import StoreCalls
 from cranberrywick.gateway.store_reader import Store
@@ -69,6 +76,7 @@
         self.changed: Callable[[], None] = lambda: None
         self._lease: int | None = None
         self._fetching = False
+        self._fetching_endpoints = False
         self._calls = StoreCalls(
             settings.bounds.drain_seconds,
             lambda: self.members.count(self._loop.time()),
@@ -163,8 +171,11 @@
     def endpoints_heard(self, reading: EndpointReading) -> None:
         """Take a peer's reading of the endpoints."""
         was_ready = self.ready
-        if self._endpoints.take_news(reading, self._loop.time()):
+        outcome = self._endpoints.take_news(reading, self._loop.time())
+        if outcome is PeerReading.CHANGED:
             self._note_change(was_ready)
+        elif outcome is PeerReading.MISSED:
+            self._loop.create_task(self._fetch_endpoints())
 
     def newcomer_met(self, peer_address: str) -> None:
         """Tell a daemon that has just started the endpoints."""
@@ -172,8 +183,10 @@
         if reading is not None:
             self.news.link.send(reading, [peer_address])
 
-    def operator_reading(self) -> OperatorReading | None:
-        """Return the operators' view for a peer that asks."""
+    def answer(self, wanted: Wanted) -> Message | None:
+        """Return what a peer that asks is told; None while nothing is known."""
+        if isinstance(wanted, EndpointsWanted):
+            return self._endpoints.whole_reading(self._loop.time())
         view = self._operator.view
         if view is None:
             return None
@@ -181,13 +194,30 @@
 
     async def _fetch_operator(self, heartbeat: Heartbeat) -> None:
         try:
-            reading = await self.news.link.fetch_operator(heartbeat.peer_address)
+            address = heartbeat.peer_address
+            reading = await self.news.link.fetch(address, OperatorWanted())
         finally:
             self._fetching = False
-        if reading is not None:
+        if isinstance(reading, OperatorReading):
             read_at = self._loop.time() - reading.age
             self._take_operator(reading.view, read_at, heartbeat.daemon_id)
 
+    async def _fetch_endpoints(self) -> None:
+        """Ask a peer for all endpoints, after news of a change was missed."""
+        address = self.news.informed_peer()
+        if self._fetching_endpoints or address is None:
+            return
+        self._fetching_endpoints = True
+        try:
+            reading = await self.news.link.fetch(address, EndpointsWanted())
+        finally:
+            self._fetching_endpoints = False
+        self._log.info(
+            "endpoints_fetched", peer=address, revision=reading and reading.revision
+        )
+        if isinstance(reading, EndpointReading):
+            self.endpoints_heard(reading)
+
     # Calls of the store
 
     def _look(self) -> None:
@@ -209,11 +239,10 @@
     def _endpoints_read(self, view: EndpointView, read_at: float) -> None:
         now = self._loop.time()
         was_ready = self.ready
-        if self._endpoints.take(view, read_at, now):
+        taken = self._endpoints.take(view, read_at, now)
+        if taken.changed:
             self._note_change(was_ready)
-        reading = self._endpoints.news(now)
-        if reading is not None:
-            self.news.tell_all(reading)
+        self.news.tell_all(taken.reading)
 
     def _operator_read(self, view: OperatorView, read_at: float) -> None:
         if not self._take_operator(view, read_at, "store"):
--- /dev/null
+++ b/tests/test_endpoint_reading.py
@@ -0,0 +1,148 @@
+"""What daemons tell one another of the endpoints: differences, and what was missed."""
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from cranberrywick.errors import PeerMessageInvalid
+from cranberrywick.gateway.endpoint_knowledge import EndpointKnowledge, PeerReading
+from cranberrywick.gateway.endpoint_reading import EndpointReading
+from cranberrywick.logs import EventLog
+from cranberrywick.routing.model import EndpointRecord, EndpointView
+
+
+def record(endpoint_id, draining=False, born=1):
+    return EndpointRecord(
+        endpoint_id, "drafting", "10.1.0.1:80", "fd-a", 5, draining, 0.0, born
+    )
+
+
+def view(revision, *records):
+    return EndpointView(revision, {each.endpoint_id: each for each in records})
+
+
+def knowing(first):
+    knowledge = EndpointKnowledge(EventLog())
+    knowledge.take(first, 1.0, 1.0)
+    return knowledge
+
+
+def large(revision, leaving=()):
+    """Return a hundred and forty endpoints, some of which leave."""
+    ids = [f"i-{number:010x}" for number in range(140)]
+    return view(revision, *(record(i, draining=i in leaving) for i in ids))
+
+
+def test_a_leaving_endpoint_is_told_in_few_bytes():
+    """Endpoints of a large fleet are replaced one after the other.
+
+    Each that leaves is told to all daemons at once. Of a hundred and forty records one
+    has changed: told whole, the links of those who pass it on are full.
+    """
+    reader, other = knowing(large(1)), knowing(large(1))
+    taken = reader.take(large(2, leaving=["i-0000000007"]), 2.0, 2.0)
+    assert len(taken.reading.changes) < 300
+    assert len(reader.whole_reading(2.0).changes) > 1000
+    assert other.take_news(taken.reading, 2.1) is PeerReading.CHANGED
+    assert other.registry.beliefs_by_id["i-0000000007"].record.draining
+
+
+def test_who_missed_a_change_learns_that_and_asks_for_all():
+    """A datagram that tells of a leaving endpoint is lost on its way to one daemon.
+
+    The next reading says that nothing has changed since. It does not know that state,
+    asks a peer for all records and sends nothing to the endpoint from then on.
+    """
+    reader, other = knowing(large(1)), knowing(large(1))
+    reader.take(large(2, leaving=["i-0000000007"]), 2.0, 2.0)
+    same = reader.take(large(3, leaving=["i-0000000007"]), 2.5, 2.5).reading
+    assert not same.changes
+    assert other.take_news(same, 2.6) is PeerReading.MISSED
+    assert not other.registry.beliefs_by_id["i-0000000007"].record.draining
+    assert other.take_news(reader.whole_reading(2.7), 2.7) is PeerReading.CHANGED
+    assert other.registry.beliefs_by_id["i-0000000007"].record.draining
+    assert other.take_news(same, 2.4) is PeerReading.OLD
+
+
+def test_a_change_on_top_of_a_missed_one_is_not_applied():
+    reader, other = knowing(large(1)), knowing(large(1))
+    reader.take(large(2, leaving=["i-0000000007"]), 2.0, 2.0)
+    leaving = ["i-0000000007", "i-0000000008"]
+    second = reader.take(large(3, leaving), 2.5, 2.5).reading
+    assert second.changes
+    assert other.take_news(second, 2.6) is PeerReading.MISSED
+
+
+def test_changes_against_their_digest_are_refused():
+    first, second = large(1), large(2, leaving=["i-0000000007"])
+    wrong = EndpointReading.difference(second, 7, 0.0, first, first.digest)
+    with pytest.raises(PeerMessageInvalid):
+        knowing(first).take_news(wrong, 2.0)
+
+
+class TellingMachine(RuleBasedStateMachine):
+    """One daemon reads the store and tells two others, who miss some of it.
+
+    Whoever learns that it missed something asks for the whole. After any reading that
+    arrived, a daemon knows what the store said then; it never knows a mixture.
+    """
+
+    ids = ("e1", "e2", "e3", "e4")
+
+    def __init__(self):
+        super().__init__()
+        self.now = 1.0
+        self.records = {"e1": record("e1")}
+        self.revision = 1
+        self.views_by_revision = {}
+        self.reader = EndpointKnowledge(EventLog())
+        self.others = [EndpointKnowledge(EventLog()) for _ in range(2)]
+
+    @rule(
+        endpoint_id=st.sampled_from(ids),
+        draining=st.booleans(),
+        born=st.integers(1, 2),
+    )
+    def register(self, endpoint_id, draining, born):
+        self.revision += 1
+        self.records[endpoint_id] = record(endpoint_id, draining, born)
+
+    @rule(endpoint_id=st.sampled_from(ids))
+    def remove(self, endpoint_id):
+        self.revision += 1
+        self.records.pop(endpoint_id, None)
+
+    @rule(heard=st.lists(st.booleans(), min_size=2, max_size=2))
+    def read(self, heard):
+        self.now += 0.5
+        read = EndpointView(self.revision, dict(self.records))
+        self.views_by_revision[self.revision] = read
+        reading = self.reader.take(read, self.now, self.now).reading
+        for other, is_heard in zip(self.others, heard, strict=True):
+            if not is_heard:
+                continue
+            if other.take_news(reading, self.now) is PeerReading.MISSED:
+                other.take_news(self.reader.whole_reading(self.now), self.now)
+            assert self.known_by(other) == read.records_by_id
+
+    @rule()
+    def change_reader(self):
+        """Another daemon reads from now on, with what it knows itself."""
+        self.others[0], self.reader = self.reader, self.others[0]
+
+    @invariant()
+    def nobody_knows_a_mixture(self):
+        for knowledge in (self.reader, *self.others):
+            if knowledge.registry.revision:
+                told = self.views_by_revision[knowledge.registry.revision]
+                assert self.known_by(knowledge) == told.records_by_id
+
+    @staticmethod
+    def known_by(knowledge):
+        # The registry may keep a record that lapsed in an outage for a while longer.
+        return knowledge.whole_reading(0.0).applied_to(None, 0).records_by_id
+
+
+TestTelling = TellingMachine.TestCase
+TestTelling.settings = settings(stateful_step_count=30)
--- a/tests/test_fleet_messages.py
+++ b/tests/test_fleet_messages.py
@@ -9,10 +9,10 @@
 from hypothesis import strategies as st
 
 from cranberrywick.errors import PeerMessageInvalid
+from cranberrywick.gateway.endpoint_reading import EndpointReading
 from cranberrywick.gateway.fleet_link import MAX_DATAGRAM_BYTES, FleetLink
 from cranberrywick.gateway.heartbeat_rows import PassedOn, RelayNews
 from cranberrywick.gateway.messages import (
-    EndpointReading,
     Scope,
     decode_message,
     encode_message,
@@ -142,9 +142,9 @@
 
 def test_a_reading_of_620_endpoints_is_one_datagram():
     view = view_of(620)
-    recorder = sent([EndpointReading.of(view, view.digest, 0.0)])
+    recorder = sent([EndpointReading.whole(view, view.digest, 0.0)])
     (data,) = recorder.sent
-    assert decode_message(data, 0.0).message.view == view
+    assert decode_message(data, 0.0).message.applied_to(None, 0) == view
 
 
 def test_what_no_datagram_holds_is_logged():
@@ -153,7 +153,7 @@
     Each of them reads the store for itself then, which serves callers on.
     """
     view = view_of(6000)
-    reading = EndpointReading.of(view, view.digest, 0.0)
+    reading = EndpointReading.whole(view, view.digest, 0.0)
     recorder = sent([reading, reading])
     assert not recorder.sent
     ((event, fields),) = recorder.warnings
@@ -163,16 +163,16 @@
 
 def test_records_that_are_not_those_of_their_digest_are_refused():
     view = view_of(3)
-    reading = EndpointReading.of(view, view.digest + 1, 0.0)
+    reading = EndpointReading.whole(view, view.digest + 1, 0.0)
     message = decode_message(encode_message(reading, 0.0), 0.0).message
     with pytest.raises(PeerMessageInvalid):
-        assert message.view
+        message.applied_to(None, 0)
 
 
 VALID = [
     encode_message(heartbeat(), 10.0),
     encode_message(RelayNews("a", "b", (PassedOn(9.0, heartbeat()),)), 10.0),
-    encode_message(EndpointReading.of(view_of(3), view_of(3).digest, 0.0), 10.0),
+    encode_message(EndpointReading.whole(view_of(3), view_of(3).digest, 0.0), 10.0),
 ]
 
 
@@ -192,7 +192,7 @@
     try:
         read = decode_message(bytes(changed), 0.0).message
         if isinstance(read, EndpointReading):
-            assert read.view is not None
+            read.applied_to(None, 0)
     except PeerMessageInvalid:
         pass
 
--- a/tests/test_fleet_news.py
+++ b/tests/test_fleet_news.py
@@ -6,8 +6,8 @@
 
 from cranberrywick.bench.simulated_news import NewsDaemon, NewsNetwork
 from cranberrywick.bench.virtual_time import run_in_virtual_time
+from cranberrywick.gateway.endpoint_reading import EndpointReading
 from cranberrywick.gateway.messages import (
-    EndpointReading,
     OperatorReading,
     decode_message,
     encode_message,
@@ -156,7 +156,7 @@
 def test_a_reading_of_the_endpoints_reaches_every_daemon_once():
     async def scene(network, daemons):
         view = EndpointView(1, {})
-        daemons[7].news.tell_all(EndpointReading.of(view, view.digest, 0.0))
+        daemons[7].news.tell_all(EndpointReading.whole(view, view.digest, 0.0))
         await asyncio.sleep(0.1)
         assert all(len(d.readings) == 1 for d in daemons if d is not daemons[7])
 
