--- a/cranberrywick/gateway/fleet_news.py
+++ b/cranberrywick/gateway/fleet_news.py
@@ -110,6 +110,11 @@
             self._known_addresses = addresses_by_id
             self.send_heartbeat()
 
+    @property
+    def has_heard_all(self) -> bool:
+        """Whether all daemons that are registered have been heard."""
+        return bool(self._known_addresses) and not self._strangers()
+
     def job_added(self) -> None:
         """Tell the others at once what this daemon now has at endpoints."""
         self._tell_within(JOB_NEWS_SECONDS)
--- a/cranberrywick/gateway/state.py
+++ b/cranberrywick/gateway/state.py
@@ -26,6 +26,7 @@
 from cranberrywick.gateway.ticker import Ticker
 from cranberrywick.logs import EventLog
 from cranberrywick.routing.load import FleetLoad
+from cranberrywick.routing.member_list import START_SECONDS, TURN_SECONDS, is_turn
 from cranberrywick.routing.members import Heartbeat, Members
 from cranberrywick.routing.model import (
     EndpointView,
@@ -40,13 +41,11 @@
 
 # How often it is looked whether knowledge has got old; a tenth of the shortest limit.
 LOOK_SECONDS = 0.05
-# A daemon that died is off the members' list after this; heartbeats tell sooner.
-LEASE_SECONDS = 15.0
-RENEW_SECONDS = 5.0
-# Until the others are known, their list is read this often, and then rarely: a
-# daemon that joins makes itself known by its own heartbeats.
-MEMBERS_SECONDS = 10.0
-MEMBERS_AT_START = (0.3, 1.0, 2.0, 4.0)
+# A daemon that died is off the members' list after this. Who reads the list meanwhile
+# writes to its address for nothing; who lives is told by heartbeats.
+LEASE_SECONDS = 60.0
+# Two renewals may fail before the lease ends.
+RENEW_SECONDS = 18.0
 
 
 class FleetState:
@@ -77,11 +76,12 @@
         self._lease: int | None = None
         self._fetching = False
         self._fetching_endpoints = False
+        self._rng = random.Random()
         self._calls = StoreCalls(
             settings.bounds.drain_seconds,
             lambda: self.members.count(self._loop.time()),
             log,
-            random.Random(),
+            self._rng,
         )
 
     async def start(self) -> None:
@@ -89,12 +89,12 @@
         await self.news.start(self._ticker)
         self._look()
         self._register()
-        for seconds in MEMBERS_AT_START:
-            self._loop.call_later(seconds, self._read_members)
+        for seconds in START_SECONDS:
+            self._loop.call_later(seconds, self._read_members_unless_heard)
         every = self._ticker.every
         every(LOOK_SECONDS, self._look)
         every(RENEW_SECONDS, self._register, jitter=0.1)
-        every(MEMBERS_SECONDS, self._read_members, jitter=0.2)
+        every(TURN_SECONDS, self._read_members_by_turns, jitter=0.2)
 
     def leave(self) -> None:
         """Tell the others that this daemon takes no new callers."""
@@ -285,6 +285,14 @@
             self._lease = lease
             self._log.info("registered", address=self.news.peer_address, lease=lease)
 
+    def _read_members_unless_heard(self) -> None:
+        if not self.news.has_heard_all:
+            self._read_members()
+
+    def _read_members_by_turns(self) -> None:
+        if is_turn(self.members.count(self._loop.time()), self._rng):
+            self._read_members()
+
     def _read_members(self) -> None:
         self._calls.make("operator", self._store.read_members, self._take_members)
 
