Wake when something is due, and log many ids in a line

Change: the look is timed by when the earliest limit is reached, at least every 0.3 s since the rank can fall; the first in rank reads at the moment of its limit, not up to 0.05 s after it. Ids that share an event, a reading or a datagram stand in one line, up to twenty; grep by id finds them as before.

--- a/cranberrywick/gateway/endpoint_knowledge.py
+++ b/cranberrywick/gateway/endpoint_knowledge.py
@@ -1,12 +1,14 @@
 """The registered endpoints, as this daemon knows them."""
 
+from collections import defaultdict
+from collections.abc import Iterable
 from enum import Enum, auto
 from typing import NamedTuple
 
 from cranberrywick.gateway.endpoint_reading import EndpointReading
-from cranberrywick.logs import EventLog
+from cranberrywick.logs import EventLog, id_lists
 from cranberrywick.routing.model import EndpointView
-from cranberrywick.routing.registry import EndpointRegistry
+from cranberrywick.routing.registry import EndpointChange, EndpointRegistry
 
 __all__ = ["EndpointKnowledge", "PeerReading", "StoreReading"]
 
@@ -80,16 +82,25 @@
         if self.registry.read_at == read_at:
             self._view, self._digest = view, digest
             self._note_unusable(view)
-        for change in changes:
-            self._log.info(
-                "endpoint_changed",
-                endpoint=change.endpoint_id,
-                what=change.what,
-                revision=view.revision,
-                age=now - read_at,
-            )
+        self._log_changes(changes, view.revision, now - read_at)
         return bool(changes)
 
+    def _log_changes(
+        self, changes: Iterable[EndpointChange], revision: int, age: float
+    ) -> None:
+        ids_by_what = defaultdict(list)
+        for change in changes:
+            ids_by_what[change.what].append(change.endpoint_id)
+        for what, endpoint_ids in ids_by_what.items():
+            for listed in id_lists(endpoint_ids):
+                self._log.info(
+                    "endpoint_changed",
+                    endpoint=listed,
+                    what=what,
+                    revision=revision,
+                    age=age,
+                )
+
     def _note_unusable(self, view: EndpointView) -> None:
         """Log records that can't be read, once for as long as they stand."""
         unusable = frozenset(view.unusable_ids)
--- a/cranberrywick/gateway/fleet_news.py
+++ b/cranberrywick/gateway/fleet_news.py
@@ -15,7 +15,7 @@
 from cranberrywick.gateway.heartbeat_rows import PassedOn, RelayNews
 from cranberrywick.gateway.messages import Envelope, Message, Scope, Wanted
 from cranberrywick.gateway.ticker import Ticker
-from cranberrywick.logs import EventLog
+from cranberrywick.logs import EventLog, id_lists
 from cranberrywick.routing.load import FleetLoad
 from cranberrywick.routing.members import Heartbeat, Members, heartbeat_seconds
 from cranberrywick.routing.model import GatewaySettings
@@ -91,6 +91,8 @@
         self.paces = EnginePaces()
         self._relays = Relays(settings.daemon_id, settings.failure_domain)
         self._known_addresses: dict[str, str] = {}
+        # Peers heard for the first time, of which no line tells yet.
+        self._met_ids: list[str] = []
         self._next_heartbeat: asyncio.TimerHandle | None = None
         self._flush: asyncio.TimerHandle | None = None
         # What waits to be passed on, by the daemon that it is of.
@@ -311,6 +313,13 @@
     # Hearing
 
     def _hear(self, envelope: Envelope) -> None:
+        self._take_message(envelope)
+        # One line for all: a fleet that starts at once meets everybody in one moment.
+        for listed in id_lists(self._met_ids):
+            self._log.info("peer_met", peer=listed)
+        self._met_ids.clear()
+
+    def _take_message(self, envelope: Envelope) -> None:
         now = self._loop.time()
         message, scope = envelope
         if isinstance(message, Heartbeat):
@@ -350,7 +359,7 @@
         if not self.members.hear(heartbeat, heard_at):
             return False
         if is_unknown:
-            self._log.info("peer_met", peer=daemon_id, address=heartbeat.entry_address)
+            self._met_ids.append(daemon_id)
         self.load.hear(daemon_id, heartbeat.jobs, heard_at)
         self.paces.hear(heartbeat.slow_engines, heard_at)
         self._listener.heartbeat_heard(heartbeat, heard_at)
--- a/cranberrywick/gateway/state.py
+++ b/cranberrywick/gateway/state.py
@@ -39,8 +39,11 @@
 
 __all__ = ["FleetState"]
 
-# How often it is looked whether knowledge has got old; a tenth of the shortest limit.
-LOOK_SECONDS = 0.05
+# How often it is looked whether knowledge has got old, at the most; a call that is
+# under way is due until it is answered.
+LEAST_LOOK_SECONDS = 0.05
+# At the least: the rank of a daemon falls when others die, and it reads earlier then.
+LONGEST_LOOK_SECONDS = 0.3
 # A daemon that died is off the members' list after this. Who reads the list meanwhile
 # writes to its address for nothing; who lives is told by heartbeats.
 LEASE_SECONDS = 60.0
@@ -91,8 +94,8 @@
         self._register()
         for seconds in START_SECONDS:
             self._loop.call_later(seconds, self._read_members_unless_heard)
+        self._ticker.when_due(self._look, self._look_pause)
         every = self._ticker.every
-        every(LOOK_SECONDS, self._look)
         every(RENEW_SECONDS, self._register, jitter=0.1)
         every(TURN_SECONDS, self._read_members_by_turns, jitter=0.2)
 
@@ -236,6 +239,17 @@
             return False
         return policy.is_due(age, self.members.rank(now), now)
 
+    def _look_pause(self) -> float:
+        """Return after how many seconds knowledge may have got old."""
+        now = self._loop.time()
+        rank = self.members.rank(now)
+        policies = self._calls.policies
+        due_in = min(
+            policies["endpoints"].due_in(self.registry.age(now), rank, now),
+            policies["operator"].due_in(self.operator_age(now), rank, now),
+        )
+        return min(max(LEAST_LOOK_SECONDS, due_in), LONGEST_LOOK_SECONDS)
+
     def _endpoints_read(self, view: EndpointView, read_at: float) -> None:
         now = self._loop.time()
         was_ready = self.ready
--- a/cranberrywick/logs.py
+++ b/cranberrywick/logs.py
@@ -12,7 +12,7 @@
 import re
 import sys
 import traceback
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping, Sequence
 from typing import Any, TextIO
 
 import logbook
@@ -20,10 +20,12 @@
 
 from cranberrywick.errors import CranberrywickError, InvalidSettings
 
-__all__ = ["EventLog", "log_event", "make_handler", "set_up_logs"]
+__all__ = ["EventLog", "id_lists", "log_event", "make_handler", "set_up_logs"]
 
 # Longer values are cut: a caller's input can be megabytes.
 MAX_VALUE_CHARACTERS = 400
+# Ids of some ten to twenty characters that such a value holds.
+IDS_IN_LINE = 20
 # Innermost stack frames named in an error's line.
 MAX_FRAMES = 3
 
@@ -72,6 +74,16 @@
         self._logger.log(level, event, extra=extra)
 
 
+def id_lists(ids: Sequence[str]) -> Iterator[str]:
+    """Return ids as values of as few lines as hold them, to be found by any id.
+
+    >>> list(id_lists(["e1", "e2"]))
+    ['e1,e2']
+    """
+    for start in range(0, len(ids), IDS_IN_LINE):
+        yield ",".join(ids[start : start + IDS_IN_LINE])
+
+
 _PROCESS_LOG = EventLog()
 
 
--- a/cranberrywick/routing/freshness.py
+++ b/cranberrywick/routing/freshness.py
@@ -43,7 +43,11 @@
 
     def is_due(self, age: float, rank: int, now: float) -> bool:
         """Whether the daemon of this rank reads now."""
-        return now >= self._not_before and age >= self.age_limit(rank)
+        return self.due_in(age, rank, now) <= 0
+
+    def due_in(self, age: float, rank: int, now: float) -> float:
+        """Return in how many seconds that will be, if nothing is heard until then."""
+        return max(self._not_before - now, self.age_limit(rank) - age)
 
     def succeeded(self) -> None:
         """Note an answer of the store."""
