Requests that are not heard of yet fill engines by lot

The noise that was to keep them apart is a random price for each engine.

Change: how many requests are unheard is known from the load and the age of news. They are taken to fill the cheapest engines until the next are as cheap, each by the value of the prompt over the engine's free slots; the engine is then drawn in proportion to how many of them it gets. Into how many parts a prompt goes is still decided by price alone. Comments that told of tuning give what a constant protects instead.

--- a/cranberrywick/bench/prompts.py
+++ b/cranberrywick/bench/prompts.py
@@ -73,6 +73,7 @@
 FLEETS = {
     "small": FleetShape(16, 9, 0.012, 1.0),
     "large": FleetShape(54, 79, 0.065, 2.8),
+    "hundreds": FleetShape(135, 195, 0.065, 3.5),
 }
 
 
--- a/cranberrywick/gateway/fleet_news.py
+++ b/cranberrywick/gateway/fleet_news.py
@@ -37,7 +37,7 @@
 # a place that is thought taken for a moment longer costs less than a datagram to each.
 # With relays it costs one datagram, and waits no longer than the relay collects.
 ENDED_NEWS_SECONDS_PER_MEMBER = 0.004
-# Heartbeats in one datagram, each of up to some 400 bytes.
+# Heartbeats in one datagram; a link divides it where they are too long for one.
 MOST_IN_BATCH = 100
 
 
--- a/cranberrywick/gateway/forwarder.py
+++ b/cranberrywick/gateway/forwarder.py
@@ -257,8 +257,7 @@
 
         An endpoint that refuses for a helper's fault is sound. Held against it, the
         helper stays in use, and two refusals use up all endpoints that a request may
-        be sent to, with seconds of its time left: one in a thousand requests of a
-        day on which engines left while the store was away, and none with this.
+        be sent to, with seconds of its time left.
         """
         address = error.at_fault if isinstance(error, EndpointRefused) else None
         beliefs_by_id = self._state.registry.beliefs_by_id
--- a/cranberrywick/routing/engine_model.py
+++ b/cranberrywick/routing/engine_model.py
@@ -8,11 +8,8 @@
 
 Prompts that one engine reads alone are read as they came. Parts of prompts that
 several engines read go ahead of those, and the last that came goes first: each later
-one delays all that still wait, by the whole of its reading. Taken for read as they
-came, first events of a burst of 65 long prompts were off by 0.42 s at the mean, by
-0.11 s as they are, replayed step by step; forecasts that know the order raise the
-share of the worth on time over two seeds of 30 s of `cranberrywick.bench.prompts`
-from 0.928 to 0.938 with many long prompts, from 0.671 to 0.714 with all doubled.
+one delays all that still wait, by the whole of its reading. A forecast that takes them
+for read as they came is off by seconds in a burst of long prompts.
 
 >>> read_seconds(profile, prompt_tokens=154_000, parts=4)
 0.763
@@ -33,10 +30,8 @@
 GAP_MARGIN = 0.9
 # What a second costs by which a part delays a prompt that waits to be read, in shares
 # of its value, whether or not it is late by that. Without it nothing spares a prompt
-# that is late already: parts of others overtook it one after the other, for ten seconds
-# and more. Over forty deployments of `cranberrywick.bench.drawn_deployments` it raises
-# the share of the worth on time from 0.934 to 0.952, in the worst tenth from 0.560 to
-# 0.581.
+# that is late already: parts of others overtake it one after the other, for ten seconds
+# and more.
 DELAY_PRICE = 0.05
 
 
@@ -99,8 +94,7 @@
         """Whether an answer that begins here now has a longer pause than this.
 
         A joint prompt's first event comes before what its part has overtaken: all of
-        that is then read in the first pause of its answer. Counted, it raises the
-        share of the worth on time over fifty drawn deployments from 0.944 to 0.950.
+        that is then read in the first pause of its answer.
         """
         pause = self.least_pause
         if self._is_overtaken(joint):
--- a/cranberrywick/routing/members.py
+++ b/cranberrywick/routing/members.py
@@ -15,17 +15,15 @@
 __all__ = ["Heartbeat", "Member", "Members", "heartbeat_seconds"]
 
 # Daemons send one at least so often; in a large fleet less often, since everybody
-# hears everybody: so many seconds for each member keep what a daemon receives at some
-# 170 heartbeats a second whatever the fleet's size, up to the longest interval. With
-# relays they come some nine to a datagram.
+# hears everybody: so many seconds for each member bound what a daemon receives in a
+# second, up to the longest interval.
 HEARTBEAT_SECONDS = 0.4
 HEARTBEAT_SECONDS_PER_MEMBER = 0.006
 LONGEST_HEARTBEAT_SECONDS = 1.2
-# Lost in a row: a link that loses one in thirty loses five once in twenty million,
-# and callers of a dead daemon are told within two seconds.
+# Lost in a row: a lossy link all but never loses so many, and callers of a dead daemon
+# are told within two seconds.
 SILENT_HEARTBEATS = 5
-# In a fleet with relays each heartbeat passes three links: one lost in thirty on each
-# makes it one in ten, and eight in a row one in a hundred million.
+# In a fleet with relays each heartbeat passes three links, any of which may lose it.
 RELAYED_SILENT_HEARTBEATS = 8
 # A dead daemon's address may be named three seconds longer than the deployment gives
 # daemons to be in contact; one of them is kept back for callers' kept answers.
--- a/cranberrywick/routing/pace.py
+++ b/cranberrywick/routing/pace.py
@@ -5,9 +5,6 @@
 it gets its share of all prompts and makes each of them late. A stream that it writes
 shows it: between events lies one pass, whose length at least is declared. What a daemon
 sees there it tells the others, each of which has a stream at few engines only.
-
-With a fifth of sixteen engines five times slower, twice for some seconds, 19 to 31 of
-589 short prompts were late in place of 51, and no long one.
 """
 
 from collections import deque
--- a/cranberrywick/routing/part_choice.py
+++ b/cranberrywick/routing/part_choice.py
@@ -6,12 +6,23 @@
 the quickest engines and stops their answers, or it waits for ones that nobody needs.
 """
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
+from math import log
+from operator import attrgetter
 from typing import NamedTuple
 
 from cranberrywick.routing.engine_model import EngineForecast
 
-__all__ = ["ENGINE_PRICE", "Choice", "Engine", "Work", "choose"]
+__all__ = [
+    "ENGINE_PRICE",
+    "UNHEARD_PRICE",
+    "Choice",
+    "Engine",
+    "Split",
+    "Work",
+    "by_lot",
+    "choose",
+]
 
 # Expected within this share of its target, a first event is on time whatever comes
 # between; expected at the target, it is late as often as not.
@@ -22,13 +33,19 @@
 # and its connection cost.
 TIME_PRICE = 0.1
 ENGINE_PRICE = 0.02
+# What a request that this daemon can't have heard of costs the one that meets it at an
+# engine with one free slot, in shares of that one's value. All daemons see the same
+# engine as the best: without this they meet there until they hear of one another, and
+# whoever finds no slot waits for an answer to end. Drawn by lot in proportion, as they
+# are with this, they seldom meet, however many engines and daemons there are.
+UNHEARD_PRICE = 1.0
 
 
 class Engine(NamedTuple):
     """What a choice asks of an engine.
 
-    ``answer_price`` is that of one more answer written there, ``spread`` and
-    ``shuffle`` are random.
+    ``answer_price`` is that of one more answer written there, ``shuffle`` is random
+    between 0 and 1. ``free_slots`` is how many more requests it can answer.
     """
 
     endpoint_id: str
@@ -37,7 +54,7 @@
     answer_price: float
     failure_share: float
     may_answer: bool
-    spread: float
+    free_slots: int
     shuffle: float
 
 
@@ -85,24 +102,84 @@
         """Return when an engine would have read its part."""
         return engine.forecast.first_event(self.reading, self.joint)
 
-    def ranked(self, engines: Sequence[Engine], answers: bool) -> list[Engine]:
-        """Return the engines, the cheapest for one part first."""
+    def offers(self, engines: Sequence[Engine], answers: bool) -> list["Offer"]:
+        """Return the price of a part at each engine, the cheapest first."""
+        offers = [Offer(self._price(engine, answers), engine) for engine in engines]
+        return sorted(offers, key=attrgetter("price", "engine.shuffle"))
 
-        def key(engine: Engine) -> tuple[float, float]:
-            price = self.engine_price(engine, answers) + engine.spread
-            return price + self.time_price(self.first_event(engine)), engine.shuffle
+    def _price(self, engine: Engine, answers: bool) -> float:
+        price = self.engine_price(engine, answers)
+        return price + self.time_price(self.first_event(engine))
 
-        return sorted(engines, key=key)
+
+class Split(NamedTuple):
+    """Into how many parts a prompt is divided.
+
+    The first ``holders`` of the engines hold ``share`` tokens each.
+    """
+
+    parts: int
+    holders: int
+    share: int
+
+
+class Offer(NamedTuple):
+    """An engine and the price of a part there."""
+
+    price: float
+    engine: Engine
+
+
+# The order in which engines are taken, given their offers by price.
+Order = Callable[[Sequence[Offer]], Sequence[Offer]]
+
+
+def by_lot(price: float) -> Order:
+    """Return an order for when unheard requests take the cheapest engines as well.
+
+    Together they pay ``price``. Each makes its engine dearer, the more so the fewer
+    slots are free there, until the next is as cheap. Of the engines that they fill in
+    this way each comes first in proportion to how many of them it gets.
+    """
+
+    def order(offers: Sequence[Offer]) -> list[Offer]:
+        level = _filled_to(offers, price)
+
+        def key(offer: Offer) -> tuple[float, float]:
+            if offer.price >= level:
+                return offer.price, offer.engine.shuffle
+            expected = (level - offer.price) * offer.engine.free_slots
+            # Of exponential times the least belongs to each in proportion to its rate.
+            return level, -log(1.0 - offer.engine.shuffle) / expected
+
+        return sorted(offers, key=key)
+
+    return order
+
+
+def _filled_to(offers: Sequence[Offer], price: float) -> float:
+    """Return the price of the engines that are filled for ``price`` in all."""
+    level = float("inf")
+    paid = price
+    slots = 0
+    for offer in offers:
+        if offer.price >= level:
+            break
+        paid += offer.price * offer.engine.free_slots
+        slots += offer.engine.free_slots
+        level = paid / slots
+    return level
 
 
 def choose(
-    work: Work, engines: list[Engine], parts: int, holders: int, share: int
+    work: Work, engines: list[Engine], split: Split, order: Order = tuple
 ) -> Choice | None:
-    """Return the best engines for this number of parts and their cost.
+    """Return the engines for a prompt in so many parts and their cost.
 
-    The first ``holders`` of them hold ``share`` tokens each.
+    They are taken by price, or in another order.
     """
-    ranked = work.ranked(engines, answers=True)
+    parts, holders, share = split
+    ranked = [offer.engine for offer in order(work.offers(engines, answers=True))]
     roomy = [engine for engine in ranked if engine.free_tokens >= share]
     answering = next((engine for engine in roomy if engine.may_answer), None)
     if answering is None or len(roomy) < holders:
@@ -112,7 +189,8 @@
     if parts > holders:
         held_ids = {engine.endpoint_id for engine in (answering, *helping)}
         free = [engine for engine in engines if engine.endpoint_id not in held_ids]
-        helping += work.ranked(free, answers=False)[: parts - holders]
+        offers = order(work.offers(free, answers=False))
+        helping += [offer.engine for offer in offers[: parts - holders]]
     chosen = (answering, *helping)
     seconds = max(work.first_event(engine) for engine in chosen)
     cost = work.engine_price(answering, answers=True) + work.time_price(seconds)
--- a/cranberrywick/routing/placement.py
+++ b/cranberrywick/routing/placement.py
@@ -21,7 +21,16 @@
 from cranberrywick.routing.load import FleetLoad, Job
 from cranberrywick.routing.model import EngineProfile, PromptSize, Service
 from cranberrywick.routing.pace import EnginePaces
-from cranberrywick.routing.part_choice import ENGINE_PRICE, Choice, Engine, Work, choose
+from cranberrywick.routing.part_choice import (
+    ENGINE_PRICE,
+    UNHEARD_PRICE,
+    Choice,
+    Engine,
+    Split,
+    Work,
+    by_lot,
+    choose,
+)
 from cranberrywick.routing.registry import EndpointBelief
 
 __all__ = [
@@ -36,29 +45,17 @@
 # Into how many parts a prompt may be divided. An endpoint takes at most 16 helpers.
 PART_CHOICES = (1, 2, 3, 4, 6, 8, 12, 16)
 # For making an engine one that has fragile answers: else short answers spread over
-# all engines, and a long prompt stops some of them wherever it goes. By the experiment
-# in ``cranberrywick.bench.prompts``, seeds of 15 s, it raises the share of the worth on
-# time against a third of it from 0.969 to 0.990 at the usual load (six seeds), from
-# 0.945 to 0.963 with many long prompts (four).
+# all engines, and a long prompt stops some of them wherever it goes.
 FRESH_ENGINE_PRICE = 0.15
 # Against it: short prompts that meet in one pass wait for one another. Grows with the
 # square of the places taken, so that an engine fills before the next is opened, but
 # not to its last place.
 CROWD_PRICE = 0.25
-# For each request that others have placed and this daemon can't have heard of yet, a
-# random price up to this: without it all daemons take the same best engine until they
-# hear of one another. By the experiment, 79 daemons with news 65 ms old, three seeds of
-# 12 s: the share of the worth on time rises from 0.966 to 0.998 at the usual load, with
-# many short prompts from 0.742 to 0.982, all doubled from 0.837 to 0.890. Nine daemons
-# whose news is 12 ms old have next to nothing unheard.
-SPREAD_PRICE = 0.05
 # An endpoint that fails all of its calls counts as having so many more in hand: half
 # of a plain service's places, so that it is tried when the others are half full.
 FAILURE_JOBS = 4
 # Answers whose pauses may be no longer than so many readings of a prompt of usual
-# length are fragile: a long prompt's part makes them late. The share of the worth on
-# time over fifty deployments of `cranberrywick.bench.drawn_deployments` is 0.944 with
-# 4, 0.934 with 6 and 9.
+# length are fragile: a long prompt's part makes them late.
 FRAGILE_READINGS = 4.0
 
 
@@ -219,35 +216,40 @@
         candidates: list[Candidate],
         now: float,
     ) -> Placement | None:
-        unheard = self._load.placed_each_second(now) * self._news_seconds()
-        spread = SPREAD_PRICE * unheard
-        engines = [self._engine(demand, profile, c, spread, now) for c in candidates]
+        engines = [self._engine(demand, profile, c, now) for c in candidates]
         holders = ceil(prompt.total / profile.memory_tokens)
         share = ceil(prompt.total / holders)
         value = _value(profile, prompt)
-        best: Choice | None = None
+        best: tuple[Choice, Work, Split] | None = None
         for parts in PART_CHOICES:
             if not holders <= parts <= len(engines):
                 continue
-            if best is not None and ENGINE_PRICE * (parts - 1) >= best.cost:
+            if best is not None and ENGINE_PRICE * (parts - 1) >= best[0].cost:
                 break  # More parts cost more than all that they could save.
             reading = read_seconds(profile, prompt.prompt_tokens, parts)
             work = Work(
                 demand.target_seconds, demand.gap_seconds, reading, parts > 1, value
             )
-            choice = choose(work, engines, parts, holders, share)
-            if choice is not None and (best is None or choice.cost < best.cost):
-                best = choice
+            split = Split(parts, holders, share)
+            choice = choose(work, engines, split)
+            if choice is not None and (best is None or choice.cost < best[0].cost):
+                best = choice, work, split
         if best is None:
             return None
-        return _placement(demand, prompt, best, holders, value, now)
+        _, work, split = best
+        order = by_lot(UNHEARD_PRICE * value * self._unheard(now))
+        choice = choose(work, engines, split, order)
+        return _placement(demand, prompt, choice, holders, value, now)
+
+    def _unheard(self, now: float) -> float:
+        """Return how many requests others have placed since their last news."""
+        return self._load.placed_each_second(now) * self._news_seconds()
 
     def _engine(
         self,
         demand: Demand,
         profile: EngineProfile,
         candidate: Candidate,
-        spread: float,
         now: float,
     ) -> Engine:
         fragile_gap = _fragile_gap(profile)
@@ -268,7 +270,7 @@
             answer_price,
             self._health.failure_share(candidate.endpoint_id, now),
             _may_answer(demand, candidate.endpoint_id),
-            spread * self._rng.random(),
+            candidate.belief.record.slots - sum(not job.helper for job in jobs),
             self._rng.random(),
         )
 
--- a/cranberrywick/routing/relays.py
+++ b/cranberrywick/routing/relays.py
@@ -1,13 +1,12 @@
 """Through whom the daemons of a large fleet tell one another what they do.
 
 Load pattern: every daemon has to know within moments what all others have sent where,
-and which of them live. Told by everyone to everyone, 79 daemons with 50 requests a
-second exchange 18,000 datagrams a second, and each daemon added makes all others hear
-more. Here a large fleet has a relay in each failure domain. A daemon tells its own
-domain's relay; that collects what comes within some milliseconds and passes it on, to
-its domain and to the other domains' relays, who do the same. A daemon then hears
-one datagram for each of these intervals, however many daemons there are, and what is
-told crosses a domain's border once.
+and which of them live. Told by everyone to everyone, the datagrams grow with the square
+of the fleet, and each daemon added makes all others hear more. Here a large fleet has a
+relay in each failure domain. A daemon tells its own domain's relay; that collects what
+comes within some milliseconds and passes it on, to its domain and to the other domains'
+relays, who do the same. A daemon then hears one datagram for each of these intervals,
+however many daemons there are, and what is told crosses a domain's border once.
 
 Nobody is appointed: each daemon takes the first by id that it hears, and whoever is
 asked to pass something on does so. Two daemons that disagree lose nothing by it.
@@ -34,8 +33,8 @@
 MOST_DIRECT_MEMBERS = 16
 # A daemon tells of a new job after this: several of one moment make one datagram.
 JOB_NEWS_SECONDS = 0.01
-# How long a relay collects. News is then some 60 ms old where it arrives, in which a
-# fleet of 80 daemons places three requests; half of it would double the datagrams.
+# How long a relay collects. The longer, the older news is where it arrives and the more
+# requests are placed without it; the shorter, the more datagrams everybody reads.
 FLUSH_SECONDS = 0.05
 # A relay says at least so often that it lives.
 KEEPALIVE_SECONDS = 0.3
