--- a/cranberrywick/gateway/heartbeat_rows.py
+++ b/cranberrywick/gateway/heartbeat_rows.py
@@ -2,8 +2,8 @@
 
 Load pattern: a daemon of a fleet of two hundred hears of some hundred heartbeats and a
 thousand jobs a second, a relay writes as many. Read field by field from a Cap'n Proto
-structure they took it more time than all requests that it served; as rows, read in one
-call of a library, they take a tenth of that. docs/design/libraries.md has the figures.
+structure they are most of what it computes, for each field is a call; rows are read in
+one call of a library.
 
 Ages and times to come take the place of moments: each side counts from its own clock.
 """
--- a/tests/test_unheard_requests.py
+++ b/tests/test_unheard_requests.py
@@ -92,8 +92,8 @@
 
     Prompts of all lengths come to engines with few slots; within the age of the news
     others place some, and all daemons see the same engines as the best. One daemon that
-    places everything itself has all of the worth on time here; the aim is that not
-    knowing costs less than two hundredths of it.
+    places everything itself has all of the worth on time here. A random price on each
+    engine lost 0.029 of it; the aim is to lose at most half of that.
     """
     profile = PROFILE._replace(slots=SLOTS, stride=80)
     results = []
@@ -102,4 +102,4 @@
             "priced", seed, fleet=FLEETS["hundreds"], profile=profile
         )
         results += experiment.run(5.0)
-    assert on_time_by_kind(results)["worth"] > 0.98
+    assert on_time_by_kind(results)["worth"] > 1 - 0.029 / 2
