Count the slots that are taken at an engine once

A placement counted them twice for each of its candidates, the second time since requests are drawn by lot. Same numbers, same choices; the tests of routing, attempts and the experiment pass.

--- a/cranberrywick/routing/placement.py
+++ b/cranberrywick/routing/placement.py
@@ -256,7 +256,9 @@
         is_fragile = demand.gap_seconds <= fragile_gap
         jobs = candidate.jobs
         held = sum(job.held_tokens for job in jobs)
-        occupied = sum(not job.helper for job in jobs) / candidate.belief.record.slots
+        slots = candidate.belief.record.slots
+        taken = sum(not job.helper for job in jobs)
+        occupied = taken / slots
         answer_price = CROWD_PRICE * occupied**2
         if is_fragile and not any(
             job.gap_seconds <= fragile_gap and not job.helper for job in jobs
@@ -270,7 +272,7 @@
             answer_price,
             self._health.failure_share(candidate.endpoint_id, now),
             _may_answer(demand, candidate.endpoint_id),
-            candidate.belief.record.slots - sum(not job.helper for job in jobs),
+            slots - taken,
             self._rng.random(),
         )
 
