Index endpoints in place and place requests on a random sample of them

Cause: each request walked all endpoints of its service several times (usable ones, candidates, whether it fits, a price for each), and each change of one endpoint made all beliefs and their digest anew in every daemon.

Now endpoints are grouped by service, failure domain and draining, changed in place; a reading is a delta whose digest follows from the changed records; a decision looks at 24 endpoints drawn at random.

The count of requests placed in the last second, a walk over all jobs, is now made ten times a second at most.

Ruled out: a cache of prices, which every heartbeat of a peer makes stale.

--- a/cranberrywick/bench/prompts.py
+++ b/cranberrywick/bench/prompts.py
@@ -27,6 +27,7 @@
     SimulatedEngine,
     SimulatedPrompt,
 )
+from cranberrywick.routing.endpoint_index import EndpointBelief, EndpointPool
 from cranberrywick.routing.engine_model import read_seconds
 from cranberrywick.routing.health import EndpointHealth
 from cranberrywick.routing.load import FleetLoad, Job
@@ -38,7 +39,6 @@
 )
 from cranberrywick.routing.pace import EnginePaces
 from cranberrywick.routing.placement import Demand, Part, Placement, Placer
-from cranberrywick.routing.registry import EndpointBelief
 
 __all__ = [
     "FLEETS",
@@ -88,7 +88,7 @@
     worth: float
 
 
-Place = Callable[[Demand, Sequence[EndpointBelief], float], Placement | None]
+Place = Callable[[Demand, EndpointPool, float], Placement | None]
 # Made from what a daemon knows, its random numbers and the age of others' news.
 MakePlace = Callable[[FleetLoad, random.Random, float], Place]
 STRATEGIES: dict[str, MakePlace] = {}
@@ -114,9 +114,7 @@
 def _fewest(load: FleetLoad, rng: random.Random, news_seconds: float) -> Place:
     """Place each prompt whole at the engine with the fewest requests."""
 
-    def place(
-        demand: Demand, usable: Sequence[EndpointBelief], now: float
-    ) -> Placement:
+    def place(demand: Demand, usable: EndpointPool, now: float) -> Placement:
         def cost(belief: EndpointBelief) -> tuple[int, float]:
             return len(load.at(belief.record.endpoint_id)), rng.random()
 
@@ -148,7 +146,9 @@
         self._engines = {
             f"e{n}": SimulatedEngine(f"e{n}", profile) for n in range(fleet.engines)
         }
-        self._beliefs = [_belief(name, profile.slots) for name in self._engines]
+        self._usable = EndpointPool.of(
+            [_belief(name, profile.slots) for name in self._engines]
+        )
         self._service = Service("pool", 0.0, 0.0, profile)
         self._loads = [FleetLoad() for _ in range(fleet.daemons)]
         self._places = [
@@ -202,7 +202,7 @@
             gap_seconds=prompt.kind.gap_seconds,
             failure_domain="",
         )
-        placement = self._places[prompt.daemon](demand, self._beliefs, now)
+        placement = self._places[prompt.daemon](demand, self._usable, now)
         if placement is None:
             self._at(now + 0.02, lambda later: self._try(prompt, later))
             return
--- a/cranberrywick/gateway/endpoint_knowledge.py
+++ b/cranberrywick/gateway/endpoint_knowledge.py
@@ -5,7 +5,7 @@
 from enum import Enum, auto
 from typing import NamedTuple
 
-from cranberrywick.gateway.endpoint_reading import EndpointReading
+from cranberrywick.gateway.endpoint_reading import Applied, EndpointReading
 from cranberrywick.logs import EventLog, id_lists
 from cranberrywick.routing.model import EndpointView
 from cranberrywick.routing.registry import EndpointChange, EndpointRegistry
@@ -42,15 +42,19 @@
     def take(self, view: EndpointView, read_at: float, now: float) -> StoreReading:
         """Take a reading of the store and return what the others are told of it."""
         base_view, base = self._view, self._digest
-        changed = self._take(view, view.digest, read_at, now)
+        known = base_view or EndpointView(0, {})
+        delta = view.delta_from(known)
+        changed = self._take(
+            Applied(view, delta), known.digest_with_delta(delta, base), read_at, now
+        )
         age = self.registry.age(now)
-        if self._digest == base:
+        if self._digest == base and base_view is not None:
             reading = EndpointReading(self.registry.revision, age, base)
         elif base_view is None:
             reading = self.whole_reading(now)
         else:
             reading = EndpointReading.difference(
-                self._view, self._digest, age, base_view, base
+                self._view, self._digest, age, delta, base
             )
         return StoreReading(changed, reading)
 
@@ -62,10 +66,10 @@
         read_at = now - reading.age
         if read_at <= self.registry.read_at:
             return PeerReading.OLD
-        view = reading.applied_to(self._view, self._digest)
-        if view is None:
+        applied = reading.applied_to(self._view, self._digest)
+        if applied is None:
             return PeerReading.MISSED
-        if self._take(view, reading.digest, read_at, now):
+        if self._take(applied, reading.digest, read_at, now):
             return PeerReading.CHANGED
         return PeerReading.SAME
 
@@ -75,10 +79,9 @@
             return None
         return EndpointReading.whole(self._view, self._digest, self.registry.age(now))
 
-    def _take(
-        self, view: EndpointView, digest: int, read_at: float, now: float
-    ) -> bool:
-        changes = self.registry.apply(view, read_at, now)
+    def _take(self, applied: Applied, digest: int, read_at: float, now: float) -> bool:
+        view, delta = applied
+        changes = self.registry.apply_delta(view, delta, read_at, now)
         if self.registry.read_at == read_at:
             self._view, self._digest = view, digest
             self._note_unusable(view)
--- a/cranberrywick/gateway/endpoint_reading.py
+++ b/cranberrywick/gateway/endpoint_reading.py
@@ -17,12 +17,13 @@
 from cranberrywick.errors import PeerMessageInvalid
 from cranberrywick.gateway.heartbeat_rows import milliseconds
 from cranberrywick.gateway.schema import SCHEMA, pack, unpack
-from cranberrywick.routing.model import EndpointRecord, EndpointView
+from cranberrywick.routing.model import EndpointDelta, EndpointRecord, EndpointView
 
-__all__ = ["EndpointReading"]
+__all__ = ["Applied", "EndpointReading"]
 
 # Stands for no records at all.
 NO_BASE = 0
+NO_DELTA = EndpointDelta((), ())
 
 
 class EndpointReading(NamedTuple):
@@ -49,44 +50,52 @@
         view: EndpointView,
         digest: int,
         age: float,
-        base_view: EndpointView,
+        delta: EndpointDelta,
         base: int,
     ) -> "EndpointReading":
-        """Return a reading for who knows ``base_view``, whose digest is ``base``."""
-        before = base_view.records_by_id
-        after = view.records_by_id
-        changed = {i: r for i, r in after.items() if before.get(i) != r}
-        gone = tuple(before.keys() - after.keys())
-        return cls(view.revision, age, digest, _pack_changes(base, changed, gone))
-
-    def applied_to(self, view: EndpointView | None, digest: int) -> EndpointView | None:
+        """Return a reading for who knows the view with digest ``base``.
+
+        ``delta`` leads from that view to this one.
+        """
+        records_by_id = {record.endpoint_id: record for record in delta.changed}
+        changes = _pack_changes(base, records_by_id, delta.gone_ids)
+        return cls(view.revision, age, digest, changes)
+
+    def applied_to(self, view: EndpointView | None, digest: int) -> "Applied | None":
         """Return the records, for who knows ``view`` with this digest.
 
         None where that is not what the changes start from. Raises `PeerMessageInvalid`.
         """
         if view is not None and digest == self.digest:
-            return view._replace(revision=self.revision)
+            return Applied(view._replace(revision=self.revision), NO_DELTA)
         if not self.changes:
             return None
-        base, changed, gone = _unpack_changes(self.changes)
+        base, delta = _unpack_changes(self.changes)
         if base == NO_BASE:
-            applied = EndpointView(self.revision, changed)
+            view = view or EndpointView(0, {})
+            whole = EndpointView(0, {}).with_delta(delta, self.revision)
+            applied = Applied(whole, whole.delta_from(view))
+            reached = whole.digest
         elif view is not None and base == digest:
-            kept = {i: r for i, r in view.records_by_id.items() if i not in gone}
-            applied = view._replace(
-                revision=self.revision, records_by_id=kept | changed
-            )
+            applied = Applied(view.with_delta(delta, self.revision), delta)
+            reached = view.digest_with_delta(delta, digest)
         else:
             return None
-        if applied.digest != self.digest:
+        if reached != self.digest:
             raise PeerMessageInvalid("the records are not those of their digest")
         return applied
 
 
+class Applied(NamedTuple):
+    """A view after a reading, and what that has changed."""
+
+    view: EndpointView
+    delta: EndpointDelta
+
+
 class _Changes(NamedTuple):
     base: int
-    records_by_id: dict[str, EndpointRecord]
-    gone_ids: frozenset[str]
+    delta: EndpointDelta
 
 
 def _pack_changes(
@@ -103,12 +112,8 @@
 def _unpack_changes(data: bytes) -> _Changes:
     try:
         changes = unpack(SCHEMA.EndpointChanges, data)
-        records = map(_read_record, changes.records)
-        return _Changes(
-            changes.base,
-            {record.endpoint_id: record for record in records},
-            frozenset(changes.goneIds),
-        )
+        records = tuple(map(_read_record, changes.records))
+        return _Changes(changes.base, EndpointDelta(records, tuple(changes.goneIds)))
     except (capnp.KjException, ValueError, zlib.error) as error:
         raise PeerMessageInvalid(f"malformed records: {error!s:.100}") from error
 
--- a/cranberrywick/gateway/waiting.py
+++ b/cranberrywick/gateway/waiting.py
@@ -13,7 +13,6 @@
 )
 from cranberrywick.routing.queue_order import order_key
 from cranberrywick.routing.retry_after import retry_after_seconds
-from cranberrywick.routing.usable import usable_endpoints
 
 __all__ = ["WaitingRequests"]
 
@@ -93,10 +92,8 @@
             waiter.place.set_result(placement)
 
     def _try(self, demand: Demand) -> Placement | None:
-        usable = usable_endpoints(
-            self._state.registry.beliefs_by_id,
-            demand.service.name,
-            self._state.domains_out,
+        usable = self._state.registry.index.ready(
+            demand.service.name, self._state.domains_out
         )
         if not fits_fleet(demand, usable):
             raise Overloaded(
--- /dev/null
+++ b/cranberrywick/routing/endpoint_index.py
@@ -0,0 +1,170 @@
+"""Endpoints by service and failure domain, for draws that don't depend on their number.
+
+Load pattern: thousands of endpoints and hundreds of requests a second. A request that
+walks all endpoints of its service costs more the larger the fleet grows; here a bounded
+random sample costs the same among eighty as among three thousand, and an endpoint that
+changes costs one replacement.
+"""
+
+from collections.abc import Iterator, Sequence, Set
+from typing import NamedTuple, overload
+
+from cranberrywick.routing.model import EndpointRecord
+
+__all__ = ["EndpointBelief", "EndpointIndex", "EndpointPool"]
+
+
+class EndpointBelief(NamedTuple):
+    """An endpoint that may be used, and until when it is cold.
+
+    ``missing_since`` is set while its record has lapsed in an outage.
+    ``ready_until_known`` is the last moment at which an endpoint that is draining was
+    known not to be; minus infinity if that was never seen.
+    """
+
+    record: EndpointRecord
+    cold_until: float
+    missing_since: float | None = None
+    ready_until_known: float = float("-inf")
+
+    @property
+    def endpoint_id(self) -> str:
+        """The endpoint's id."""
+        return self.record.endpoint_id
+
+
+class EndpointPool(Sequence[EndpointBelief]):
+    """Endpoints that may be drawn from, in no particular order.
+
+    It shows the endpoints as they are when it is read, and copies nothing.
+
+    >>> pool = EndpointPool([{"e1": first}, {"e2": second}])
+    >>> rng.sample(pool, 1)
+    """
+
+    def __init__(self, groups: Sequence["_Group"]):
+        self._groups = [group for group in groups if group]
+
+    def __len__(self) -> int:
+        """Return the number of endpoints."""
+        return sum(map(len, self._groups))
+
+    @overload
+    def __getitem__(self, index: int) -> EndpointBelief: ...
+
+    @overload
+    def __getitem__(self, index: slice) -> list[EndpointBelief]: ...
+
+    def __getitem__(self, index):
+        """Return the endpoint at a position, or those of a slice."""
+        if isinstance(index, slice):
+            return list(self)[index]
+        position = index if index >= 0 else len(self) + index
+        for group in self._groups:
+            if 0 <= position < len(group):
+                return group.at(position)
+            position -= len(group)
+        raise IndexError(index)
+
+    def __iter__(self) -> Iterator[EndpointBelief]:
+        """Yield each endpoint once."""
+        for group in self._groups:
+            yield from group
+
+    def get(self, endpoint_id: str) -> EndpointBelief | None:
+        """Return an endpoint of the pool by id."""
+        for group in self._groups:
+            belief = group.get(endpoint_id)
+            if belief is not None:
+                return belief
+        return None
+
+    @classmethod
+    def of(cls, beliefs: Sequence[EndpointBelief]) -> "EndpointPool":
+        """Return a pool of just these endpoints."""
+        group = _Group()
+        for belief in beliefs:
+            group.put(belief)
+        return cls([group])
+
+
+class EndpointIndex:
+    """Endpoints grouped by service, failure domain and whether they are draining."""
+
+    def __init__(self) -> None:
+        self._groups_by_service: dict[str, dict[_GroupKey, _Group]] = {}
+
+    def put(self, belief: EndpointBelief, before: EndpointBelief | None) -> None:
+        """Add an endpoint, or replace what was believed of it."""
+        if before is not None and _key(before) != _key(belief):
+            self.remove(before)
+        groups = self._groups_by_service.setdefault(belief.record.service, {})
+        groups.setdefault(_key(belief), _Group()).put(belief)
+
+    def remove(self, belief: EndpointBelief) -> None:
+        """Drop an endpoint."""
+        self._groups_by_service[belief.record.service][_key(belief)].remove(belief)
+
+    def ready(self, service: str, domains_out: Set[str]) -> EndpointPool:
+        """Return the endpoints of a service that may get new work."""
+        return self._pool(
+            service,
+            lambda key: not key.draining and key.failure_domain not in domains_out,
+        )
+
+    def others(self, service: str, domains_out: Set[str]) -> EndpointPool:
+        """Return the endpoints of a service that are draining or taken out."""
+        return self._pool(
+            service, lambda key: key.draining or key.failure_domain in domains_out
+        )
+
+    def _pool(self, service, is_wanted) -> EndpointPool:
+        groups = self._groups_by_service.get(service, {})
+        return EndpointPool([g for key, g in groups.items() if is_wanted(key)])
+
+
+class _GroupKey(NamedTuple):
+    service: str
+    failure_domain: str
+    draining: bool
+
+
+def _key(belief: EndpointBelief) -> _GroupKey:
+    record = belief.record
+    return _GroupKey(record.service, record.failure_domain, record.draining)
+
+
+class _Group:
+    """Endpoints by id that can also be read by position."""
+
+    def __init__(self) -> None:
+        self._beliefs: list[EndpointBelief] = []
+        self._positions_by_id: dict[str, int] = {}
+
+    def __len__(self) -> int:
+        return len(self._beliefs)
+
+    def __iter__(self) -> Iterator[EndpointBelief]:
+        return iter(self._beliefs)
+
+    def at(self, position: int) -> EndpointBelief:
+        return self._beliefs[position]
+
+    def get(self, endpoint_id: str) -> EndpointBelief | None:
+        position = self._positions_by_id.get(endpoint_id)
+        return None if position is None else self._beliefs[position]
+
+    def put(self, belief: EndpointBelief) -> None:
+        position = self._positions_by_id.get(belief.endpoint_id)
+        if position is None:
+            self._positions_by_id[belief.endpoint_id] = len(self._beliefs)
+            self._beliefs.append(belief)
+        else:
+            self._beliefs[position] = belief
+
+    def remove(self, belief: EndpointBelief) -> None:
+        position = self._positions_by_id.pop(belief.endpoint_id)
+        last = self._beliefs.pop()
+        if last.endpoint_id != belief.endpoint_id:
+            self._beliefs[position] = last
+            self._positions_by_id[last.endpoint_id] = position
--- a/cranberrywick/routing/load.py
+++ b/cranberrywick/routing/load.py
@@ -16,6 +16,8 @@
 # Endpoint time that is not free again after its owner fell silent: what a dead
 # daemon had there ends within about this, and then its jobs count no longer.
 OWNER_SILENCE_SECONDS = 3.0
+# The count of all jobs of the last second is good for a tenth of it.
+COUNT_AGAIN_SECONDS = 0.1
 
 
 class Job(NamedTuple):
@@ -61,6 +63,8 @@
         self._own_by_request: dict[str, tuple[Job, ...]] = {}
         self._peers: dict[str, tuple[float, tuple[Job, ...]]] = {}
         self._by_endpoint: dict[str, dict[_Owner, list[Job]]] = defaultdict(dict)
+        self._counted_at = float("-inf")
+        self._placed = 0
 
     def put(self, request_id: str, jobs: Sequence[Job]) -> None:
         """Replace what one of our requests has at endpoints."""
@@ -102,12 +106,15 @@
         Counted over the last second; requests that have ended since are missed, which
         makes it too low where answers are short.
         """
-        return sum(
-            now - job.started_at < 1.0 and not job.helper
-            for by_owner in self._by_endpoint.values()
-            for jobs in by_owner.values()
-            for job in jobs
-        )
+        if not 0 <= now - self._counted_at < COUNT_AGAIN_SECONDS:
+            self._counted_at = now
+            self._placed = sum(
+                now - job.started_at < 1.0 and not job.helper
+                for by_owner in self._by_endpoint.values()
+                for jobs in by_owner.values()
+                for job in jobs
+            )
+        return self._placed
 
     def at(self, endpoint_id: str) -> Sequence[Job]:
         """Return the jobs at an endpoint."""
--- a/cranberrywick/routing/model.py
+++ b/cranberrywick/routing/model.py
@@ -4,13 +4,14 @@
 supplies; it means nothing in another process.
 """
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from enum import StrEnum
 from hashlib import blake2b
 from typing import NamedTuple
 
 __all__ = [
     "BoundsSettings",
+    "EndpointDelta",
     "EndpointRecord",
     "EndpointView",
     "EngineProfile",
@@ -189,6 +190,13 @@
     bounds: BoundsSettings
 
 
+class EndpointDelta(NamedTuple):
+    """What leads from one view of the endpoints to another."""
+
+    changed: tuple[EndpointRecord, ...]
+    gone_ids: tuple[str, ...]
+
+
 class EndpointView(NamedTuple):
     """Every registered endpoint at one revision of the store.
 
@@ -203,11 +211,42 @@
     @property
     def digest(self) -> int:
         """A hash of what the records say."""
-        hashed = blake2b(digest_size=8)
-        for _, record in sorted(self.records_by_id.items()):
-            lasting = record._replace(cold_seconds=float(record.cold_seconds > 0))
-            hashed.update(repr(lasting).encode())
-        return int.from_bytes(hashed.digest(), "big")
+        return _digest(0, self.records_by_id.values())
+
+    def delta_from(self, base: "EndpointView") -> EndpointDelta:
+        """Return what has changed since another view."""
+        before, after = base.records_by_id, self.records_by_id
+        if before is after:
+            return EndpointDelta((), ())
+        return EndpointDelta(
+            tuple(r for i, r in after.items() if before.get(i) != r),
+            tuple(i for i in before if i not in after),
+        )
+
+    def with_delta(self, delta: EndpointDelta, revision: int) -> "EndpointView":
+        """Return the view that a delta leads to."""
+        records = dict(self.records_by_id)
+        for endpoint_id in delta.gone_ids:
+            records.pop(endpoint_id, None)
+        records.update((record.endpoint_id, record) for record in delta.changed)
+        return self._replace(revision=revision, records_by_id=records)
+
+    def digest_with_delta(self, delta: EndpointDelta, digest: int) -> int:
+        """Return the digest after a delta, given this view's."""
+        before = self.records_by_id
+        replaced = [before.get(record.endpoint_id) for record in delta.changed]
+        replaced += [before.get(endpoint_id) for endpoint_id in delta.gone_ids]
+        digest = _digest(digest, filter(None, replaced))
+        return _digest(digest, delta.changed)
+
+
+def _digest(digest: int, records: Iterable[EndpointRecord]) -> int:
+    """Return a digest with records added, or taken out if they were in it."""
+    for record in records:
+        lasting = record._replace(cold_seconds=float(record.cold_seconds > 0))
+        hashed = blake2b(repr(lasting).encode(), digest_size=8)
+        digest ^= int.from_bytes(hashed.digest(), "big")
+    return digest
 
 
 class OperatorView(NamedTuple):
--- a/cranberrywick/routing/placement.py
+++ b/cranberrywick/routing/placement.py
@@ -12,10 +12,11 @@
 """
 
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 from math import ceil
 from typing import NamedTuple
 
+from cranberrywick.routing.endpoint_index import EndpointBelief, EndpointPool
 from cranberrywick.routing.engine_model import forecast, read_seconds
 from cranberrywick.routing.health import EndpointHealth
 from cranberrywick.routing.load import FleetLoad, Job
@@ -31,7 +32,6 @@
     by_lot,
     choose,
 )
-from cranberrywick.routing.registry import EndpointBelief
 
 __all__ = [
     "Candidate",
@@ -44,6 +44,9 @@
 
 # Into how many parts a prompt may be divided. An endpoint takes at most 16 helpers.
 PART_CHOICES = (1, 2, 3, 4, 6, 8, 12, 16)
+# How many endpoints one decision looks at. A random sample costs the same however many
+# there are, and daemons that look at different ones seldom meet.
+SAMPLE_SIZE = 24
 # For making an engine one that has fragile answers: else short answers spread over
 # all engines, and a long prompt stops some of them wherever it goes.
 FRESH_ENGINE_PRICE = 0.15
@@ -107,26 +110,34 @@
     @property
     def endpoint_id(self) -> str:
         """The endpoint's id."""
-        return self.belief.record.endpoint_id
+        return self.belief.endpoint_id
 
 
 def _may_answer(demand: Demand, endpoint_id: str) -> bool:
     return demand.answering_ids is None or endpoint_id in demand.answering_ids
 
 
-def fits_fleet(demand: Demand, usable: Sequence[EndpointBelief]) -> bool:
+def fits_fleet(demand: Demand, usable: EndpointPool) -> bool:
     """Whether these endpoints could hold the request if they had nothing else.
 
     What does not fit will not fit later either: its caller is told at once.
     """
-    left_ids = {each.record.endpoint_id for each in usable} - demand.tried_ids
-    if not any(_may_answer(demand, endpoint_id) for endpoint_id in left_ids):
+    tried = sum(usable.get(endpoint_id) is not None for endpoint_id in demand.tried_ids)
+    left = len(usable) - tried
+    if left <= 0 or not _has_answering(demand, usable):
         return False
     engine = demand.service.engine
     if engine is None or demand.prompt is None:
         return True
     holders = ceil(demand.prompt.total / engine.memory_tokens)
-    return holders <= min(len(left_ids), PART_CHOICES[-1])
+    return holders <= min(left, PART_CHOICES[-1])
+
+
+def _has_answering(demand: Demand, usable: EndpointPool) -> bool:
+    if demand.answering_ids is None:
+        return True
+    left_ids = demand.answering_ids - demand.tried_ids
+    return any(usable.get(endpoint_id) is not None for endpoint_id in left_ids)
 
 
 class Placer:
@@ -150,21 +161,37 @@
         self._news_seconds = news_seconds
 
     def place(
-        self, demand: Demand, usable: Sequence[EndpointBelief], now: float
+        self, demand: Demand, usable: EndpointPool, now: float
     ) -> Placement | None:
-        """Return where the request goes now, or None while no place is free."""
-        candidates = self._candidates(demand, usable, now)
+        """Return where the request goes now, or None while no place is free.
+
+        Of many endpoints it looks at a sample: None may mean that these are full.
+        """
+        candidates = self._candidates(demand, self._sample(demand, usable), now)
         engine = demand.service.engine
         if engine is not None and demand.prompt is not None:
             return self._place_prompt(demand, engine, demand.prompt, candidates, now)
         return self._place_call(demand, candidates, now)
 
+    def _sample(
+        self, demand: Demand, usable: EndpointPool
+    ) -> Collection[EndpointBelief]:
+        if len(usable) <= SAMPLE_SIZE:
+            return usable
+        sampled = self._rng.sample(usable, SAMPLE_SIZE)
+        beliefs_by_id = {belief.endpoint_id: belief for belief in sampled}
+        for endpoint_id in demand.answering_ids or ():
+            belief = usable.get(endpoint_id)
+            if belief is not None:
+                beliefs_by_id[endpoint_id] = belief
+        return beliefs_by_id.values()
+
     def _candidates(
-        self, demand: Demand, usable: Sequence[EndpointBelief], now: float
+        self, demand: Demand, usable: Collection[EndpointBelief], now: float
     ) -> list[Candidate]:
         candidates = []
         for belief in usable:
-            endpoint_id = belief.record.endpoint_id
+            endpoint_id = belief.endpoint_id
             if endpoint_id in demand.tried_ids:
                 continue
             jobs = self._load.at(endpoint_id)
@@ -216,7 +243,10 @@
         candidates: list[Candidate],
         now: float,
     ) -> Placement | None:
-        engines = [self._engine(demand, profile, c, now) for c in candidates]
+        fragile_gap = _fragile_gap(profile)
+        engines = [
+            self._engine(demand, profile, fragile_gap, c, now) for c in candidates
+        ]
         holders = ceil(prompt.total / profile.memory_tokens)
         share = ceil(prompt.total / holders)
         value = _value(profile, prompt)
@@ -249,10 +279,10 @@
         self,
         demand: Demand,
         profile: EngineProfile,
+        fragile_gap: float,
         candidate: Candidate,
         now: float,
     ) -> Engine:
-        fragile_gap = _fragile_gap(profile)
         is_fragile = demand.gap_seconds <= fragile_gap
         jobs = candidate.jobs
         held = sum(job.held_tokens for job in jobs)
--- a/cranberrywick/routing/registry.py
+++ b/cranberrywick/routing/registry.py
@@ -5,10 +5,10 @@
 after its return shows half of the fleet missing, and all traffic falls on the rest.
 """
 
-from collections.abc import Mapping
 from typing import NamedTuple
 
-from cranberrywick.routing.model import EndpointRecord, EndpointView
+from cranberrywick.routing.endpoint_index import EndpointBelief, EndpointIndex
+from cranberrywick.routing.model import EndpointDelta, EndpointRecord, EndpointView
 
 __all__ = ["EndpointBelief", "EndpointChange", "EndpointRegistry"]
 
@@ -20,17 +20,6 @@
 RETURN_GRACE_SECONDS = 2.0
 
 
-class EndpointBelief(NamedTuple):
-    """An endpoint that may be used, and until when it is cold.
-
-    ``missing_since`` is set while its record has lapsed in an outage.
-    """
-
-    record: EndpointRecord
-    cold_until: float
-    missing_since: float | None = None
-
-
 class EndpointChange(NamedTuple):
     """One change of belief, for the log."""
 
@@ -39,12 +28,20 @@
 
 
 class EndpointRegistry:
-    """Merges readings of the store into one belief; older ones change nothing."""
+    """Merges readings of the store into one belief; older ones change nothing.
+
+    Beliefs are changed in place, so that a reading costs what it changes and not
+    what is registered.
+    """
 
     def __init__(self) -> None:
         self.revision = 0
         self.read_at = float("-inf")
         self.beliefs_by_id: dict[str, EndpointBelief] = {}
+        self.index = EndpointIndex()
+        self._cold_ids: set[str] = set()
+        self._missing_ids: set[str] = set()
+        self._view = EndpointView(0, {})
         self._grace_until = float("-inf")
 
     def age(self, now: float) -> float:
@@ -55,55 +52,88 @@
         self, view: EndpointView, read_at: float, now: float
     ) -> list[EndpointChange]:
         """Take a reading made at ``read_at`` and return what it changed."""
+        return self.apply_delta(view, view.delta_from(self._view), read_at, now)
+
+    def apply_delta(
+        self, view: EndpointView, delta: EndpointDelta, read_at: float, now: float
+    ) -> list[EndpointChange]:
+        """Take a reading that differs from the last one taken by ``delta``."""
         if view.revision < self.revision or read_at <= self.read_at:
             return []
         first = self.revision == 0
-        if not first and read_at - self.read_at > OUTAGE_SECONDS:
+        known_until, self.read_at = self.read_at, read_at
+        if not first and read_at - known_until > OUTAGE_SECONDS:
             self._grace_until = now + RETURN_GRACE_SECONDS
-        self.revision, self.read_at = view.revision, read_at
+        self.revision, self._view = view.revision, view
         changes: list[EndpointChange] = []
-        beliefs = self._merge(view.records_by_id, read_at, changes)
-        self._keep_missing(beliefs, now, changes)
-        self.beliefs_by_id = beliefs
+        for record in delta.changed:
+            self._take(record, known_until, changes)
+        for endpoint_id in delta.gone_ids:
+            self._miss(endpoint_id, now, changes)
+        self._extend_cold()
+        self._drop_missing(now, changes)
         return changes
 
-    def _merge(
-        self,
-        records_by_id: Mapping[str, EndpointRecord],
-        read_at: float,
-        changes: list[EndpointChange],
-    ) -> dict[str, EndpointBelief]:
-        beliefs = {}
-        for endpoint_id, record in records_by_id.items():
-            old = self.beliefs_by_id.get(endpoint_id)
-            if old is not None and old.record.born != record.born:
-                changes.append(EndpointChange(endpoint_id, "restarted"))
-                old = None
-            elif old is None:
-                changes.append(EndpointChange(endpoint_id, "appeared"))
-            elif record.draining and not old.record.draining:
-                changes.append(EndpointChange(endpoint_id, "draining"))
-            cold_until = read_at + record.cold_seconds
-            if record.cold_seconds <= 0:
-                cold_until = float("-inf")
-            beliefs[endpoint_id] = EndpointBelief(record, cold_until)
-        return beliefs
-
-    def _keep_missing(
-        self,
-        beliefs: dict[str, EndpointBelief],
-        now: float,
-        changes: list[EndpointChange],
+    def _take(
+        self, record: EndpointRecord, known_until: float, changes: list[EndpointChange]
+    ) -> None:
+        endpoint_id = record.endpoint_id
+        before = self.beliefs_by_id.get(endpoint_id)
+        old = before
+        ready_until_known = float("-inf")
+        if old is not None and old.record.born != record.born:
+            changes.append(EndpointChange(endpoint_id, "restarted"))
+            old = None
+        elif old is None:
+            changes.append(EndpointChange(endpoint_id, "appeared"))
+        elif record.draining and not old.record.draining:
+            changes.append(EndpointChange(endpoint_id, "draining"))
+            ready_until_known = known_until
+        if old is not None and old.record.draining and record.draining:
+            ready_until_known = old.ready_until_known
+        self._missing_ids.discard(endpoint_id)
+        if record.cold_seconds > 0:
+            self._cold_ids.add(endpoint_id)
+        else:
+            self._cold_ids.discard(endpoint_id)
+        belief = EndpointBelief(
+            record, float("-inf"), ready_until_known=ready_until_known
+        )
+        self._replace(belief, before)
+
+    def _replace(self, belief: EndpointBelief, before: EndpointBelief | None) -> None:
+        self.beliefs_by_id[belief.endpoint_id] = belief
+        self.index.put(belief, before)
+
+    def _miss(
+        self, endpoint_id: str, now: float, changes: list[EndpointChange]
     ) -> None:
-        for endpoint_id, old in self.beliefs_by_id.items():
-            if endpoint_id in beliefs:
+        """Note that an endpoint's record is no longer there."""
+        old = self.beliefs_by_id.get(endpoint_id)
+        # A record that says "draining" and is then missing has left: an outage is no
+        # reason to keep that one.
+        if old is not None and now < self._grace_until and not old.record.draining:
+            self._replace(old._replace(missing_since=now), old)
+            changes.append(EndpointChange(endpoint_id, "lapsed"))
+        self._missing_ids.add(endpoint_id)
+
+    def _extend_cold(self) -> None:
+        """Count the cold time that records tell of from their last reading.
+
+        Daemons are not told when a cold endpoint only says a new number of seconds.
+        """
+        for endpoint_id in self._cold_ids:
+            old = self.beliefs_by_id[endpoint_id]
+            cold_until = self.read_at + old.record.cold_seconds
+            self._replace(old._replace(cold_until=cold_until), old)
+
+    def _drop_missing(self, now: float, changes: list[EndpointChange]) -> None:
+        for endpoint_id in list(self._missing_ids):
+            old = self.beliefs_by_id[endpoint_id]
+            if now < self._grace_until and old.missing_since is not None:
                 continue
-            # A record that says "draining" and is then missing has left: an outage
-            # is no reason to keep that one.
-            if now < self._grace_until and not old.record.draining:
-                since = old.missing_since if old.missing_since is not None else now
-                beliefs[endpoint_id] = old._replace(missing_since=since)
-                if old.missing_since is None:
-                    changes.append(EndpointChange(endpoint_id, "lapsed"))
-            else:
-                changes.append(EndpointChange(endpoint_id, "gone"))
+            del self.beliefs_by_id[endpoint_id]
+            self._missing_ids.discard(endpoint_id)
+            self._cold_ids.discard(endpoint_id)
+            self.index.remove(old)
+            changes.append(EndpointChange(endpoint_id, "gone"))
--- a/cranberrywick/routing/usable.py
+++ b/cranberrywick/routing/usable.py
@@ -6,31 +6,18 @@
 more right before the send.
 """
 
-from collections.abc import Mapping
+from collections.abc import Set
 
 from cranberrywick.routing.registry import EndpointBelief
 
-__all__ = ["is_usable", "usable_endpoints"]
+__all__ = ["is_usable"]
 
 
-def is_usable(belief: EndpointBelief, domains_out: frozenset[str]) -> bool:
+def is_usable(belief: EndpointBelief, domains_out: Set[str]) -> bool:
     """Whether an endpoint may get new work.
 
-    This is the one place that says so: neither one that is leaving nor one in a
-    failure domain that operators have taken out may.
+    `EndpointIndex.ready` draws the same line: neither one that is leaving nor one in
+    a failure domain that operators have taken out may.
     """
     record = belief.record
     return not record.draining and record.failure_domain not in domains_out
-
-
-def usable_endpoints(
-    beliefs_by_id: Mapping[str, EndpointBelief],
-    service: str,
-    domains_out: frozenset[str],
-) -> list[EndpointBelief]:
-    """Return the endpoints of a service that may get new work."""
-    return [
-        belief
-        for belief in beliefs_by_id.values()
-        if belief.record.service == service and is_usable(belief, domains_out)
-    ]
--- a/tests/test_at_fault.py
+++ b/tests/test_at_fault.py
@@ -3,19 +3,23 @@
 import random
 
 from cranberrywick.bench.prompt_engines import PROFILE
+from cranberrywick.routing.endpoint_index import EndpointBelief, EndpointPool
 from cranberrywick.routing.health import EndpointHealth
 from cranberrywick.routing.load import FleetLoad
 from cranberrywick.routing.model import EndpointRecord, PromptSize, Service
 from cranberrywick.routing.pace import EnginePaces
 from cranberrywick.routing.placement import Demand, Placer, fits_fleet
-from cranberrywick.routing.registry import EndpointBelief
 
 
 def beliefs(count):
-    return [
-        EndpointBelief(EndpointRecord(f"e{n}", "pool", "", "", 8, False, 0.0, 1), -1.0)
-        for n in range(count)
-    ]
+    return EndpointPool.of(
+        [
+            EndpointBelief(
+                EndpointRecord(f"e{n}", "pool", "", "", 8, False, 0.0, 1), -1.0
+            )
+            for n in range(count)
+        ]
+    )
 
 
 def demand(prompt_tokens=4000, **fields):
--- a/tests/test_endpoint_reading.py
+++ b/tests/test_endpoint_reading.py
@@ -76,7 +76,9 @@
 
 def test_changes_against_their_digest_are_refused():
     first, second = large(1), large(2, leaving=["i-0000000007"])
-    wrong = EndpointReading.difference(second, 7, 0.0, first, first.digest)
+    wrong = EndpointReading.difference(
+        second, 7, 0.0, second.delta_from(first), first.digest
+    )
     with pytest.raises(PeerMessageInvalid):
         knowing(first).take_news(wrong, 2.0)
 
@@ -141,7 +143,7 @@
     @staticmethod
     def known_by(knowledge):
         # The registry may keep a record that lapsed in an outage for a while longer.
-        return knowledge.whole_reading(0.0).applied_to(None, 0).records_by_id
+        return knowledge.whole_reading(0.0).applied_to(None, 0).view.records_by_id
 
 
 TestTelling = TellingMachine.TestCase
--- a/tests/test_fleet_messages.py
+++ b/tests/test_fleet_messages.py
@@ -151,7 +151,7 @@
     view = view_of(620)
     recorder = sent([EndpointReading.whole(view, view.digest, 0.0)])
     (data,) = recorder.sent
-    assert decode_message(data, 0.0).message.applied_to(None, 0) == view
+    assert decode_message(data, 0.0).message.applied_to(None, 0).view == view
 
 
 def test_what_no_datagram_holds_is_logged():
--- a/tests/test_pace.py
+++ b/tests/test_pace.py
@@ -5,13 +5,13 @@
 import pytest
 
 from cranberrywick.bench.prompt_engines import PROFILE
+from cranberrywick.routing.endpoint_index import EndpointBelief, EndpointPool
 from cranberrywick.routing.engine_model import forecast
 from cranberrywick.routing.health import EndpointHealth
 from cranberrywick.routing.load import FleetLoad
 from cranberrywick.routing.model import EndpointRecord, PromptSize, Service
 from cranberrywick.routing.pace import EnginePace, EnginePaces, StreamPauses
 from cranberrywick.routing.placement import Demand, Placer
-from cranberrywick.routing.registry import EndpointBelief
 
 
 def test_one_long_pause_is_no_slow_engine():
@@ -92,7 +92,7 @@
             gap_seconds=0.25,
             failure_domain="",
         )
-        placement = placer.place(demand, beliefs, 0.0)
+        placement = placer.place(demand, EndpointPool.of(beliefs), 0.0)
         assert placement.endpoint_id != "e0"
         writing = [j._replace(writing=True) for j in placement.jobs if j.held_tokens]
         load.put(demand.request_id, writing)
--- a/tests/test_unheard_requests.py
+++ b/tests/test_unheard_requests.py
@@ -7,12 +7,12 @@
 
 from cranberrywick.bench.prompt_engines import PROFILE
 from cranberrywick.bench.prompts import FLEETS, Experiment, on_time_by_kind
+from cranberrywick.routing.endpoint_index import EndpointBelief, EndpointPool
 from cranberrywick.routing.health import EndpointHealth
 from cranberrywick.routing.load import FleetLoad, Job
 from cranberrywick.routing.model import EndpointRecord, PromptSize, Service
 from cranberrywick.routing.pace import EnginePaces
 from cranberrywick.routing.placement import Demand, Placer
-from cranberrywick.routing.registry import EndpointBelief
 
 SLOTS = 5
 GAP_SECONDS = 0.3
@@ -30,12 +30,15 @@
 
 
 def beliefs(engines):
-    return [
-        EndpointBelief(
-            EndpointRecord(name, "pool", "", "", SLOTS, False, 0.0, 1), float("-inf")
-        )
-        for name in engines
-    ]
+    return EndpointPool.of(
+        [
+            EndpointBelief(
+                EndpointRecord(name, "pool", "", "", SLOTS, False, 0.0, 1),
+                float("-inf"),
+            )
+            for name in engines
+        ]
+    )
 
 
 def placed_at_once(taken_by_engine, daemons, news_seconds, seed):
