--- a/cranberrywick/cli/report.py
+++ b/cranberrywick/cli/report.py
@@ -10,6 +10,8 @@
 
 from cranberrywick.errors import CranberrywickError
 from cranberrywick.reports.gather import gather_burn
+from cranberrywick.reports.latency import latency_of
+from cranberrywick.reports.latency_table import render_latency
 from cranberrywick.reports.log_lines import LogLine, Unreadable, read_lines
 from cranberrywick.reports.loss_table import render_losses, write_loss_plot
 from cranberrywick.reports.losses import Weights, losses_of
@@ -132,14 +134,7 @@
       3  the report is made, but some lines held no event
       4  no line told of a request
     """
-    lines: list[LogLine] = []
-    unreadable: list[Unreadable] = []
-    for log in logs:
-        for line in read_lines(getattr(log, "name", "-"), log):
-            if isinstance(line, LogLine):
-                lines.append(line)
-            elif line is not None:
-                unreadable.append(line)
+    lines, unreadable = _read_all(logs)
     found = losses_of(lines, Weights(_worth_by_route(worths), late_share))
     click.echo(render_losses(found, unreadable, served), nl=False)
     if not found.requests:
@@ -150,6 +145,50 @@
         sys.exit(EXIT_PARTIAL)
 
 
+@report.command()
+@click.argument(
+    "logs", nargs=-1, required=True, type=click.File(encoding="utf-8", errors="replace")
+)
+def latency(logs: tuple[Iterable[str], ...]) -> None:
+    """Show from daemons' logs how soon requests were answered.
+
+    First tokens by length of prompt, those of short prompts also by how much long
+    work came with them, and calls by endpoint.
+
+    \b
+    Example:
+      cranberrywick report latency gateway-*.log
+
+    \b
+    Exit codes:
+      0  the report is made
+      2  the command line is wrong
+      3  the report is made, but some lines held no event
+      4  no line told of an answer
+    """
+    lines, unreadable = _read_all(logs)
+    found = latency_of(lines)
+    click.echo(render_latency(found, unreadable), nl=False)
+    if not (found.by_length or found.calls_by_endpoint):
+        sys.exit(EXIT_NO_ANSWER)
+    if unreadable:
+        sys.exit(EXIT_PARTIAL)
+
+
+def _read_all(
+    logs: Iterable[Iterable[str]],
+) -> tuple[list[LogLine], list[Unreadable]]:
+    lines: list[LogLine] = []
+    unreadable: list[Unreadable] = []
+    for log in logs:
+        for line in read_lines(getattr(log, "name", "-"), log):
+            if isinstance(line, LogLine):
+                lines.append(line)
+            elif line is not None:
+                unreadable.append(line)
+    return lines, unreadable
+
+
 def _worth_by_route(worths: tuple[str, ...]) -> dict[str, float]:
     worth_by_route = {}
     for each in worths:
--- a/cranberrywick/reports/loss_table.py
+++ b/cranberrywick/reports/loss_table.py
@@ -8,7 +8,7 @@
 from cranberrywick.reports.log_lines import Unreadable
 from cranberrywick.reports.losses import Cause, LossReport, Lost
 
-__all__ = ["render_losses", "write_loss_plot"]
+__all__ = ["render_losses", "unreadable_lines", "write_loss_plot"]
 
 # Lines that could not be read are named up to this many.
 MOST_UNREADABLE = 5
@@ -28,14 +28,18 @@
         if lost.lost
     ]
     lines += ["", *_sums(report, served)]
-    if unreadable:
-        named = ", ".join(
-            f"{u.source}:{u.number}" for u in unreadable[:MOST_UNREADABLE]
-        )
-        lines.append(f"lines that hold no event: {len(unreadable)} ({named})")
+    lines += unreadable_lines(unreadable)
     return "\n".join(lines) + "\n"
 
 
+def unreadable_lines(unreadable: Sequence[Unreadable]) -> list[str]:
+    """Return what a report says of lines that it could not read."""
+    if not unreadable:
+        return []
+    named = ", ".join(f"{u.source}:{u.number}" for u in unreadable[:MOST_UNREADABLE])
+    return [f"lines that hold no event: {len(unreadable)} ({named})"]
+
+
 def _row(name: str, count: str, worth: str, lost: str, examples: str) -> str:
     return f"{name:<40} {count:>8} {worth:>9} {lost:>9}  {examples}"
 
--- a/cranberrywick/reports/losses.py
+++ b/cranberrywick/reports/losses.py
@@ -19,11 +19,13 @@
 
 __all__ = [
     "NOT_OWED",
+    "REQUEST_ENDED",
     "Cause",
     "LossReport",
     "Lost",
     "Request",
     "Weights",
+    "arrived_at",
     "losses_of",
 ]
 
@@ -155,18 +157,20 @@
         line.fields.get("request_id", ""),
         route,
         tokens,
-        _ended_at(line) - (line.number("seconds") or 0.0),
+        arrived_at(line),
         cause,
         worth,
         lost,
     )
 
 
-def _ended_at(line: LogLine) -> float:
+def arrived_at(line: LogLine) -> float:
+    """Return when the request of such a line arrived, in seconds of the epoch."""
     try:
-        return datetime.fromisoformat(line.fields["time"]).timestamp()
+        ended_at = datetime.fromisoformat(line.fields["time"]).timestamp()
     except (KeyError, ValueError):
         return 0.0
+    return ended_at - (line.number("seconds") or 0.0)
 
 
 def _lost_share(cause: Cause, late_share: float) -> float:
