--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: run run-gateway test lint format bench bench-relay bench-daemon bench-prompts bench-drawn soak capacity binary lock clean
+.PHONY: run run-gateway test lint format bench bench-relay bench-daemon bench-request bench-prompts bench-drawn soak capacity binary lock clean
 
 $(VENV)/.installed: requirements.lock pyproject.toml
 	@echo "setting up $(VENV) with pinned dependencies"
@@ -65,3 +65,6 @@
 
 bench-daemon: $(VENV)/.installed
 	$(BIN)/python -m cranberrywick.bench.fleet_news $(ARGS)
+
+bench-request: $(VENV)/.installed
+	$(BIN)/python -m cranberrywick.bench.request_path $(ARGS)
--- /dev/null
+++ b/cranberrywick/bench/request_path.py
@@ -0,0 +1,185 @@
+"""What a request and a change of an endpoint cost a daemon, by size of the fleet.
+
+    python -m cranberrywick.bench.request_path
+
+prints milliseconds of processor time: a placement of each kind of prompt and of a plain
+call, one endpoint's change told by a peer, all endpoints taken at a start, and the log
+line of a request. Nothing here uses a network.
+"""
+
+import io
+import random
+from collections.abc import Callable
+from time import process_time
+from typing import NamedTuple
+
+import click
+
+from cranberrywick.bench.prompt_engines import KINDS, PROFILE
+from cranberrywick.gateway.endpoint_knowledge import EndpointKnowledge
+from cranberrywick.logs import EventLog, make_handler
+from cranberrywick.routing.health import EndpointHealth
+from cranberrywick.routing.load import FleetLoad, Job
+from cranberrywick.routing.model import (
+    EndpointDelta,
+    EndpointRecord,
+    EndpointView,
+    PromptSize,
+    Service,
+)
+from cranberrywick.routing.pace import EnginePaces
+from cranberrywick.routing.placement import Demand, Placer, fits_fleet
+from cranberrywick.routing.relays import news_seconds
+
+__all__ = ["Fleet", "measure"]
+
+ENGINES = Service("engines", 0.0, 0.0, PROFILE)
+CALLS = Service("calls", 0.0, 0.0, None)
+DOMAINS = ("fd-a", "fd-b", "fd-c")
+# A plain service has so many endpoints for one engine.
+CALL_ENDPOINTS_PER_ENGINE = 0.08
+JOBS_PER_ENGINE = 2.5
+NOW = 100.0
+
+
+class Fleet(NamedTuple):
+    """How many daemons and engines there are."""
+
+    daemons: int
+    engines: int
+
+
+FLEETS = (Fleet(22, 18), Fleet(67, 78), Fleet(195, 135), Fleet(300, 3000))
+
+
+def _record(name: str, service: str, number: int) -> EndpointRecord:
+    domain = DOMAINS[number % len(DOMAINS)]
+    address = f"10.{number % 200}.{number // 200}.1:80"
+    return EndpointRecord(name, service, address, domain, 12, False, 0.0, 1)
+
+
+def _view(fleet: Fleet) -> EndpointView:
+    calls = max(3, round(fleet.engines * CALL_ENDPOINTS_PER_ENGINE))
+    records = [_record(f"e{n}", ENGINES.name, n) for n in range(fleet.engines)]
+    records += [_record(f"c{n}", CALLS.name, n) for n in range(calls)]
+    return EndpointView(1, {record.endpoint_id: record for record in records})
+
+
+def _load(fleet: Fleet, rng: random.Random) -> FleetLoad:
+    """Return a usual load: mostly short answers, of all daemons."""
+    load = FleetLoad()
+    per_daemon = max(1, round(JOBS_PER_ENGINE * fleet.engines / fleet.daemons))
+    for daemon in range(fleet.daemons):
+        jobs = [
+            Job(
+                f"e{rng.randrange(fleet.engines)}",
+                *(rng.choice((5_000, 5_000, 5_000, 45_000)), 0.03),
+                *(NOW - rng.random(), NOW + 0.05, NOW + 0.3),
+                writing=rng.random() < 0.7,
+                gap_seconds=0.25,
+            )
+            for _ in range(per_daemon)
+        ]
+        load.hear(f"d{daemon}", jobs, NOW)
+    return load
+
+
+def _milliseconds(act: Callable[[], object], times: int) -> float:
+    started = process_time()
+    for _ in range(times):
+        act()
+    return (process_time() - started) / times * 1000
+
+
+def measure(fleet: Fleet, times: int) -> dict[str, float]:
+    """Return milliseconds by activity."""
+    rng = random.Random(1)
+    view = _view(fleet)
+    knowledge = EndpointKnowledge(EventLog())
+    figures = {}
+    whole = EndpointKnowledge(EventLog())
+    whole.take(view, NOW - 2.0, NOW - 2.0)
+    reading = whole.whole_reading(NOW - 1.0)
+    figures["all endpoints at a start"] = _milliseconds(
+        lambda: knowledge.take_news(reading, NOW - 1.0), 1
+    )
+    placer = Placer(
+        _load(fleet, rng),
+        EndpointHealth(),
+        EnginePaces(),
+        rng,
+        lambda: news_seconds(fleet.daemons),
+    )
+
+    def place(service: Service, prompt: PromptSize | None, target: float) -> None:
+        pool = knowledge.registry.index.ready(service.name, frozenset())
+        demand = Demand(
+            *("r", service, prompt, target, NOW + target, 0.25, "fd-a"),
+        )
+        fits_fleet(demand, pool)
+        placer.place(demand, pool, NOW)
+
+    for kind in KINDS:
+        size = PromptSize(int(kind.prompt_tokens), 500)
+        figures[f"placement, {kind.name}"] = _milliseconds(
+            lambda size=size, kind=kind: place(ENGINES, size, kind.target_seconds),
+            times,
+        )
+    figures["placement, plain call"] = _milliseconds(
+        lambda: place(CALLS, None, 0.3), times
+    )
+    figures["one endpoint's change"] = _changes(knowledge, view, times)
+    figures["a request's log line"] = _log_line(times)
+    return figures
+
+
+def _changes(knowledge: EndpointKnowledge, view: EndpointView, times: int) -> float:
+    """Let a peer tell of one endpoint after the other that it is leaving."""
+    teller = EndpointKnowledge(EventLog())
+    teller.take(view, NOW - 1.0, NOW - 1.0)
+    readings = []
+    for number in range(times):
+        name = f"e{number % 18}"
+        draining = not view.records_by_id[name].draining
+        record = view.records_by_id[name]._replace(draining=draining)
+        view = view.with_delta(EndpointDelta((record,), ()), view.revision + 1)
+        at = NOW + number * 0.1
+        readings.append((teller.take(view, at, at).reading, at))
+    pending = iter(readings)
+    return _milliseconds(lambda: knowledge.take_news(*next(pending)), times)
+
+
+def _log_line(times: int) -> float:
+    log = EventLog(daemon="d1")
+    with make_handler("info", io.StringIO()).applicationbound():
+        return _milliseconds(
+            lambda: log.info(
+                "request_ended",
+                request_id="9a5bb11edc41e672",
+                route="captions",
+                outcome="completed",
+                status=200,
+                endpoint="i-5ed0fb4115",
+                seconds=0.58,
+                first_event=0.105,
+                target=0.32,
+                tokens=5000,
+            ),
+            times,
+        )
+
+
+@click.command()
+@click.option("--times", default=200, show_default=True)
+def main(times: int) -> None:
+    """Print milliseconds of processor time by activity and size."""
+    by_fleet = {fleet: measure(fleet, times) for fleet in FLEETS}
+    sizes = [f"{fleet.daemons}/{fleet.engines}" for fleet in FLEETS]
+    click.echo(f"{'daemons/engines':<28}" + "".join(f"{size:>10}" for size in sizes))
+    for activity in by_fleet[FLEETS[0]]:
+        row = (f"{by_fleet[fleet][activity]:>10.3f}" for fleet in FLEETS)
+        click.echo(f"{activity:<28}" + "".join(row))
+
+
+if __name__ == "__main__":
+    main()
