--- a/cranberrywick/bench/prompts.py
+++ b/cranberrywick/bench/prompts.py
@@ -261,11 +261,14 @@
             prompt.parts_left -= 1
             if prompt.parts_left == 0:
                 home = prompt.home
+                # The pass that has read it has made an event of it only if it wrote.
+                is_written = home is engine and bool(wrote)
                 home.writers.append(prompt)
                 jobs = self._loads[prompt.daemon].jobs_of(prompt.name)
                 writing = [j._replace(writing=True) for j in jobs if j.held_tokens]
                 self._put(prompt, writing, now)
-                self._event(prompt, now)
+                if is_written:
+                    self._event(prompt, now)
                 self._start(home, now)
         self._start(engine, now)
 
