Let every informed daemon pass documents on, and split FleetNews by job

Cause: after a start of a large fleet, or a new configuration, all daemons asked one peer (their relay, or whoever told of the change), which serves eight at a time; the others waited for the next heartbeat. Each of 300 starting daemons packed and sent all 3,000 records, which no datagram holds.

What a fetch tells counts from the moment of the question. In virtual time 300 daemons have a change within a second of the first one's knowing.

--- a/cranberrywick/gateway/endpoint_knowledge.py
+++ b/cranberrywick/gateway/endpoint_knowledge.py
@@ -12,6 +12,9 @@
 
 __all__ = ["EndpointKnowledge", "PeerReading", "StoreReading"]
 
+# Records of so many endpoints fit in a datagram with room to spare.
+MOST_TOLD_ENDPOINTS = 500
+
 
 class PeerReading(Enum):
     """What a peer's reading says to who takes it; MISSED: one before it is lacking."""
@@ -37,6 +40,8 @@
         self.registry = EndpointRegistry()
         self._view: EndpointView | None = None
         self._digest = 0
+        # Packed once for all who ask for it.
+        self._whole: EndpointReading | None = None
         self._unusable_ids: frozenset[str] = frozenset()
 
     def take(self, view: EndpointView, read_at: float, now: float) -> StoreReading:
@@ -51,7 +56,7 @@
         if self._digest == base and base_view is not None:
             reading = EndpointReading(self.registry.revision, age, base)
         elif base_view is None:
-            reading = self.whole_reading(now)
+            reading = self.told_reading(now)
         else:
             reading = EndpointReading.difference(
                 self._view, self._digest, age, delta, base
@@ -77,7 +82,21 @@
         """Return all that is known; None if nothing is."""
         if self._view is None:
             return None
-        return EndpointReading.whole(self._view, self._digest, self.registry.age(now))
+        if self._whole is None or self._whole.digest != self._digest:
+            self._whole = EndpointReading.whole(self._view, self._digest, 0.0)
+        revision, age = self.registry.revision, self.registry.age(now)
+        return self._whole._replace(revision=revision, age=age)
+
+    def told_reading(self, now: float) -> EndpointReading | None:
+        """Return what a peer is told that may know nothing; None if nothing is known.
+
+        That is all that is known, unless it is too much for a datagram: then the peer
+        learns that there is something to ask for.
+        """
+        if self._view is None or len(self._view.records_by_id) <= MOST_TOLD_ENDPOINTS:
+            return self.whole_reading(now)
+        age = self.registry.age(now)
+        return EndpointReading(self.registry.revision, age, self._digest)
 
     def _take(self, applied: Applied, digest: int, read_at: float, now: float) -> bool:
         view, delta = applied
--- a/cranberrywick/gateway/fleet_link.py
+++ b/cranberrywick/gateway/fleet_link.py
@@ -24,7 +24,10 @@
 from cranberrywick.gateway.schema import MAX_MESSAGE_BYTES
 from cranberrywick.logs import EventLog
 
-__all__ = ["FleetLink"]
+__all__ = ["FleetLink", "Send"]
+
+# Sends a message to each of some addresses.
+Send = Callable[[Message, list[str], Scope], None]
 
 # The largest UDP payload, less some room for headers.
 MAX_DATAGRAM_BYTES = 60_000
--- a/cranberrywick/gateway/fleet_news.py
+++ b/cranberrywick/gateway/fleet_news.py
@@ -6,14 +6,15 @@
 import asyncio
 import random
 import time
-from collections import defaultdict
-from collections.abc import Iterable
+from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
 from cranberrywick.gateway.endpoint_reading import EndpointReading
 from cranberrywick.gateway.fleet_link import FleetLink
 from cranberrywick.gateway.heartbeat_rows import PassedOn, RelayNews
 from cranberrywick.gateway.messages import Envelope, Message, Scope, Wanted
+from cranberrywick.gateway.recipients import Recipients
+from cranberrywick.gateway.relaying import HeartbeatRelaying
 from cranberrywick.gateway.ticker import Ticker
 from cranberrywick.logs import EventLog, id_lists
 from cranberrywick.routing.load import FleetLoad
@@ -24,8 +25,6 @@
     FLUSH_SECONDS,
     JOB_NEWS_SECONDS,
     KEEPALIVE_SECONDS,
-    Relays,
-    needs_relays,
     news_seconds,
 )
 
@@ -37,8 +36,6 @@
 # a place that is thought taken for a moment longer costs less than a datagram to each.
 # With relays it costs one datagram, and waits no longer than the relay collects.
 ENDED_NEWS_SECONDS_PER_MEMBER = 0.004
-# Heartbeats in one datagram; a link divides it where they are too long for one.
-MOST_IN_BATCH = 100
 
 
 class Standing(NamedTuple):
@@ -82,40 +79,39 @@
         self._rng = random.Random()
         self._incarnation = int(time.time() * 1000)
         self._sequence = 0
-        self._port = settings.internal_ports[0]
-        self.peer_address = f"{settings.ip}:{self._port}"
+        port = settings.internal_ports[0]
+        self.peer_address = f"{settings.ip}:{port}"
         self.link = FleetLink(self._hear, listener.answer, log)
         contact = settings.bounds.contact_seconds
         self.members = Members(settings.daemon_id, contact)
         self.load = FleetLoad()
         self.paces = EnginePaces()
-        self._relays = Relays(settings.daemon_id, settings.failure_domain)
-        self._known_addresses: dict[str, str] = {}
+        self._recipients = Recipients(
+            settings, self.members, self._is_leaving, self._loop.time
+        )
+        self._relaying = HeartbeatRelaying(settings, self._recipients, self._send)
         # Peers heard for the first time, of which no line tells yet.
         self._met_ids: list[str] = []
         self._next_heartbeat: asyncio.TimerHandle | None = None
-        self._flush: asyncio.TimerHandle | None = None
-        # What waits to be passed on, by the daemon that it is of.
-        self._for_domain: dict[str, PassedOn] = {}
-        self._for_others: dict[str, PassedOn] = {}
 
     async def start(self, ticker: Ticker) -> None:
         """Begin to listen and to tell."""
-        await self.link.start(self._settings.ip, self._port)
+        await self.link.start(self._settings.ip, self._settings.internal_ports[0])
         self.send_heartbeat()
         ticker.every(LOOK_SECONDS, self._look)
-        ticker.every(KEEPALIVE_SECONDS, self._keep_alive)
+        ticker.every(KEEPALIVE_SECONDS, self._relaying.keep_alive)
 
     def know(self, addresses_by_id: dict[str, str]) -> None:
         """Take the daemons that are registered in the store."""
-        if addresses_by_id != self._known_addresses:
-            self._known_addresses = addresses_by_id
+        if addresses_by_id != self._recipients.registered_addresses:
+            self._recipients.registered_addresses = addresses_by_id
             self.send_heartbeat()
 
     @property
     def has_heard_all(self) -> bool:
         """Whether all daemons that are registered have been heard."""
-        return bool(self._known_addresses) and not self._strangers()
+        recipients = self._recipients
+        return bool(recipients.registered_addresses) and not recipients.strangers()
 
     def job_added(self) -> None:
         """Tell the others at once what this daemon now has at endpoints."""
@@ -127,63 +123,59 @@
 
     def job_ended(self) -> None:
         """Tell the others some time soon."""
-        members = self._known_members
-        wait = members * ENDED_NEWS_SECONDS_PER_MEMBER
-        self._tell_within(FLUSH_SECONDS if needs_relays(members) else wait)
+        wait = self._recipients.known_members * ENDED_NEWS_SECONDS_PER_MEMBER
+        self._tell_within(FLUSH_SECONDS if self._recipients.has_relays else wait)
 
     def send_heartbeat(self) -> None:
         """Tell the others what this daemon is and knows."""
         now = self._loop.time()
-        if self._next_heartbeat is not None:
-            self._next_heartbeat.cancel()
-        pause = heartbeat_seconds(self._known_members) * self._rng.uniform(0.9, 1.1)
-        self._next_heartbeat = self._loop.call_later(pause, self.send_heartbeat)
+        self._schedule_heartbeat()
         self._sequence += 1
         heartbeat = self._heartbeat(now)
-        if not needs_relays(self._known_members):
-            self.link.send(heartbeat, self._peers(), self._direct_scope)
+        recipients = self._recipients
+        if not recipients.has_relays:
+            self.link.send(heartbeat, recipients.peers(), recipients.direct_scope)
             return
-        self.link.send(heartbeat, self._strangers())
-        relay = self._own_relay(now)
-        if relay is None:
-            self._pass_on(PassedOn(now, heartbeat), Scope.FLEET)
-            if heartbeat.leaving:
-                self._flush_now()
-        else:
+        self.link.send(heartbeat, recipients.strangers())
+        relay = recipients.own_relay()
+        if relay is not None:
             self.link.send(heartbeat, [relay.peer_address], Scope.FLEET)
+            return
+        self._relaying.pass_on(PassedOn(now, heartbeat), Scope.FLEET)
+        if heartbeat.leaving:
+            self._relaying.flush()
+
+    def _schedule_heartbeat(self) -> None:
+        if self._next_heartbeat is not None:
+            self._next_heartbeat.cancel()
+        seconds = heartbeat_seconds(self._recipients.known_members)
+        pause = seconds * self._rng.uniform(0.9, 1.1)
+        self._next_heartbeat = self._loop.call_later(pause, self.send_heartbeat)
 
     def tell_all(self, message: Message) -> None:
         """Send a message to every daemon, in a large fleet through the relays."""
-        if not needs_relays(self._known_members):
-            self.link.send(message, self._peers())
+        recipients = self._recipients
+        if not recipients.has_relays:
+            self.link.send(message, recipients.peers())
             return
-        self.link.send(message, [*self._domain_peers(), *self._strangers()])
-        self.link.send(message, self._other_relays(), Scope.DOMAIN)
+        near = [*recipients.domain_peers(), *recipients.strangers()]
+        self.link.send(message, near)
+        self.link.send(message, recipients.other_relays(), Scope.DOMAIN)
 
-    def informed_peer(self) -> str | None:
-        """Return the address of a peer to be asked for what was missed here.
-
-        That is the own domain's relay, which others' news come through, or else the
-        relay of another domain; with no relays any peer.
-        """
-        now = self._loop.time()
-        relay = None
-        others = [beat.peer_address for beat in self.members.alive(now)]
-        if needs_relays(self._known_members):
-            relay = self._own_relay(now)
-            others = self._other_relays()
-        if relay is not None:
-            return relay.peer_address
-        return self._rng.choice(others) if others else None
+    def informed(self, knows: Callable[[Heartbeat], bool]) -> list[str]:
+        """Return the addresses of peers to be asked for what was missed here."""
+        return self._recipients.informed(knows)
 
     @property
     def delay_seconds(self) -> float:
         """How old others' jobs are when they are heard of."""
-        return news_seconds(self._known_members)
+        return news_seconds(self._recipients.known_members)
 
-    @property
-    def _known_members(self) -> int:
-        return 1 + len(self.members.members_by_id)
+    def _is_leaving(self) -> bool:
+        return self._listener.standing(self._loop.time()).leaving
+
+    def _send(self, message: Message, addresses: list[str], scope: Scope) -> None:
+        self.link.send(message, addresses, scope)
 
     def _heartbeat(self, now: float) -> Heartbeat:
         standing = self._listener.standing(now)
@@ -210,106 +202,6 @@
                 due.cancel()
             self._next_heartbeat = self._loop.call_at(at, self.send_heartbeat)
 
-    @property
-    def _direct_scope(self) -> Scope:
-        """Whether those told directly pass it on.
-
-        A daemon that starts while the store is away knows the few that its settings
-        name and no more. In a large fleet none of them may be a relay: unless they
-        pass it on, it stays unknown, is told nothing and refuses its callers.
-        """
-        knows_nobody = not self.members.members_by_id and not self._known_addresses
-        return Scope.FLEET if knows_nobody else Scope.NOBODY
-
-    # Whom to tell
-
-    def _peers(self) -> set[str]:
-        heard = self.members.members_by_id.values()
-        return {m.heartbeat.peer_address for m in heard} | self._strangers()
-
-    def _strangers(self) -> set[str]:
-        """Return daemons that are registered but have not been heard."""
-        members = self.members.members_by_id
-        unheard = {a for i, a in self._known_addresses.items() if i not in members}
-        if not members and not unheard:
-            # Without the store, the start-up settings may still name some peers.
-            for seed in self._settings.seeds:
-                unheard.add(f"{seed.rpartition(':')[0]}:{self._port}")
-        return unheard - {self.peer_address}
-
-    def _domain_peers(self) -> list[str]:
-        return [
-            member.heartbeat.peer_address
-            for member in self.members.members_by_id.values()
-            if member.heartbeat.failure_domain == self._settings.failure_domain
-        ]
-
-    def _own_relay(self, now: float) -> Heartbeat | None:
-        """Return the relay of this daemon's domain, None if that is itself."""
-        domain = self._settings.failure_domain
-        alive = [b for b in self.members.alive(now) if b.failure_domain == domain]
-        beats_by_id = {b.daemon_id: b for b in alive if not b.leaving}
-        if not self._listener.standing(now).leaving:
-            beats_by_id[self._settings.daemon_id] = None
-        chosen = self._relays.choose(domain, list(beats_by_id), now)
-        return beats_by_id.get(chosen) if chosen is not None else None
-
-    def _other_relays(self) -> list[str]:
-        """Return the addresses of the other domains' relays."""
-        now = self._loop.time()
-        by_domain: dict[str, dict[str, Heartbeat]] = defaultdict(dict)
-        for beat in self.members.alive(now):
-            if beat.failure_domain != self._settings.failure_domain:
-                by_domain[beat.failure_domain][beat.daemon_id] = beat
-        addresses = []
-        for domain, beats_by_id in by_domain.items():
-            serving = [i for i, beat in beats_by_id.items() if not beat.leaving]
-            chosen = self._relays.choose(domain, serving or list(beats_by_id), now)
-            addresses.append(beats_by_id[chosen].peer_address)
-        return addresses
-
-    # Passing on
-
-    def _pass_on(self, news: PassedOn, scope: Scope) -> None:
-        """Collect a heartbeat for all whom it has not reached."""
-        daemon_id = news.heartbeat.daemon_id
-        if scope is not Scope.NOBODY:
-            self._for_domain[daemon_id] = news
-        if scope is Scope.FLEET:
-            self._for_others[daemon_id] = news
-        if scope is not Scope.NOBODY and self._flush is None:
-            self._flush = self._loop.call_later(FLUSH_SECONDS, self._flush_now)
-
-    def _flush_now(self) -> None:
-        if self._flush is not None:
-            self._flush.cancel()
-            self._flush = None
-        domain, others = self._for_domain, self._for_others
-        self._for_domain, self._for_others = {}, {}
-        self._send_batches(domain, self._domain_peers(), Scope.NOBODY)
-        if others:
-            self._send_batches(others, self._other_relays(), Scope.DOMAIN)
-
-    def _send_batches(
-        self, news_by_id: dict[str, PassedOn], addresses: Iterable[str], scope: Scope
-    ) -> None:
-        addresses = list(addresses)
-        news = tuple(news_by_id.values())
-        for start in range(0, max(1, len(news)), MOST_IN_BATCH):
-            part = news[start : start + MOST_IN_BATCH]
-            batch = RelayNews(
-                self._settings.daemon_id, self._settings.failure_domain, part
-            )
-            self.link.send(batch, addresses, scope)
-
-    def _keep_alive(self) -> None:
-        """Say that this relay lives, where nothing else has said so lately."""
-        now = self._loop.time()
-        if needs_relays(self._known_members) and self._own_relay(now) is None:
-            if self._flush is None:
-                self._send_batches({}, self._domain_peers(), Scope.NOBODY)
-                self._send_batches({}, self._other_relays(), Scope.DOMAIN)
-
     # Hearing
 
     def _hear(self, envelope: Envelope) -> None:
@@ -325,13 +217,13 @@
         if isinstance(message, Heartbeat):
             self._hear_directly(message, scope, now)
         elif isinstance(message, RelayNews):
-            self._relays.heard(message.relay_id, message.relay_domain, now)
+            self._recipients.relays.heard(message.relay_id, message.relay_domain, now)
             for news in message.heartbeats:
                 if self._take(news.heartbeat, news.heard_at):
-                    self._pass_on(news, scope)
+                    self._relaying.pass_on(news, scope)
         elif isinstance(message, EndpointReading):
             if scope is Scope.DOMAIN:
-                self.link.send(message, self._domain_peers())
+                self.link.send(message, self._recipients.domain_peers())
             self._listener.endpoints_heard(message)
 
     def _hear_directly(self, heartbeat: Heartbeat, scope: Scope, now: float) -> None:
@@ -340,18 +232,18 @@
         is_new = known is None or known.heartbeat.incarnation != heartbeat.incarnation
         if not self._take(heartbeat, now):
             return
-        self._pass_on(PassedOn(now, heartbeat), scope)
-        if is_new and self._greets(scope, now):
+        self._relaying.pass_on(PassedOn(now, heartbeat), scope)
+        if is_new and self._greets(scope):
             # So that it knows us at once, and serves even if the store, which may
             # be away just now, has told it nothing yet.
             self.link.send(self._heartbeat(now), [heartbeat.peer_address])
             self._listener.newcomer_met(heartbeat.peer_address)
 
-    def _greets(self, scope: Scope, now: float) -> bool:
+    def _greets(self, scope: Scope) -> bool:
         """Whether this daemon answers a newcomer: in a large fleet a few are enough."""
-        if scope is Scope.FLEET or not needs_relays(self._known_members):
+        if scope is Scope.FLEET or not self._recipients.has_relays:
             return True
-        return self._own_relay(now) is None
+        return self._recipients.own_relay() is None
 
     def _take(self, heartbeat: Heartbeat, heard_at: float) -> bool:
         daemon_id = heartbeat.daemon_id
@@ -370,5 +262,5 @@
         for daemon_id in self.members.look(now):
             self._log.warning("peer_silent", peer=daemon_id)
         if self.members.was_paused:
-            self._relays.excuse(now)
+            self._recipients.relays.excuse(now)
         self.load.forget_silent(now)
--- /dev/null
+++ b/cranberrywick/gateway/recipients.py
@@ -0,0 +1,116 @@
+"""To whom a daemon's messages go: to everybody, or in a large fleet to the relays."""
+
+from collections import defaultdict
+from collections.abc import Callable
+
+from cranberrywick.gateway.messages import Scope
+from cranberrywick.routing.members import Heartbeat, Members
+from cranberrywick.routing.model import GatewaySettings
+from cranberrywick.routing.relays import Relays, needs_relays
+
+__all__ = ["Recipients"]
+
+
+class Recipients:
+    """Chooses addresses by who is known, who lives and who relays.
+
+    ``is_leaving`` says whether this daemon itself takes no callers; such a one does
+    not relay. ``clock`` returns the time in seconds.
+    """
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        members: Members,
+        is_leaving: Callable[[], bool],
+        clock: Callable[[], float],
+    ):
+        self._settings = settings
+        self._members = members
+        self._is_leaving = is_leaving
+        self._clock = clock
+        self._port = settings.internal_ports[0]
+        self._own_address = f"{settings.ip}:{self._port}"
+        self.relays = Relays(settings.daemon_id, settings.failure_domain)
+        self.registered_addresses: dict[str, str] = {}
+
+    @property
+    def known_members(self) -> int:
+        """How many daemons are known, this one included."""
+        return 1 + len(self._members.members_by_id)
+
+    @property
+    def has_relays(self) -> bool:
+        """Whether the fleet is large enough for relays."""
+        return needs_relays(self.known_members)
+
+    @property
+    def direct_scope(self) -> Scope:
+        """Whether those told directly pass it on.
+
+        A daemon that starts while the store is away knows the few that its settings
+        name and no more. In a large fleet none of them may be a relay: unless they
+        pass it on, it stays unknown, is told nothing and refuses its callers.
+        """
+        knows_nobody = not self._members.members_by_id and not self.registered_addresses
+        return Scope.FLEET if knows_nobody else Scope.NOBODY
+
+    def peers(self) -> set[str]:
+        """Return the addresses of all daemons that may live."""
+        heard = self._members.members_by_id.values()
+        return {m.heartbeat.peer_address for m in heard} | self.strangers()
+
+    def strangers(self) -> set[str]:
+        """Return daemons that are registered but have not been heard."""
+        members = self._members.members_by_id
+        unheard = {a for i, a in self.registered_addresses.items() if i not in members}
+        if not members and not unheard:
+            # Without the store, the start-up settings may still name some peers.
+            for seed in self._settings.seeds:
+                unheard.add(f"{seed.rpartition(':')[0]}:{self._port}")
+        return unheard - {self._own_address}
+
+    def domain_peers(self) -> list[str]:
+        """Return the addresses of this failure domain's other daemons."""
+        return [
+            member.heartbeat.peer_address
+            for member in self._members.members_by_id.values()
+            if member.heartbeat.failure_domain == self._settings.failure_domain
+        ]
+
+    def own_relay(self) -> Heartbeat | None:
+        """Return the relay of this daemon's domain, None if that is itself."""
+        now = self._clock()
+        domain = self._settings.failure_domain
+        alive = [b for b in self._members.alive(now) if b.failure_domain == domain]
+        beats_by_id = {b.daemon_id: b for b in alive if not b.leaving}
+        if not self._is_leaving():
+            beats_by_id[self._settings.daemon_id] = None
+        chosen = self.relays.choose(domain, list(beats_by_id), now)
+        return beats_by_id.get(chosen) if chosen is not None else None
+
+    def other_relays(self) -> list[str]:
+        """Return the addresses of the other domains' relays."""
+        now = self._clock()
+        by_domain: dict[str, dict[str, Heartbeat]] = defaultdict(dict)
+        for beat in self._members.alive(now):
+            if beat.failure_domain != self._settings.failure_domain:
+                by_domain[beat.failure_domain][beat.daemon_id] = beat
+        addresses = []
+        for domain, beats_by_id in by_domain.items():
+            serving = [i for i, beat in beats_by_id.items() if not beat.leaving]
+            chosen = self.relays.choose(domain, serving or list(beats_by_id), now)
+            addresses.append(beats_by_id[chosen].peer_address)
+        return addresses
+
+    def informed(self, knows: Callable[[Heartbeat], bool]) -> list[str]:
+        """Return the addresses of peers to be asked for what was missed here.
+
+        Of those that know it the ones of the own failure domain, if there are any.
+        Not only its relay: where many ask at once, as after a start of the whole fleet,
+        each that was told can tell others.
+        """
+        informed = [beat for beat in self._members.alive(self._clock()) if knows(beat)]
+        domain = self._settings.failure_domain
+        near = [beat for beat in informed if beat.failure_domain == domain]
+        return [beat.peer_address for beat in near or informed]
--- a/cranberrywick/gateway/state.py
+++ b/cranberrywick/gateway/state.py
@@ -21,6 +21,7 @@
     Wanted,
 )
 from cranberrywick.gateway.operator_knowledge import OperatorKnowledge
+from cranberrywick.gateway.peer_fetches import PeerFetches
 from cranberrywick.gateway.store_calls import StoreCalls
 from cranberrywick.gateway.store_reader import Store
 from cranberrywick.gateway.ticker import Ticker
@@ -77,8 +78,7 @@
         self.leaving = False
         self.changed: Callable[[], None] = lambda: None
         self._lease: int | None = None
-        self._fetching = False
-        self._fetching_endpoints = False
+        self._fetches = PeerFetches(lambda: self.news.link, log)
         self._rng = random.Random()
         self._calls = StoreCalls(
             settings.bounds.drain_seconds,
@@ -166,9 +166,8 @@
         is_newer = self._operator.compare(
             heartbeat.operator_revision, heartbeat.operator_digest, newest_at
         )
-        if is_newer and not self._fetching:
-            self._fetching = True
-            self._loop.create_task(self._fetch_operator(heartbeat))
+        if is_newer:
+            self._fetch_operator(heartbeat.operator_revision)
         self.changed()
 
     def endpoints_heard(self, reading: EndpointReading) -> None:
@@ -178,11 +177,11 @@
         if outcome is PeerReading.CHANGED:
             self._note_change(was_ready)
         elif outcome is PeerReading.MISSED:
-            self._loop.create_task(self._fetch_endpoints())
+            self._fetch_endpoints()
 
     def newcomer_met(self, peer_address: str) -> None:
         """Tell a daemon that has just started the endpoints."""
-        reading = self._endpoints.whole_reading(self._loop.time())
+        reading = self._endpoints.told_reading(self._loop.time())
         if reading is not None:
             self.news.link.send(reading, [peer_address])
 
@@ -195,31 +194,28 @@
             return None
         return OperatorReading(view, self._operator.age(self._loop.time()))
 
-    async def _fetch_operator(self, heartbeat: Heartbeat) -> None:
-        try:
-            address = heartbeat.peer_address
-            reading = await self.news.link.fetch(address, OperatorWanted())
-        finally:
-            self._fetching = False
-        if isinstance(reading, OperatorReading):
-            read_at = self._loop.time() - reading.age
-            self._take_operator(reading.view, read_at, heartbeat.daemon_id)
-
-    async def _fetch_endpoints(self) -> None:
+    def _fetch_operator(self, revision: int) -> None:
+        def informed() -> list[str]:
+            return self.news.informed(lambda beat: beat.operator_revision >= revision)
+
+        def take(reading: Message, source: str, asked_at: float) -> None:
+            if isinstance(reading, OperatorReading):
+                self._take_operator(reading.view, asked_at - reading.age, source)
+
+        self._fetches.begin(OperatorWanted(), informed, take)
+
+    def _fetch_endpoints(self) -> None:
         """Ask a peer for all endpoints, after news of a change was missed."""
-        address = self.news.informed_peer()
-        if self._fetching_endpoints or address is None:
-            return
-        self._fetching_endpoints = True
-        try:
-            reading = await self.news.link.fetch(address, EndpointsWanted())
-        finally:
-            self._fetching_endpoints = False
-        self._log.info(
-            "endpoints_fetched", peer=address, revision=reading and reading.revision
-        )
-        if isinstance(reading, EndpointReading):
-            self.endpoints_heard(reading)
+
+        def informed() -> list[str]:
+            return self.news.informed(lambda beat: not beat.leaving)
+
+        def take(reading: Message, source: str, asked_at: float) -> None:
+            if isinstance(reading, EndpointReading):
+                age = reading.age + self._loop.time() - asked_at
+                self.endpoints_heard(reading._replace(age=age))
+
+        self._fetches.begin(EndpointsWanted(), informed, take)
 
     # Calls of the store
 
--- a/tests/test_endpoint_reading.py
+++ b/tests/test_endpoint_reading.py
@@ -148,3 +148,24 @@
 
 TestTelling = TellingMachine.TestCase
 TestTelling.settings = settings(stateful_step_count=30)
+
+
+def test_thousands_of_endpoints_are_told_on_demand_only():
+    """Guards against a start at which every daemon packs and sends all records."""
+    ids = [f"i-{number:010x}" for number in range(3000)]
+    thousands = view(1, *(record(i) for i in ids))
+    reader, other = EndpointKnowledge(EventLog()), EndpointKnowledge(EventLog())
+    told = reader.take(thousands, 1.0, 1.0).reading
+    assert not told.changes
+    assert other.take_news(told, 1.1) is PeerReading.MISSED
+    whole = reader.whole_reading(1.2)
+    assert other.take_news(whole, 1.2) is PeerReading.CHANGED
+    assert other.registry.beliefs_by_id.keys() == set(ids)
+
+
+def test_all_records_are_packed_once_for_all_who_ask():
+    """Guards against a start at which one daemon packs all records for each other."""
+    knowledge = knowing(large(1))
+    first, second = knowledge.whole_reading(1.0), knowledge.whole_reading(2.0)
+    assert first.changes is second.changes
+    assert second.age == 1.0
--- /dev/null
+++ b/tests/test_peer_fetches.py
@@ -0,0 +1,115 @@
+"""Documents are fetched from peers that have them, however many daemons ask at once."""
+
+import asyncio
+
+from cranberrywick.bench.virtual_time import run_in_virtual_time
+from cranberrywick.gateway.messages import EndpointsWanted, OperatorWanted
+from cranberrywick.gateway.peer_fetches import MOST_TRIES, PeerFetches
+from cranberrywick.logs import EventLog
+
+FETCH_SECONDS = 0.02
+MOST_SERVED = 8
+
+
+class Link:
+    """Answers for each peer what ``answers`` says; counts who was asked."""
+
+    def __init__(self, answers):
+        self.answers = answers
+        self.asked = []
+
+    async def fetch(self, address, wanted):
+        self.asked.append((address, type(wanted)))
+        await asyncio.sleep(FETCH_SECONDS)
+        return self.answers.get(address)
+
+
+def fetches_of(link):
+    return PeerFetches(lambda: link, EventLog())
+
+
+def test_a_busy_peer_is_no_reason_to_wait():
+    """Guards against daemons that miss a change until the next one is told."""
+    taken = []
+
+    async def scene():
+        link = Link({"free": "reading"})
+        peers = iter([["busy"], ["busy"], ["free"]])
+        fetches_of(link).begin(
+            OperatorWanted(), lambda: next(peers), lambda *answer: taken.append(answer)
+        )
+        await asyncio.sleep(1.0)
+
+    run_in_virtual_time(scene())
+    assert [answer[:2] for answer in taken] == [("reading", "free")]
+
+
+def test_one_fetch_of_a_kind_is_under_way():
+    """Guards against a fetch for each heartbeat that tells of the same change."""
+
+    async def scene():
+        link = Link({"a": "reading"})
+        fetches = fetches_of(link)
+        for wanted in (OperatorWanted(), OperatorWanted(), EndpointsWanted()):
+            fetches.begin(wanted, lambda: ["a"], lambda *answer: None)
+        await asyncio.sleep(FETCH_SECONDS / 2)
+        assert link.asked == [("a", OperatorWanted), ("a", EndpointsWanted)]
+        await asyncio.sleep(1.0)
+        fetches.begin(OperatorWanted(), lambda: ["a"], lambda *answer: None)
+        await asyncio.sleep(1.0)
+        assert len(link.asked) == 3
+
+    run_in_virtual_time(scene())
+
+
+def test_it_is_given_up_after_a_few_tries():
+    async def scene():
+        link = Link({})
+        fetches_of(link).begin(OperatorWanted(), lambda: ["a"], lambda *answer: None)
+        await asyncio.sleep(10.0)
+        assert len(link.asked) == MOST_TRIES
+
+    run_in_virtual_time(scene())
+
+
+def test_three_hundred_daemons_have_a_change_within_a_second():
+    """Guards against a configuration that reaches the last of a large fleet too late.
+
+    One daemon has it, each serves eight at a time, and who was served serves others.
+    """
+    daemons = [f"d{number}" for number in range(300)]
+    informed = {"d0": 0.0}
+    served = dict.fromkeys(daemons, 0)
+
+    class SharedLink:
+        async def fetch(self, address, wanted):
+            if served[address] >= MOST_SERVED:
+                await asyncio.sleep(0.002)
+                return None
+            served[address] += 1
+            await asyncio.sleep(FETCH_SECONDS)
+            served[address] -= 1
+            return "reading"
+
+    async def scene():
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+
+        def hear(name, fetches):
+            """Ask whenever heartbeats tell of a change, as they do each 50 ms."""
+            if name in informed:
+                return
+            fetches.begin(
+                OperatorWanted(),
+                lambda: list(informed),
+                lambda *answer: informed.setdefault(name, loop.time() - started),
+            )
+            loop.call_later(0.05, hear, name, fetches)
+
+        for name in daemons[1:]:
+            hear(name, PeerFetches(SharedLink, EventLog()))
+        await asyncio.sleep(3.0)
+        assert len(informed) == len(daemons)
+        assert max(informed.values()) < 1.0
+
+    run_in_virtual_time(scene())
