Use what still serves where a service has no other endpoint, then refuse at once

Callers were told to come back after 1 s, into the same refusal.

After the bound callers are refused at once and told to come back after about as long as the service has been without endpoints, spread by a quarter. A request that waits for a place and can only miss its deadline is refused then, not at the deadline.

--- a/cranberrywick/gateway/attempt.py
+++ b/cranberrywick/gateway/attempt.py
@@ -67,7 +67,7 @@
         exchange: Exchange,
         placement: Placement,
         beliefs_by_id: Mapping[str, EndpointBelief],
-        still_usable: Callable[[str], bool],
+        may_send: Callable[[str, bool], bool],
         first_event: Callable[[Exchange], None],
         pause: Callable[[str, float], None],
         connect_timeout: ConnectTimeout,
@@ -80,7 +80,7 @@
         self._exchange = exchange
         self._placement = placement
         self._beliefs_by_id = beliefs_by_id
-        self._still_usable = still_usable
+        self._may_send = may_send
         self._first_event = first_event
         self._pause = pause
         self._loop = asyncio.get_running_loop()
@@ -118,7 +118,7 @@
             await self._open(connection)
             # Asked again now, not when the place was given: an endpoint that began
             # to leave meanwhile would get work after its last moment for it.
-            if not self._still_usable(record.endpoint_id):
+            if not self._may_send(record.endpoint_id, self._placement.last_resort):
                 raise EndpointRefused(
                     "the endpoint is leaving", reason=EndpointRefusal.LEAVING
                 )
@@ -166,6 +166,7 @@
         exchange.note_sent(placement.endpoint_id)
         exchange.predicted = placement.first_event_seconds
         exchange.parts = 1 + len(placement.helpers)
+        exchange.last_resort = placement.last_resort
         exchange.helper_ids = tuple(part.endpoint_id for part in placement.helpers)
         request = exchange.request
         await connection.send(request.method, request.target, headers, request.body)
--- a/cranberrywick/gateway/exchange.py
+++ b/cranberrywick/gateway/exchange.py
@@ -48,6 +48,7 @@
         self.longest_gap = 0.0
         self.predicted: float | None = None
         self.parts = 1
+        self.last_resort = False
         self.helper_ids: tuple[str, ...] = ()
         self.last_event_id = meta.last_event_id
         self.weights_version: str | None = None
--- a/cranberrywick/gateway/forwarder.py
+++ b/cranberrywick/gateway/forwarder.py
@@ -34,10 +34,12 @@
 from cranberrywick.routing.model import GatewaySettings
 from cranberrywick.routing.pace import StreamPauses
 from cranberrywick.routing.placement import Demand, Placement
-from cranberrywick.routing.retry_after import retry_after_seconds
+from cranberrywick.routing.retry_after import (
+    LEAST_SECONDS_WITHOUT_STORE,
+    STARTING_SECONDS,
+)
 from cranberrywick.routing.retry_budget import RetryBudget
 from cranberrywick.routing.table import pick_service
-from cranberrywick.routing.usable import is_usable
 
 __all__ = ["Forwarder"]
 
@@ -102,9 +104,12 @@
         """Find the route, the organisation and the time there is."""
         table = self._state.table
         if table is None:
+            is_away = self._state.store_is_away
             raise PlatformUnavailable(
                 "no configuration is known yet",
-                retry_after=retry_after_seconds(self._state.store_is_away, False),
+                retry_after=LEAST_SECONDS_WITHOUT_STORE
+                if is_away
+                else STARTING_SECONDS,
             )
         exchange.version = table.configuration.version
         exchange.route = table.match(exchange.host, exchange.path)
@@ -148,7 +153,9 @@
             tried_ids=frozenset(exchange.tried_ids),
             answering_ids=exchange.answering_ids,
         )
-        placement = await self._waiting.place(demand, exchange.priority, due_at)
+        placement = await self._waiting.place(
+            demand, exchange.priority, due_at, exchange.deadline
+        )
         if exchange.placed_at is None:
             exchange.placed_at = self._loop.time()
         return placement
@@ -159,7 +166,7 @@
             exchange,
             placement,
             beliefs,
-            self._still_usable,
+            self._state.may_send,
             self._first_event,
             self._pause_watch(exchange),
             self._connect_timeout,
@@ -168,11 +175,6 @@
         )
         return await attempt.run()
 
-    def _still_usable(self, endpoint_id: str) -> bool:
-        """Whether an endpoint may be sent to in this very moment."""
-        belief = self._state.registry.beliefs_by_id.get(endpoint_id)
-        return belief is not None and is_usable(belief, self._state.domains_out)
-
     def _pause_watch(self, exchange: Exchange) -> Callable[[str, float], None]:
         """Return what takes the pauses of an attempt's stream."""
         profile = exchange.service.engine
@@ -340,6 +342,7 @@
             status=exchange.status,
             endpoint=exchange.endpoint_id,
             sent=exchange.sent_count,
+            last_resort=exchange.last_resort,
             seconds=now - exchange.request.arrived,
             waited=(exchange.placed_at or now) - exchange.request.arrived,
             first_event=first,
--- a/cranberrywick/gateway/operator_knowledge.py
+++ b/cranberrywick/gateway/operator_knowledge.py
@@ -21,6 +21,8 @@
         self._log = log
         self.view: OperatorView | None = None
         self.table: RouteTable | None = None
+        # The failure domains that get no new work, and since when at the earliest.
+        self.out_since_by_domain: dict[str, float] = {}
         self._newest_at = float("-inf")
         self._unusable_digest: int | None = None
 
@@ -68,6 +70,10 @@
             return False
         if view.document and not self._apply(view, source):
             return False
+        self.out_since_by_domain = {
+            domain: self.out_since_by_domain.get(domain, self._newest_at)
+            for domain in view.domains_out
+        }
         self._newest_at = max(self._newest_at, read_at)
         if own is None or own.domains_out != view.domains_out:
             self._log.info(
--- a/cranberrywick/gateway/state.py
+++ b/cranberrywick/gateway/state.py
@@ -26,6 +26,7 @@
 from cranberrywick.gateway.store_reader import Store
 from cranberrywick.gateway.ticker import Ticker
 from cranberrywick.logs import EventLog
+from cranberrywick.routing.endpoint_index import EndpointPool
 from cranberrywick.routing.load import FleetLoad
 from cranberrywick.routing.member_list import START_SECONDS, TURN_SECONDS, is_turn
 from cranberrywick.routing.members import Heartbeat, Members
@@ -37,6 +38,12 @@
 )
 from cranberrywick.routing.registry import EndpointRegistry
 from cranberrywick.routing.table import RouteTable
+from cranberrywick.routing.usable import (
+    Restrictions,
+    is_usable,
+    last_moment,
+    last_resort,
+)
 
 __all__ = ["FleetState"]
 
@@ -131,6 +138,31 @@
         """The failure domains that get no new work."""
         return self._operator.domains_out
 
+    @property
+    def restrictions(self) -> Restrictions:
+        """What keeps endpoints from new work."""
+        bounds = self._settings.bounds
+        return Restrictions(
+            self._operator.out_since_by_domain,
+            bounds.drain_seconds,
+            bounds.evacuate_seconds,
+        )
+
+    def last_resort(self, service: str) -> EndpointPool:
+        """Return what a service may use while it has no other endpoint."""
+        return last_resort(
+            self.registry.index, service, self.restrictions, self._loop.time()
+        )
+
+    def may_send(self, endpoint_id: str, as_last_resort: bool) -> bool:
+        """Whether an endpoint may be sent to in this very moment."""
+        belief = self.registry.beliefs_by_id.get(endpoint_id)
+        if belief is None:
+            return False
+        if not as_last_resort:
+            return is_usable(belief, self.domains_out)
+        return self._loop.time() < last_moment(belief, self.restrictions)
+
     @property
     def ready(self) -> bool:
         """Whether requests can be served."""
--- a/cranberrywick/gateway/waiting.py
+++ b/cranberrywick/gateway/waiting.py
@@ -1,6 +1,8 @@
 """Requests that wait for a place at an endpoint."""
 
 import asyncio
+import random
+from functools import partial
 from typing import NamedTuple
 
 from cranberrywick.errors import Overloaded
@@ -10,21 +12,26 @@
     Placement,
     Placer,
     fits_fleet,
+    least_seconds,
 )
 from cranberrywick.routing.queue_order import order_key
-from cranberrywick.routing.retry_after import retry_after_seconds
+from cranberrywick.routing.retry_after import ServiceOutages
 
 __all__ = ["WaitingRequests"]
 
 # Predictions get better with time even if nothing happens: a reading that was to
 # end has ended. Looked at again after this, in seconds.
 LOOK_AGAIN_SECONDS = 0.02
+# Nothing is served in less than this. A request without a place so close to its
+# deadline is refused while its caller still has time to hear of it.
+LEAST_SERVICE_SECONDS = 0.05
 
 
 class _Waiter(NamedTuple):
     demand: Demand
     priority: int
     due_at: float
+    deadline: float
     place: asyncio.Future
 
 
@@ -35,24 +42,29 @@
         self._state = state
         self._placer = placer
         self._loop = asyncio.get_running_loop()
+        self._outages = ServiceOutages(random.Random())
         self._waiters: list[_Waiter] = []
         self._scheduled: asyncio.Handle | None = None
 
     def __len__(self) -> int:
         return len(self._waiters)
 
-    async def place(self, demand: Demand, priority: int, due_at: float) -> Placement:
+    async def place(
+        self, demand: Demand, priority: int, due_at: float, deadline: float
+    ) -> Placement:
         """Return a place, which is counted as taken from then on.
 
-        ``due_at`` is the moment at which the answer should begin. Raises
-        `Overloaded` when no endpoint of the service is known.
+        ``due_at`` is the moment at which the answer should begin. Raises `Overloaded`
+        when no endpoint of the service is known, and as soon as no answer can begin
+        before ``deadline``.
         """
         placement = None
         if not self._waiters:
             placement = self._try(demand)
         if placement is not None:
             return placement
-        waiter = _Waiter(demand, priority, due_at, self._loop.create_future())
+        place = self._loop.create_future()
+        waiter = _Waiter(demand, priority, due_at, deadline, place)
         self._waiters.append(waiter)
         self.look()
         try:
@@ -83,6 +95,8 @@
     def _serve(self, waiter: _Waiter) -> None:
         try:
             placement = self._try(waiter.demand)
+            if placement is None:
+                self._refuse_hopeless(waiter)
         except Overloaded as error:
             self._waiters.remove(waiter)
             waiter.place.set_exception(error)
@@ -91,16 +105,27 @@
             self._waiters.remove(waiter)
             waiter.place.set_result(placement)
 
+    def _refuse_hopeless(self, waiter: _Waiter) -> None:
+        """Raise `Overloaded` for a request that can only miss its deadline."""
+        left = waiter.deadline - self._loop.time()
+        if left >= max(least_seconds(waiter.demand), LEAST_SERVICE_SECONDS):
+            return
+        raise Overloaded("no place is free in time")
+
     def _try(self, demand: Demand) -> Placement | None:
-        usable = self._state.registry.index.ready(
-            demand.service.name, self._state.domains_out
-        )
-        if not fits_fleet(demand, usable):
+        service = demand.service.name
+        usable = self._state.registry.index.ready(service, self._state.domains_out)
+        last_resort = partial(self._state.last_resort, service)
+        now = self._loop.time()
+        if not fits_fleet(demand, usable) and not fits_fleet(demand, last_resort()):
             raise Overloaded(
                 "no endpoints that could hold the request are known",
-                retry_after=retry_after_seconds(self._state.store_is_away, True),
+                retry_after=self._outages.retry_seconds(
+                    service, self._state.store_is_away, now
+                ),
             )
-        placement = self._placer.place(demand, usable, self._loop.time())
+        self._outages.ended(service)
+        placement = self._placer.place(demand, usable, now, last_resort)
         if placement is not None:
             self._state.load.put(demand.request_id, placement.jobs)
             self._state.news.job_added()
--- a/cranberrywick/platform/settings.py
+++ b/cranberrywick/platform/settings.py
@@ -63,4 +63,5 @@
         retry_window_seconds=number(bounds, "budgetWindowS", 10),
         retry_slack=number(bounds, "budgetSlack", 0),
         free_seconds=number(bounds, "freeMs", 4000) / 1000,
+        evacuate_seconds=number(bounds, "evacuateMs", 0) / 1000,
     )
--- a/cranberrywick/routing/model.py
+++ b/cranberrywick/routing/model.py
@@ -158,7 +158,8 @@
     endpoint that leaves gets new work for up to ``drain_seconds``; a daemon that is
     told to stop has ``grace_seconds``. Second tries within ``retry_window_seconds``
     are at most ``retry_ratio`` of the requests and ``retry_slack`` more. Memory at an
-    engine must be free again ``free_seconds`` after its last use.
+    engine must be free again ``free_seconds`` after its last use. An endpoint of a
+    failure domain that is taken out gets new work for up to ``evacuate_seconds``.
     """
 
     contact_seconds: float
@@ -168,6 +169,7 @@
     retry_window_seconds: float
     retry_slack: float
     free_seconds: float
+    evacuate_seconds: float
 
 
 class GatewaySettings(NamedTuple):
--- a/cranberrywick/routing/placement.py
+++ b/cranberrywick/routing/placement.py
@@ -12,7 +12,7 @@
 """
 
 import random
-from collections.abc import Callable, Collection, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 from math import ceil
 from typing import NamedTuple
 
@@ -40,6 +40,7 @@
     "Placement",
     "Placer",
     "fits_fleet",
+    "least_seconds",
 ]
 
 # Into how many parts a prompt may be divided. An endpoint takes at most 16 helpers.
@@ -47,6 +48,9 @@
 # How many endpoints one decision looks at. A random sample costs the same however many
 # there are, and daemons that look at different ones seldom meet.
 SAMPLE_SIZE = 24
+# For prompts of more than the usual length: they are few, and lose more where the
+# engines that read their parts are busy.
+LONG_SAMPLE_SIZE = 72
 # For making an engine one that has fragile answers: else short answers spread over
 # all engines, and a long prompt stops some of them wherever it goes.
 FRESH_ENGINE_PRICE = 0.15
@@ -92,12 +96,16 @@
 
 
 class Placement(NamedTuple):
-    """The endpoint that answers, its helpers, and the jobs to be counted there."""
+    """The endpoint that answers, its helpers, and the jobs to be counted there.
+
+    ``last_resort`` says that its endpoints get no other new work.
+    """
 
     endpoint_id: str
     helpers: tuple[Part, ...]
     first_event_seconds: float
     jobs: tuple[Job, ...]
+    last_resort: bool = False
 
 
 class Candidate(NamedTuple):
@@ -113,6 +121,10 @@
         return self.belief.endpoint_id
 
 
+def _sound(candidates: Iterable[Candidate]) -> list[Candidate]:
+    return [each for each in candidates if not each.resting]
+
+
 def _may_answer(demand: Demand, endpoint_id: str) -> bool:
     return demand.answering_ids is None or endpoint_id in demand.answering_ids
 
@@ -133,6 +145,14 @@
     return holders <= min(left, PART_CHOICES[-1])
 
 
+def least_seconds(demand: Demand) -> float:
+    """Return how long a request takes at least, at endpoints that do nothing else."""
+    engine = demand.service.engine
+    if engine is None or demand.prompt is None:
+        return 0.0
+    return read_seconds(engine, demand.prompt.prompt_tokens, PART_CHOICES[-1])
+
+
 def _has_answering(demand: Demand, usable: EndpointPool) -> bool:
     if demand.answering_ids is None:
         return True
@@ -140,6 +160,10 @@
     return any(usable.get(endpoint_id) is not None for endpoint_id in left_ids)
 
 
+def _no_endpoints() -> EndpointPool:
+    return EndpointPool([])
+
+
 class Placer:
     """Places requests on endpoints; the caller passes what is known.
 
@@ -161,13 +185,31 @@
         self._news_seconds = news_seconds
 
     def place(
-        self, demand: Demand, usable: EndpointPool, now: float
+        self,
+        demand: Demand,
+        usable: EndpointPool,
+        now: float,
+        last_resort: Callable[[], EndpointPool] = _no_endpoints,
     ) -> Placement | None:
         """Return where the request goes now, or None while no place is free.
 
         Of many endpoints it looks at a sample: None may mean that these are full.
+        ``last_resort`` returns what may be used where none of them answers.
         """
-        candidates = self._candidates(demand, self._sample(demand, usable), now)
+        sampled = self._untried(demand, self._sample(demand, usable), now)
+        if all(each.resting for each in sampled):
+            others = self._untried(demand, last_resort(), now)
+            others = self._free(demand.service, _sound(others), now)
+            placement = self._place(demand, others, now)
+            if placement is not None:
+                return placement._replace(last_resort=True)
+        free = self._free(demand.service, sampled, now)
+        # All of them resting, one that has just failed is better than none.
+        return self._place(demand, _sound(free) or free, now)
+
+    def _place(
+        self, demand: Demand, candidates: list[Candidate], now: float
+    ) -> Placement | None:
         engine = demand.service.engine
         if engine is not None and demand.prompt is not None:
             return self._place_prompt(demand, engine, demand.prompt, candidates, now)
@@ -176,9 +218,10 @@
     def _sample(
         self, demand: Demand, usable: EndpointPool
     ) -> Collection[EndpointBelief]:
-        if len(usable) <= SAMPLE_SIZE:
+        size = _sample_size(demand)
+        if len(usable) <= size:
             return usable
-        sampled = self._rng.sample(usable, SAMPLE_SIZE)
+        sampled = self._rng.sample(usable, size)
         beliefs_by_id = {belief.endpoint_id: belief for belief in sampled}
         for endpoint_id in demand.answering_ids or ():
             belief = usable.get(endpoint_id)
@@ -186,22 +229,27 @@
                 beliefs_by_id[endpoint_id] = belief
         return beliefs_by_id.values()
 
-    def _candidates(
-        self, demand: Demand, usable: Collection[EndpointBelief], now: float
+    def _untried(
+        self, demand: Demand, beliefs: Iterable[EndpointBelief], now: float
     ) -> list[Candidate]:
-        candidates = []
-        for belief in usable:
-            endpoint_id = belief.endpoint_id
-            if endpoint_id in demand.tried_ids:
-                continue
-            jobs = self._load.at(endpoint_id)
-            if self._is_full(demand.service, belief, jobs, now):
-                continue
-            resting = self._health.is_resting(endpoint_id, now)
-            candidates.append(Candidate(belief, jobs, resting))
-        rested = [c for c in candidates if not c.resting]
-        # All of them resting, one that has just failed is better than none.
-        return rested or candidates
+        return [
+            Candidate(
+                belief,
+                self._load.at(belief.endpoint_id),
+                self._health.is_resting(belief.endpoint_id, now),
+            )
+            for belief in beliefs
+            if belief.endpoint_id not in demand.tried_ids
+        ]
+
+    def _free(
+        self, service: Service, candidates: list[Candidate], now: float
+    ) -> list[Candidate]:
+        return [
+            each
+            for each in candidates
+            if not self._is_full(service, each.belief, each.jobs, now)
+        ]
 
     def _is_full(
         self, service: Service, belief: EndpointBelief, jobs: Sequence[Job], now: float
@@ -307,6 +355,12 @@
         )
 
 
+def _sample_size(demand: Demand) -> int:
+    engine, prompt = demand.service.engine, demand.prompt
+    is_long = engine and prompt and prompt.prompt_tokens > engine.usual_prompt_tokens
+    return LONG_SAMPLE_SIZE if is_long else SAMPLE_SIZE
+
+
 def _value(profile: EngineProfile, prompt: PromptSize) -> float:
     """Return what a late answer loses, in requests of the shortest kind.
 
--- a/cranberrywick/routing/retry_after.py
+++ b/cranberrywick/routing/retry_after.py
@@ -1,24 +1,51 @@
 """When a caller that could not be served is told to come back.
 
-Load pattern: a daemon starts, or an outage of the store leaves it without endpoints,
-while callers press, each with one retry left. Told to come back too soon, a caller
-spends its retry on the same refusal; too late, and its own time is over.
+Load pattern: a daemon starts, or a service is left without endpoints, while callers
+press, each with one retry left. Told to come back too soon, a caller spends its retry
+on the same refusal; too late, and its own time is over. Told all the same, callers
+come back in one moment.
+
+How long a service stays without endpoints is not known. What has lasted long lasts
+longer: an outage of unknown length is expected to go on for as long as it has lasted.
 """
 
-__all__ = ["retry_after_seconds"]
+import random
+
+__all__ = ["LEAST_SECONDS_WITHOUT_STORE", "STARTING_SECONDS", "ServiceOutages"]
 
 # A daemon that has just started reads the store for the first time, which takes some
 # milliseconds.
 STARTING_SECONDS = 0.3
-# Where a configuration is known and no endpoint: by then another reading of the store
-# has come, and an endpoint that starts has registered.
-NO_ENDPOINT_SECONDS = 1.0
-# Where the store answers nothing either: it is away for seconds rather than moments.
-STORE_AWAY_SECONDS = 2.0
-
-
-def retry_after_seconds(store_is_away: bool, has_configuration: bool) -> float:
-    """Return after how many seconds a request without an endpoint may succeed."""
-    if store_is_away:
-        return STORE_AWAY_SECONDS
-    return NO_ENDPOINT_SECONDS if has_configuration else STARTING_SECONDS
+# By then another reading of the store has come, and an endpoint that starts has
+# registered.
+LEAST_SECONDS = 1.0
+# Where the store answers nothing either, nobody can register.
+LEAST_SECONDS_WITHOUT_STORE = 2.0
+# No caller waits for longer than this.
+MOST_SECONDS = 10.0
+# By this share times vary around what is expected.
+SPREAD = 0.25
+
+
+class ServiceOutages:
+    """Remembers since when services are without an endpoint.
+
+    >>> outages = ServiceOutages(random.Random())
+    >>> outages.retry_seconds("notices", store_is_away=False, now=10.0)
+    1.07
+    """
+
+    def __init__(self, rng: random.Random):
+        self._rng = rng
+        self._since_by_service: dict[str, float] = {}
+
+    def ended(self, service: str) -> None:
+        """Note that a service has endpoints."""
+        self._since_by_service.pop(service, None)
+
+    def retry_seconds(self, service: str, store_is_away: bool, now: float) -> float:
+        """Return after how many seconds a service without endpoints may have one."""
+        lasted = now - self._since_by_service.setdefault(service, now)
+        least = LEAST_SECONDS_WITHOUT_STORE if store_is_away else LEAST_SECONDS
+        expected = min(max(least, lasted), MOST_SECONDS)
+        return expected * self._rng.uniform(1 - SPREAD, 1 + SPREAD)
--- /dev/null
+++ b/tests/test_retry_after.py
@@ -0,0 +1,43 @@
+"""Callers of a service without endpoints are told when to come back."""
+
+import random
+
+from cranberrywick.routing.retry_after import ServiceOutages
+
+
+def told(outages, seconds, count=1, store_is_away=False):
+    return [
+        outages.retry_seconds("notices", store_is_away, seconds) for _ in range(count)
+    ]
+
+
+def test_a_long_outage_is_expected_to_go_on():
+    """Guards against callers that come back into a second refusal."""
+    outages = ServiceOutages(random.Random(1))
+    (first,) = told(outages, 10.0)
+    (later,) = told(outages, 14.0)
+    assert first < 1.5
+    assert 3.0 <= later <= 5.0
+
+
+def test_callers_do_not_come_back_in_one_moment():
+    """Guards against a burst of returning callers at a service that is back."""
+    outages = ServiceOutages(random.Random(1))
+    seconds = told(outages, 10.0, count=200)
+    by_tenth = [
+        sum(low <= s - 0.75 < low + 0.1 for s in seconds) for low in (0, 0.2, 0.4)
+    ]
+    assert max(by_tenth) < 2 * min(by_tenth)
+
+
+def test_an_outage_that_ended_does_not_count():
+    """Guards against long waits told in a new short outage."""
+    outages = ServiceOutages(random.Random(1))
+    told(outages, 10.0)
+    outages.ended("notices")
+    assert told(outages, 20.0)[0] < 1.5
+
+
+def test_without_the_store_nobody_comes_back_sooner():
+    outages = ServiceOutages(random.Random(1))
+    assert told(outages, 10.0, store_is_away=True)[0] >= 1.5
--- /dev/null
+++ b/tests/test_waiting.py
@@ -0,0 +1,96 @@
+"""Requests that wait for a place are served, or refused once it is too late."""
+
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+
+from cranberrywick.bench.prompt_engines import PROFILE
+from cranberrywick.bench.virtual_time import run_in_virtual_time
+from cranberrywick.errors import Overloaded
+from cranberrywick.gateway.waiting import WaitingRequests
+from cranberrywick.routing.endpoint_index import EndpointPool
+from cranberrywick.routing.load import FleetLoad
+from cranberrywick.routing.model import (
+    EndpointRecord,
+    EndpointView,
+    PromptSize,
+    Service,
+)
+from cranberrywick.routing.placement import Demand, Placement, least_seconds
+from cranberrywick.routing.registry import EndpointRegistry
+
+
+class FullUntil:
+    """A placer without a free place until a moment."""
+
+    def __init__(self, moment):
+        self._moment = moment
+
+    def place(self, demand, usable, now, last_resort):
+        if now < self._moment:
+            return None
+        return Placement("e1", (), 0.0, ())
+
+
+def state():
+    record = EndpointRecord("e1", "drafting", "10.1.0.1:80", "fd-a", 8, False, 0.0, 1)
+    registry = EndpointRegistry()
+    registry.apply(EndpointView(1, {"e1": record}), 0.0, 0.0)
+    return SimpleNamespace(
+        registry=registry,
+        domains_out=frozenset(),
+        store_is_away=False,
+        load=FleetLoad(),
+        news=SimpleNamespace(job_added=lambda: None),
+        last_resort=lambda service: EndpointPool([]),
+    )
+
+
+def demand(prompt_tokens):
+    return Demand(
+        request_id="r",
+        service=Service("drafting", 0.0, 0.0, PROFILE),
+        prompt=PromptSize(prompt_tokens, 500),
+        target_seconds=0.3,
+        due_at=0.3,
+        gap_seconds=0.25,
+        failure_domain="fd-a",
+    )
+
+
+async def place(free_after, deadline_after, prompt_tokens=200_000):
+    """Return how long a request waited, and whether it got a place."""
+    loop = asyncio.get_running_loop()
+    started = loop.time()
+    waiting = WaitingRequests(state(), FullUntil(started + free_after))
+    try:
+        deadline = started + deadline_after
+        await waiting.place(demand(prompt_tokens), 1, started, deadline)
+    except Overloaded:
+        return loop.time() - started, False
+    return loop.time() - started, True
+
+
+def test_a_request_that_can_only_miss_its_deadline_is_refused_at_once():
+    """Guards against callers that are held to the end of their time for nothing."""
+    least = least_seconds(demand(200_000))
+    waited, is_placed = run_in_virtual_time(place(10.0, least / 2))
+    assert not is_placed
+    assert waited < 0.05
+
+
+def test_one_that_waits_is_refused_when_its_time_gets_too_short():
+    """Guards against refusals that come when the caller has no time left to retry."""
+    least = least_seconds(demand(200_000))
+    waited, is_placed = run_in_virtual_time(place(10.0, least + 0.1))
+    assert not is_placed
+    assert waited < 0.1 + 0.05
+
+
+@pytest.mark.parametrize("prompt_tokens", [1_000, 200_000])
+def test_one_that_can_still_be_served_waits(prompt_tokens):
+    """Guards against refusals of requests for which a place comes in time."""
+    waited, is_placed = run_in_virtual_time(place(0.1, 5.0, prompt_tokens))
+    assert is_placed
+    assert 0.1 <= waited < 0.2
