Split placement: what a request needs, which endpoints are looked at, where it goes

No behaviour changes: demand.py says what a request needs and whether any fleet could give it, candidates.py draws the endpoints that a decision looks at, placement.py prices them.

--- a/cranberrywick/bench/prompts.py
+++ b/cranberrywick/bench/prompts.py
@@ -27,6 +27,7 @@
     SimulatedEngine,
     SimulatedPrompt,
 )
+from cranberrywick.routing.demand import Demand
 from cranberrywick.routing.endpoint_index import EndpointBelief, EndpointPool
 from cranberrywick.routing.engine_model import read_seconds
 from cranberrywick.routing.health import EndpointHealth
@@ -38,7 +39,7 @@
     Service,
 )
 from cranberrywick.routing.pace import EnginePaces
-from cranberrywick.routing.placement import Demand, Part, Placement, Placer
+from cranberrywick.routing.placement import Part, Placement, Placer
 
 __all__ = [
     "FLEETS",
--- a/cranberrywick/bench/request_path.py
+++ b/cranberrywick/bench/request_path.py
@@ -18,6 +18,7 @@
 from cranberrywick.bench.prompt_engines import KINDS, PROFILE
 from cranberrywick.gateway.endpoint_knowledge import EndpointKnowledge
 from cranberrywick.logs import EventLog, make_handler
+from cranberrywick.routing.demand import Demand, fits_fleet
 from cranberrywick.routing.health import EndpointHealth
 from cranberrywick.routing.load import FleetLoad, Job
 from cranberrywick.routing.model import (
@@ -28,7 +29,7 @@
     Service,
 )
 from cranberrywick.routing.pace import EnginePaces
-from cranberrywick.routing.placement import Demand, Placer, fits_fleet
+from cranberrywick.routing.placement import Placer
 from cranberrywick.routing.relays import news_seconds
 
 __all__ = ["Fleet", "measure"]
--- a/cranberrywick/gateway/forwarder.py
+++ b/cranberrywick/gateway/forwarder.py
@@ -30,10 +30,11 @@
 from cranberrywick.model import EndpointRefusal, Executed
 from cranberrywick.platform.headers import decode_request, failure_headers
 from cranberrywick.routing.connect_timeout import ConnectTimeout
+from cranberrywick.routing.demand import Demand
 from cranberrywick.routing.health import EndpointHealth
 from cranberrywick.routing.model import GatewaySettings
 from cranberrywick.routing.pace import StreamPauses
-from cranberrywick.routing.placement import Demand, Placement
+from cranberrywick.routing.placement import Placement
 from cranberrywick.routing.retry_after import (
     LEAST_SECONDS_WITHOUT_STORE,
     STARTING_SECONDS,
--- a/cranberrywick/gateway/waiting.py
+++ b/cranberrywick/gateway/waiting.py
@@ -7,13 +7,8 @@
 
 from cranberrywick.errors import Overloaded
 from cranberrywick.gateway.state import FleetState
-from cranberrywick.routing.placement import (
-    Demand,
-    Placement,
-    Placer,
-    fits_fleet,
-    least_seconds,
-)
+from cranberrywick.routing.demand import Demand, fits_fleet, least_seconds
+from cranberrywick.routing.placement import Placement, Placer
 from cranberrywick.routing.queue_order import order_key
 from cranberrywick.routing.retry_after import ServiceOutages
 
--- /dev/null
+++ b/cranberrywick/routing/candidates.py
@@ -0,0 +1,116 @@
+"""Which endpoints a decision looks at.
+
+Load pattern: hundreds of requests a second before thousands of endpoints, some of them
+full, cold or failing. A request that prices all of them costs more the larger the fleet
+is, and daemons that price the same ones meet at the cheapest; each request looks at a
+few, drawn at random.
+"""
+
+import random
+from collections.abc import Collection, Iterable, Sequence
+from typing import NamedTuple
+
+from cranberrywick.routing.demand import Demand
+from cranberrywick.routing.endpoint_index import EndpointBelief, EndpointPool
+from cranberrywick.routing.health import EndpointHealth
+from cranberrywick.routing.load import FleetLoad, Job
+from cranberrywick.routing.model import Service
+
+__all__ = ["SAMPLE_SIZE", "Candidate", "Candidates", "sound"]
+
+# How many endpoints one decision looks at. A random sample costs the same however many
+# there are, and daemons that look at different ones seldom meet.
+SAMPLE_SIZE = 24
+# For prompts of more than the usual length: they are few, and lose more where the
+# engines that read their parts are busy.
+LONG_SAMPLE_SIZE = 72
+
+
+class Candidate(NamedTuple):
+    """An endpoint that may be used now, with what the fleet has there."""
+
+    belief: EndpointBelief
+    jobs: Sequence[Job]
+    resting: bool
+
+    @property
+    def endpoint_id(self) -> str:
+        """The endpoint's id."""
+        return self.belief.endpoint_id
+
+
+def sound(candidates: Iterable[Candidate]) -> list[Candidate]:
+    """Return those that do not rest after a failure."""
+    return [each for each in candidates if not each.resting]
+
+
+class Candidates:
+    """Draws candidates; ``load`` and ``health`` say what is known of each."""
+
+    def __init__(self, load: FleetLoad, health: EndpointHealth, rng: random.Random):
+        self._load = load
+        self._health = health
+        self._rng = rng
+
+    def drawn(
+        self, demand: Demand, usable: EndpointPool, now: float
+    ) -> list[Candidate]:
+        """Return a sample of the endpoints that have not failed the request yet."""
+        return self.untried(demand, self._sample(demand, usable), now)
+
+    def untried(
+        self, demand: Demand, beliefs: Iterable[EndpointBelief], now: float
+    ) -> list[Candidate]:
+        """Return those of these endpoints that have not failed the request yet."""
+        return [
+            Candidate(
+                belief,
+                self._load.at(belief.endpoint_id),
+                self._health.is_resting(belief.endpoint_id, now),
+            )
+            for belief in beliefs
+            if belief.endpoint_id not in demand.tried_ids
+        ]
+
+    def free(
+        self, service: Service, candidates: list[Candidate], now: float
+    ) -> list[Candidate]:
+        """Return those that can take one more request now."""
+        return [
+            each
+            for each in candidates
+            if not _is_full(service, each.belief, each.jobs, now)
+        ]
+
+    def _sample(
+        self, demand: Demand, usable: EndpointPool
+    ) -> Collection[EndpointBelief]:
+        size = _sample_size(demand)
+        if len(usable) <= size:
+            return usable
+        sampled = self._rng.sample(usable, size)
+        beliefs_by_id = {belief.endpoint_id: belief for belief in sampled}
+        for endpoint_id in demand.answering_ids or ():
+            belief = usable.get(endpoint_id)
+            if belief is not None:
+                beliefs_by_id[endpoint_id] = belief
+        return beliefs_by_id.values()
+
+
+def _is_full(
+    service: Service, belief: EndpointBelief, jobs: Sequence[Job], now: float
+) -> bool:
+    if sum(not job.helper for job in jobs) >= belief.record.slots:
+        return True
+    if sum(job.helper for job in jobs) >= belief.record.slots:
+        return True
+    if now >= belief.cold_until or service.cold_rate <= 0:
+        return False
+    recent = sum(now - job.started_at < 1.0 for job in jobs)
+    return recent >= service.cold_rate
+
+
+def _sample_size(demand: Demand) -> int:
+    engine, prompt = demand.service.engine, demand.prompt
+    is_long = engine and prompt and prompt.prompt_tokens > engine.usual_prompt_tokens
+    return LONG_SAMPLE_SIZE if is_long else SAMPLE_SIZE
--- a/cranberrywick/routing/placement.py
+++ b/cranberrywick/routing/placement.py
@@ -12,15 +12,17 @@
 """
 
 import random
-from collections.abc import Callable, Collection, Iterable, Sequence
+from collections.abc import Callable
 from math import ceil
 from typing import NamedTuple
 
-from cranberrywick.routing.endpoint_index import EndpointBelief, EndpointPool
+from cranberrywick.routing.candidates import Candidate, Candidates, sound
+from cranberrywick.routing.demand import PART_CHOICES, Demand, may_answer
+from cranberrywick.routing.endpoint_index import EndpointPool
 from cranberrywick.routing.engine_model import forecast, read_seconds
 from cranberrywick.routing.health import EndpointHealth
 from cranberrywick.routing.load import FleetLoad, Job
-from cranberrywick.routing.model import EngineProfile, PromptSize, Service
+from cranberrywick.routing.model import EngineProfile, PromptSize
 from cranberrywick.routing.pace import EnginePaces
 from cranberrywick.routing.part_choice import (
     ENGINE_PRICE,
@@ -34,23 +36,11 @@
 )
 
 __all__ = [
-    "Candidate",
-    "Demand",
     "Part",
     "Placement",
     "Placer",
-    "fits_fleet",
-    "least_seconds",
 ]
 
-# Into how many parts a prompt may be divided. An endpoint takes at most 16 helpers.
-PART_CHOICES = (1, 2, 3, 4, 6, 8, 12, 16)
-# How many endpoints one decision looks at. A random sample costs the same however many
-# there are, and daemons that look at different ones seldom meet.
-SAMPLE_SIZE = 24
-# For prompts of more than the usual length: they are few, and lose more where the
-# engines that read their parts are busy.
-LONG_SAMPLE_SIZE = 72
 # For making an engine one that has fragile answers: else short answers spread over
 # all engines, and a long prompt stops some of them wherever it goes.
 FRESH_ENGINE_PRICE = 0.15
@@ -66,25 +56,6 @@
 FRAGILE_READINGS = 4.0
 
 
-class Demand(NamedTuple):
-    """What a request needs of the decision.
-
-    ``due_at`` is the moment until which its first event is on time. ``tried_ids``
-    are the endpoints that have failed it, ``answering_ids`` the only ones that may
-    answer it, if not any; others may still help.
-    """
-
-    request_id: str
-    service: Service
-    prompt: PromptSize | None
-    target_seconds: float
-    due_at: float
-    gap_seconds: float
-    failure_domain: str
-    tried_ids: frozenset[str] = frozenset()
-    answering_ids: frozenset[str] | None = None
-
-
 class Part(NamedTuple):
     """What one endpoint does for a request.
 
@@ -108,58 +79,6 @@
     last_resort: bool = False
 
 
-class Candidate(NamedTuple):
-    """An endpoint that may be used now, with what the fleet has there."""
-
-    belief: EndpointBelief
-    jobs: Sequence[Job]
-    resting: bool
-
-    @property
-    def endpoint_id(self) -> str:
-        """The endpoint's id."""
-        return self.belief.endpoint_id
-
-
-def _sound(candidates: Iterable[Candidate]) -> list[Candidate]:
-    return [each for each in candidates if not each.resting]
-
-
-def _may_answer(demand: Demand, endpoint_id: str) -> bool:
-    return demand.answering_ids is None or endpoint_id in demand.answering_ids
-
-
-def fits_fleet(demand: Demand, usable: EndpointPool) -> bool:
-    """Whether these endpoints could hold the request if they had nothing else.
-
-    What does not fit will not fit later either: its caller is told at once.
-    """
-    tried = sum(usable.get(endpoint_id) is not None for endpoint_id in demand.tried_ids)
-    left = len(usable) - tried
-    if left <= 0 or not _has_answering(demand, usable):
-        return False
-    engine = demand.service.engine
-    if engine is None or demand.prompt is None:
-        return True
-    holders = ceil(demand.prompt.total / engine.memory_tokens)
-    return holders <= min(left, PART_CHOICES[-1])
-
-
-def least_seconds(demand: Demand) -> float:
-    """Return how long a request takes at least, at endpoints that do nothing else."""
-    engine = demand.service.engine
-    if engine is None or demand.prompt is None:
-        return 0.0
-    return read_seconds(engine, demand.prompt.prompt_tokens, PART_CHOICES[-1])
-
-
-def _has_answering(demand: Demand, usable: EndpointPool) -> bool:
-    if demand.answering_ids is None:
-        return True
-    left_ids = demand.answering_ids - demand.tried_ids
-    return any(usable.get(endpoint_id) is not None for endpoint_id in left_ids)
-
-
 def _no_endpoints() -> EndpointPool:
     return EndpointPool([])
 
@@ -180,6 +99,7 @@
     ):
         self._load = load
         self._health = health
+        self._candidates = Candidates(load, health, rng)
         self._paces = paces
         self._rng = rng
         self._news_seconds = news_seconds
@@ -196,16 +116,16 @@
         Of many endpoints it looks at a sample: None may mean that these are full.
         ``last_resort`` returns what may be used where none of them answers.
         """
-        sampled = self._untried(demand, self._sample(demand, usable), now)
-        if all(each.resting for each in sampled):
-            others = self._untried(demand, last_resort(), now)
-            others = self._free(demand.service, _sound(others), now)
-            placement = self._place(demand, others, now)
+        drawn = self._candidates.drawn(demand, usable, now)
+        if all(each.resting for each in drawn):
+            others = self._candidates.untried(demand, last_resort(), now)
+            free = self._candidates.free(demand.service, sound(others), now)
+            placement = self._place(demand, free, now)
             if placement is not None:
                 return placement._replace(last_resort=True)
-        free = self._free(demand.service, sampled, now)
+        free = self._candidates.free(demand.service, drawn, now)
         # All of them resting, one that has just failed is better than none.
-        return self._place(demand, _sound(free) or free, now)
+        return self._place(demand, sound(free) or free, now)
 
     def _place(
         self, demand: Demand, candidates: list[Candidate], now: float
@@ -215,58 +135,10 @@
             return self._place_prompt(demand, engine, demand.prompt, candidates, now)
         return self._place_call(demand, candidates, now)
 
-    def _sample(
-        self, demand: Demand, usable: EndpointPool
-    ) -> Collection[EndpointBelief]:
-        size = _sample_size(demand)
-        if len(usable) <= size:
-            return usable
-        sampled = self._rng.sample(usable, size)
-        beliefs_by_id = {belief.endpoint_id: belief for belief in sampled}
-        for endpoint_id in demand.answering_ids or ():
-            belief = usable.get(endpoint_id)
-            if belief is not None:
-                beliefs_by_id[endpoint_id] = belief
-        return beliefs_by_id.values()
-
-    def _untried(
-        self, demand: Demand, beliefs: Iterable[EndpointBelief], now: float
-    ) -> list[Candidate]:
-        return [
-            Candidate(
-                belief,
-                self._load.at(belief.endpoint_id),
-                self._health.is_resting(belief.endpoint_id, now),
-            )
-            for belief in beliefs
-            if belief.endpoint_id not in demand.tried_ids
-        ]
-
-    def _free(
-        self, service: Service, candidates: list[Candidate], now: float
-    ) -> list[Candidate]:
-        return [
-            each
-            for each in candidates
-            if not self._is_full(service, each.belief, each.jobs, now)
-        ]
-
-    def _is_full(
-        self, service: Service, belief: EndpointBelief, jobs: Sequence[Job], now: float
-    ) -> bool:
-        if sum(not job.helper for job in jobs) >= belief.record.slots:
-            return True
-        if sum(job.helper for job in jobs) >= belief.record.slots:
-            return True
-        if now >= belief.cold_until or service.cold_rate <= 0:
-            return False
-        recent = sum(now - job.started_at < 1.0 for job in jobs)
-        return recent >= service.cold_rate
-
     def _place_call(
         self, demand: Demand, candidates: list[Candidate], now: float
     ) -> Placement | None:
-        candidates = [c for c in candidates if _may_answer(demand, c.endpoint_id)]
+        candidates = [c for c in candidates if may_answer(demand, c.endpoint_id)]
         if not candidates:
             return None
 
@@ -349,18 +221,12 @@
             profile.memory_tokens - held,
             answer_price,
             self._health.failure_share(candidate.endpoint_id, now),
-            _may_answer(demand, candidate.endpoint_id),
+            may_answer(demand, candidate.endpoint_id),
             slots - taken,
             self._rng.random(),
         )
 
 
-def _sample_size(demand: Demand) -> int:
-    engine, prompt = demand.service.engine, demand.prompt
-    is_long = engine and prompt and prompt.prompt_tokens > engine.usual_prompt_tokens
-    return LONG_SAMPLE_SIZE if is_long else SAMPLE_SIZE
-
-
 def _value(profile: EngineProfile, prompt: PromptSize) -> float:
     """Return what a late answer loses, in requests of the shortest kind.
 
--- a/tests/test_at_fault.py
+++ b/tests/test_at_fault.py
@@ -3,12 +3,13 @@
 import random
 
 from cranberrywick.bench.prompt_engines import PROFILE
+from cranberrywick.routing.demand import Demand, fits_fleet
 from cranberrywick.routing.endpoint_index import EndpointBelief, EndpointPool
 from cranberrywick.routing.health import EndpointHealth
 from cranberrywick.routing.load import FleetLoad
 from cranberrywick.routing.model import EndpointRecord, PromptSize, Service
 from cranberrywick.routing.pace import EnginePaces
-from cranberrywick.routing.placement import Demand, Placer, fits_fleet
+from cranberrywick.routing.placement import Placer
 
 
 def beliefs(count):
--- a/tests/test_endpoint_index.py
+++ b/tests/test_endpoint_index.py
@@ -6,6 +6,8 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from cranberrywick.bench.prompt_engines import PROFILE
+from cranberrywick.routing.candidates import SAMPLE_SIZE
+from cranberrywick.routing.demand import Demand, fits_fleet
 from cranberrywick.routing.endpoint_index import EndpointBelief, EndpointPool
 from cranberrywick.routing.health import EndpointHealth
 from cranberrywick.routing.load import FleetLoad, Job
@@ -17,7 +19,7 @@
     Service,
 )
 from cranberrywick.routing.pace import EnginePaces
-from cranberrywick.routing.placement import SAMPLE_SIZE, Demand, Placer, fits_fleet
+from cranberrywick.routing.placement import Placer
 from cranberrywick.routing.registry import EndpointRegistry
 from cranberrywick.routing.usable import is_usable
 
--- a/tests/test_last_resort.py
+++ b/tests/test_last_resort.py
@@ -8,6 +8,7 @@
 
 from cranberrywick.gateway.operator_knowledge import OperatorKnowledge
 from cranberrywick.logs import EventLog
+from cranberrywick.routing.demand import Demand
 from cranberrywick.routing.endpoint_index import EndpointBelief, EndpointPool
 from cranberrywick.routing.health import EndpointHealth
 from cranberrywick.routing.load import FleetLoad
@@ -18,7 +19,7 @@
     Service,
 )
 from cranberrywick.routing.pace import EnginePaces
-from cranberrywick.routing.placement import Demand, Placer
+from cranberrywick.routing.placement import Placer
 from cranberrywick.routing.registry import EndpointRegistry
 from cranberrywick.routing.usable import Restrictions, last_moment, last_resort
 
--- a/tests/test_pace.py
+++ b/tests/test_pace.py
@@ -5,13 +5,14 @@
 import pytest
 
 from cranberrywick.bench.prompt_engines import PROFILE
+from cranberrywick.routing.demand import Demand
 from cranberrywick.routing.endpoint_index import EndpointBelief, EndpointPool
 from cranberrywick.routing.engine_model import forecast
 from cranberrywick.routing.health import EndpointHealth
 from cranberrywick.routing.load import FleetLoad
 from cranberrywick.routing.model import EndpointRecord, PromptSize, Service
 from cranberrywick.routing.pace import EnginePace, EnginePaces, StreamPauses
-from cranberrywick.routing.placement import Demand, Placer
+from cranberrywick.routing.placement import Placer
 
 
 def test_one_long_pause_is_no_slow_engine():
--- a/tests/test_unheard_requests.py
+++ b/tests/test_unheard_requests.py
@@ -7,12 +7,13 @@
 
 from cranberrywick.bench.prompt_engines import PROFILE
 from cranberrywick.bench.prompts import FLEETS, Experiment, on_time_by_kind
+from cranberrywick.routing.demand import Demand
 from cranberrywick.routing.endpoint_index import EndpointBelief, EndpointPool
 from cranberrywick.routing.health import EndpointHealth
 from cranberrywick.routing.load import FleetLoad, Job
 from cranberrywick.routing.model import EndpointRecord, PromptSize, Service
 from cranberrywick.routing.pace import EnginePaces
-from cranberrywick.routing.placement import Demand, Placer
+from cranberrywick.routing.placement import Placer
 
 SLOTS = 5
 GAP_SECONDS = 0.3
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -9,6 +9,7 @@
 from cranberrywick.bench.virtual_time import run_in_virtual_time
 from cranberrywick.errors import Overloaded
 from cranberrywick.gateway.waiting import WaitingRequests
+from cranberrywick.routing.demand import Demand, least_seconds
 from cranberrywick.routing.endpoint_index import EndpointPool
 from cranberrywick.routing.load import FleetLoad
 from cranberrywick.routing.model import (
@@ -17,7 +18,7 @@
     PromptSize,
     Service,
 )
-from cranberrywick.routing.placement import Demand, Placement, least_seconds
+from cranberrywick.routing.placement import Placement
 from cranberrywick.routing.registry import EndpointRegistry
 
 
