Tell changes of endpoints again for two seconds, and decode only records that were written

A difference could be applied only by who knew exactly the state it started from. The first reader and the second, whose limit is 0.3 s higher, read at the same time, since a reading of 3,000 records takes that long; each told from a state the others did not have, and every daemon fetched the whole.

Now a difference holds all that has changed in the last two seconds, and is applied by whoever reaches its digest with it, from whatever state. All but the first reader wait for as long as its readings usually take to arrive. The store's client keeps decoded records by their revision: of 3,000 that write each 1.2 s, two thirds have not changed between two readings.

Ruled out: telling the whole at each change (120 KB to each of 300 daemons).

--- a/cranberrywick/gateway/endpoint_knowledge.py
+++ b/cranberrywick/gateway/endpoint_knowledge.py
@@ -5,15 +5,18 @@
 from enum import Enum, auto
 from typing import NamedTuple
 
-from cranberrywick.gateway.endpoint_reading import Applied, EndpointReading
+from cranberrywick.gateway.endpoint_reading import NO_DELTA, Applied, EndpointReading
 from cranberrywick.logs import EventLog, id_lists
-from cranberrywick.routing.model import EndpointView
+from cranberrywick.routing.model import EndpointDelta, EndpointView
 from cranberrywick.routing.registry import EndpointChange, EndpointRegistry
 
 __all__ = ["EndpointKnowledge", "PeerReading", "StoreReading"]
 
 # Records of so many endpoints fit in a datagram with room to spare.
 MOST_TOLD_ENDPOINTS = 500
+# For so long a change is told again with each reading: several of these in a row are
+# hardly ever lost.
+RETELL_SECONDS = 2.0
 
 
 class PeerReading(Enum):
@@ -42,6 +45,7 @@
         self._digest = 0
         # Packed once for all who ask for it.
         self._whole: EndpointReading | None = None
+        self._changed_at_by_id: dict[str, float] = {}
         self._unusable_ids: frozenset[str] = frozenset()
 
     def take(self, view: EndpointView, read_at: float, now: float) -> StoreReading:
@@ -49,19 +53,42 @@
         base_view, base = self._view, self._digest
         known = base_view or EndpointView(0, {})
         delta = view.delta_from(known)
-        changed = self._take(
-            Applied(view, delta), known.digest_with_delta(delta, base), read_at, now
-        )
+        digest = known.digest_with_delta(delta, base)
+        changed = self._take(Applied(view, delta), digest, read_at, now)
+        if base_view is None:
+            return StoreReading(changed, self.told_reading(now))
+        if self._digest == base:
+            # Only cold times, which the others count down themselves.
+            delta = NO_DELTA
+        return StoreReading(changed, self._told_difference(delta, base, now))
+
+    def _told_difference(
+        self, delta: EndpointDelta, base: int, now: float
+    ) -> EndpointReading:
+        """Return what those are told who knew the state ``base`` or one shortly before.
+
+        It repeats the changes of the last moments: a datagram may have been lost, and
+        two daemons that read the store at the same time tell from different states.
+        """
         age = self.registry.age(now)
-        if self._digest == base and base_view is not None:
-            reading = EndpointReading(self.registry.revision, age, base)
-        elif base_view is None:
-            reading = self.told_reading(now)
-        else:
-            reading = EndpointReading.difference(
-                self._view, self._digest, age, delta, base
-            )
-        return StoreReading(changed, reading)
+        records_by_id = self._view.records_by_id
+        told_ids = {record.endpoint_id for record in delta.changed}
+        told_ids.update(delta.gone_ids, self._changed_ids(now))
+        if not told_ids or len(told_ids) > MOST_TOLD_ENDPOINTS:
+            return EndpointReading(self.registry.revision, age, self._digest)
+        told = EndpointDelta(
+            tuple(records_by_id[i] for i in told_ids if i in records_by_id),
+            tuple(i for i in told_ids if i not in records_by_id),
+        )
+        return EndpointReading.difference(self._view, self._digest, age, told, base)
+
+    def _changed_ids(self, now: float) -> list[str]:
+        """Return the endpoints that have changed lately."""
+        for endpoint_id, changed_at in list(self._changed_at_by_id.items()):
+            if now - changed_at <= RETELL_SECONDS:
+                break
+            del self._changed_at_by_id[endpoint_id]
+        return list(self._changed_at_by_id)
 
     def take_news(self, reading: EndpointReading, now: float) -> PeerReading:
         """Take a peer's reading.
@@ -102,11 +129,20 @@
         view, delta = applied
         changes = self.registry.apply_delta(view, delta, read_at, now)
         if self.registry.read_at == read_at:
+            if self._view is not None and digest != self._digest:
+                self._note_changed(delta, now)
             self._view, self._digest = view, digest
             self._note_unusable(view)
         self._log_changes(changes, view.revision, now - read_at)
         return bool(changes)
 
+    def _note_changed(self, delta: EndpointDelta, now: float) -> None:
+        """Remember which endpoints have changed, the latest last."""
+        changed_ids = [record.endpoint_id for record in delta.changed]
+        for endpoint_id in (*changed_ids, *delta.gone_ids):
+            self._changed_at_by_id.pop(endpoint_id, None)
+            self._changed_at_by_id[endpoint_id] = now
+
     def _log_changes(
         self, changes: Iterable[EndpointChange], revision: int, age: float
     ) -> None:
--- a/cranberrywick/gateway/endpoint_reading.py
+++ b/cranberrywick/gateway/endpoint_reading.py
@@ -19,7 +19,7 @@
 from cranberrywick.gateway.schema import SCHEMA, pack, unpack
 from cranberrywick.routing.model import EndpointDelta, EndpointRecord, EndpointView
 
-__all__ = ["Applied", "EndpointReading"]
+__all__ = ["NO_DELTA", "Applied", "EndpointReading"]
 
 # Stands for no records at all.
 NO_BASE = 0
@@ -64,7 +64,9 @@
     def applied_to(self, view: EndpointView | None, digest: int) -> "Applied | None":
         """Return the records, for who knows ``view`` with this digest.
 
-        None where that is not what the changes start from. Raises `PeerMessageInvalid`.
+        None where the changes do not lead from there to what was read. They mostly do,
+        also from a somewhat older or newer state than the teller's. Raises
+        `PeerMessageInvalid`.
         """
         if view is not None and digest == self.digest:
             return Applied(view._replace(revision=self.revision), NO_DELTA)
@@ -76,14 +78,16 @@
             whole = EndpointView(0, {}).with_delta(delta, self.revision)
             applied = Applied(whole, whole.delta_from(view))
             reached = whole.digest
-        elif view is not None and base == digest:
+        elif view is not None:
             applied = Applied(view.with_delta(delta, self.revision), delta)
             reached = view.digest_with_delta(delta, digest)
         else:
             return None
-        if reached != self.digest:
+        if reached == self.digest:
+            return applied
+        if base in (NO_BASE, digest):
             raise PeerMessageInvalid("the records are not those of their digest")
-        return applied
+        return None
 
 
 class Applied(NamedTuple):
--- a/cranberrywick/gateway/state.py
+++ b/cranberrywick/gateway/state.py
@@ -206,6 +206,8 @@
         """Take a peer's reading of the endpoints."""
         was_ready = self.ready
         outcome = self._endpoints.take_news(reading, self._loop.time())
+        if outcome is not PeerReading.OLD:
+            self._calls.policies["endpoints"].arrived(reading.age)
         if outcome is PeerReading.CHANGED:
             self._note_change(was_ready)
         elif outcome is PeerReading.MISSED:
--- a/cranberrywick/platform/store.py
+++ b/cranberrywick/platform/store.py
@@ -2,7 +2,7 @@
 
 import base64
 from collections.abc import Iterable
-from typing import Any
+from typing import Any, NamedTuple
 
 from cranberrywick.errors import InvalidConfiguration, PlatformUnavailable
 from cranberrywick.external.exchange import Exchange, Reply
@@ -36,19 +36,23 @@
         self._exchange = Exchange(
             (f"http://{address}",), read_timeout=READ_TIMEOUT_SECONDS
         )
+        # Of thousands of endpoints most have not written since the last reading.
+        self._decoded_by_id: dict[str, _Decoded] = {}
 
     def read_endpoints(self) -> EndpointView:
         """Read every registered endpoint; never stale."""
         revision, items = self._range(ENDPOINTS_PREFIX)
-        records: dict[str, EndpointRecord] = {}
-        unusable = []
+        decoded_by_id = {}
         for item in items:
             endpoint_id = item["key"].removeprefix(ENDPOINTS_PREFIX)
-            try:
-                records[endpoint_id] = decode_endpoint(endpoint_id, _value(item))
-            except InvalidConfiguration:
-                unusable.append(endpoint_id)
-        return EndpointView(revision, records, tuple(unusable))
+            decoded = self._decoded_by_id.get(endpoint_id)
+            if decoded is None or decoded.revision != item.get("revision"):
+                decoded = _decode_record(endpoint_id, item)
+            decoded_by_id[endpoint_id] = decoded
+        self._decoded_by_id = decoded_by_id
+        records = {i: d.record for i, d in decoded_by_id.items() if d.record}
+        unusable = tuple(i for i, d in decoded_by_id.items() if d.record is None)
+        return EndpointView(revision, records, unusable)
 
     def read_operator(self) -> OperatorView:
         """Read what operators have written; never stale."""
@@ -128,6 +132,21 @@
         return reply
 
 
+class _Decoded(NamedTuple):
+    """What an item said at a revision; None if it is no endpoint."""
+
+    revision: int | None
+    record: EndpointRecord | None
+
+
+def _decode_record(endpoint_id: str, item: dict[str, Any]) -> _Decoded:
+    try:
+        record = decode_endpoint(endpoint_id, _value(item))
+    except InvalidConfiguration:
+        record = None
+    return _Decoded(item.get("revision"), record)
+
+
 def _value(item: dict[str, Any]) -> bytes:
     try:
         return base64.b64decode(item["value"], validate=True)
--- a/cranberrywick/routing/freshness.py
+++ b/cranberrywick/routing/freshness.py
@@ -18,6 +18,8 @@
 BASE_AGE_SECONDS = 0.45
 # Longer than an answer of the store takes to come and be passed on.
 RANK_STEP_SECONDS = 0.3
+# Weight of the newest reading in the mean age at which readings arrive.
+ARRIVAL_WEIGHT = 0.25
 # Of the time within which an endpoint that leaves must get no more work.
 LAST_SHARE_OF_DRAIN = 0.6
 # While the store answers nobody, the fleet as a whole asks about five times a
@@ -36,10 +38,24 @@
         self._last = LAST_SHARE_OF_DRAIN * drain_seconds
         self._rng = rng
         self._not_before = float("-inf")
+        self._arrival_age = 0.0
 
     def age_limit(self, rank: int) -> float:
-        """Return the age, in seconds, at which the daemon of this rank reads."""
-        return min(BASE_AGE_SECONDS + rank * RANK_STEP_SECONDS, self._last)
+        """Return the age, in seconds, at which the daemon of this rank reads.
+
+        The first reads by the clock; the others wait for as long as its readings
+        usually take to arrive, which is the longer the more is registered.
+        """
+        limit = BASE_AGE_SECONDS + rank * RANK_STEP_SECONDS
+        if rank:
+            limit += self._arrival_age
+        return min(limit, self._last)
+
+    def arrived(self, age: float) -> None:
+        """Note how old a reading was when it came from a peer."""
+        # One that comes late after an outage says nothing of what is usual.
+        age = min(age, self._last)
+        self._arrival_age += ARRIVAL_WEIGHT * (age - self._arrival_age)
 
     def is_due(self, age: float, rank: int, now: float) -> bool:
         """Whether the daemon of this rank reads now."""
--- a/cranberrywick/routing/registry.py
+++ b/cranberrywick/routing/registry.py
@@ -110,9 +110,11 @@
     ) -> None:
         """Note that an endpoint's record is no longer there."""
         old = self.beliefs_by_id.get(endpoint_id)
+        if old is None or endpoint_id in self._missing_ids:
+            return
         # A record that says "draining" and is then missing has left: an outage is no
         # reason to keep that one.
-        if old is not None and now < self._grace_until and not old.record.draining:
+        if now < self._grace_until and not old.record.draining:
             self._replace(old._replace(missing_since=now), old)
             changes.append(EndpointChange(endpoint_id, "lapsed"))
         self._missing_ids.add(endpoint_id)
--- /dev/null
+++ b/tests/test_platform_store.py
@@ -0,0 +1,61 @@
+"""What the store's client makes of its answers."""
+
+import base64
+import json
+
+from cranberrywick.platform import store as platform_store
+from cranberrywick.platform.store import PlatformStore
+
+
+def item(endpoint_id, revision, state="ready"):
+    record = {
+        "service": "drafting",
+        "address": "10.1.0.1:80",
+        "zone": "fd-a",
+        "slots": 8,
+        "state": state,
+        "coldRemainingMs": 0,
+        "born": 1,
+    }
+    value = base64.b64encode(json.dumps(record).encode()).decode()
+    return {"key": f"servers/{endpoint_id}", "value": value, "revision": revision}
+
+
+class Pages(PlatformStore):
+    """A store whose items are set by a test."""
+
+    def __init__(self):
+        super().__init__("127.0.0.1:1")
+        self.items = []
+
+    def _range(self, prefix, serializable=False):
+        return 7, self.items
+
+
+def test_records_that_have_not_been_written_since_are_not_decoded_again(monkeypatch):
+    """Guards against a reading whose cost is that of all endpoints, twice a second."""
+    decoded = []
+    decode = platform_store.decode_endpoint
+    monkeypatch.setattr(
+        platform_store,
+        "decode_endpoint",
+        lambda endpoint_id, value: (
+            decoded.append(endpoint_id) or decode(endpoint_id, value)
+        ),
+    )
+    store = Pages()
+    store.items = [item("e1", 3), item("e2", 4)]
+    store.read_endpoints()
+    store.items = [item("e1", 3), item("e2", 5, "draining"), item("e3", 6)]
+    view = store.read_endpoints()
+    assert decoded == ["e1", "e2", "e2", "e3"]
+    assert [r.draining for r in view.records_by_id.values()] == [False, True, False]
+
+
+def test_a_record_that_cannot_be_read_names_no_endpoint():
+    store = Pages()
+    store.items = [item("e1", 3), item("e2", 4, "dancing")]
+    for _ in range(2):
+        view = store.read_endpoints()
+        assert view.records_by_id.keys() == {"e1"}
+        assert view.unusable_ids == ("e2",)
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -219,6 +219,18 @@
         assert limits == sorted(limits)
         assert limits[0] < 0.5 and limits[-1] <= 1.2
 
+    def test_readings_that_take_long_are_waited_for(self):
+        """Guards against second readers of thousands of endpoints, each of a megabyte.
+
+        The first one's readings are 0.8 s old when they come.
+        """
+        policy = ReadingPolicy(3.0, random.Random(1))
+        for _ in range(20):
+            policy.arrived(0.8)
+        assert policy.age_limit(0) < 0.5
+        assert policy.age_limit(1) > 0.8 + 0.45
+        assert policy.age_limit(89) <= 0.6 * 3.0
+
     @pytest.mark.parametrize("members", [1, 9, 84, 320])
     def test_an_outage_does_not_make_calls_grow_with_the_fleet(self, members):
         """The store's return meets a few calls a second, not hundreds.
