Make the index of jobs by endpoint when it is asked for

A daemon among 300 hears some 900 heartbeats a second and places one or two requests; the index was changed in place for each heartbeat.

--- a/cranberrywick/routing/load.py
+++ b/cranberrywick/routing/load.py
@@ -8,7 +8,7 @@
 """
 
 from collections import defaultdict
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from typing import NamedTuple
 
 __all__ = ["FleetLoad", "Job"]
@@ -45,37 +45,30 @@
     value: float = 1.0
 
 
-class _Owner(NamedTuple):
-    """Whose jobs: a peer's all together, this daemon's by request."""
-
-    daemon_id: str
-    request_id: str = ""
-
-
 class FleetLoad:
     """The jobs of this daemon and of its peers, by endpoint.
 
-    The index by endpoint is changed in place. News of some hundred daemons comes twenty
-    times a second: made anew after each, it takes longer than the placement that asks.
+    The index by endpoint is made when it is asked for. A large fleet's daemon hears
+    hundreds of heartbeats a second and places a few requests.
     """
 
     def __init__(self) -> None:
         self._own_by_request: dict[str, tuple[Job, ...]] = {}
         self._peers: dict[str, tuple[float, tuple[Job, ...]]] = {}
-        self._by_endpoint: dict[str, dict[_Owner, list[Job]]] = defaultdict(dict)
+        # None when something has changed since it was made.
+        self._jobs_by_endpoint: dict[str, list[Job]] | None = None
         self._counted_at = float("-inf")
         self._placed = 0
 
     def put(self, request_id: str, jobs: Sequence[Job]) -> None:
         """Replace what one of our requests has at endpoints."""
-        before = self._own_by_request.get(request_id, ())
-        after = self._own_by_request[request_id] = tuple(jobs)
-        self._replace(_Owner("", request_id), before, after)
+        self._own_by_request[request_id] = tuple(jobs)
+        self._jobs_by_endpoint = None
 
     def drop(self, request_id: str) -> None:
         """Forget a request that has ended."""
-        before = self._own_by_request.pop(request_id, ())
-        self._replace(_Owner("", request_id), before, ())
+        if self._own_by_request.pop(request_id, None):
+            self._jobs_by_endpoint = None
 
     def jobs_of(self, request_id: str) -> tuple[Job, ...]:
         """Return what one of our requests has at endpoints."""
@@ -91,14 +84,15 @@
         _, before = self._peers.get(daemon_id, (now, ()))
         after = tuple(jobs)
         self._peers[daemon_id] = (now, after)
-        self._replace(_Owner(daemon_id), before, after)
+        if before or after:
+            self._jobs_by_endpoint = None
 
     def forget_silent(self, now: float) -> None:
         """Drop the jobs of peers that have not been heard for long."""
-        for daemon_id, (heard_at, jobs) in list(self._peers.items()):
+        for daemon_id, (heard_at, _) in list(self._peers.items()):
             if now - heard_at > OWNER_SILENCE_SECONDS:
                 del self._peers[daemon_id]
-                self._replace(_Owner(daemon_id), jobs, ())
+                self._jobs_by_endpoint = None
 
     def placed_each_second(self, now: float) -> float:
         """Return how many requests the fleet places in a second, as far as known.
@@ -110,32 +104,27 @@
             self._counted_at = now
             self._placed = sum(
                 now - job.started_at < 1.0 and not job.helper
-                for by_owner in self._by_endpoint.values()
-                for jobs in by_owner.values()
+                for jobs in self._indexed().values()
                 for job in jobs
             )
         return self._placed
 
     def at(self, endpoint_id: str) -> Sequence[Job]:
         """Return the jobs at an endpoint."""
-        by_owner = self._by_endpoint.get(endpoint_id)
-        if not by_owner:
-            return ()
-        return [job for jobs in by_owner.values() for job in jobs]
+        return self._indexed().get(endpoint_id, ())
 
     def reading_at(self, endpoint_id: str) -> float:
         """Return how many seconds of reading an endpoint has been given."""
         jobs = self.at(endpoint_id)
         return sum(job.reading_seconds for job in jobs if not job.writing)
 
-    def _replace(
-        self, owner: _Owner, before: Iterable[Job], after: Iterable[Job]
-    ) -> None:
-        for job in before:
-            by_owner = self._by_endpoint.get(job.endpoint_id, {})
-            by_owner.pop(owner, None)
-            if not by_owner:
-                self._by_endpoint.pop(job.endpoint_id, None)
-        for job in after:
-            jobs = self._by_endpoint[job.endpoint_id].setdefault(owner, [])
-            jobs.append(job)
+    def _indexed(self) -> Mapping[str, list[Job]]:
+        if self._jobs_by_endpoint is None:
+            index = self._jobs_by_endpoint = defaultdict(list)
+            for jobs in self._own_by_request.values():
+                for job in jobs:
+                    index[job.endpoint_id].append(job)
+            for _, jobs in self._peers.values():
+                for job in jobs:
+                    index[job.endpoint_id].append(job)
+        return self._jobs_by_endpoint
