--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: run run-gateway test lint format bench bench-relay bench-daemon bench-request bench-prompts bench-drawn soak capacity binary lock clean
+.PHONY: run run-gateway test lint format bench bench-relay bench-daemon bench-request bench-prompts bench-drawn soak binary lock clean
 
 $(VENV)/.installed: requirements.lock pyproject.toml
 	@echo "setting up $(VENV) with pinned dependencies"
@@ -51,9 +51,6 @@
 clean:
 	rm -rf $(VENV) build dist *.egg-info
 
-capacity: $(VENV)/.installed
-	$(BIN)/python -m cranberrywick.bench.capacity
-
 bench-prompts: $(VENV)/.installed
 	$(BIN)/python -m cranberrywick.bench.prompts $(ARGS)
 
