Send plain calls past endpoints where one took longer than its target

Cause: an endpoint of a plain service that turns slow or hangs, with a good health check, got its share of the calls but for the jobs that piled up there. A daemon of 67 sees one plain call in seven seconds, so nobody learned of it in time.

Calls within their target say nothing: they differ, and short ones are quick at a slow endpoint too.

--- a/cranberrywick/gateway/attempt.py
+++ b/cranberrywick/gateway/attempt.py
@@ -163,7 +163,7 @@
                 weights_version=exchange.weights_version,
             ),
         )
-        exchange.note_sent(placement.endpoint_id)
+        exchange.note_sent(placement.endpoint_id, self._loop.time())
         exchange.predicted = placement.first_event_seconds
         exchange.parts = 1 + len(placement.helpers)
         exchange.last_resort = placement.last_resort
--- a/cranberrywick/gateway/exchange.py
+++ b/cranberrywick/gateway/exchange.py
@@ -41,6 +41,7 @@
         self.tried_ids: set[str] = set()
         self.sent_ids: set[str] = set()
         self.under_way = False
+        self.sent_at: float | None = None
         self.may_have_run = False
         self.placed_at: float | None = None
         self.first_event_at: float | None = None
@@ -55,8 +56,9 @@
         self.endpoint_id = ""
         self.status = 0
 
-    def note_sent(self, endpoint_id: str) -> None:
+    def note_sent(self, endpoint_id: str, now: float) -> None:
         """Note that the request leaves for an endpoint."""
+        self.sent_at = now
         self.sent_ids.add(endpoint_id)
         self.endpoint_id = endpoint_id
         self.under_way = True
--- a/cranberrywick/gateway/forwarder.py
+++ b/cranberrywick/gateway/forwarder.py
@@ -33,7 +33,7 @@
 from cranberrywick.routing.demand import Demand
 from cranberrywick.routing.health import EndpointHealth
 from cranberrywick.routing.model import GatewaySettings
-from cranberrywick.routing.pace import StreamPauses
+from cranberrywick.routing.pace import StreamPauses, call_pace
 from cranberrywick.routing.placement import Placement
 from cranberrywick.routing.retry_after import (
     LEAST_SECONDS_WITHOUT_STORE,
@@ -89,6 +89,8 @@
         except CranberrywickError as error:
             outcome = await self._fail(exchange, error)
         except TimeoutError:
+            if exchange.under_way:
+                self._note_call_time(exchange)
             outcome = await self._fail(exchange, self._timed_out(exchange))
         except ConnectionError:
             outcome = "caller_gone"
@@ -196,7 +198,7 @@
             return
         news.pace_changed()
         self._log.warning(
-            "engine_pace_changed",
+            "endpoint_pace_changed",
             endpoint=endpoint_id,
             pace=pace,
             request_id=exchange.meta.request_id,
@@ -220,9 +222,21 @@
         self, exchange: Exchange, placement: Placement, passed: Passed
     ) -> None:
         exchange.status = passed.status
+        self._note_call_time(exchange)
         if passed.status < 500:
             self._health.succeeded(placement.endpoint_id, self._loop.time())
 
+    def _note_call_time(self, exchange: Exchange) -> None:
+        """Note an endpoint as slow whose call alone took longer than its target."""
+        if exchange.is_stream:
+            return
+        seconds = self._loop.time() - exchange.sent_at
+        pace = call_pace(seconds, exchange.route.target_seconds)
+        # One within its target says nothing: calls differ, and a short one is quick at
+        # a slow endpoint too.
+        if pace > 1:
+            self._note_pace(exchange, exchange.endpoint_id, pace)
+
     def _raise_unless_retried(
         self, exchange: Exchange, placement: Placement, error: CranberrywickError
     ) -> None:
--- a/cranberrywick/routing/pace.py
+++ b/cranberrywick/routing/pace.py
@@ -1,17 +1,18 @@
-"""Which engines are slower than they declare, seen by the pauses of their streams.
+"""Which endpoints are slower than they should be.
 
-Load pattern: an engine turns several times slower for some seconds, while its record
+Load pattern: an endpoint turns several times slower for some seconds, while its record
 and its health say nothing of it. Taken for as fast as the others it looks idle, so that
-it gets its share of all prompts and makes each of them late. A stream that it writes
-shows it: between events lies one pass, whose length at least is declared. What a daemon
-sees there it tells the others, each of which has a stream at few engines only.
+it gets its share of all requests and makes each of them late. An engine shows it by the
+streams that it writes: between events lies one pass, whose length at least is declared.
+A plain endpoint shows it by calls that take longer than their whole target. What a
+daemon sees there it tells the others, each of which has requests at few endpoints only.
 """
 
 from collections import deque
 from collections.abc import Iterable
 from typing import NamedTuple
 
-__all__ = ["EnginePace", "EnginePaces", "StreamPauses"]
+__all__ = ["EnginePace", "EnginePaces", "StreamPauses", "call_pace"]
 
 # Pauses in a row that must all be too long: one or two can be a prompt being read.
 PAUSES = 3
@@ -53,6 +54,17 @@
         return max(1.0, min(self._pauses) / self._pass_seconds)
 
 
+def call_pace(seconds: float, target_seconds: float) -> float:
+    """Return how many times as long as it should a plain call took.
+
+    Up to its target it says nothing: calls differ. Beyond it, the endpoint is slow.
+
+    >>> call_pace(0.06, 0.3), call_pace(0.6, 0.3)
+    (1.0, 4.0)
+    """
+    return SLOW_PACE * seconds / target_seconds if seconds > target_seconds else 1.0
+
+
 class _Observation(NamedTuple):
     pace: float
     seen_at: float
--- a/cranberrywick/routing/placement.py
+++ b/cranberrywick/routing/placement.py
@@ -148,8 +148,9 @@
             share = self._health.failure_share(endpoint_id, now)
             # Rounded: a share that has all but decayed must not decide for good.
             occupied = len(candidate.jobs) + round(FAILURE_JOBS * share, 1)
+            pace = self._paces.pace(endpoint_id, now, is_long=False)
             away = record.failure_domain != demand.failure_domain
-            return occupied, away, self._rng.random()
+            return (1 + occupied) * pace, away, self._rng.random()
 
         best = min(candidates, key=cost)
         job = Job(best.endpoint_id, 0, 0.0, now, now)
--- a/tests/test_pace.py
+++ b/tests/test_pace.py
@@ -11,7 +11,7 @@
 from cranberrywick.routing.health import EndpointHealth
 from cranberrywick.routing.load import FleetLoad
 from cranberrywick.routing.model import EndpointRecord, PromptSize, Service
-from cranberrywick.routing.pace import EnginePace, EnginePaces, StreamPauses
+from cranberrywick.routing.pace import EnginePace, EnginePaces, StreamPauses, call_pace
 from cranberrywick.routing.placement import Placer
 
 
@@ -97,3 +97,38 @@
         assert placement.endpoint_id != "e0"
         writing = [j._replace(writing=True) for j in placement.jobs if j.held_tokens]
         load.put(demand.request_id, writing)
+
+
+def test_a_slow_plain_endpoint_gets_a_share_of_the_calls_only():
+    """Guards against a third of all calls late at one endpoint of three that is slow.
+
+    The daemon that places them has not called it itself; a peer has seen a call there
+    take four times its target.
+    """
+    paces = EnginePaces()
+    paces.hear([EnginePace("slow", call_pace(1.2, 0.3))], 0.0)
+    load = FleetLoad()
+    placer = Placer(load, EndpointHealth(), paces, random.Random(1), lambda: 0.0)
+    pool = EndpointPool.of(
+        [
+            EndpointBelief(
+                EndpointRecord(name, "calls", "", "", 6, False, 0.0, 1), float("-inf")
+            )
+            for name in ("slow", "a", "b")
+        ]
+    )
+    service = Service("calls", 0.0, 0.0, None)
+    places = []
+    for number in range(12):
+        demand = Demand(f"r{number}", service, None, 0.3, 0.3, 1.0, "")
+        placement = placer.place(demand, pool, 0.1)
+        load.put(demand.request_id, placement.jobs)
+        places.append(placement.endpoint_id)
+    assert places.count("slow") <= 1
+
+
+def test_a_call_within_its_target_says_nothing():
+    """Guards against endpoints avoided for calls that merely differ."""
+    paces = EnginePaces()
+    assert not paces.observe("e1", call_pace(0.29, 0.3), 0.0)
+    assert paces.pace("e1", 0.1, is_long=False) == 1.0
