Name what routing does in the field's terms

In flight for what others have placed and is not visible yet, weighted random for drawn by lot, interference for harm, cooldown for rest, latency-sensitive for fragile.

--- a/cranberrywick/gateway/forwarder.py
+++ b/cranberrywick/gateway/forwarder.py
@@ -243,7 +243,7 @@
         """Return if the request may be sent to another endpoint, else raise."""
         now = self._loop.time()
         endpoint_id = self._at_fault(placement, error)
-        rest = self._note_failure(endpoint_id, error, now)
+        cooldown = self._note_failure(endpoint_id, error, now)
         exchange.tried_ids.add(endpoint_id)
         exchange.may_have_run |= error.executed is not Executed.NO
         reason = self._reason_to_stop(exchange, error, now)
@@ -256,7 +256,7 @@
             sent=exchange.sent_count,
             error=error,
             executed=error.executed.value,
-            rest_seconds=rest,
+            cooldown_seconds=cooldown,
             endpoints_age=self._state.registry.age(now),
             next="stop: " + reason if reason else "another endpoint",
         )
@@ -266,7 +266,7 @@
     def _note_failure(
         self, endpoint_id: str, error: CranberrywickError, now: float
     ) -> float:
-        """Hold a failure against the endpoint; return how long that rests."""
+        """Hold a failure against the endpoint; return its cooldown."""
         if isinstance(error, EndpointFailed):
             self._health.answered_failure(endpoint_id, now)
             return 0.0
--- a/cranberrywick/routing/candidates.py
+++ b/cranberrywick/routing/candidates.py
@@ -31,7 +31,7 @@
 
     belief: EndpointBelief
     jobs: Sequence[Job]
-    resting: bool
+    cooling_down: bool
 
     @property
     def endpoint_id(self) -> str:
@@ -40,8 +40,8 @@
 
 
 def sound(candidates: Iterable[Candidate]) -> list[Candidate]:
-    """Return those that do not rest after a failure."""
-    return [each for each in candidates if not each.resting]
+    """Return those that are not in the cooldown of a failure."""
+    return [each for each in candidates if not each.cooling_down]
 
 
 class Candidates:
@@ -66,7 +66,7 @@
             Candidate(
                 belief,
                 self._load.at(belief.endpoint_id),
-                self._health.is_resting(belief.endpoint_id, now),
+                self._health.is_cooling_down(belief.endpoint_id, now),
             )
             for belief in beliefs
             if belief.endpoint_id not in demand.tried_ids
--- a/cranberrywick/routing/engine_model.py
+++ b/cranberrywick/routing/engine_model.py
@@ -76,7 +76,7 @@
     pending: Sequence[Pending]
     writing: Sequence[Job]
 
-    def _is_overtaken(self, joint: bool) -> bool:
+    def _overtakes(self, joint: bool) -> bool:
         """Whether a new part would be read before what waits here."""
         return joint and not self.pass_seconds
 
@@ -86,7 +86,7 @@
         A part of a ``joint`` prompt goes ahead of other reading, but not of the pass
         that runs: with answers being written, that one reads most of what waits.
         """
-        before = 0.0 if self._is_overtaken(joint) else self.reading_seconds
+        before = 0.0 if self._overtakes(joint) else self.reading_seconds
         # Even at an engine that writes nothing yet, the first event comes after a pass.
         steps = max(self.pass_seconds, self.least_pause)
         running = RUNNING_PASS_SHARE * self.pass_seconds
@@ -99,24 +99,24 @@
         that is then read in the first pause of its answer.
         """
         pause = self.least_pause
-        if self._is_overtaken(joint):
+        if self._overtakes(joint):
             pause += self.reading_seconds
         return pause > GAP_MARGIN * gap_seconds
 
-    def harm(self, reading: float, joint: bool = False) -> float:
+    def interference(self, reading: float, joint: bool = False) -> float:
         """Return the value of the requests here that more reading makes late."""
         seconds = self.pace * reading
         pause = self.pass_seconds + self.reading_seconds
-        harm = sum(_broken(job, pause, seconds) for job in self.writing)
+        cost = sum(_broken(job, pause, seconds) for job in self.writing)
         for job, ready_in in self.pending:
             if joint:
-                harm += self._overtaken(job, ready_in, seconds)
+                cost += self._overtaking_cost(job, ready_in, seconds)
             elif not job.helper:
                 # What is read before its own first event is no pause of it.
-                harm += _broken(job, pause - ready_in, seconds)
-        return harm
+                cost += _broken(job, pause - ready_in, seconds)
+        return cost
 
-    def _overtaken(self, job: Job, ready_in: float, reading: float) -> float:
+    def _overtaking_cost(self, job: Job, ready_in: float, reading: float) -> float:
         """Return what it costs to be read before a prompt that waits here."""
         read_at = max(job.first_event_at, self.now + ready_in)
         is_lost = read_at <= job.due_at < self.now + ready_in + reading
--- a/cranberrywick/routing/health.py
+++ b/cranberrywick/routing/health.py
@@ -10,10 +10,10 @@
 
 __all__ = ["EndpointHealth"]
 
-# An endpoint that failed rests this long, doubled with each failure in a row: it is
-# noticed as gone from the store within some three heartbeats, a few seconds.
-REST_SECONDS = 0.5
-MAX_REST_SECONDS = 4.0
+# An endpoint that failed gets nothing for this long, doubled with each failure in a
+# row: it is noticed as gone from the store within some three heartbeats, a few seconds.
+COOLDOWN_SECONDS = 0.5
+MAX_COOLDOWN_SECONDS = 4.0
 # Weight of the newest outcome in the share of failures: some ten outcomes count.
 OUTCOME_WEIGHT = 0.1
 # After so long without an attempt, half of a share of failures is forgotten. An
@@ -24,7 +24,7 @@
 
 class _State(NamedTuple):
     failures: int
-    rest_until: float
+    cooldown_until: float
     failure_share: float
     judged_at: float
 
@@ -36,7 +36,7 @@
 
 
 class EndpointHealth:
-    """Rests endpoints that fail, and remembers how often each fails."""
+    """Gives endpoints that fail a cooldown, and remembers how often each fails."""
 
     def __init__(self) -> None:
         self._states_by_id: dict[str, _State] = {}
@@ -49,28 +49,28 @@
             self._states_by_id[endpoint_id] = _State(0, float("-inf"), share, now)
 
     def failed(self, endpoint_id: str, now: float) -> float:
-        """Note a failure of the endpoint and return how long it rests, in seconds."""
+        """Note a failure of the endpoint and return its cooldown, in seconds."""
         state = self._states_by_id.get(endpoint_id, _FRESH)
-        rest = min(REST_SECONDS * 2**state.failures, MAX_REST_SECONDS)
+        cooldown = min(COOLDOWN_SECONDS * 2**state.failures, MAX_COOLDOWN_SECONDS)
         self._states_by_id[endpoint_id] = _State(
-            state.failures + 1, now + rest, _worse(state, now), now
+            state.failures + 1, now + cooldown, _worse(state, now), now
         )
-        return rest
+        return cooldown
 
     def answered_failure(self, endpoint_id: str, now: float) -> None:
         """Note an answer that is a failure; the endpoint itself lives.
 
-        Some requests fail at every endpoint: resting those that say so would take
-        all of them out, one after the other.
+        Some requests fail at every endpoint: a cooldown for each that says so would
+        take all of them out, one after the other.
         """
         state = self._states_by_id.get(endpoint_id, _FRESH)
         self._states_by_id[endpoint_id] = state._replace(
             failure_share=_worse(state, now), judged_at=now
         )
 
-    def is_resting(self, endpoint_id: str, now: float) -> bool:
+    def is_cooling_down(self, endpoint_id: str, now: float) -> bool:
         """Whether the endpoint has just failed and should get nothing now."""
-        return self._states_by_id.get(endpoint_id, _FRESH).rest_until > now
+        return self._states_by_id.get(endpoint_id, _FRESH).cooldown_until > now
 
     def failure_share(self, endpoint_id: str, now: float) -> float:
         """Return how many of the last attempts failed, between 0 and 1."""
--- a/cranberrywick/routing/part_choice.py
+++ b/cranberrywick/routing/part_choice.py
@@ -15,12 +15,12 @@
 
 __all__ = [
     "ENGINE_PRICE",
-    "UNHEARD_PRICE",
+    "IN_FLIGHT_PRICE",
     "Choice",
     "Engine",
     "Split",
     "Work",
-    "by_lot",
+    "weighted_random",
     "choose",
 ]
 
@@ -33,12 +33,12 @@
 # and its connection cost.
 TIME_PRICE = 0.1
 ENGINE_PRICE = 0.02
-# What a request that this daemon can't have heard of costs the one that meets it at an
-# engine with one free slot, in shares of that one's value. All daemons see the same
-# engine as the best: without this they meet there until they hear of one another, and
-# whoever finds no slot waits for an answer to end. Drawn by lot in proportion, as they
-# are with this, they seldom meet, however many engines and daemons there are.
-UNHEARD_PRICE = 1.0
+# What a request that is in flight, placed by another daemon and not visible here yet,
+# costs the one that meets it at an engine with one free slot, in shares of that one's
+# value. All daemons see the same engine as the best: without this they meet there, and
+# whoever finds no slot waits for an answer to end. A weighted random choice spreads
+# them, however many engines and daemons there are.
+IN_FLIGHT_PRICE = 1.0
 
 
 class Engine(NamedTuple):
@@ -86,7 +86,7 @@
 
     def engine_price(self, engine: Engine, answers: bool) -> float:
         """Return the price of a part at an engine, however long it takes."""
-        price = engine.forecast.harm(self.reading, self.joint)
+        price = engine.forecast.interference(self.reading, self.joint)
         price += self.value * engine.failure_share
         if not answers:
             return price + ENGINE_PRICE
@@ -134,8 +134,8 @@
 Order = Callable[[Sequence[Offer]], Sequence[Offer]]
 
 
-def by_lot(price: float) -> Order:
-    """Return an order for when unheard requests take the cheapest engines as well.
+def weighted_random(price: float) -> Order:
+    """Return an order for when requests in flight take the cheapest engines as well.
 
     Together they pay ``price``. Each makes its engine dearer, the more so the fewer
     slots are free there, until the next is as cheap. Of the engines that they fill in
--- a/cranberrywick/routing/placement.py
+++ b/cranberrywick/routing/placement.py
@@ -7,8 +7,8 @@
 
 Two things answer it. A long prompt is read in even parts on several engines, as many
 as its target needs. And each choice is priced by what it makes late, of the request
-itself and of what is being written where it goes: long prompts go where nothing
-fragile is written, short ones keep together, so that such engines are left.
+itself and of what is being written where it goes: long prompts go where no
+latency-sensitive stream is, short ones keep together, so that such engines are left.
 """
 
 import random
@@ -26,13 +26,13 @@
 from cranberrywick.routing.pace import EnginePaces
 from cranberrywick.routing.part_choice import (
     ENGINE_PRICE,
-    UNHEARD_PRICE,
+    IN_FLIGHT_PRICE,
     Choice,
     Engine,
     Split,
     Work,
-    by_lot,
     choose,
+    weighted_random,
 )
 
 __all__ = [
@@ -41,7 +41,7 @@
     "Placer",
 ]
 
-# For making an engine one that has fragile answers: else short answers spread over
+# For the first latency-sensitive stream of an engine: else short answers spread over
 # all engines, and a long prompt stops some of them wherever it goes.
 FRESH_ENGINE_PRICE = 0.15
 # Against it: short prompts that meet in one pass wait for one another. Grows with the
@@ -51,9 +51,9 @@
 # An endpoint that fails all of its calls counts as having so many more in hand: half
 # of a plain service's places, so that it is tried when the others are half full.
 FAILURE_JOBS = 4
-# Answers whose pauses may be no longer than so many readings of a prompt of usual
-# length are fragile: a long prompt's part makes them late.
-FRAGILE_READINGS = 4.0
+# Streams whose pauses may be no longer than so many readings of a prompt of usual
+# length are latency-sensitive: a long prompt's part makes them late.
+SENSITIVE_READINGS = 4.0
 
 
 class Part(NamedTuple):
@@ -117,7 +117,7 @@
         ``last_resort`` returns what may be used where none of them answers.
         """
         drawn = self._candidates.drawn(demand, usable, now)
-        if all(each.resting for each in drawn):
+        if all(each.cooling_down for each in drawn):
             others = self._candidates.untried(demand, last_resort(), now)
             free = self._candidates.free(demand.service, sound(others), now)
             placement = self._place(demand, free, now)
@@ -164,9 +164,9 @@
         candidates: list[Candidate],
         now: float,
     ) -> Placement | None:
-        fragile_gap = _fragile_gap(profile)
+        sensitive_gap = _sensitive_gap(profile)
         engines = [
-            self._engine(demand, profile, fragile_gap, c, now) for c in candidates
+            self._engine(demand, profile, sensitive_gap, c, now) for c in candidates
         ]
         holders = ceil(prompt.total / profile.memory_tokens)
         share = ceil(prompt.total / holders)
@@ -188,11 +188,11 @@
         if best is None:
             return None
         _, work, split = best
-        order = by_lot(UNHEARD_PRICE * value * self._unheard(now))
+        order = weighted_random(IN_FLIGHT_PRICE * value * self._in_flight(now))
         choice = choose(work, engines, split, order)
         return _placement(demand, prompt, choice, holders, value, now)
 
-    def _unheard(self, now: float) -> float:
+    def _in_flight(self, now: float) -> float:
         """Return how many requests others have placed since their last news."""
         return self._load.placed_each_second(now) * self._news_seconds()
 
@@ -200,22 +200,22 @@
         self,
         demand: Demand,
         profile: EngineProfile,
-        fragile_gap: float,
+        sensitive_gap: float,
         candidate: Candidate,
         now: float,
     ) -> Engine:
-        is_fragile = demand.gap_seconds <= fragile_gap
+        is_sensitive = demand.gap_seconds <= sensitive_gap
         jobs = candidate.jobs
         held = sum(job.held_tokens for job in jobs)
         slots = candidate.belief.record.slots
         taken = sum(not job.helper for job in jobs)
         occupied = taken / slots
         answer_price = CROWD_PRICE * occupied**2
-        if is_fragile and not any(
-            job.gap_seconds <= fragile_gap and not job.helper for job in jobs
+        if is_sensitive and not any(
+            job.gap_seconds <= sensitive_gap and not job.helper for job in jobs
         ):
             answer_price += FRESH_ENGINE_PRICE
-        pace = self._paces.pace(candidate.endpoint_id, now, is_long=not is_fragile)
+        pace = self._paces.pace(candidate.endpoint_id, now, is_long=not is_sensitive)
         return Engine(
             candidate.endpoint_id,
             forecast(profile, jobs, now, pace),
@@ -237,10 +237,10 @@
     return 1.0 + prompt.prompt_tokens / profile.usual_prompt_tokens
 
 
-def _fragile_gap(profile: EngineProfile) -> float:
-    """Return up to which pause limit an answer is fragile."""
+def _sensitive_gap(profile: EngineProfile) -> float:
+    """Return up to which pause limit a stream is latency-sensitive."""
     usual = round(profile.usual_prompt_tokens)
-    return FRAGILE_READINGS * read_seconds(profile, usual)
+    return SENSITIVE_READINGS * read_seconds(profile, usual)
 
 
 def _placement(
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -280,8 +280,8 @@
         health = EndpointHealth()
         rests = [health.failed("e1", 0.0) for _ in range(6)]
         assert rests == sorted(rests)
-        assert health.is_resting("e1", rests[-1] - 0.01)
-        assert not health.is_resting("e1", rests[-1] + 0.01)
+        assert health.is_cooling_down("e1", rests[-1] - 0.01)
+        assert not health.is_cooling_down("e1", rests[-1] + 0.01)
 
     def test_old_failures_are_forgotten(self):
         """An endpoint that failed is used again though others are idle.
@@ -297,7 +297,7 @@
     def test_requests_that_fail_everywhere_rest_nobody(self):
         health = EndpointHealth()
         health.answered_failure("e1", 0.0)
-        assert not health.is_resting("e1", 0.0)
+        assert not health.is_cooling_down("e1", 0.0)
 
 
 class TestQueueOrder:
@@ -362,15 +362,15 @@
         """What counts is the whole pass: its steps and all that is read in it."""
         writer = Job("e1", 5000, 0.03, 0.0, 0.0, writing=True, gap_seconds=0.25)
         engine = forecast(profile, [writer], 1.0)
-        assert engine.harm(0.1) == 0
-        assert engine.harm(0.3) == 1
+        assert engine.interference(0.1) == 0
+        assert engine.interference(0.3) == 1
 
     def test_parts_of_others_are_read_first(self, profile):
         """A prompt that waits is made late by a helper's part, not by a later one."""
         waiting = Job("e1", 5000, 0.5, 0.0, 0.5, due_at=1.0)
         engine = forecast(profile, [waiting], 0.0)
-        assert engine.harm(0.8, joint=True) == 1 + DELAY_PRICE * 0.8
-        assert engine.harm(0.8) == 0
+        assert engine.interference(0.8, joint=True) == 1 + DELAY_PRICE * 0.8
+        assert engine.interference(0.8) == 0
 
     def test_every_part_that_came_later_counts(self, profile):
         """A prompt is not taken for on time by its first forecast for ever.
@@ -381,14 +381,14 @@
         waiting = Job("e1", 5000, 0.5, 0.0, 0.5, due_at=2.2)
         part = Job("e1", 0, 0.5, 0.0, 0.5, helper=True, joint=True, value=0.0)
         engine = forecast(profile, [waiting, part, part, part], 0.0)
-        assert engine.harm(0.5, joint=True) == 1 + DELAY_PRICE * 0.5
+        assert engine.interference(0.5, joint=True) == 1 + DELAY_PRICE * 0.5
 
     def test_a_prompt_that_is_late_already_is_not_overtaken_for_nothing(self, profile):
         """Its caller still waits: an engine where nothing waits is the better one."""
         late = Job("e1", 5000, 0.5, 0.0, 0.5, due_at=0.1, value=20.0)
         engine = forecast(profile, [late], 0.0)
-        assert 0 < engine.harm(0.5, joint=True) < late.value
-        assert engine.harm(0.5) == 0
+        assert 0 < engine.interference(0.5, joint=True) < late.value
+        assert engine.interference(0.5) == 0
 
     def test_the_part_that_came_last_is_read_first(self, profile):
         """A caller of a very long prompt waits while others' prompts go before it.
@@ -402,8 +402,8 @@
         engine = forecast(profile, [second, first], 0.9)
         assert [each.job for each in engine.pending] == [second, first]
         assert [each.ready_in for each in engine.pending] == pytest.approx([0.5, 1.1])
-        assert engine.harm(0.5, joint=True) == 1 + DELAY_PRICE * 0.5
-        assert engine.harm(0.3, joint=True) == DELAY_PRICE * 0.3
+        assert engine.interference(0.5, joint=True) == 1 + DELAY_PRICE * 0.5
+        assert engine.interference(0.3, joint=True) == DELAY_PRICE * 0.3
 
     def test_a_part_goes_ahead_of_all_that_waits(self, profile):
         """It is foreseen after its own reading, a whole prompt after all others'."""
@@ -445,8 +445,8 @@
         """
         short = Job("e1", 5000, 0.05, 0.0, 0.05, due_at=0.3, gap_seconds=0.25)
         engine = forecast(profile, [short], 0.0)
-        assert engine.harm(1.0) == 1
-        assert engine.harm(0.1) == 0
+        assert engine.interference(1.0) == 1
+        assert engine.interference(0.1) == 0
 
 
 class TestEventSplitter:
@@ -476,5 +476,5 @@
     health.failed("e1", 0.0)
     health.failed("e2", 0.0)
     health.keep_only({"e2"})
-    assert not health.is_resting("e1", 0.1)
-    assert health.is_resting("e2", 0.1)
+    assert not health.is_cooling_down("e1", 0.1)
+    assert health.is_cooling_down("e2", 0.1)
