Blame no endpoint for a busy daemon, and survive a peer's broken answer

Found in reading the change. A connection timeout of 50 ms may be noticed late by a daemon that was held up itself, with the connection standing: noticed by half of it too late, the connection is tried once more and the endpoint gets no cooldown. A document that can't be read ended the fetch's task with an error that nobody took; now it is logged and another peer is asked.

--- a/cranberrywick/gateway/attempt.py
+++ b/cranberrywick/gateway/attempt.py
@@ -25,7 +25,7 @@
     endpoint_headers,
 )
 from cranberrywick.platform.orders import helper_entry
-from cranberrywick.routing.connect_timeout import ConnectTimeout
+from cranberrywick.routing.connect_timeout import ConnectTimeout, is_own_delay
 from cranberrywick.routing.model import EndpointRecord
 from cranberrywick.routing.placement import Placement
 from cranberrywick.routing.registry import EndpointBelief
@@ -142,9 +142,13 @@
         try:
             await connection.open(allowed)
         except EndpointRefused:
-            if self._loop.time() - started >= allowed:
+            waited = self._loop.time() - started
+            if waited >= allowed:
                 self._connect_timeout.timed_out()
-            raise
+            if not is_own_delay(waited, allowed):
+                raise
+            remaining = self._exchange.deadline - self._loop.time()
+            await connection.open(min(self._connect_timeout.seconds, remaining))
         self._connect_timeout.answered(self._loop.time() - started)
 
     async def _send(
--- a/cranberrywick/gateway/peer_fetches.py
+++ b/cranberrywick/gateway/peer_fetches.py
@@ -4,6 +4,7 @@
 import random
 from collections.abc import Callable, Sequence
 
+from cranberrywick.errors import PeerMessageInvalid
 from cranberrywick.gateway.fleet_link import FleetLink
 from cranberrywick.gateway.messages import Message, Wanted
 from cranberrywick.logs import EventLog
@@ -68,9 +69,23 @@
                     number=number,
                     answered=reading is not None,
                 )
-                if reading is not None:
-                    take(reading, address, asked_at)
+                if reading is not None and self._take(take, reading, address, asked_at):
                     return
                 await asyncio.sleep(self._rng.uniform(0, LONGEST_PAUSE_SECONDS))
         finally:
             self._running.discard(type(wanted))
+
+    def _take(
+        self,
+        take: Callable[[Message, str, float], None],
+        reading: Message,
+        address: str,
+        asked_at: float,
+    ) -> bool:
+        """Hand an answer over; False for one that can't be read."""
+        try:
+            take(reading, address, asked_at)
+        except PeerMessageInvalid as error:
+            self._log.warning("peer_answer_invalid", peer=address, error=error)
+            return False
+        return True
--- a/cranberrywick/routing/connect_timeout.py
+++ b/cranberrywick/routing/connect_timeout.py
@@ -17,7 +17,7 @@
 0.05
 """
 
-__all__ = ["ConnectTimeout"]
+__all__ = ["ConnectTimeout", "is_own_delay"]
 
 LEAST_SECONDS = 0.05
 # A lost packet is sent again after a second: another endpoint is quicker than that.
@@ -25,10 +25,22 @@
 MEAN_WEIGHT = 1 / 8
 DEVIATION_WEIGHT = 1 / 4
 DEVIATIONS = 4
+# A timeout that is noticed too late by more than this share of itself tells of a daemon
+# that was busy meanwhile; the connection may stand.
+OWN_DELAY_SHARE = 0.5
 # An estimate that is too low would fail every connection and never learn better.
 BACKOFF = 2
 
 
+def is_own_delay(waited: float, allowed: float) -> bool:
+    """Whether a connection timed out since this daemon itself was held up.
+
+    >>> is_own_delay(0.051, allowed=0.05), is_own_delay(0.2, allowed=0.05)
+    (False, True)
+    """
+    return waited > (1 + OWN_DELAY_SHARE) * allowed
+
+
 class ConnectTimeout:
     """Learns how long connections take."""
 
--- a/tests/test_connect_timeout.py
+++ b/tests/test_connect_timeout.py
@@ -9,6 +9,7 @@
     LEAST_SECONDS,
     MOST_SECONDS,
     ConnectTimeout,
+    is_own_delay,
 )
 
 
@@ -41,6 +42,12 @@
     assert failed <= len(waits) / 100
 
 
+def test_a_daemon_that_was_held_up_blames_no_endpoint():
+    """Guards against sound endpoints in cooldown after a pause of their caller."""
+    assert is_own_delay(0.2, allowed=0.05)
+    assert not is_own_delay(0.052, allowed=0.05)
+
+
 def test_timeouts_in_a_row_wait_longer():
     """Guards against a timeout that fails every connection and never learns."""
     timeout = after([0.004] * 20)
--- a/tests/test_peer_fetches.py
+++ b/tests/test_peer_fetches.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from cranberrywick.bench.virtual_time import run_in_virtual_time
+from cranberrywick.errors import PeerMessageInvalid
 from cranberrywick.gateway.messages import EndpointsWanted, OperatorWanted
 from cranberrywick.gateway.peer_fetches import MOST_TRIES, PeerFetches
 from cranberrywick.logs import EventLog
@@ -62,6 +63,25 @@
     run_in_virtual_time(scene())
 
 
+def test_an_answer_that_cannot_be_read_is_asked_of_another():
+    """Guards against daemons that stay behind for one peer's broken answer."""
+    taken = []
+
+    def take(reading, address, asked_at):
+        if reading == "broken":
+            raise PeerMessageInvalid("malformed records")
+        taken.append(address)
+
+    async def scene():
+        link = Link({"a": "broken", "b": "reading"})
+        peers = iter([["a"], ["b"]])
+        fetches_of(link).begin(EndpointsWanted(), lambda: next(peers), take)
+        await asyncio.sleep(1.0)
+
+    run_in_virtual_time(scene())
+    assert taken == ["b"]
+
+
 def test_it_is_given_up_after_a_few_tries():
     async def scene():
         link = Link({})
