Tell no first readings, and bound what is told and fetched while endpoints register

A deployment's endpoints register some hundreds a second, so for its first ten seconds more than 500 had changed within two seconds, and a reading was told by its digest alone; every daemon then fetched all records, twice a second. At the start each of 300 first readings did the same.

Now a first reading is told to nobody (each daemon makes one), changes are told again for the latest 100 endpoints only, more than a datagram holds is not told, and all records are fetched at most twice a second and not beside a reading of one's own.

--- a/cranberrywick/gateway/endpoint_knowledge.py
+++ b/cranberrywick/gateway/endpoint_knowledge.py
@@ -17,6 +17,8 @@
 # For so long a change is told again with each reading: several of these in a row are
 # hardly ever lost.
 RETELL_SECONDS = 2.0
+# Hundreds of endpoints register each second when a large deployment starts.
+MOST_RETOLD_ENDPOINTS = 100
 
 
 class PeerReading(Enum):
@@ -29,10 +31,14 @@
 
 
 class StoreReading(NamedTuple):
-    """Whether a reading of the store changed anything, and what is told of it."""
+    """Whether a reading of the store changed anything, and what is told of it.
+
+    Nothing is told of a first reading, for at a start of the whole fleet each daemon
+    makes one, nor of more changes than a datagram holds.
+    """
 
     changed: bool
-    reading: EndpointReading
+    reading: EndpointReading | None
 
 
 class EndpointKnowledge:
@@ -56,7 +62,7 @@
         digest = known.digest_with_delta(delta, base)
         changed = self._take(Applied(view, delta), digest, read_at, now)
         if base_view is None:
-            return StoreReading(changed, self.told_reading(now))
+            return StoreReading(changed, None)
         if self._digest == base:
             # Only cold times, which the others count down themselves.
             delta = NO_DELTA
@@ -64,7 +70,7 @@
 
     def _told_difference(
         self, delta: EndpointDelta, base: int, now: float
-    ) -> EndpointReading:
+    ) -> EndpointReading | None:
         """Return what those are told who knew the state ``base`` or one shortly before.
 
         It repeats the changes of the last moments: a datagram may have been lost, and
@@ -74,8 +80,10 @@
         records_by_id = self._view.records_by_id
         told_ids = {record.endpoint_id for record in delta.changed}
         told_ids.update(delta.gone_ids, self._changed_ids(now))
-        if not told_ids or len(told_ids) > MOST_TOLD_ENDPOINTS:
+        if not told_ids:
             return EndpointReading(self.registry.revision, age, self._digest)
+        if len(told_ids) > MOST_TOLD_ENDPOINTS:
+            return None
         told = EndpointDelta(
             tuple(records_by_id[i] for i in told_ids if i in records_by_id),
             tuple(i for i in told_ids if i not in records_by_id),
@@ -83,12 +91,12 @@
         return EndpointReading.difference(self._view, self._digest, age, told, base)
 
     def _changed_ids(self, now: float) -> list[str]:
-        """Return the endpoints that have changed lately."""
+        """Return endpoints that have changed lately, the latest of many."""
         for endpoint_id, changed_at in list(self._changed_at_by_id.items()):
             if now - changed_at <= RETELL_SECONDS:
                 break
             del self._changed_at_by_id[endpoint_id]
-        return list(self._changed_at_by_id)
+        return list(self._changed_at_by_id)[-MOST_RETOLD_ENDPOINTS:]
 
     def take_news(self, reading: EndpointReading, now: float) -> PeerReading:
         """Take a peer's reading.
--- a/cranberrywick/gateway/state.py
+++ b/cranberrywick/gateway/state.py
@@ -52,6 +52,8 @@
 LEAST_LOOK_SECONDS = 0.05
 # At the least: the rank of a daemon falls when others die, and it reads earlier then.
 LONGEST_LOOK_SECONDS = 0.3
+# All endpoints are fetched from a peer at most so often.
+FETCH_AGAIN_SECONDS = 0.5
 # A daemon that died is off the members' list after this. Who reads the list meanwhile
 # writes to its address for nothing; who lives is told by heartbeats.
 LEASE_SECONDS = 60.0
@@ -86,6 +88,7 @@
         self.changed: Callable[[], None] = lambda: None
         self._lease: int | None = None
         self._fetches = PeerFetches(lambda: self.news.link, log)
+        self._fetch_not_before = float("-inf")
         self._rng = random.Random()
         self._calls = StoreCalls(
             settings.bounds.drain_seconds,
@@ -211,7 +214,7 @@
         if outcome is PeerReading.CHANGED:
             self._note_change(was_ready)
         elif outcome is PeerReading.MISSED:
-            self._fetch_endpoints()
+            self._fetch_endpoints_unless_read()
 
     def newcomer_met(self, peer_address: str) -> None:
         """Tell a daemon that has just started the endpoints."""
@@ -238,6 +241,20 @@
 
         self._fetches.begin(OperatorWanted(), informed, take)
 
+    def _fetch_endpoints_unless_read(self) -> None:
+        """Fetch all endpoints, but not again and again and not beside a reading.
+
+        Of thousands of endpoints some change with every reading; a daemon that lags
+        behind would do little else.
+        """
+        now = self._loop.time()
+        if now < self._fetch_not_before or self._calls.is_under_way(
+            "endpoints", self._store.read_endpoints
+        ):
+            return
+        self._fetch_not_before = now + FETCH_AGAIN_SECONDS
+        self._fetch_endpoints()
+
     def _fetch_endpoints(self) -> None:
         """Ask a peer for all endpoints, after news of a change was missed."""
 
@@ -286,7 +303,8 @@
         taken = self._endpoints.take(view, read_at, now)
         if taken.changed:
             self._note_change(was_ready)
-        self.news.tell_all(taken.reading)
+        if taken.reading is not None:
+            self.news.tell_all(taken.reading)
 
     def _operator_read(self, view: OperatorView, read_at: float) -> None:
         if not self._take_operator(view, read_at, "store"):
--- a/cranberrywick/gateway/store_calls.py
+++ b/cranberrywick/gateway/store_calls.py
@@ -59,9 +59,9 @@
         ``done`` gets the answer and the moment of the question, on the event loop;
         it is not called for a failure.
         """
-        name = f"{reader}.{_call_name(call)}"
-        if name in self._pending:
+        if self.is_under_way(reader, call):
             return
+        name = _name(reader, call)
         self._pending.add(name)
         asked_at = self._loop.time()
 
@@ -72,6 +72,10 @@
 
         self._actors[reader].tell(StoreReader.call, call, hand_over)
 
+    def is_under_way(self, reader: str, call: Callable[[], object]) -> bool:
+        """Whether the same call is waiting for its answer."""
+        return _name(reader, call) in self._pending
+
     def _answered(
         self,
         name: str,
@@ -103,6 +107,6 @@
             )
 
 
-def _call_name(call: Callable[[], object]) -> str:
+def _name(reader: str, call: Callable[[], object]) -> str:
     function = call.func if isinstance(call, partial) else call
-    return function.__name__
+    return f"{reader}.{function.__name__}"
