--- a/cranberrywick/gateway/endpoint_knowledge.py
+++ b/cranberrywick/gateway/endpoint_knowledge.py
@@ -92,11 +92,14 @@
 
     def _changed_ids(self, now: float) -> list[str]:
         """Return endpoints that have changed lately, the latest of many."""
+        self._forget_changes(now)
+        return list(self._changed_at_by_id)[-MOST_RETOLD_ENDPOINTS:]
+
+    def _forget_changes(self, now: float) -> None:
         for endpoint_id, changed_at in list(self._changed_at_by_id.items()):
             if now - changed_at <= RETELL_SECONDS:
                 break
             del self._changed_at_by_id[endpoint_id]
-        return list(self._changed_at_by_id)[-MOST_RETOLD_ENDPOINTS:]
 
     def take_news(self, reading: EndpointReading, now: float) -> PeerReading:
         """Take a peer's reading.
@@ -146,6 +149,7 @@
 
     def _note_changed(self, delta: EndpointDelta, now: float) -> None:
         """Remember which endpoints have changed, the latest last."""
+        self._forget_changes(now)
         changed_ids = [record.endpoint_id for record in delta.changed]
         for endpoint_id in (*changed_ids, *delta.gone_ids):
             self._changed_at_by_id.pop(endpoint_id, None)
