Stop a stand-in's server from its own thread

Traced: stop set the flag, then let held requests go; the server's loop wakes each second by itself, found the flag, closed its trigger and ended before stop pulled it. The flag is set by the trigger now, on the loop's thread. The new test's stand-in takes 1.3 s to stop and failed with the same error before.

--- a/cranberrywick/standin/server.py
+++ b/cranberrywick/standin/server.py
@@ -189,6 +189,7 @@
             max_request_body_size=BODY_LIMIT_BYTES,
             inbuf_overflow=BODY_LIMIT_BYTES,
         )
+        self._stop_asked = False
         self._stopping = False
         self._thread = threading.Thread(
             target=self._run, name=f"standin-{self.address}", daemon=True
@@ -223,14 +224,19 @@
 
         Held requests are let go.
         """
-        if self._stopping:
+        if self._stop_asked:
             return
-        self._stopping = True
+        self._stop_asked = True
         self.standin.faults.close()
         self.standin.stopping()
-        self._server.pull_trigger()
+        # Set on the loop's thread: a loop that wakes by itself and finds it set closes
+        # the trigger, which is then pulled in vain.
+        self._server.trigger.pull_trigger(self._note_stopping)
         self._thread.join(10.0)
 
+    def _note_stopping(self) -> None:
+        self._stopping = True
+
     def _run(self) -> None:
         while not self._stopping:
             wasyncore.loop(timeout=1.0, map=self._server._map, count=1, use_poll=True)
