Say what a difference of endpoints holds

The doc comment still told of exactly the changes from one state; readings repeat recent changes and are applied from states near it. No code changes.

--- a/cranberrywick/gateway/endpoint_reading.py
+++ b/cranberrywick/gateway/endpoint_reading.py
@@ -53,9 +53,9 @@
         delta: EndpointDelta,
         base: int,
     ) -> "EndpointReading":
-        """Return a reading for who knows the view with digest ``base``.
+        """Return a reading for who knows the view with digest ``base``, or one near it.
 
-        ``delta`` leads from that view to this one.
+        ``delta`` holds at least what leads from that view to this one.
         """
         records_by_id = {record.endpoint_id: record for record in delta.changed}
         changes = _pack_changes(base, records_by_id, delta.gone_ids)
