Log and count the rate limits that endpoints name

An incident's logs could not tell which daemon an endpoint had told its limit, nor when it sent: nothing decoded the header, and request_ended comes at the end of an answer. Answers' heads are now decoded for it, whatever their status; a change is a log line, answers that name one are counted, and request_ended says when the request was sent last. Nothing decides by it yet.

What attempts show of endpoints moved from the forwarder to a module of its own.

--- a/cranberrywick/gateway/attempt.py
+++ b/cranberrywick/gateway/attempt.py
@@ -30,7 +30,7 @@
 from cranberrywick.routing.placement import Placement
 from cranberrywick.routing.registry import EndpointBelief
 
-__all__ = ["Attempt", "Passed", "WholeAnswer"]
+__all__ = ["Attempt", "AttemptWatch", "Passed", "WholeAnswer"]
 
 
 class WholeAnswer(NamedTuple):
@@ -55,6 +55,18 @@
     status: int
 
 
+class AttemptWatch(NamedTuple):
+    """Who is told of an answer while it comes in.
+
+    ``head`` gets what its head says, ``first_event`` is called with the first event of
+    a stream, ``pause`` gets the endpoint and each pause between events, in seconds.
+    """
+
+    head: Callable[[Exchange, int, ResponseMeta], None]
+    first_event: Callable[[Exchange], None]
+    pause: Callable[[str, float], None]
+
+
 class Attempt:
     """Sends an exchange to the endpoint of a placement.
 
@@ -68,8 +80,7 @@
         placement: Placement,
         beliefs_by_id: Mapping[str, EndpointBelief],
         may_send: Callable[[str, bool], bool],
-        first_event: Callable[[Exchange], None],
-        pause: Callable[[str, float], None],
+        watch: AttemptWatch,
         connect_timeout: ConnectTimeout,
         free_seconds: float,
         log: EventLog,
@@ -81,8 +92,7 @@
         self._placement = placement
         self._beliefs_by_id = beliefs_by_id
         self._may_send = may_send
-        self._first_event = first_event
-        self._pause = pause
+        self._watch = watch
         self._loop = asyncio.get_running_loop()
 
     async def run(self) -> Passed:
@@ -190,6 +200,7 @@
     async def _receive(self, connection: EndpointConnection) -> Passed:
         answer = await connection.read_head()
         meta = decode_response(answer.status, answer.headers_by_name)
+        self._watch.head(self._exchange, answer.status, meta)
         self._check(answer, meta)
         if self._exchange.is_stream and answer.status == 200:
             await self._pass_stream(connection, answer, meta)
@@ -254,12 +265,12 @@
     ) -> None:
         pause = self._exchange.note_events(self._loop.time())
         if pause is not None and not self._is_first:
-            self._pause(self._placement.endpoint_id, pause)
+            self._watch.pause(self._placement.endpoint_id, pause)
         if not self._exchange.caller.started:
             await self._begin(answer, meta)
         if self._is_first:
             self._is_first = False
-            self._first_event(self._exchange)
+            self._watch.first_event(self._exchange)
         await self._exchange.caller.send_body(whole)
 
     async def _begin(self, answer: EndpointAnswer, meta: ResponseMeta) -> None:
--- a/cranberrywick/gateway/exchange.py
+++ b/cranberrywick/gateway/exchange.py
@@ -68,6 +68,11 @@
         """How many endpoints it was sent to."""
         return len(self.sent_ids)
 
+    @property
+    def sent_after(self) -> float | None:
+        """How many seconds after its arrival it was sent last; None if it was not."""
+        return None if self.sent_at is None else self.sent_at - self.request.arrived
+
     @property
     def answering_ids(self) -> frozenset[str] | None:
         """Which endpoints may still answer it; None for any.
--- a/cranberrywick/gateway/forwarder.py
+++ b/cranberrywick/gateway/forwarder.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import random
-from collections.abc import Callable
 
 from cranberrywick.errors import (
     AmbiguousSend,
@@ -20,10 +19,11 @@
     PlatformUnavailable,
     TimedOut,
 )
-from cranberrywick.gateway.attempt import Attempt, Passed
+from cranberrywick.gateway.attempt import Attempt, AttemptWatch, Passed
 from cranberrywick.gateway.exchange import Exchange
 from cranberrywick.gateway.ingress import CallerConnection, HttpRequest
 from cranberrywick.gateway.late_metrics import LateMetrics
+from cranberrywick.gateway.observations import EndpointObservations
 from cranberrywick.gateway.state import FleetState
 from cranberrywick.gateway.waiting import WaitingRequests
 from cranberrywick.logs import EventLog
@@ -33,7 +33,6 @@
 from cranberrywick.routing.demand import Demand
 from cranberrywick.routing.health import EndpointHealth
 from cranberrywick.routing.model import GatewaySettings
-from cranberrywick.routing.pace import StreamPauses, call_pace
 from cranberrywick.routing.placement import Placement
 from cranberrywick.routing.retry_after import (
     LEAST_SECONDS_WITHOUT_STORE,
@@ -72,6 +71,7 @@
         self._loop = asyncio.get_running_loop()
         self._rng = random.Random()
         self._connect_timeout = ConnectTimeout()
+        self._observations = EndpointObservations(state, metrics, log)
         bounds = settings.bounds
         self._budget = RetryBudget(
             bounds.retry_ratio, bounds.retry_window_seconds, bounds.retry_slack
@@ -90,7 +90,7 @@
             outcome = await self._fail(exchange, error)
         except TimeoutError:
             if exchange.under_way:
-                self._note_call_time(exchange)
+                self._observations.call_ended(exchange)
             outcome = await self._fail(exchange, self._timed_out(exchange))
         except ConnectionError:
             outcome = "caller_gone"
@@ -170,38 +170,17 @@
             placement,
             beliefs,
             self._state.may_send,
-            self._first_event,
-            self._pause_watch(exchange),
+            self._watch(exchange),
             self._connect_timeout,
             self._settings.bounds.free_seconds,
             self._log,
         )
         return await attempt.run()
 
-    def _pause_watch(self, exchange: Exchange) -> Callable[[str, float], None]:
-        """Return what takes the pauses of an attempt's stream."""
-        profile = exchange.service.engine
-        declared = profile.stride * profile.step_seconds if profile else 0.0
-        pauses = StreamPauses(declared)
-
-        def note(endpoint_id: str, seconds: float) -> None:
-            # What the engine is known to read meanwhile says nothing of its pace.
-            pace = pauses.note(seconds - self._state.load.reading_at(endpoint_id))
-            if pace is not None:
-                self._note_pace(exchange, endpoint_id, pace)
-
-        return note
-
-    def _note_pace(self, exchange: Exchange, endpoint_id: str, pace: float) -> None:
-        news = self._state.news
-        if not news.paces.observe(endpoint_id, pace, self._loop.time()):
-            return
-        news.pace_changed()
-        self._log.warning(
-            "endpoint_pace_changed",
-            endpoint=endpoint_id,
-            pace=pace,
-            request_id=exchange.meta.request_id,
+    def _watch(self, exchange: Exchange) -> AttemptWatch:
+        observations = self._observations
+        return AttemptWatch(
+            observations.head, self._first_event, observations.pause_watch(exchange)
         )
 
     def _first_event(self, exchange: Exchange) -> None:
@@ -222,21 +201,10 @@
         self, exchange: Exchange, placement: Placement, passed: Passed
     ) -> None:
         exchange.status = passed.status
-        self._note_call_time(exchange)
+        self._observations.call_ended(exchange)
         if passed.status < 500:
             self._health.succeeded(placement.endpoint_id, self._loop.time())
 
-    def _note_call_time(self, exchange: Exchange) -> None:
-        """Note an endpoint as slow whose call alone took longer than its target."""
-        if exchange.is_stream:
-            return
-        seconds = self._loop.time() - exchange.sent_at
-        pace = call_pace(seconds, exchange.route.target_seconds)
-        # One within its target says nothing: calls differ, and a short one is quick at
-        # a slow endpoint too.
-        if pace > 1:
-            self._note_pace(exchange, exchange.endpoint_id, pace)
-
     def _raise_unless_retried(
         self, exchange: Exchange, placement: Placement, error: CranberrywickError
     ) -> None:
@@ -360,6 +328,7 @@
             last_resort=exchange.last_resort,
             seconds=now - exchange.request.arrived,
             waited=(exchange.placed_at or now) - exchange.request.arrived,
+            sent_after=exchange.sent_after,
             first_event=first,
             predicted=exchange.predicted,
             target=route.target_seconds if route else None,
--- a/cranberrywick/gateway/late_metrics.py
+++ b/cranberrywick/gateway/late_metrics.py
@@ -54,6 +54,10 @@
         """Note how long a request waited before it was sent or refused."""
         self._note(methodcaller("queue_wait", class_name, seconds))
 
+    def limit_named(self, class_name: str) -> None:
+        """Count an answer in which an endpoint named a rate limit."""
+        self._note(methodcaller("limit_named", class_name))
+
     async def render(self) -> Rendered:
         """Return all that was noted."""
         metrics = await self._load()
--- /dev/null
+++ b/cranberrywick/gateway/observations.py
@@ -0,0 +1,81 @@
+"""What answers show of the endpoints that give them: their pace and their limits."""
+
+import asyncio
+from collections.abc import Callable
+from math import inf, isfinite
+
+from cranberrywick.gateway.exchange import Exchange
+from cranberrywick.gateway.late_metrics import LateMetrics
+from cranberrywick.gateway.state import FleetState
+from cranberrywick.logs import EventLog
+from cranberrywick.platform.headers import ResponseMeta
+from cranberrywick.routing.pace import StreamPauses, call_pace
+
+__all__ = ["EndpointObservations"]
+
+
+class EndpointObservations:
+    """Takes what attempts show, and tells it the other daemons."""
+
+    def __init__(self, state: FleetState, metrics: LateMetrics, log: EventLog):
+        self._state = state
+        self._metrics = metrics
+        self._log = log
+        self._loop = asyncio.get_running_loop()
+        self._limits_by_id: dict[str, float] = {}
+
+    def head(self, exchange: Exchange, status: int, meta: ResponseMeta) -> None:
+        """Note the limit that an answer names, or that it names none any more."""
+        if meta.rate_limit is None:
+            return
+        if isfinite(meta.rate_limit):
+            self._metrics.limit_named(exchange.route.name)
+        previous = self._limits_by_id.get(exchange.endpoint_id, inf)
+        if meta.rate_limit == previous:
+            return
+        self._limits_by_id[exchange.endpoint_id] = meta.rate_limit
+        self._log.warning(
+            "endpoint_limit_changed",
+            endpoint=exchange.endpoint_id,
+            limit=meta.rate_limit,
+            previous=previous,
+            status=status,
+            request_id=exchange.meta.request_id,
+        )
+
+    def pause_watch(self, exchange: Exchange) -> Callable[[str, float], None]:
+        """Return what takes the pauses of an attempt's stream."""
+        profile = exchange.service.engine
+        declared = profile.stride * profile.step_seconds if profile else 0.0
+        pauses = StreamPauses(declared)
+
+        def note(endpoint_id: str, seconds: float) -> None:
+            # What the engine is known to read meanwhile says nothing of its pace.
+            pace = pauses.note(seconds - self._state.load.reading_at(endpoint_id))
+            if pace is not None:
+                self._note_pace(exchange, endpoint_id, pace)
+
+        return note
+
+    def _note_pace(self, exchange: Exchange, endpoint_id: str, pace: float) -> None:
+        news = self._state.news
+        if not news.paces.observe(endpoint_id, pace, self._loop.time()):
+            return
+        news.pace_changed()
+        self._log.warning(
+            "endpoint_pace_changed",
+            endpoint=endpoint_id,
+            pace=pace,
+            request_id=exchange.meta.request_id,
+        )
+
+    def call_ended(self, exchange: Exchange) -> None:
+        """Note an endpoint as slow whose call alone took longer than its target."""
+        if exchange.is_stream:
+            return
+        seconds = self._loop.time() - exchange.sent_at
+        pace = call_pace(seconds, exchange.route.target_seconds)
+        # One within its target says nothing: calls differ, and a short one is quick at
+        # a slow endpoint too.
+        if pace > 1:
+            self._note_pace(exchange, exchange.endpoint_id, pace)
--- a/cranberrywick/metrics.py
+++ b/cranberrywick/metrics.py
@@ -127,6 +127,9 @@
         self._requests = counter("requests", description="Requests ended, by outcome.")
         self._refusals = counter("refusals", description="Requests that did not run.")
         self._output_tokens = counter("output_tokens", description="Tokens relayed.")
+        self._limited_answers = counter(
+            "limited_answers", description="Answers that named a rate limit."
+        )
 
     def _create_histograms(self) -> None:
         self._completion = self._histogram(
@@ -192,6 +195,10 @@
         """Count a request that did not run."""
         self._refusals.add(1, {"class": class_name, "reason": reason.value})
 
+    def limit_named(self, class_name: str) -> None:
+        """Count an answer in which an endpoint named a rate limit."""
+        self._limited_answers.add(1, {"class": class_name})
+
     def gaps_counted(self, class_name: str, gaps: TokenGaps) -> None:
         """Take the gaps of one stream."""
         with self._gaps_lock:
--- a/cranberrywick/platform/headers.py
+++ b/cranberrywick/platform/headers.py
@@ -1,7 +1,7 @@
 """Names of the platform's headers and what they hold."""
 
 from collections.abc import Iterable, Mapping
-from math import ceil
+from math import ceil, inf, isfinite
 from typing import NamedTuple
 
 from cranberrywick.routing.model import PromptSize
@@ -32,6 +32,7 @@
 NOT_EXECUTED = b"cranberrywick-not-executed"
 SEAL = b"cranberrywick-response-seal"
 LOAD = b"cranberrywick-server-load"
+RATE_LIMIT = b"server-limit"
 WEIGHTS_VERSION = b"cranberrywick-weights-version"
 AT_FAULT = b"at-server"
 
@@ -80,7 +81,9 @@
 
     ``not_executed`` is the endpoint's word that it did not run the request;
     ``sealed`` marks an answer of the endpoint itself. ``running`` and ``waiting``
-    are its requests as of now, -1 where it does not say.
+    are its requests as of now, -1 where it does not say. ``rate_limit`` is how many
+    requests a second it takes from all daemons together for now: infinity without a
+    limit, None where the answer does not tell.
     """
 
     request_id: str | None
@@ -90,6 +93,7 @@
     waiting: int
     weights_version: str | None
     at_fault: str | None
+    rate_limit: float | None
 
 
 class SetHeaders(NamedTuple):
@@ -134,6 +138,7 @@
         waiting=waiting,
         weights_version=_text(headers.get(WEIGHTS_VERSION)),
         at_fault=_text(headers.get(AT_FAULT)),
+        rate_limit=_decode_rate_limit(status, headers),
     )
 
 
@@ -218,3 +223,17 @@
     if len(parts) < 2 or not all(part.strip().isdigit() for part in parts[:2]):
         return -1, -1
     return int(parts[0]), int(parts[1])
+
+
+def _decode_rate_limit(status: int, headers: Mapping[bytes, bytes]) -> float | None:
+    if status == 421:
+        return None  # Another endpoint has taken over the address.
+    value = headers.get(RATE_LIMIT)
+    if value is None:
+        # Only the endpoint's own answer shows that it has no limit any more.
+        return inf if SEAL in headers else None
+    try:
+        rate = float(value)
+    except ValueError:
+        return None
+    return rate if isfinite(rate) and rate >= 0 else None
--- a/cranberrywick/standin/platform/endpoint.py
+++ b/cranberrywick/standin/platform/endpoint.py
@@ -46,8 +46,9 @@
     """One endpoint; made and used on one event loop.
 
     ``work_seconds`` is how long a call, or the reading of a prompt, takes;
-    ``event_seconds`` the pause between a stream's events. A registry of addresses
-    lets an engine find its helpers' tickets.
+    ``event_seconds`` the pause between a stream's events. While ``rate_limit`` is set,
+    each answer names it, in requests a second; ``arrived_at`` has the moment of each
+    request. A registry of addresses lets an engine find its helpers' tickets.
     """
 
     by_address: dict[str, "EndpointStandIn"] = {}
@@ -66,6 +67,8 @@
         self.event_seconds = event_seconds
         self.events = events
         self.memory_tokens = memory_tokens
+        self.rate_limit: float | None = None
+        self.arrived_at: list[float] = []
         self.runs: Counter[str] = Counter()
         self.heads: list[tuple[bytes, bytes, dict[str, str], bytes]] = []
         self.at_work: set[str] = set()
@@ -118,9 +121,11 @@
             own = [("Cranberrywick-Instance-Id", self.endpoint_id)]
             writer.write(_whole(http, 421, own, b""))
             return
+        self.arrived_at.append(asyncio.get_running_loop().time())
         at_fault = self._at_fault(headers)
         if at_fault is not None:
             own = [("Cranberrywick-Not-Executed", "1"), ("At-Server", at_fault)]
+            own += self._limit_headers()
             writer.write(_whole(http, 503, own, b""))
             return
         request_id = headers.get("cranberrywick-request-id", "")
@@ -145,6 +150,11 @@
         self.tickets[order["id"]] = _Ticket(order["tokens"], expires_at)
         return 200, [], b'{"free": 0}'
 
+    def _limit_headers(self) -> list[tuple[str, str]]:
+        if self.rate_limit is None:
+            return []
+        return [("Server-Limit", f"{self.rate_limit:g}")]
+
     def _at_fault(self, headers: dict[str, str]) -> str | None:
         """Return the address of the endpoint for which this one refuses, if any."""
         if self.behaviour == "full":
@@ -172,6 +182,7 @@
             ("Cranberrywick-Request-Id", echoed),
             ("Cranberrywick-Response-Seal", f"seal.{self.endpoint_id}"),
             ("Cranberrywick-Server-Load", "1,0,8"),
+            *self._limit_headers(),
         ]
         if "cranberrywick-token-count" in headers and self.behaviour != "failing":
             await self._stream(http, headers, own, writer)
--- a/tests/test_gateway_attempt.py
+++ b/tests/test_gateway_attempt.py
@@ -23,9 +23,7 @@
 
     async def attempt():
         placement = Placement("e1", (), 0.1, ())
-        await Attempt(
-            None, placement, {}, None, None, None, None, 4.0, EventLog()
-        ).run()
+        await Attempt(None, placement, {}, None, None, None, 4.0, EventLog()).run()
 
     with pytest.raises(EndpointRefused) as raised:
         asyncio.run(attempt())
