Test that daemons together keep the limit of an endpoint, which fails

Six gateway processes before two endpoints that take one request a second each, callers for fifteen a second: one endpoint got 29 requests in four seconds, with 11 allowed, and nobody was refused. Two tests that hold today stand beside them: the endpoints are used, and the end of a limit is noticed.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,7 +1,44 @@
 """Shared test settings."""
 
+from pathlib import Path
+
+import pytest
 from hypothesis import settings
 
+KNOWN_RED_PATH = Path(__file__).resolve().parent.parent / "KNOWN-RED.txt"
+
 # The same examples on every run: a verdict must not depend on luck.
 settings.register_profile("ci", derandomize=True, deadline=None, database=None)
 settings.load_profile("ci")
+
+
+def pytest_addoption(parser):
+    """Add the option that runs tests whose failure is known."""
+    parser.addoption(
+        "--known-red", action="store_true", help="also run the tests of KNOWN-RED.txt"
+    )
+
+
+def pytest_collection_modifyitems(config, items):
+    """Skip the tests that KNOWN-RED.txt names."""
+    entries_by_id = read_known_red()
+    if config.getoption("--known-red"):
+        return
+    for item in items:
+        if item.nodeid in entries_by_id:
+            item.add_marker(pytest.mark.skip(reason="listed in KNOWN-RED.txt"))
+
+
+def pytest_terminal_summary(terminalreporter):
+    """Print the entries of KNOWN-RED.txt with every run."""
+    for entry in read_known_red().values():
+        terminalreporter.write_line(f"KNOWN RED {entry}")
+
+
+def read_known_red():
+    """Return the entries by the test that each names."""
+    if not KNOWN_RED_PATH.exists():
+        return {}
+    lines = [line.strip() for line in KNOWN_RED_PATH.read_text().splitlines()]
+    entries = [line for line in lines if line and not line.startswith("#")]
+    return {entry.partition("|")[0].strip(): entry for entry in entries}
--- a/tests/test_endpoint_limits_fleet.py
+++ b/tests/test_endpoint_limits_fleet.py
@@ -1,7 +1,26 @@
 """Rate limits that endpoints name, before real gateways."""
 
+import time
+from concurrent.futures import ThreadPoolExecutor
+from typing import NamedTuple
+
+import pytest
 import urllib3
-from gateway_fleet import running_gateways
+from gateway_fleet import Answer, running_gateways
+
+# Requests a second that each endpoint takes from all daemons together.
+RATE = 1.0
+# The span over which requests to an endpoint are summed up.
+WINDOW_SECONDS = 4.0
+LOADED_SECONDS = 9.0
+# After so long every daemon has had an answer that names the limit.
+TOLD_SECONDS = 1.0
+CALL_PAUSE_SECONDS = 0.4
+# Long enough for two requests at the rate of the limit to show that it has ended.
+NOTICED_SECONDS = 2.5
+AFTERWARDS_SECONDS = 4.0
+# A caller that can't be served has most of its five seconds left when it hears so.
+LONGEST_REFUSAL_SECONDS = 0.5
 
 
 def test_logs_and_metrics_show_who_was_told_a_limit(tmp_path):
@@ -16,3 +35,90 @@
         host, port = gateway.settings["ip"], gateway.settings["internalPorts"][1]
         metrics = urllib3.request("GET", f"http://{host}:{port}/metrics").data.decode()
         assert 'cranberrywick_limited_answers_total{class="reads"} 1.0' in metrics
+
+
+class Timed(NamedTuple):
+    """An answer, when it was asked for and how long it took, in seconds."""
+
+    answer: Answer
+    asked_at: float
+    seconds: float
+
+
+class Load(NamedTuple):
+    """What callers and endpoints saw while every endpoint of a service had a limit."""
+
+    arrived_at_by_id: dict[str, list[float]]
+    told_at: float
+    ended_at: float
+    answers: list[Timed]
+
+
+@pytest.fixture(scope="module")
+def load(tmp_path_factory):
+    """Six daemons, callers for fifteen requests a second, endpoints that take two."""
+    with running_gateways(tmp_path_factory.mktemp("limits"), gateways=6) as fleet:
+        desks = [fleet.endpoints["desk-1"], fleet.endpoints["desk-2"]]
+        for desk in desks:
+            desk.rate_limit = RATE
+        started = fleet.on_loop(fleet.loop.time)
+        until = started + LOADED_SECONDS
+        with ThreadPoolExecutor(len(fleet.gateways)) as callers:
+            calls = [callers.submit(press, fleet, g, until) for g in fleet.gateways]
+            answers = [timed for call in calls for timed in call.result()]
+        for desk in desks:
+            desk.rate_limit = None
+        ended = fleet.on_loop(fleet.loop.time)
+        with ThreadPoolExecutor(len(fleet.gateways)) as callers:
+            until = ended + AFTERWARDS_SECONDS
+            calls = [callers.submit(press, fleet, g, until) for g in fleet.gateways]
+            answers += [timed for call in calls for timed in call.result()]
+        arrived = {desk.endpoint_id: desk.arrived_at for desk in desks}
+        yield Load(arrived, started + TOLD_SECONDS, ended, answers)
+
+
+def press(fleet, gateway, until):
+    """Call a gateway again and again; return the answers."""
+    answers = []
+    while (asked_at := fleet.on_loop(fleet.loop.time)) < until:
+        answer = fleet.call(gateway, "GET", "/reads/1")
+        seconds = fleet.on_loop(fleet.loop.time) - asked_at
+        answers.append(Timed(answer, asked_at, seconds))
+        time.sleep(CALL_PAUSE_SECONDS)
+    return answers
+
+
+def test_daemons_together_keep_the_limit_of_an_endpoint(load):
+    """Guards against daemons whose requests together exceed a limit that each knows."""
+    for arrived_at in load.arrived_at_by_id.values():
+        limited = [at for at in arrived_at if load.told_at <= at < load.ended_at]
+        for first in limited:
+            window = [at for at in limited if first <= at < first + WINDOW_SECONDS]
+            assert len(window) <= 1.5 * RATE * WINDOW_SECONDS + 5
+
+
+def test_a_limit_is_used_while_it_is_kept(load):
+    """Guards against a limit that is kept by hardly using its endpoint."""
+    seconds = load.ended_at - load.told_at
+    for arrived_at in load.arrived_at_by_id.values():
+        limited = [at for at in arrived_at if load.told_at <= at < load.ended_at]
+        assert len(limited) >= 0.8 * RATE * seconds
+
+
+def test_what_limits_leave_no_room_for_is_refused_at_once(load):
+    """Guards against callers who wait in vain for an endpoint that takes no more."""
+    refused = [t for t in load.answers if t.answer.status == 503]
+    assert refused
+    assert all(float(t.answer.headers["retry-after"]) > 0 for t in refused)
+    assert max(t.seconds for t in refused) < LONGEST_REFUSAL_SECONDS
+
+
+def test_the_end_of_a_limit_is_noticed(load):
+    """Guards against endpoints that have recovered and stay limited."""
+    after = [
+        timed.answer.status
+        for timed in load.answers
+        if timed.asked_at >= load.ended_at + NOTICED_SECONDS
+    ]
+    assert after
+    assert set(after) == {200}
