Move the token bucket and rendezvous hashing to modules of their own

Both are plain computation that the gateway is about to use as well; where they stood they bring the product's own members and store along. Nothing else changes.

--- a/cranberrywick/decisions/division.py
+++ b/cranberrywick/decisions/division.py
@@ -8,8 +8,8 @@
 
 from collections.abc import Iterable, Mapping
 
-from cranberrywick.decisions.stewards import rendezvous_order
 from cranberrywick.model import Endpoint
+from cranberrywick.rendezvous import rendezvous_order
 
 __all__ = ["divide", "fallback_slots"]
 
--- a/cranberrywick/decisions/entries.py
+++ b/cranberrywick/decisions/entries.py
@@ -23,7 +23,7 @@
 from typing import NamedTuple
 
 from cranberrywick.decisions.membership import Member, Status
-from cranberrywick.decisions.stewards import rendezvous_order
+from cranberrywick.rendezvous import rendezvous_order
 
 __all__ = [
     "ALONE_LIFETIME_SECONDS",
--- a/cranberrywick/decisions/stewards.py
+++ b/cranberrywick/decisions/stewards.py
@@ -31,7 +31,7 @@
 from cranberrywick.decisions.membership import Member
 from cranberrywick.model import Endpoint
 
-__all__ = ["SHARDS", "Shard", "rendezvous_order", "shard_of", "stewards", "used_shards"]
+__all__ = ["SHARDS", "Shard", "shard_of", "stewards", "used_shards"]
 
 SHARDS = 48
 # Up to this many endpoints a daemon uses all that it can see.
@@ -133,17 +133,6 @@
     return endpoint.models or (f"service {endpoint.service}",)
 
 
-def rendezvous_order(key: str, ids: Iterable[str]) -> list[str]:
-    """Return ids in an order that depends on the key and is the same everywhere."""
-
-    return sorted(ids, key=lambda id: _weight(key, id))
-
-
-@lru_cache(maxsize=8192)
-def _weight(key: str, id: str) -> bytes:
-    return hashlib.blake2b(f"{key}\0{id}".encode(), digest_size=8).digest()
-
-
 @lru_cache(maxsize=4096)
 def _weights(purpose: str, daemon_id: str) -> tuple[int, ...]:
     # One hash gives the daemon's weights for all shards; a hash for each pair
--- a/cranberrywick/external/budget.py
+++ b/cranberrywick/external/budget.py
@@ -22,7 +22,7 @@
 from typing import NamedTuple, TypeVar
 
 from cranberrywick.errors import CranberrywickError, PlatformUnavailable
-from cranberrywick.external.call_limits import OutageGuard, TokenBucket
+from cranberrywick.external.call_limits import OutageGuard
 from cranberrywick.external.key_value import (
     AmbiguousWrite,
     Entry,
@@ -32,6 +32,7 @@
     RateLimited,
     WatchAnswer,
 )
+from cranberrywick.token_bucket import TokenBucket
 
 __all__ = ["BudgetedKeyValueStore", "PlatformRates"]
 
