Refuse a peer's message whose scope is unknown

A datagram with a scope that the schema does not have raised RuntimeError past the checks for malformed messages, out of the socket's callback: one traceback on standard error for each, neither counted nor logged as an event. Found by the test of changed messages after its examples had changed; the new test failed before with RuntimeError.

--- a/cranberrywick/gateway/messages.py
+++ b/cranberrywick/gateway/messages.py
@@ -93,11 +93,19 @@
         raise PeerMessageInvalid("the message is too long")
     try:
         message = unpack(SCHEMA.Message, data)
-        return Envelope(_read_body(message, now), Scope(str(message.scope)))
+        return Envelope(_read_body(message, now), _read_scope(message))
     except (capnp.KjException, ValueError, IndexError, zlib.error) as error:
         raise PeerMessageInvalid(f"malformed message: {error!s:.100}") from error
 
 
+def _read_scope(message: Any) -> Scope:
+    try:
+        return Scope(str(message.scope))
+    except RuntimeError as error:
+        # What the library raises for an enumerant that the schema does not have.
+        raise ValueError("an unknown scope") from error
+
+
 def _read_body(message: Any, now: float) -> Message:
     which = message.which()
     if which == "heartbeats":
--- a/tests/test_fleet_messages.py
+++ b/tests/test_fleet_messages.py
@@ -24,6 +24,7 @@
     decode_message,
     encode_message,
 )
+from cranberrywick.gateway.schema import SCHEMA, pack
 from cranberrywick.routing.load import Job
 from cranberrywick.routing.members import Heartbeat
 from cranberrywick.routing.model import EndpointRecord, EndpointView
@@ -189,6 +190,14 @@
         decode_message(data, 0.0)
 
 
+def test_a_scope_that_is_not_known_is_refused():
+    """Guards against an error outside of the checks for what a peer's bytes hold."""
+    message = SCHEMA.Message.new_message(scope=7, endpointsWanted=None)
+    changed = pack(message)
+    with pytest.raises(PeerMessageInvalid):
+        decode_message(changed, 0.0)
+
+
 @given(st.sampled_from(VALID), st.data())
 @settings(max_examples=1000)
 def test_a_changed_message_is_refused_or_read(message, data):
