Read peers' messages in a way that malformed bytes can't end the process

Packed Cap'n Proto bytes that end in the middle of a run make the library throw while it cleans up, which ends the whole process: one malformed datagram on the internal port was enough.

Messages are compressed by zlib in any case, so they are no longer packed first. The product's own peers check a signature before they unpack and are not open to it.

--- a/cranberrywick/gateway/endpoint_reading.py
+++ b/cranberrywick/gateway/endpoint_reading.py
@@ -115,9 +115,10 @@
 
 def _unpack_changes(data: bytes) -> _Changes:
     try:
-        changes = unpack(SCHEMA.EndpointChanges, data)
-        records = tuple(map(_read_record, changes.records))
-        return _Changes(changes.base, EndpointDelta(records, tuple(changes.goneIds)))
+        with unpack(SCHEMA.EndpointChanges, data) as changes:
+            records = tuple(map(_read_record, changes.records))
+            delta = EndpointDelta(records, tuple(changes.goneIds))
+            return _Changes(changes.base, delta)
     except (capnp.KjException, ValueError, zlib.error) as error:
         raise PeerMessageInvalid(f"malformed records: {error!s:.100}") from error
 
--- a/cranberrywick/gateway/messages.py
+++ b/cranberrywick/gateway/messages.py
@@ -92,8 +92,8 @@
     if len(data) > MAX_MESSAGE_BYTES:
         raise PeerMessageInvalid("the message is too long")
     try:
-        message = unpack(SCHEMA.Message, data)
-        return Envelope(_read_body(message, now), _read_scope(message))
+        with unpack(SCHEMA.Message, data) as message:
+            return Envelope(_read_body(message, now), _read_scope(message))
     except (capnp.KjException, ValueError, IndexError, zlib.error) as error:
         raise PeerMessageInvalid(f"malformed message: {error!s:.100}") from error
 
--- a/cranberrywick/gateway/schema.py
+++ b/cranberrywick/gateway/schema.py
@@ -1,6 +1,8 @@
 """The Cap'n Proto schema of what gateways tell one another, and its bytes."""
 
 import zlib
+from collections.abc import Iterator
+from contextlib import contextmanager
 from importlib.resources import as_file, files
 from typing import Any
 
@@ -27,19 +29,22 @@
 
 def pack(message: Any) -> bytes:
     """Return the bytes of a message, compressed."""
-    return zlib.compress(message.to_bytes_packed(), COMPRESSION_LEVEL)
+    # Not the library's own packing: bytes that end within it end the process.
+    return zlib.compress(message.to_bytes(), COMPRESSION_LEVEL)
 
 
-def unpack(kind: Any, data: bytes) -> Any:
-    """Return a message of a kind of the schema.
+@contextmanager
+def unpack(kind: Any, data: bytes) -> Iterator[Any]:
+    """Yield a message of a kind of the schema; it is not to be used afterwards.
 
     Raises ValueError, `zlib.error` or `capnp.KjException` where the bytes are none.
     """
     # Bounded: a few bytes can be made to unpack to more than the memory there is.
     unpacking = zlib.decompressobj()
-    packed = unpacking.decompress(data, MAX_MESSAGE_BYTES)
+    unpacked = unpacking.decompress(data, MAX_MESSAGE_BYTES)
     if not unpacking.eof:
         raise ValueError("the message is cut or too long")
-    return kind.from_bytes_packed(
-        packed, traversal_limit_in_words=MAX_MESSAGE_WORDS, nesting_limit=MAX_NESTING
-    )
+    with kind.from_bytes(
+        unpacked, traversal_limit_in_words=MAX_MESSAGE_WORDS, nesting_limit=MAX_NESTING
+    ) as message:
+        yield message
--- a/tests/test_fleet_messages.py
+++ b/tests/test_fleet_messages.py
@@ -198,6 +198,20 @@
         decode_message(changed, 0.0)
 
 
+@pytest.mark.parametrize(
+    "packed",
+    [
+        "010350010101050000",
+        "010350010101110000",
+        "0109500101010650040101be33cb01e803c0e83f804011012207272d31",
+    ],
+)
+def test_packed_bytes_that_end_too_early_are_refused(packed):
+    """Guards against a datagram that ends the process of whoever hears it."""
+    with pytest.raises(PeerMessageInvalid):
+        decode_message(zlib.compress(bytes.fromhex(packed)), 0.0)
+
+
 @given(st.sampled_from(VALID), st.data())
 @settings(max_examples=1000)
 def test_a_changed_message_is_refused_or_read(message, data):
