--- a/cranberrywick/bench/simulated_news.py
+++ b/cranberrywick/bench/simulated_news.py
@@ -48,7 +48,7 @@
         daemon = self.daemons_by_address.get(address)
         if daemon is not None:
             loop = asyncio.get_running_loop()
-            loop.call_later(HOP_SECONDS, daemon.receive, data)
+            loop.call_later(HOP_SECONDS, daemon.receive, data, source)
 
 
 class NewsDaemon:
@@ -101,11 +101,11 @@
         for address in addresses:
             self.network.carry(self.address, address, data)
 
-    def receive(self, data: bytes) -> None:
+    def receive(self, data: bytes, source: str) -> None:
         """Take a datagram."""
         started = time.thread_time()
         now = asyncio.get_running_loop().time()
-        self.news._hear(decode_message(data, now))
+        self.news._hear(decode_message(data, now), source)
         self.hearing_seconds += time.thread_time() - started
 
     # What the news ask of whom they serve
--- a/cranberrywick/bench/virtual_time.py
+++ b/cranberrywick/bench/virtual_time.py
@@ -4,7 +4,7 @@
 import selectors
 from collections.abc import Coroutine
 
-__all__ = ["run_in_virtual_time"]
+__all__ = ["run_in_virtual_time", "virtual_loop"]
 
 
 class _Selector(selectors.SelectSelector):
@@ -28,9 +28,14 @@
         return self._clock.now
 
 
+def virtual_loop() -> asyncio.AbstractEventLoop:
+    """Return a loop whose time is virtual, to be run step by step."""
+    return _Loop()
+
+
 def run_in_virtual_time(main: Coroutine):
     """Run a coroutine to its end; a minute of its time takes no minute."""
-    loop = _Loop()
+    loop = virtual_loop()
     try:
         return loop.run_until_complete(main)
     finally:
--- a/cranberrywick/gateway/app.py
+++ b/cranberrywick/gateway/app.py
@@ -50,7 +50,12 @@
         health = EndpointHealth()
         news = self.state.news
         placer = Placer(
-            news.load, health, news.paces, self._rng, lambda: news.delay_seconds
+            news.load,
+            health,
+            news.paces,
+            self._rng,
+            lambda: news.delay_seconds,
+            news.limits.wait_seconds,
         )
         self._health = health
         self._waiting = WaitingRequests(self.state, placer)
@@ -92,8 +97,11 @@
         self._log.info("gateway_started", address=self._settings.entry_address)
 
     def _forget_gone(self) -> None:
-        """Drop what is held against endpoints that are gone, or it grows for ever."""
-        self._health.keep_only(self.state.registry.beliefs_by_id.keys())
+        """Drop what is known of endpoints that are gone, or it grows for ever."""
+        registered_ids = self.state.registry.beliefs_by_id.keys()
+        self._health.keep_only(registered_ids)
+        now = asyncio.get_running_loop().time()
+        self.state.news.limits.forget(registered_ids, now)
 
     def _reload(self) -> None:
         """Note a reload: all that changes while a daemon runs lies in the store."""
--- a/cranberrywick/gateway/fleet.capnp
+++ b/cranberrywick/gateway/fleet.capnp
@@ -35,6 +35,24 @@
   domainsOut @3 :List(Text);
 }
 
+# Asks the steward of an endpoint for a permit to send it one request. The limit, in
+# requests a second, is what the asking daemon knows, as of an answer of so long ago.
+struct PermitRequest {
+  number @0 :UInt64;
+  endpointId @1 :Text;
+  longestWaitMs @2 :UInt32;
+  liveShare @3 :Float64;
+  limit @4 :Float64;
+  limitAgeMs @5 :UInt32;
+}
+
+struct PermitResponse {
+  number @0 :UInt64;
+  granted @1 :Bool;
+  waitMs @2 :UInt32;
+  freeMs @3 :UInt32;
+}
+
 # To whom the receiver passes a message on.
 enum Scope {
   nobody @0;
@@ -52,5 +70,7 @@
     operator @3 :OperatorReading;
     batch @5 :Data;
     endpointsWanted @6 :Void;
+    permitRequest @7 :PermitRequest;
+    permitResponse @8 :PermitResponse;
   }
 }
--- a/cranberrywick/gateway/fleet_link.py
+++ b/cranberrywick/gateway/fleet_link.py
@@ -43,13 +43,13 @@
 class FleetLink(asyncio.DatagramProtocol):
     """One UDP socket and one TCP listener on the same port.
 
-    ``hear`` gets each valid datagram's message; ``answer`` returns what a peer that
-    asks is told, or None while there is nothing to tell.
+    ``hear`` gets each valid datagram's message and its sender's address; ``answer``
+    returns what a peer that asks is told, or None while there is nothing to tell.
     """
 
     def __init__(
         self,
-        hear: Callable[[Envelope], None],
+        hear: Callable[[Envelope, str], None],
         answer: Callable[[Wanted], Message | None],
         log: EventLog,
     ):
@@ -107,7 +107,8 @@
     def datagram_received(self, data: bytes, address: tuple[str, int]) -> None:
         """Called by asyncio."""
         try:
-            self._hear(decode_message(data, self._loop.time()))
+            envelope = decode_message(data, self._loop.time())
+            self._hear(envelope, "{}:{}".format(*address))
         except PeerMessageInvalid as error:
             self._note_invalid(error)
 
--- a/cranberrywick/gateway/fleet_news.py
+++ b/cranberrywick/gateway/fleet_news.py
@@ -12,11 +12,20 @@
 from cranberrywick.gateway.endpoint_reading import EndpointReading
 from cranberrywick.gateway.fleet_link import FleetLink
 from cranberrywick.gateway.heartbeat_rows import PassedOn, RelayNews
-from cranberrywick.gateway.messages import Envelope, Message, Scope, Wanted
+from cranberrywick.gateway.messages import (
+    Envelope,
+    Message,
+    PermitRequest,
+    PermitResponse,
+    Scope,
+    Wanted,
+)
+from cranberrywick.gateway.permits import EndpointPermits
 from cranberrywick.gateway.recipients import Recipients
 from cranberrywick.gateway.relaying import HeartbeatRelaying
 from cranberrywick.gateway.ticker import Ticker
 from cranberrywick.logs import EventLog, id_lists
+from cranberrywick.routing.fleet_limits import FleetLimits
 from cranberrywick.routing.load import FleetLoad
 from cranberrywick.routing.members import Heartbeat, Members, heartbeat_seconds
 from cranberrywick.routing.model import GatewaySettings
@@ -67,7 +76,7 @@
 
 
 class FleetNews:
-    """Hears and tells; keeps the members, the load and the paces of the fleet."""
+    """Hears and tells; keeps the fleet's members, load, paces and rate limits."""
 
     def __init__(
         self, settings: GatewaySettings, listener: NewsListener, log: EventLog
@@ -86,6 +95,10 @@
         self.members = Members(settings.daemon_id, contact)
         self.load = FleetLoad()
         self.paces = EnginePaces()
+        self.limits = FleetLimits(settings.daemon_id, self.members, self._is_leaving)
+        self.permits = EndpointPermits(
+            settings.daemon_id, self.limits, self._send_to_peers, log
+        )
         self._recipients = Recipients(
             settings, self.members, self._is_leaving, self._loop.time
         )
@@ -121,6 +134,10 @@
         """Tell the others soon that an engine is found to be slow, or fast again."""
         self._tell_within(JOB_NEWS_SECONDS)
 
+    def limit_changed(self) -> None:
+        """Tell the others soon that an endpoint has another rate limit."""
+        self._tell_within(JOB_NEWS_SECONDS)
+
     def job_ended(self) -> None:
         """Tell the others some time soon."""
         wait = self._recipients.known_members * ENDED_NEWS_SECONDS_PER_MEMBER
@@ -177,6 +194,9 @@
     def _send(self, message: Message, addresses: list[str], scope: Scope) -> None:
         self.link.send(message, addresses, scope)
 
+    def _send_to_peers(self, message: Message, addresses: list[str]) -> None:
+        self.link.send(message, addresses)
+
     def _heartbeat(self, now: float) -> Heartbeat:
         standing = self._listener.standing(now)
         return Heartbeat(
@@ -192,6 +212,7 @@
             operator_age=standing.operator_age,
             jobs=self.load.own,
             slow_engines=self.paces.own(now),
+            limits=self.limits.reports(now),
         )
 
     def _tell_within(self, seconds: float) -> None:
@@ -204,14 +225,14 @@
 
     # Hearing
 
-    def _hear(self, envelope: Envelope) -> None:
-        self._take_message(envelope)
+    def _hear(self, envelope: Envelope, source: str) -> None:
+        self._take_message(envelope, source)
         # One line for all: a fleet that starts at once meets everybody in one moment.
         for listed in id_lists(self._met_ids):
             self._log.info("peer_met", peer=listed)
         self._met_ids.clear()
 
-    def _take_message(self, envelope: Envelope) -> None:
+    def _take_message(self, envelope: Envelope, source: str) -> None:
         now = self._loop.time()
         message, scope = envelope
         if isinstance(message, Heartbeat):
@@ -225,6 +246,10 @@
             if scope is Scope.DOMAIN:
                 self.link.send(message, self._recipients.domain_peers())
             self._listener.endpoints_heard(message)
+        elif isinstance(message, PermitRequest):
+            self.permits.answer(message, source)
+        elif isinstance(message, PermitResponse):
+            self.permits.take(message)
 
     def _hear_directly(self, heartbeat: Heartbeat, scope: Scope, now: float) -> None:
         known = self.members.members_by_id.get(heartbeat.daemon_id)
@@ -254,9 +279,22 @@
             self._met_ids.append(daemon_id)
         self.load.hear(daemon_id, heartbeat.jobs, heard_at)
         self.paces.hear(heartbeat.slow_engines, heard_at)
+        self._hear_limits(heartbeat)
         self._listener.heartbeat_heard(heartbeat, heard_at)
         return True
 
+    def _hear_limits(self, heartbeat: Heartbeat) -> None:
+        for report in heartbeat.limits:
+            change = self.limits.hear(report)
+            if change is not None:
+                self._log.info(
+                    "endpoint_limit_changed",
+                    endpoint=change.endpoint_id,
+                    limit=change.rate,
+                    previous=change.previous,
+                    peer=heartbeat.daemon_id,
+                )
+
     def _look(self) -> None:
         now = self._loop.time()
         for daemon_id in self.members.look(now):
--- a/cranberrywick/gateway/forwarder.py
+++ b/cranberrywick/gateway/forwarder.py
@@ -24,13 +24,13 @@
 from cranberrywick.gateway.ingress import CallerConnection, HttpRequest
 from cranberrywick.gateway.late_metrics import LateMetrics
 from cranberrywick.gateway.observations import EndpointObservations
+from cranberrywick.gateway.permitted_places import PermittedPlaces
 from cranberrywick.gateway.state import FleetState
 from cranberrywick.gateway.waiting import WaitingRequests
 from cranberrywick.logs import EventLog
 from cranberrywick.model import EndpointRefusal, Executed
 from cranberrywick.platform.headers import decode_request, failure_headers
 from cranberrywick.routing.connect_timeout import ConnectTimeout
-from cranberrywick.routing.demand import Demand
 from cranberrywick.routing.health import EndpointHealth
 from cranberrywick.routing.model import GatewaySettings
 from cranberrywick.routing.placement import Placement
@@ -65,6 +65,9 @@
         self._settings = settings
         self._state = state
         self._waiting = waiting
+        self._places = PermittedPlaces(
+            settings.failure_domain, state, waiting, metrics, log
+        )
         self._health = health
         self._metrics = metrics
         self._log = log
@@ -133,7 +136,7 @@
     async def _serve(self, exchange: Exchange) -> None:
         """Try endpoints until one has answered."""
         while True:
-            placement = await self._place(exchange)
+            placement = await self._places.take(exchange)
             try:
                 passed = await self._attempt(exchange, placement)
             except CranberrywickError as error:
@@ -143,26 +146,6 @@
             self._answered(exchange, placement, passed)
             return
 
-    async def _place(self, exchange: Exchange) -> Placement:
-        due_at = exchange.request.arrived + exchange.route.target_seconds
-        demand = Demand(
-            request_id=exchange.key,
-            service=exchange.service,
-            prompt=exchange.meta.prompt,
-            target_seconds=exchange.route.target_seconds,
-            due_at=due_at,
-            gap_seconds=exchange.route.gap_target_seconds,
-            failure_domain=self._settings.failure_domain,
-            tried_ids=frozenset(exchange.tried_ids),
-            answering_ids=exchange.answering_ids,
-        )
-        placement = await self._waiting.place(
-            demand, exchange.priority, due_at, exchange.deadline
-        )
-        if exchange.placed_at is None:
-            exchange.placed_at = self._loop.time()
-        return placement
-
     async def _attempt(self, exchange: Exchange, placement: Placement) -> Passed:
         beliefs = self._state.registry.beliefs_by_id
         attempt = Attempt(
--- a/cranberrywick/gateway/heartbeat_rows.py
+++ b/cranberrywick/gateway/heartbeat_rows.py
@@ -14,6 +14,7 @@
 from msgspec import Meta
 from msgspec.msgpack import Decoder, Encoder
 
+from cranberrywick.routing.endpoint_limits import LimitReport
 from cranberrywick.routing.load import Job
 from cranberrywick.routing.members import Heartbeat
 from cranberrywick.routing.pace import EnginePace
@@ -66,6 +67,13 @@
     value: float
 
 
+class _LimitRow(NamedTuple):
+    endpoint_id: str
+    rate: Annotated[float, Meta(ge=0)]
+    age_ms: _Milliseconds
+    free_ms: _Milliseconds | None
+
+
 class _HeartbeatRow(NamedTuple):
     age_ms: _Milliseconds
     daemon_id: str
@@ -80,6 +88,7 @@
     operator_age_ms: _Milliseconds
     jobs: tuple[_JobRow, ...]
     slow_engines: tuple[EnginePace, ...]
+    limits: tuple[_LimitRow, ...] = ()
 
 
 class _NewsRow(NamedTuple):
@@ -133,6 +142,7 @@
         milliseconds(beat.operator_age),
         _job_rows(beat.jobs, now),
         tuple(beat.slow_engines),
+        _limit_rows(beat.limits, now),
     )
 
 
@@ -156,9 +166,13 @@
 
 
 def _passed_on(row: _HeartbeatRow, now: float) -> PassedOn:
-    age_ms, *facts, operator_age_ms, jobs, slow_engines = row
+    age_ms, *facts, operator_age_ms, jobs, slow_engines, limits = row
     heartbeat = Heartbeat(
-        *facts, operator_age_ms / 1000, _jobs(jobs, now), slow_engines
+        *facts,
+        operator_age_ms / 1000,
+        _jobs(jobs, now),
+        slow_engines,
+        _limits(limits, now),
     )
     return PassedOn(now - age_ms / 1000, heartbeat)
 
@@ -192,3 +206,27 @@
             value,
         ) in rows
     )
+
+
+def _limit_rows(limits: Sequence[LimitReport], now: float) -> tuple[_LimitRow, ...]:
+    return tuple(
+        _LimitRow(
+            endpoint_id,
+            rate,
+            milliseconds(now - seen_at),
+            None if free_at is None else milliseconds(free_at - now),
+        )
+        for endpoint_id, rate, seen_at, free_at in limits
+    )
+
+
+def _limits(rows: Sequence[_LimitRow], now: float) -> tuple[LimitReport, ...]:
+    return tuple(
+        LimitReport(
+            endpoint_id,
+            rate,
+            now - age / 1000,
+            None if free is None else now + free / 1000,
+        )
+        for endpoint_id, rate, age, free in rows
+    )
--- a/cranberrywick/gateway/late_metrics.py
+++ b/cranberrywick/gateway/late_metrics.py
@@ -58,6 +58,10 @@
         """Count an answer in which an endpoint named a rate limit."""
         self._note(methodcaller("limit_named", class_name))
 
+    def permit_asked(self, class_name: str, granted: bool, seconds: float) -> None:
+        """Note a request that needed a permit, and how long it waited for it."""
+        self._note(methodcaller("permit_asked", class_name, granted, seconds))
+
     async def render(self) -> Rendered:
         """Return all that was noted."""
         metrics = await self._load()
--- a/cranberrywick/gateway/messages.py
+++ b/cranberrywick/gateway/messages.py
@@ -19,6 +19,8 @@
     unpack_news,
 )
 from cranberrywick.gateway.schema import MAX_MESSAGE_BYTES, SCHEMA, pack, unpack
+from cranberrywick.routing.endpoint_limits import LimitReport
+from cranberrywick.routing.fleet_limits import Permit
 from cranberrywick.routing.members import Heartbeat
 from cranberrywick.routing.model import OperatorView
 
@@ -28,6 +30,8 @@
     "Message",
     "OperatorReading",
     "OperatorWanted",
+    "PermitRequest",
+    "PermitResponse",
     "Scope",
     "Wanted",
     "decode_message",
@@ -50,6 +54,26 @@
     """Asks a peer for an `EndpointReading` with all records."""
 
 
+class PermitRequest(NamedTuple):
+    """Asks an endpoint's steward for a permit; see `FleetLimits.grant`.
+
+    ``number`` tells the responses to one daemon apart. ``limit`` is what the asking
+    daemon knows of it, which may be newer than what the steward knows.
+    """
+
+    number: int
+    longest_wait: float
+    live_share: float
+    limit: LimitReport
+
+
+class PermitResponse(NamedTuple):
+    """A steward's response to the request of this number."""
+
+    number: int
+    permit: Permit
+
+
 class Scope(StrEnum):
     """To whom the receiver of a message passes it on."""
 
@@ -59,7 +83,15 @@
 
 
 Wanted = OperatorWanted | EndpointsWanted
-Message = Heartbeat | EndpointReading | OperatorReading | Wanted | RelayNews
+Message = (
+    Heartbeat
+    | EndpointReading
+    | OperatorReading
+    | Wanted
+    | RelayNews
+    | PermitRequest
+    | PermitResponse
+)
 
 
 class Envelope(NamedTuple):
@@ -80,6 +112,10 @@
         body = {"operator": _write_operator(message)}
     elif isinstance(message, RelayNews):
         body = {"batch": pack_news(message, now)}
+    elif isinstance(message, PermitRequest):
+        body = {"permitRequest": _write_permit_request(message, now)}
+    elif isinstance(message, PermitResponse):
+        body = {"permitResponse": _write_permit_response(message)}
     elif isinstance(message, EndpointsWanted):
         body = {"endpointsWanted": None}
     else:
@@ -117,6 +153,10 @@
         return _read_operator(message.operator)
     if which == "batch":
         return unpack_news(message.batch, now)
+    if which == "permitRequest":
+        return _read_permit_request(message.permitRequest, now)
+    if which == "permitResponse":
+        return _read_permit_response(message.permitResponse)
     return EndpointsWanted() if which == "endpointsWanted" else OperatorWanted()
 
 
@@ -149,3 +189,41 @@
     document = bytes(reading.document)
     view = OperatorView.of(reading.revision, document, frozenset(reading.domainsOut))
     return OperatorReading(view, reading.ageMs / 1000)
+
+
+def _write_permit_request(request: PermitRequest, now: float) -> dict[str, Any]:
+    return {
+        "number": request.number,
+        "longestWaitMs": milliseconds(request.longest_wait),
+        "liveShare": request.live_share,
+        "endpointId": request.limit.endpoint_id,
+        "limit": request.limit.rate,
+        "limitAgeMs": milliseconds(now - request.limit.seen_at),
+    }
+
+
+def _read_permit_request(request: Any, now: float) -> PermitRequest:
+    if not (request.limit >= 0 and 0 < request.liveShare <= 1):
+        raise ValueError("a rate or a share is out of its range")
+    seen_at = now - request.limitAgeMs / 1000
+    return PermitRequest(
+        request.number,
+        request.longestWaitMs / 1000,
+        request.liveShare,
+        LimitReport(request.endpointId, request.limit, seen_at),
+    )
+
+
+def _write_permit_response(response: PermitResponse) -> dict[str, Any]:
+    permit = response.permit
+    return {
+        "number": response.number,
+        "granted": permit.granted,
+        "waitMs": milliseconds(permit.wait_seconds),
+        "freeMs": milliseconds(permit.free_seconds),
+    }
+
+
+def _read_permit_response(response: Any) -> PermitResponse:
+    wait, free = response.waitMs / 1000, response.freeMs / 1000
+    return PermitResponse(response.number, Permit(response.granted, wait, free))
--- a/cranberrywick/gateway/observations.py
+++ b/cranberrywick/gateway/observations.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
-from math import inf, isfinite
+from math import isfinite
 
 from cranberrywick.gateway.exchange import Exchange
 from cranberrywick.gateway.late_metrics import LateMetrics
@@ -22,7 +22,6 @@
         self._metrics = metrics
         self._log = log
         self._loop = asyncio.get_running_loop()
-        self._limits_by_id: dict[str, float] = {}
 
     def head(self, exchange: Exchange, status: int, meta: ResponseMeta) -> None:
         """Note the limit that an answer names, or that it names none any more."""
@@ -30,15 +29,18 @@
             return
         if isfinite(meta.rate_limit):
             self._metrics.limit_named(exchange.route.name)
-        previous = self._limits_by_id.get(exchange.endpoint_id, inf)
-        if meta.rate_limit == previous:
+        news = self._state.news
+        change = news.limits.observe(
+            exchange.endpoint_id, meta.rate_limit, self._loop.time()
+        )
+        if change is None:
             return
-        self._limits_by_id[exchange.endpoint_id] = meta.rate_limit
+        news.limit_changed()
         self._log.warning(
             "endpoint_limit_changed",
-            endpoint=exchange.endpoint_id,
-            limit=meta.rate_limit,
-            previous=previous,
+            endpoint=change.endpoint_id,
+            limit=change.rate,
+            previous=change.previous,
             status=status,
             request_id=exchange.meta.request_id,
         )
--- /dev/null
+++ b/cranberrywick/gateway/permits.py
@@ -0,0 +1,142 @@
+"""Permits for requests to endpoints with a rate limit, from the endpoints' stewards."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from math import inf
+from typing import NamedTuple
+
+from cranberrywick.gateway.messages import Message, PermitRequest, PermitResponse
+from cranberrywick.gateway.rare_log import RareLog
+from cranberrywick.logs import EventLog
+from cranberrywick.routing.fleet_limits import FleetLimits, Permit
+
+__all__ = ["Admission", "EndpointPermits"]
+
+# A steward answers from memory. Datagrams may be lost, so it is asked a second time.
+FIRST_ANSWER_SECONDS = 0.05
+SECOND_ANSWER_SECONDS = 0.1
+# How often a request that waits for its moment looks whether it is still to wait.
+LOOK_SECONDS = 0.05
+# A permit that could not be used for so long after its moment is void: a daemon that
+# stood still would otherwise send all that it had waiting at once.
+LATEST_USE_SECONDS = 0.2
+
+
+class Admission(NamedTuple):
+    """Whether a request may be sent to an endpoint now.
+
+    ``steward`` is the daemon that was asked last, empty where the endpoint has no
+    limit.
+    """
+
+    granted: bool
+    steward: str = ""
+
+
+class EndpointPermits:
+    """Asks stewards for permits, and answers the daemons that ask this one.
+
+    ``send`` sends a message to addresses of peers. Everything runs on the event loop.
+
+    >>> permits = EndpointPermits("d1", limits, link.send, log)
+    >>> (await permits.admit("e1", longest_wait=0.3)).granted
+    True
+    """
+
+    def __init__(
+        self,
+        daemon_id: str,
+        limits: FleetLimits,
+        send: Callable[[Message, list[str]], None],
+        log: EventLog,
+    ):
+        self._daemon_id = daemon_id
+        self._limits = limits
+        self._send = send
+        self._loop = asyncio.get_running_loop()
+        self._unanswered = RareLog(log, self._loop.time)
+        # Numbers of an earlier process of this address must not be taken for ours.
+        self._number = random.getrandbits(48)
+        self._pending_by_number: dict[int, asyncio.Future[Permit]] = {}
+
+    async def admit(self, endpoint_id: str, longest_wait: float) -> Admission:
+        """Wait until a request may be sent to an endpoint, up to so many seconds."""
+        until = self._loop.time() + longest_wait
+        steward_id = ""
+        while (rate := self._limits.rate(endpoint_id)) < inf:
+            left = max(0.0, until - self._loop.time())
+            steward_id, permit = await self._ask(endpoint_id, left)
+            if not permit.granted:
+                return Admission(False, steward_id)
+            if await self._wait(endpoint_id, rate, steward_id, permit):
+                break
+        return Admission(True, steward_id)
+
+    def answer(self, request: PermitRequest, source: str) -> None:
+        """Answer a daemon that asks this one as a steward."""
+        now = self._loop.time()
+        self._limits.hear(request.limit)
+        permit = self._limits.grant(
+            request.limit.endpoint_id, request.longest_wait, request.live_share, now
+        )
+        self._send(PermitResponse(request.number, permit), [source])
+
+    def take(self, response: PermitResponse) -> None:
+        """Take a steward's answer."""
+        pending = self._pending_by_number.get(response.number)
+        if pending is not None and not pending.done():
+            pending.set_result(response.permit)
+
+    async def _ask(self, endpoint_id: str, longest_wait: float) -> tuple[str, Permit]:
+        now = self._loop.time()
+        steward = self._limits.steward(endpoint_id, now)
+        share = self._limits.live_share(now)
+        if steward is None:
+            permit = self._limits.grant(endpoint_id, longest_wait, share, now)
+            self._limits.note_permit(endpoint_id, permit, now)
+            return self._daemon_id, permit
+        self._number += 1
+        limit = self._limits.report(endpoint_id)
+        request = PermitRequest(self._number, longest_wait, share, limit)
+        permit = await self._ask_peer(request, steward.peer_address)
+        now = self._loop.time()
+        if permit is None:
+            self._limits.note_unanswered(endpoint_id, now)
+            self._unanswered.warning(
+                "permit_unanswered", endpoint=endpoint_id, steward=steward.daemon_id
+            )
+            return steward.daemon_id, Permit(False, 0.0, 0.0)
+        self._limits.note_permit(endpoint_id, permit, now)
+        return steward.daemon_id, permit
+
+    async def _ask_peer(self, request: PermitRequest, address: str) -> Permit | None:
+        pending = self._loop.create_future()
+        self._pending_by_number[request.number] = pending
+        try:
+            for seconds in (FIRST_ANSWER_SECONDS, SECOND_ANSWER_SECONDS):
+                self._send(request, [address])
+                done, _ = await asyncio.wait([pending], timeout=seconds)
+                if done:
+                    return pending.result()
+            return None
+        finally:
+            del self._pending_by_number[request.number]
+
+    async def _wait(
+        self, endpoint_id: str, rate: float, steward_id: str, permit: Permit
+    ) -> bool:
+        """Wait for a permit's moment; return False for one that is void by then."""
+        moment = self._loop.time() + permit.wait_seconds
+        while (left := moment - self._loop.time()) > 0:
+            await asyncio.sleep(min(left, LOOK_SECONDS))
+            known_rate = self._limits.rate(endpoint_id)
+            if known_rate == inf:
+                return True
+            if known_rate < rate or self._steward_id(endpoint_id) != steward_id:
+                return False
+        return self._loop.time() - moment <= LATEST_USE_SECONDS
+
+    def _steward_id(self, endpoint_id: str) -> str:
+        steward = self._limits.steward(endpoint_id, self._loop.time())
+        return self._daemon_id if steward is None else steward.daemon_id
--- /dev/null
+++ b/cranberrywick/gateway/permitted_places.py
@@ -0,0 +1,105 @@
+"""Places for requests, at endpoints whose rate limits let them in."""
+
+import asyncio
+
+from cranberrywick.errors import Overloaded
+from cranberrywick.gateway.exchange import Exchange
+from cranberrywick.gateway.late_metrics import LateMetrics
+from cranberrywick.gateway.permits import Admission
+from cranberrywick.gateway.state import FleetState
+from cranberrywick.gateway.waiting import WaitingRequests
+from cranberrywick.logs import EventLog
+from cranberrywick.routing.demand import Demand
+from cranberrywick.routing.fleet_limits import longest_permit_wait
+from cranberrywick.routing.placement import Placement
+
+__all__ = ["PermittedPlaces"]
+
+# A request looks for a place again where an endpoint's steward refuses a permit. After
+# so many, most of its endpoints are at their limits.
+MOST_PERMITS_ASKED = 8
+
+
+class PermittedPlaces:
+    """Finds a place for a request and, where the endpoint has a limit, a permit."""
+
+    def __init__(
+        self,
+        failure_domain: str,
+        state: FleetState,
+        waiting: WaitingRequests,
+        metrics: LateMetrics,
+        log: EventLog,
+    ):
+        self._failure_domain = failure_domain
+        self._state = state
+        self._waiting = waiting
+        self._metrics = metrics
+        self._log = log
+        self._loop = asyncio.get_running_loop()
+
+    async def take(self, exchange: Exchange) -> Placement:
+        """Return a place at an endpoint whose rate limit lets the request in now.
+
+        Raises `Overloaded` like `WaitingRequests.place`.
+        """
+        for _ in range(MOST_PERMITS_ASKED):
+            placement = await self._place(exchange)
+            asked_at = self._loop.time()
+            admission = await self._state.news.permits.admit(
+                placement.endpoint_id, placement.longest_wait
+            )
+            if admission.steward:
+                seconds = self._loop.time() - asked_at
+                self._note_permit(exchange, placement.endpoint_id, admission, seconds)
+            if admission.granted:
+                return placement
+            self._state.load.drop(exchange.key)
+        service = exchange.service.name
+        raise Overloaded(
+            "the endpoints' rate limits leave no room",
+            retry_after=self._waiting.limited_retry_seconds(service, 0.0),
+        )
+
+    def _note_permit(
+        self,
+        exchange: Exchange,
+        endpoint_id: str,
+        admission: Admission,
+        seconds: float,
+    ) -> None:
+        self._metrics.permit_asked(exchange.route.name, admission.granted, seconds)
+        now = self._loop.time()
+        limits = self._state.news.limits
+        self._log.info(
+            "permit_asked",
+            request_id=exchange.meta.request_id,
+            endpoint=endpoint_id,
+            steward=admission.steward,
+            granted=admission.granted,
+            seconds=seconds,
+            limit=limits.rate(endpoint_id),
+            limit_age=limits.age(endpoint_id, now),
+            next_after=limits.wait_seconds(endpoint_id, now),
+        )
+
+    async def _place(self, exchange: Exchange) -> Placement:
+        due_at = exchange.request.arrived + exchange.route.target_seconds
+        demand = Demand(
+            request_id=exchange.key,
+            service=exchange.service,
+            prompt=exchange.meta.prompt,
+            target_seconds=exchange.route.target_seconds,
+            due_at=due_at,
+            gap_seconds=exchange.route.gap_target_seconds,
+            failure_domain=self._failure_domain,
+            tried_ids=frozenset(exchange.tried_ids),
+            answering_ids=exchange.answering_ids,
+            longest_wait=longest_permit_wait(exchange.deadline - self._loop.time()),
+        )
+        placement = await self._waiting.place(
+            demand, exchange.priority, due_at, exchange.deadline
+        )
+        if exchange.placed_at is None:
+            exchange.placed_at = self._loop.time()
+        return placement
--- a/cranberrywick/gateway/waiting.py
+++ b/cranberrywick/gateway/waiting.py
@@ -3,14 +3,18 @@
 import asyncio
 import random
 from functools import partial
+from math import inf
 from typing import NamedTuple
 
 from cranberrywick.errors import Overloaded
 from cranberrywick.gateway.state import FleetState
 from cranberrywick.routing.demand import Demand, fits_fleet, least_seconds
+from cranberrywick.routing.endpoint_index import EndpointPool
+from cranberrywick.routing.fleet_limits import LEAST_RATE
+from cranberrywick.routing.limited_choice import limited_seconds
 from cranberrywick.routing.placement import Placement, Placer
 from cranberrywick.routing.queue_order import order_key
-from cranberrywick.routing.retry_after import ServiceOutages
+from cranberrywick.routing.retry_after import LimitedReturns, ServiceOutages
 
 __all__ = ["WaitingRequests"]
 
@@ -38,6 +42,7 @@
         self._placer = placer
         self._loop = asyncio.get_running_loop()
         self._outages = ServiceOutages(random.Random())
+        self._returns = LimitedReturns(random.Random())
         self._waiters: list[_Waiter] = []
         self._scheduled: asyncio.Handle | None = None
 
@@ -50,8 +55,8 @@
         """Return a place, which is counted as taken from then on.
 
         ``due_at`` is the moment at which the answer should begin. Raises `Overloaded`
-        when no endpoint of the service is known, and as soon as no answer can begin
-        before ``deadline``.
+        when no endpoint of the service is known, when their rate limits leave no room
+        for too long, and as soon as no answer can begin before ``deadline``.
         """
         placement = None
         if not self._waiters:
@@ -121,7 +126,34 @@
             )
         self._outages.ended(service)
         placement = self._placer.place(demand, usable, now, last_resort)
-        if placement is not None:
-            self._state.load.put(demand.request_id, placement.jobs)
-            self._state.news.job_added()
+        if placement is None:
+            self._refuse_limited(demand, usable, now)
+            return None
+        self._state.load.put(demand.request_id, placement.jobs)
+        self._state.news.job_added()
         return placement
+
+    def _refuse_limited(self, demand: Demand, usable: EndpointPool, now: float) -> None:
+        """Raise `Overloaded` for a request that limits keep back for too long."""
+        limit_wait = self._state.news.limits.wait_seconds
+        wait = limited_seconds(demand, usable, limit_wait, now)
+        if wait is None:
+            return
+        raise Overloaded(
+            "the endpoints' rate limits leave no room in time",
+            retry_after=self.limited_retry_seconds(demand.service.name, wait),
+        )
+
+    def limited_retry_seconds(self, service: str, wait: float) -> float:
+        """Return when a caller should come back whom rate limits have kept out.
+
+        ``wait`` is after how many seconds the first endpoint may have room.
+        """
+        state = self._state
+        now = self._loop.time()
+        usable = state.registry.index.ready(service, state.domains_out)
+        limits = state.news.limits
+        rates = (limits.rate(belief.endpoint_id) for belief in usable)
+        total = sum(rate for rate in rates if rate < inf)
+        pause = state.members.count(now) / max(total, LEAST_RATE)
+        return self._returns.retry_seconds(service, wait, pause, now)
--- a/cranberrywick/metrics.py
+++ b/cranberrywick/metrics.py
@@ -147,6 +147,11 @@
             "Time from arrival to the send or the refusal.",
             QUEUE_WAIT_BOUNDS_SECONDS,
         )
+        self._permit_wait = self._histogram(
+            "permit_wait",
+            "Time that a request waited for a permit of a rate-limited endpoint.",
+            QUEUE_WAIT_BOUNDS_SECONDS,
+        )
         self._platform_calls = self._histogram(
             "platform_call",
             "Calls to the platform's services.",
@@ -199,6 +204,11 @@
         """Count an answer in which an endpoint named a rate limit."""
         self._limited_answers.add(1, {"class": class_name})
 
+    def permit_asked(self, class_name: str, granted: bool, seconds: float) -> None:
+        """Note a request that needed a permit, and how long it waited for it."""
+        outcome = "granted" if granted else "refused"
+        self._permit_wait.record(seconds, {"class": class_name, "outcome": outcome})
+
     def gaps_counted(self, class_name: str, gaps: TokenGaps) -> None:
         """Take the gaps of one stream."""
         with self._gaps_lock:
--- a/cranberrywick/routing/candidates.py
+++ b/cranberrywick/routing/candidates.py
@@ -7,7 +7,7 @@
 """
 
 import random
-from collections.abc import Collection, Iterable, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 from typing import NamedTuple
 
 from cranberrywick.routing.demand import Demand
@@ -16,7 +16,13 @@
 from cranberrywick.routing.load import FleetLoad, Job
 from cranberrywick.routing.model import Service
 
-__all__ = ["SAMPLE_SIZE", "Candidate", "Candidates", "sound"]
+__all__ = [
+    "SAMPLE_SIZE",
+    "Candidate",
+    "Candidates",
+    "LimitWait",
+    "sound",
+]
 
 # How many endpoints one decision looks at. A random sample costs the same however many
 # there are, and daemons that look at different ones seldom meet.
@@ -25,13 +31,20 @@
 # engines that read their parts are busy.
 LONG_SAMPLE_SIZE = 72
 
+# Returns how many seconds an endpoint's rate limit keeps a request that comes now.
+LimitWait = Callable[[str, float], float]
+
 
 class Candidate(NamedTuple):
-    """An endpoint that may be used now, with what the fleet has there."""
+    """An endpoint that may be used now, with what the fleet has there.
+
+    ``limit_wait`` is how many seconds its rate limit keeps a request from it.
+    """
 
     belief: EndpointBelief
     jobs: Sequence[Job]
     cooling_down: bool
+    limit_wait: float = 0.0
 
     @property
     def endpoint_id(self) -> str:
@@ -45,12 +58,19 @@
 
 
 class Candidates:
-    """Draws candidates; ``load`` and ``health`` say what is known of each."""
-
-    def __init__(self, load: FleetLoad, health: EndpointHealth, rng: random.Random):
+    """Draws candidates; ``load``, ``health`` and ``limit_wait`` tell of each."""
+
+    def __init__(
+        self,
+        load: FleetLoad,
+        health: EndpointHealth,
+        rng: random.Random,
+        limit_wait: LimitWait,
+    ):
         self._load = load
         self._health = health
         self._rng = rng
+        self._limit_wait = limit_wait
 
     def drawn(
         self, demand: Demand, usable: EndpointPool, now: float
@@ -67,6 +87,7 @@
                 belief,
                 self._load.at(belief.endpoint_id),
                 self._health.is_cooling_down(belief.endpoint_id, now),
+                self._limit_wait(belief.endpoint_id, now),
             )
             for belief in beliefs
             if belief.endpoint_id not in demand.tried_ids
--- a/cranberrywick/routing/demand.py
+++ b/cranberrywick/routing/demand.py
@@ -18,7 +18,8 @@
 
     ``due_at`` is the moment until which its first event is on time. ``tried_ids``
     are the endpoints that have failed it, ``answering_ids`` the only ones that may
-    answer it, if not any; others may still help.
+    answer it, if not any; others may still help. It waits up to ``longest_wait``
+    seconds for a permit to be sent to an endpoint with a rate limit.
     """
 
     request_id: str
@@ -30,6 +31,7 @@
     failure_domain: str
     tried_ids: frozenset[str] = frozenset()
     answering_ids: frozenset[str] | None = None
+    longest_wait: float = 0.0
 
 
 def may_answer(demand: Demand, endpoint_id: str) -> bool:
--- /dev/null
+++ b/cranberrywick/routing/fleet_limits.py
@@ -0,0 +1,227 @@
+"""Rate limits of endpoints that the daemons keep together.
+
+Load pattern: hundreds of daemons before an endpoint that takes one request a second
+from all of them. Kept by each daemon for itself, such a limit is exceeded as many times
+as there are daemons; divided among them, each part is less than one request. Here one
+daemon, the endpoint's steward, gives permits at the rate of the limit, and nobody sends
+to the endpoint without one.
+
+The steward is found by rendezvous hashing over the daemons that live and serve, so
+that nobody has to appoint it. It may die, and daemons that can't reach one another
+each find their own:
+
+- a steward that takes over starts with one permit, and those that wait for their moment
+  end with the steward that gave them;
+- permits are given for the share of the fleet that both sides know to live. Two halves
+  that have lost each other get half of the rate each.
+"""
+
+from collections.abc import Callable, Set
+from math import inf, isfinite
+from typing import NamedTuple
+
+from cranberrywick.rendezvous import rendezvous_order
+from cranberrywick.routing.endpoint_limits import (
+    EndpointLimits,
+    LimitChange,
+    LimitReport,
+)
+from cranberrywick.routing.members import Heartbeat, Members
+from cranberrywick.token_bucket import TokenBucket
+
+__all__ = ["LEAST_RATE", "FleetLimits", "Permit", "longest_permit_wait"]
+
+# Permits of so many seconds may be left unused and are given at once later. With the
+# one that is always given, this bounds what an endpoint gets in a burst.
+BURST_SECONDS = 0.5
+# In requests a second. An endpoint that takes less still gets so many: without any, its
+# answers could not show that the limit has ended.
+LEAST_RATE = 0.25
+# A request waits no longer than this for a permit, and no more than a share of the time
+# that it has, so that it is served and its caller hears of a refusal early.
+LONGEST_PERMIT_WAIT_SECONDS = 1.0
+PERMIT_WAIT_SHARE = 0.5
+# An endpoint whose steward gave no answer is left alone for this long.
+UNANSWERED_PAUSE_SECONDS = 0.3
+
+
+class Permit(NamedTuple):
+    """A steward's answer: whether one request may be sent to an endpoint, and when.
+
+    ``wait_seconds`` is how long to wait before the send. The endpoint can take another
+    one after ``free_seconds``.
+    """
+
+    granted: bool
+    wait_seconds: float
+    free_seconds: float
+
+
+NO_LIMIT = Permit(True, 0.0, 0.0)
+
+
+def longest_permit_wait(remaining_seconds: float) -> float:
+    """Return how long a request with so much time left may wait for a permit.
+
+    >>> longest_permit_wait(10.0), longest_permit_wait(0.6)
+    (1.0, 0.3)
+    """
+    return min(LONGEST_PERMIT_WAIT_SECONDS, PERMIT_WAIT_SHARE * remaining_seconds)
+
+
+class FleetLimits:
+    """The limits of endpoints, and the permits that this daemon gives as a steward.
+
+    ``is_leaving`` says whether this daemon takes no callers.
+    """
+
+    def __init__(
+        self, daemon_id: str, members: Members, is_leaving: Callable[[], bool]
+    ):
+        self._daemon_id = daemon_id
+        self._members = members
+        self._is_leaving = is_leaving
+        self._limits = EndpointLimits()
+        self._buckets_by_id: dict[str, TokenBucket] = {}
+        self._free_at_by_id: dict[str, float] = {}
+        self._stewards = _Stewards()
+
+    # What is known of limits
+
+    def observe(self, endpoint_id: str, rate: float, now: float) -> LimitChange | None:
+        """Take what an answer to this daemon says; return what it changes."""
+        return self._note(self._limits.observe(endpoint_id, rate, now))
+
+    def hear(self, report: LimitReport) -> LimitChange | None:
+        """Take what a peer tells; return what it changes."""
+        change = self._note(self._limits.hear(report))
+        if report.free_at is not None and isfinite(self.rate(report.endpoint_id)):
+            self._free_at_by_id[report.endpoint_id] = report.free_at
+        return change
+
+    def _note(self, change: LimitChange | None) -> LimitChange | None:
+        if change is not None:
+            # What stewards said of the earlier rate holds no longer.
+            self._free_at_by_id.pop(change.endpoint_id, None)
+            if change.rate == inf:
+                self._buckets_by_id.pop(change.endpoint_id, None)
+            elif change.endpoint_id in self._buckets_by_id and change.is_fall:
+                # Whoever waits for a permit asks anew, see `EndpointPermits`.
+                self._buckets_by_id[change.endpoint_id].cancel_waiting()
+        return change
+
+    def rate(self, endpoint_id: str) -> float:
+        """Return an endpoint's limit in requests a second; infinity without one."""
+        return self._limits.rate(endpoint_id)
+
+    def age(self, endpoint_id: str, now: float) -> float:
+        """Return how many seconds ago the newest answer told of the limit."""
+        return self._limits.age(endpoint_id, now)
+
+    def report(self, endpoint_id: str) -> LimitReport:
+        """Return what is known of an endpoint's limit; it must be known."""
+        return self._limits.report(endpoint_id)
+
+    def reports(self, now: float) -> list[LimitReport]:
+        """Return what this daemon tells the others.
+
+        That is what its answers have shown lately, and the limits in force of which it
+        is the steward: those are told as long as they last.
+        """
+        if not self._limits:
+            return []
+        kept_ids = [i for i in self._limits.limited_ids if self.steward(i, now) is None]
+        reports = [
+            self.report(endpoint_id)._replace(free_at=self._free_at(endpoint_id, now))
+            for endpoint_id in kept_ids
+        ]
+        recent_ids = set(self._limits.recent_ids(now)) - set(kept_ids)
+        return reports + [self.report(endpoint_id) for endpoint_id in recent_ids]
+
+    def forget(self, registered_ids: Set[str], now: float) -> None:
+        """Drop what is known of endpoints that are gone."""
+        self._limits.forget(registered_ids, now)
+        for by_id in (self._buckets_by_id, self._free_at_by_id):
+            for endpoint_id in by_id.keys() - registered_ids:
+                del by_id[endpoint_id]
+
+    # Permits
+
+    def steward(self, endpoint_id: str, now: float) -> Heartbeat | None:
+        """Return the daemon that gives permits for an endpoint; None for this one."""
+        beats_by_id: dict[str, Heartbeat | None] = {
+            beat.daemon_id: beat for beat in self._members.serving(now)
+        }
+        if not self._is_leaving() or not beats_by_id:
+            beats_by_id[self._daemon_id] = None
+        return beats_by_id[self._stewards.choose(endpoint_id, beats_by_id.keys())]
+
+    def live_share(self, now: float) -> float:
+        """Return how much of the fleet this daemon knows to live, between 0 and 1."""
+        return self._members.live_share(now)
+
+    def grant(
+        self, endpoint_id: str, longest_wait: float, live_share: float, now: float
+    ) -> Permit:
+        """Give a permit, as the endpoint's steward, within a wait in seconds.
+
+        ``live_share`` is what whoever asks knows to live.
+        """
+        if self.rate(endpoint_id) == inf:
+            return NO_LIMIT
+        bucket = self._bucket(endpoint_id, live_share, now)
+        wait = bucket.take(now)
+        if wait > longest_wait:
+            bucket.give_back()
+            return Permit(False, 0.0, wait)
+        return Permit(True, wait, bucket.wait_seconds(now))
+
+    def note_permit(self, endpoint_id: str, permit: Permit, now: float) -> None:
+        """Take a steward's answer."""
+        self._free_at_by_id[endpoint_id] = now + permit.free_seconds
+
+    def note_unanswered(self, endpoint_id: str, now: float) -> None:
+        """Leave an endpoint alone whose steward gave no answer."""
+        self._free_at_by_id[endpoint_id] = now + UNANSWERED_PAUSE_SECONDS
+
+    def wait_seconds(self, endpoint_id: str, now: float) -> float:
+        """Return how long a request would wait for a permit, as far as known here.
+
+        It is zero for an endpoint without a limit.
+        """
+        if self.rate(endpoint_id) == inf:
+            return 0.0
+        return max(0.0, self._free_at_by_id.get(endpoint_id, now) - now)
+
+    def _free_at(self, endpoint_id: str, now: float) -> float:
+        return now + self._bucket(endpoint_id, 1.0, now).wait_seconds(now)
+
+    def _bucket(self, endpoint_id: str, live_share: float, now: float) -> TokenBucket:
+        share = min(live_share, self.live_share(now))
+        rate = max(self.rate(endpoint_id), LEAST_RATE) * share
+        burst = 1.0 + BURST_SECONDS * rate
+        bucket = self._buckets_by_id.get(endpoint_id)
+        if bucket is None:
+            bucket = self._buckets_by_id[endpoint_id] = TokenBucket(rate, burst, now)
+            bucket.empty(now)
+        else:
+            bucket.set_rate(rate, burst, now)
+        return bucket
+
+
+class _Stewards:
+    """Remembers choices until other daemons live."""
+
+    def __init__(self) -> None:
+        self._daemon_ids: frozenset[str] = frozenset()
+        self._chosen_by_endpoint: dict[str, str] = {}
+
+    def choose(self, endpoint_id: str, daemon_ids: Set[str]) -> str:
+        if daemon_ids != self._daemon_ids:
+            self._daemon_ids = frozenset(daemon_ids)
+            self._chosen_by_endpoint.clear()
+        chosen = self._chosen_by_endpoint.get(endpoint_id)
+        if chosen is None:
+            chosen = rendezvous_order(endpoint_id, daemon_ids)[0]
+            self._chosen_by_endpoint[endpoint_id] = chosen
+        return chosen
--- a/cranberrywick/routing/members.py
+++ b/cranberrywick/routing/members.py
@@ -8,6 +8,7 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
+from cranberrywick.routing.endpoint_limits import LimitReport
 from cranberrywick.routing.load import Job
 from cranberrywick.routing.pace import EnginePace
 from cranberrywick.routing.relays import needs_relays
@@ -58,6 +59,7 @@
     operator_age: float
     jobs: Sequence[Job]
     slow_engines: Sequence[EnginePace] = ()
+    limits: Sequence[LimitReport] = ()
 
 
 class Member(NamedTuple):
@@ -160,6 +162,20 @@
         """Return this daemon's place among those that serve, the first being 0."""
         return sum(beat.daemon_id < self._daemon_id for beat in self.serving(now))
 
+    def live_share(self, now: float) -> float:
+        """Return how much of the fleet is known to live, between 0 and 1.
+
+        Daemons that have fallen silent may live on the other side of a cut; those that
+        said that they leave do not count.
+        """
+        alive = self.count(now)
+        silence = self.silence_seconds
+        silent = sum(
+            now - member.heard_at > silence and not member.heartbeat.leaving
+            for member in self.members_by_id.values()
+        )
+        return alive / (alive + silent)
+
     def count(self, now: float) -> int:
         """Return how many daemons live, this one included."""
         return 1 + len(self.alive(now))
--- a/cranberrywick/routing/placement.py
+++ b/cranberrywick/routing/placement.py
@@ -16,11 +16,17 @@
 from math import ceil
 from typing import NamedTuple
 
-from cranberrywick.routing.candidates import Candidate, Candidates, sound
+from cranberrywick.routing.candidates import (
+    Candidate,
+    Candidates,
+    LimitWait,
+    sound,
+)
 from cranberrywick.routing.demand import PART_CHOICES, Demand, may_answer
 from cranberrywick.routing.endpoint_index import EndpointPool
 from cranberrywick.routing.engine_model import forecast, read_seconds
 from cranberrywick.routing.health import EndpointHealth
+from cranberrywick.routing.limited_choice import within_limits
 from cranberrywick.routing.load import FleetLoad, Job
 from cranberrywick.routing.model import EngineProfile, PromptSize
 from cranberrywick.routing.pace import EnginePaces
@@ -69,7 +75,8 @@
 class Placement(NamedTuple):
     """The endpoint that answers, its helpers, and the jobs to be counted there.
 
-    ``last_resort`` says that its endpoints get no other new work.
+    ``last_resort`` says that its endpoints get no other new work. Where the answering
+    endpoint has a rate limit, its permit is worth a wait of ``longest_wait`` seconds.
     """
 
     endpoint_id: str
@@ -77,16 +84,22 @@
     first_event_seconds: float
     jobs: tuple[Job, ...]
     last_resort: bool = False
+    longest_wait: float = 0.0
 
 
 def _no_endpoints() -> EndpointPool:
     return EndpointPool([])
 
 
+def _no_wait(endpoint_id: str, now: float) -> float:
+    return 0.0
+
+
 class Placer:
     """Places requests on endpoints; the caller passes what is known.
 
-    ``news_seconds`` returns how old others' jobs are when they are heard of.
+    ``news_seconds`` returns how old others' jobs are when they are heard of,
+    ``limit_wait`` how long an endpoint's rate limit keeps a request from it.
     """
 
     def __init__(
@@ -96,10 +109,11 @@
         paces: EnginePaces,
         rng: random.Random,
         news_seconds: Callable[[], float],
+        limit_wait: LimitWait = _no_wait,
     ):
         self._load = load
         self._health = health
-        self._candidates = Candidates(load, health, rng)
+        self._candidates = Candidates(load, health, rng, limit_wait)
         self._paces = paces
         self._rng = rng
         self._news_seconds = news_seconds
@@ -130,10 +144,17 @@
     def _place(
         self, demand: Demand, candidates: list[Candidate], now: float
     ) -> Placement | None:
+        demand = within_limits(demand, candidates)
+        if demand is None:
+            return None
         engine = demand.service.engine
         if engine is not None and demand.prompt is not None:
-            return self._place_prompt(demand, engine, demand.prompt, candidates, now)
-        return self._place_call(demand, candidates, now)
+            placement = self._place_prompt(
+                demand, engine, demand.prompt, candidates, now
+            )
+        else:
+            placement = self._place_call(demand, candidates, now)
+        return placement and placement._replace(longest_wait=demand.longest_wait)
 
     def _place_call(
         self, demand: Demand, candidates: list[Candidate], now: float
--- a/cranberrywick/routing/retry_after.py
+++ b/cranberrywick/routing/retry_after.py
@@ -1,9 +1,9 @@
 """When a caller that could not be served is told to come back.
 
-Load pattern: a daemon starts, or a service is left without endpoints, while callers
-press, each with one retry left. Told to come back too soon, a caller spends its retry
-on the same refusal; too late, and its own time is over. Told all the same, callers
-come back in one moment.
+Load pattern: a daemon starts, a service is left without endpoints, or the rate limits
+of its endpoints leave no room for all, while callers press, each with one retry left.
+Told to come back too soon, a caller spends its retry on the same refusal; too late, and
+its own time is over. Told all the same, callers come back in one moment.
 
 How long a service stays without endpoints is not known. What has lasted long lasts
 longer: an outage of unknown length is expected to go on for as long as it has lasted.
@@ -11,7 +11,12 @@
 
 import random
 
-__all__ = ["LEAST_SECONDS_WITHOUT_STORE", "STARTING_SECONDS", "ServiceOutages"]
+__all__ = [
+    "LEAST_SECONDS_WITHOUT_STORE",
+    "STARTING_SECONDS",
+    "LimitedReturns",
+    "ServiceOutages",
+]
 
 # A daemon that has just started reads the store for the first time, which takes some
 # milliseconds.
@@ -49,3 +54,31 @@
         least = LEAST_SECONDS_WITHOUT_STORE if store_is_away else LEAST_SECONDS
         expected = min(max(least, lasted), MOST_SECONDS)
         return expected * self._rng.uniform(1 - SPREAD, 1 + SPREAD)
+
+
+class LimitedReturns:
+    """Lets callers come back one after the other, as fast as rate limits take them.
+
+    >>> returns = LimitedReturns(random.Random())
+    >>> returns.retry_seconds("notices", wait=1.0, pause=0.5, now=10.0)
+    1.06
+    >>> returns.retry_seconds("notices", wait=1.0, pause=0.5, now=10.0)
+    1.41
+    """
+
+    def __init__(self, rng: random.Random):
+        self._rng = rng
+        self._next_by_service: dict[str, float] = {}
+
+    def retry_seconds(
+        self, service: str, wait: float, pause: float, now: float
+    ) -> float:
+        """Return after how many seconds a caller should come back.
+
+        ``wait`` is when the first endpoint has room again, ``pause`` the time between
+        two requests that the endpoints take from the callers of one daemon.
+        """
+        at = max(now + wait, self._next_by_service.get(service, now))
+        at = min(at, now + MOST_SECONDS)
+        self._next_by_service[service] = at + pause
+        return (at - now) * self._rng.uniform(1 - SPREAD, 1 + SPREAD)
--- a/cranberrywick/token_bucket.py
+++ b/cranberrywick/token_bucket.py
@@ -35,6 +35,15 @@
         self._tokens -= 1.0
         return max(0.0, -self._tokens / self._rate)
 
+    def wait_seconds(self, now: float) -> float:
+        """Return how long the next call would have to wait."""
+        self._fill(now)
+        return max(0.0, (1.0 - self._tokens) / self._rate)
+
+    def cancel_waiting(self) -> None:
+        """Undo the calls that still have to wait."""
+        self._tokens = max(0.0, self._tokens)
+
     def give_back(self) -> None:
         """Undo a `take` whose call is not made after all."""
         self._tokens += 1.0
--- /dev/null
+++ b/tests/limited_fleet.py
@@ -0,0 +1,214 @@
+"""Daemons before endpoints with rate limits, on a network without sockets.
+
+    async def scene(fleet):
+        fleet.endpoints[0].rate = 1.0
+        await asyncio.sleep(10.0)
+        fleet.check_limits()
+
+    play(9, scene)
+
+The daemons' news, permits and beliefs are the real ones; callers, endpoints and the
+network are stand-ins, and time is virtual.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable, Coroutine
+
+from cranberrywick.bench.simulated_news import NewsDaemon, NewsNetwork
+from cranberrywick.bench.virtual_time import run_in_virtual_time
+from cranberrywick.gateway.ticker import Ticker
+from cranberrywick.logs import EventLog
+
+DOMAINS = ("fd-a", "fd-b", "fd-c")
+# The span over which requests to an endpoint are summed up.
+WINDOW_SECONDS = 4.0
+# The limit binds from so long after an endpoint first named its limit.
+CONTACT_SECONDS = 3.0
+ANSWER_SECONDS = 0.02
+LONGEST_WAIT_SECONDS = 1.0
+SETTLE_SECONDS = 3.0
+
+
+class Endpoint:
+    """Names its ``rate`` in every answer, in requests a second; None for no limit."""
+
+    def __init__(self, endpoint_id: str):
+        self.endpoint_id = endpoint_id
+        self.rate: float | None = None
+        self.named_at: float | None = None
+        self.arrived_at: list[float] = []
+
+    def answer(self, now: float) -> float:
+        """Answer a request and return the limit that the answer names."""
+        if self.rate is None:
+            return float("inf")
+        if self.named_at is None:
+            self.named_at = now
+        return self.rate
+
+    def limit(self, rate: float | None) -> None:
+        """Name another limit from now on."""
+        self.rate = rate
+        self.named_at = None
+        self.arrived_at.clear()
+
+    def worst_window(self) -> int:
+        """Return the most requests in a window, whether their daemons were told or not.
+
+        That is more than the rule counts.
+        """
+        if self.named_at is None:
+            return 0
+        binding_at = self.named_at + CONTACT_SECONDS
+        times = [at for at in self.arrived_at if at >= binding_at]
+        return max(
+            (sum(first <= at < first + WINDOW_SECONDS for at in times))
+            for first in times or [0.0]
+        )
+
+    def used_share(self, now: float) -> float:
+        """Return how much of what the limit allows has been sent since it binds."""
+        seconds = now - self.named_at - CONTACT_SECONDS
+        times = [at for at in self.arrived_at if at >= now - seconds]
+        return len(times) / (self.rate * seconds)
+
+
+class Network(NewsNetwork):
+    """Also holds back what frozen daemons send and are sent, and cuts links."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.frozen: set[str] = set()
+        self.is_cut: Callable[[str, str], bool] = lambda source, target: False
+        self._held: list[tuple[str, str, bytes]] = []
+
+    def carry(self, source: str, address: str, data: bytes) -> None:
+        """Take a datagram to its receiver, later if one of them is frozen."""
+        if {source, address} & self.frozen:
+            self._held.append((source, address, data))
+        elif not self.is_cut(source, address):
+            super().carry(source, address, data)
+
+    def thaw(self, address: str) -> None:
+        """Let a daemon go on, with all that has come for it meanwhile."""
+        self.frozen.discard(address)
+        held, self._held = self._held, []
+        for datagram in held:
+            self.carry(*datagram)
+
+
+class LimitedFleet:
+    """The daemons, three endpoints, and callers at every daemon."""
+
+    def __init__(self, size: int, seed: int):
+        self.rng = random.Random(seed)
+        self.network = Network()
+        self.endpoints = [Endpoint(f"e{number}") for number in range(3)]
+        self.daemons: list[NewsDaemon] = []
+        self.sent = 0
+        self.refused = 0
+        self.longest_refusal = 0.0
+        self._size = size
+        self._daemons_by_name: dict[str, NewsDaemon] = {}
+        self._tickers_by_name: dict[str, Ticker] = {}
+        self._loop = asyncio.get_running_loop()
+        self._tasks: set[asyncio.Task] = set()
+
+    async def start(self) -> None:
+        """Start all daemons and let them meet."""
+        for number in range(self._size):
+            self.daemons.append(await self._new(number))
+        await asyncio.sleep(SETTLE_SECONDS)
+
+    async def _new(self, number: int) -> NewsDaemon:
+        daemon = NewsDaemon(self.network, f"d{number:03}", DOMAINS[number % 3])
+        self._daemons_by_name[daemon.name] = daemon
+        ticker = self._tickers_by_name[daemon.name] = Ticker(EventLog())
+        await daemon.news.start(ticker)
+        names = (f"d{other:03}" for other in range(self._size) if other != number)
+        daemon.news.know({name: f"{name}:7000" for name in names})
+        return daemon
+
+    def stop(self) -> None:
+        """End all daemons and callers."""
+        for ticker in self._tickers_by_name.values():
+            ticker.stop()
+        for task in self._tasks:
+            task.cancel()
+
+    def kill(self, daemon: NewsDaemon) -> None:
+        """End a daemon; what is sent to it is lost."""
+        self._tickers_by_name.pop(daemon.name).stop()
+        daemon.network = Network()
+        self.daemons.remove(daemon)
+        self.network.daemons_by_address.pop(daemon.address, None)
+
+    async def restart(self, daemon: NewsDaemon) -> None:
+        """Start a daemon again that was killed; it knows nothing."""
+        self.daemons.append(await self._new(int(daemon.name[1:])))
+
+    def press(self, rate: float) -> None:
+        """Let callers send so many requests a second to each endpoint from now on."""
+        for endpoint in self.endpoints:
+            self._start(self._call_again_and_again(endpoint, rate))
+
+    def steward(self, endpoint: Endpoint) -> NewsDaemon:
+        """Return who gives an endpoint's permits in one daemon's view.
+
+        It may have been killed a moment ago.
+        """
+        daemon = self.daemons[0]
+        beat = daemon.news.limits.steward(endpoint.endpoint_id, self._loop.time())
+        name = daemon.name if beat is None else beat.daemon_id
+        return self._daemons_by_name[name]
+
+    def _start(self, coroutine: Coroutine) -> None:
+        task = self._loop.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _call_again_and_again(self, endpoint: Endpoint, rate: float) -> None:
+        while True:
+            await asyncio.sleep(self.rng.expovariate(rate))
+            self._start(self._call(self.rng.choice(self.daemons), endpoint))
+
+    async def _call(self, daemon: NewsDaemon, endpoint: Endpoint) -> None:
+        started = self._loop.time()
+        news = daemon.news
+        admission = await news.permits.admit(endpoint.endpoint_id, LONGEST_WAIT_SECONDS)
+        if not admission.granted:
+            self.refused += 1
+            seconds = self._loop.time() - started
+            self.longest_refusal = max(self.longest_refusal, seconds)
+            return
+        if daemon not in self.daemons or daemon.address in self.network.frozen:
+            return
+        self.sent += 1
+        endpoint.arrived_at.append(self._loop.time())
+        await asyncio.sleep(ANSWER_SECONDS)
+        rate = endpoint.answer(self._loop.time())
+        if news.limits.observe(endpoint.endpoint_id, rate, self._loop.time()):
+            news.limit_changed()
+
+    def check_limits(self) -> None:
+        """Assert that no endpoint got more than its limit allows."""
+        for endpoint in self.endpoints:
+            if endpoint.rate is not None:
+                allowed = 1.5 * endpoint.rate * WINDOW_SECONDS + 5
+                assert endpoint.worst_window() <= allowed
+
+
+def play(size: int, scene: Callable[[LimitedFleet], Coroutine], seed: int = 1) -> None:
+    """Start a fleet, play a scene with it and check the limits at its end."""
+
+    async def main() -> None:
+        fleet = LimitedFleet(size, seed)
+        try:
+            await fleet.start()
+            await scene(fleet)
+            fleet.check_limits()
+        finally:
+            fleet.stop()
+
+    run_in_virtual_time(main())
--- /dev/null
+++ b/tests/test_fleet_limits.py
@@ -0,0 +1,282 @@
+"""Rate limits of endpoints, kept by fleets of daemons that fail."""
+
+import asyncio
+from math import inf
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, rule
+from limited_fleet import DOMAINS, LimitedFleet, play
+
+from cranberrywick.bench.virtual_time import virtual_loop
+
+# Three times what the endpoints take.
+OVERLOAD = 3.0
+
+
+async def limit(fleet, rate, press=None):
+    """Let every endpoint name a limit, and callers want more than that."""
+    fleet.press(press or OVERLOAD * rate)
+    await asyncio.sleep(1.0)
+    for endpoint in fleet.endpoints:
+        endpoint.limit(rate)
+
+
+def assert_used(fleet, share):
+    now = asyncio.get_running_loop().time()
+    assert all(each.used_share(now) >= share for each in fleet.endpoints)
+
+
+@pytest.mark.parametrize(
+    ("size", "rate"),
+    [(9, 0.25), (9, 1.0), (9, 20.0), (67, 1.0), (67, 10.0), (195, 1.0)],
+)
+def test_a_limit_holds_for_the_sum_of_all_daemons(size, rate):
+    """Guards against limits that are exceeded the more daemons there are."""
+
+    async def scene(fleet):
+        await limit(fleet, rate)
+        await asyncio.sleep(12.0 if size < 100 else 8.0)
+        fleet.check_limits()
+        assert_used(fleet, 0.8)
+        assert fleet.longest_refusal < 0.1
+
+    play(size, scene)
+
+
+def test_what_fits_a_limit_is_served():
+    """Guards against refusals while the endpoints could take the requests."""
+
+    async def scene(fleet):
+        await limit(fleet, 10.0, press=6.0)
+        await asyncio.sleep(20.0)
+        assert fleet.refused <= 0.02 * fleet.sent
+
+    play(9, scene)
+
+
+def test_a_steward_that_is_killed_is_followed_by_another():
+    """Guards against an endpoint that nobody may use after its steward died."""
+
+    async def scene(fleet):
+        await limit(fleet, 2.0)
+        await asyncio.sleep(4.0)
+        for endpoint in fleet.endpoints:
+            fleet.kill(fleet.steward(endpoint))
+        await asyncio.sleep(3.0)
+        before = [len(endpoint.arrived_at) for endpoint in fleet.endpoints]
+        await asyncio.sleep(6.0)
+        for endpoint, number in zip(fleet.endpoints, before, strict=True):
+            # A third of the fleet is silent and may live behind a cut.
+            assert len(endpoint.arrived_at) - number >= 0.5 * 2.0 * 6.0
+
+    play(9, scene)
+
+
+def test_a_steward_that_stood_still_does_not_make_up_for_it():
+    """Guards against two stewards at once, and requests that all wake in one moment."""
+
+    async def scene(fleet):
+        await limit(fleet, 5.0)
+        await asyncio.sleep(4.0)
+        for _ in range(3):
+            stewards = [fleet.steward(endpoint) for endpoint in fleet.endpoints]
+            for daemon in stewards:
+                fleet.network.frozen.add(daemon.address)
+            await asyncio.sleep(3.0)
+            for daemon in stewards:
+                fleet.network.thaw(daemon.address)
+            await asyncio.sleep(1.0)
+        await asyncio.sleep(4.0)
+        fleet.check_limits()
+
+    play(9, scene)
+
+
+@pytest.mark.parametrize("parts", [2, 3])
+@pytest.mark.parametrize("rate", [1.0, 20.0])
+def test_parts_of_a_fleet_that_lose_each_other_keep_the_sum(parts, rate):
+    """Guards against each side of a cut giving all that the limit allows."""
+
+    async def scene(fleet):
+        await limit(fleet, rate)
+        await asyncio.sleep(4.0)
+
+        def part(address):
+            return int(address[1:4]) % parts
+
+        fleet.network.is_cut = lambda source, target: part(source) != part(target)
+        await asyncio.sleep(12.0)
+        fleet.check_limits()
+        assert_used(fleet, 0.6)
+        fleet.network.is_cut = lambda source, target: False
+        await asyncio.sleep(6.0)
+
+    play(9, scene)
+
+
+def test_two_domains_that_reach_a_third_only_keep_the_sum():
+    """Guards against stewards that each see two thirds of the fleet."""
+
+    async def scene(fleet):
+        await limit(fleet, 10.0)
+        await asyncio.sleep(4.0)
+
+        def domain(address):
+            return DOMAINS[int(address[1:4]) % 3]
+
+        apart = {DOMAINS[0], DOMAINS[1]}
+        fleet.network.is_cut = lambda source, target: (
+            {domain(source), domain(target)} == apart
+        )
+        await asyncio.sleep(15.0)
+        fleet.check_limits()
+        assert_used(fleet, 0.6)
+
+    play(9, scene)
+
+
+@pytest.mark.parametrize("size", [9, 67])
+def test_restarts_in_series_keep_the_limit(size):
+    """Guards against a fresh account with every steward that takes over."""
+
+    async def scene(fleet):
+        await limit(fleet, 5.0)
+        await asyncio.sleep(3.0)
+        for daemon in list(fleet.daemons)[:9]:
+            fleet.kill(daemon)
+            await asyncio.sleep(0.5)
+            await fleet.restart(daemon)
+            await asyncio.sleep(0.3)
+        await asyncio.sleep(3.0)
+        fleet.check_limits()
+        assert_used(fleet, 0.6)
+
+    play(size, scene)
+
+
+def test_a_limit_that_falls_is_kept_at_once():
+    """Guards against permits of an earlier, higher rate that are still used."""
+
+    async def scene(fleet):
+        await limit(fleet, 20.0)
+        await asyncio.sleep(6.0)
+        for endpoint in fleet.endpoints:
+            endpoint.limit(1.0)
+        await asyncio.sleep(10.0)
+        fleet.check_limits()
+        assert_used(fleet, 0.8)
+
+    play(9, scene)
+
+
+@pytest.mark.parametrize("size", [9, 67])
+@pytest.mark.parametrize("rate", [0.0, 1.0])
+def test_the_end_of_a_limit_reaches_everybody(size, rate):
+    """Guards against daemons that send nothing and so never hear of the end."""
+
+    async def scene(fleet):
+        await limit(fleet, rate, press=OVERLOAD)
+        await asyncio.sleep(8.0)
+        for endpoint in fleet.endpoints:
+            endpoint.limit(None)
+        await asyncio.sleep(5.0)
+        for daemon in fleet.daemons:
+            limits = daemon.news.limits
+            assert all(limits.rate(e.endpoint_id) == inf for e in fleet.endpoints)
+
+    play(size, scene)
+
+
+@pytest.mark.parametrize("size", [9, 67])
+def test_a_daemon_that_starts_is_told_the_limits_in_force(size):
+    """Guards against a burst of whoever returns and has not been told yet."""
+
+    async def scene(fleet):
+        await limit(fleet, 1.0)
+        await asyncio.sleep(6.0)
+        daemon = fleet.daemons[4]
+        fleet.kill(daemon)
+        await asyncio.sleep(2.0)
+        await fleet.restart(daemon)
+        await asyncio.sleep(1.0)
+        limits = fleet.daemons[-1].news.limits
+        assert all(limits.rate(each.endpoint_id) == 1.0 for each in fleet.endpoints)
+
+    play(size, scene)
+
+
+class LimitsMachine(RuleBasedStateMachine):
+    """Limits begin, change and end; daemons freeze, die, return and lose each other.
+
+    Whatever happens, no endpoint gets more from all daemons together than its limit
+    allows, those that were not told included.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.loop = virtual_loop()
+        self.killed = []
+        self.run(self.start())
+
+    def run(self, coroutine):
+        return self.loop.run_until_complete(coroutine)
+
+    async def start(self):
+        self.fleet = LimitedFleet(9, seed=1)
+        await self.fleet.start()
+        self.fleet.press(8.0)
+
+    def teardown(self):
+        self.run(asyncio.sleep(3.0))
+        self.fleet.check_limits()
+        self.fleet.stop()
+        self.run(asyncio.sleep(0.0))
+        self.loop.close()
+
+    @rule(number=st.integers(0, 2), rate=st.sampled_from([0.5, 1.0, 4.0]))
+    def name_limit(self, number, rate):
+        self.fleet.endpoints[number].limit(rate)
+
+    @rule(number=st.integers(0, 2))
+    def end_limit(self, number):
+        self.fleet.endpoints[number].limit(None)
+
+    @rule(seconds=st.sampled_from([0.3, 1.0, 4.0]))
+    def wait(self, seconds):
+        self.run(asyncio.sleep(seconds))
+        self.fleet.check_limits()
+
+    @rule(number=st.integers(0, 8))
+    def freeze_or_thaw(self, number):
+        address = f"d{number:03}:7000"
+        if address in self.fleet.network.frozen:
+            self.run(self.thaw(address))
+        else:
+            self.fleet.network.frozen.add(address)
+
+    async def thaw(self, address):
+        self.fleet.network.thaw(address)
+
+    @rule(number=st.integers(0, 2))
+    def kill_steward(self, number):
+        daemon = self.fleet.steward(self.fleet.endpoints[number])
+        if daemon in self.fleet.daemons and len(self.fleet.daemons) > 5:
+            self.fleet.kill(daemon)
+            self.killed.append(daemon)
+
+    @rule()
+    def restart_one(self):
+        if self.killed:
+            self.run(self.fleet.restart(self.killed.pop()))
+
+    @rule(parts=st.sampled_from([1, 2, 3]))
+    def divide(self, parts):
+        self.fleet.network.is_cut = lambda source, target: (
+            int(source[1:4]) % parts != int(target[1:4]) % parts
+        )
+
+
+LimitsMachine.TestCase.settings = settings(max_examples=15, stateful_step_count=25)
+TestLimitsMachine = LimitsMachine.TestCase
--- a/tests/test_fleet_messages.py
+++ b/tests/test_fleet_messages.py
@@ -4,6 +4,7 @@
 import random
 import zlib
 from contextlib import closing
+from math import inf, nan
 
 import pytest
 from hypothesis import given, settings
@@ -20,11 +21,15 @@
     unpack_news,
 )
 from cranberrywick.gateway.messages import (
+    PermitRequest,
+    PermitResponse,
     Scope,
     decode_message,
     encode_message,
 )
 from cranberrywick.gateway.schema import SCHEMA, pack
+from cranberrywick.routing.endpoint_limits import LimitReport
+from cranberrywick.routing.fleet_limits import Permit
 from cranberrywick.routing.load import Job
 from cranberrywick.routing.members import Heartbeat
 from cranberrywick.routing.model import EndpointRecord, EndpointView
@@ -45,6 +50,10 @@
         operator_age=0.25,
         jobs=tuple(job(1000 * number + step) for step in range(jobs)),
         slow_engines=(EnginePace(f"i-{number:010x}", 2.5),),
+        limits=(
+            LimitReport(f"i-{number:010x}", 0.5, 9.0, 11.0),
+            LimitReport("i-recovered", inf, 9.0),
+        ),
     )
 
 
@@ -115,8 +124,15 @@
     (heard,) = message.heartbeats
     assert heard.heard_at == pytest.approx(109.5)
     told = heartbeat()
-    assert heard.heartbeat[:-2] == told[:-2]
+    assert heard.heartbeat[:-3] == told[:-3]
     assert heard.heartbeat.slow_engines == told.slow_engines
+    limits = [
+        LimitReport(i, rate, seen_at + 100, free_at and free_at + 100)
+        for i, rate, seen_at, free_at in told.limits
+    ]
+    for there, here in zip(heard.heartbeat.limits, limits, strict=True):
+        assert there[:2] == here[:2]
+        assert there[2:] == pytest.approx(here[2:])
     for there, here in zip(heard.heartbeat.jobs, told.jobs, strict=True):
         assert there.started_at == pytest.approx(here.started_at + 100)
         assert there.due_at == pytest.approx(here.due_at + 100)
@@ -181,9 +197,30 @@
     encode_message(heartbeat(), 10.0),
     encode_message(RelayNews("a", "b", (PassedOn(9.0, heartbeat()),)), 10.0),
     encode_message(EndpointReading.whole(view_of(3), view_of(3).digest, 0.0), 10.0),
+    encode_message(PermitRequest(3, 0.5, 0.75, LimitReport("i-1", 2.0, 9.0)), 10.0),
+    encode_message(PermitResponse(3, Permit(True, 0.25, 1.5)), 10.0),
 ]
 
 
+def test_permits_are_asked_for_and_given_as_told():
+    """Moments are moved to the steward's clock, all else is the same."""
+    asked = PermitRequest(3, 0.5, 0.75, LimitReport("i-1", 2.0, 9.0))
+    heard = decode_message(encode_message(asked, 10.0), 110.0).message
+    assert heard == asked._replace(limit=LimitReport("i-1", 2.0, 109.0))
+    response = PermitResponse(3, Permit(True, 0.25, 1.5))
+    assert decode_message(encode_message(response, 10.0), 110.0).message == response
+
+
+@pytest.mark.parametrize(
+    ("limit", "share"), [(-1.0, 1.0), (nan, 1.0), (1.0, 0.0), (1.0, 1.5), (1.0, nan)]
+)
+def test_a_permit_request_with_absurd_figures_is_refused(limit, share):
+    """Guards against a rate limit that one malformed datagram sets for a fleet."""
+    asked = PermitRequest(3, 0.5, share, LimitReport("i-1", limit, 9.0))
+    with pytest.raises(PeerMessageInvalid):
+        decode_message(encode_message(asked, 10.0), 10.0)
+
+
 @given(st.binary(max_size=300))
 def test_random_bytes_are_refused(data):
     with pytest.raises(PeerMessageInvalid):
--- /dev/null
+++ b/tests/test_limited_choice.py
@@ -0,0 +1,103 @@
+"""Where requests go while endpoints have rate limits, and who is refused."""
+
+import random
+
+import pytest
+
+from cranberrywick.bench.prompt_engines import PROFILE
+from cranberrywick.routing.demand import Demand
+from cranberrywick.routing.endpoint_index import EndpointBelief, EndpointPool
+from cranberrywick.routing.health import EndpointHealth
+from cranberrywick.routing.limited_choice import limited_seconds
+from cranberrywick.routing.load import FleetLoad
+from cranberrywick.routing.model import EndpointRecord, PromptSize, Service
+from cranberrywick.routing.pace import EnginePaces
+from cranberrywick.routing.placement import Placer
+from cranberrywick.routing.retry_after import LimitedReturns
+
+CALLS = Service("notices", 0.0, 0.0, None)
+PROMPTS = Service("drafting", 0.0, 0.0, PROFILE)
+
+
+def demand(service=CALLS, tokens=None, **fields):
+    known = Demand(
+        request_id="r",
+        service=service,
+        prompt=tokens and PromptSize(tokens, 500),
+        target_seconds=3.0,
+        due_at=4.0,
+        gap_seconds=1.0,
+        failure_domain="fd-a",
+        longest_wait=1.0,
+    )
+    return known._replace(**fields)
+
+
+def pool(waits_by_id):
+    records = [
+        EndpointRecord(i, "notices", "", "fd-a", 8, False, 0.0, 1) for i in waits_by_id
+    ]
+    return EndpointPool.of([EndpointBelief(record, -1.0) for record in records])
+
+
+def place(wanted, waits_by_id):
+    placer = Placer(
+        FleetLoad(),
+        EndpointHealth(),
+        EnginePaces(),
+        random.Random(1),
+        lambda: 0.0,
+        lambda endpoint_id, now: waits_by_id[endpoint_id],
+    )
+    return placer.place(wanted, pool(waits_by_id), 1.0)
+
+
+@pytest.mark.parametrize("wanted", [demand(), demand(PROMPTS, 5_000)])
+def test_one_that_takes_the_request_now_goes_first(wanted):
+    """Guards against waits for a permit while another endpoint is idle."""
+    placement = place(wanted, {"e1": 0.4, "e2": 0.0, "e3": 0.2})
+    assert placement.endpoint_id == "e2"
+    assert placement.longest_wait < 0.1
+
+
+@pytest.mark.parametrize("wanted", [demand(), demand(PROMPTS, 5_000)])
+def test_where_all_have_to_be_waited_for_the_soonest_is(wanted):
+    """Guards against a queue at one endpoint beside another that is free earlier."""
+    placement = place(wanted, {"e1": 0.9, "e2": 0.3, "e3": 0.6})
+    assert placement.endpoint_id == "e2"
+    assert placement.longest_wait == 1.0
+
+
+def test_an_engine_at_its_limit_still_helps():
+    """Guards against long prompts that find no engines while all have limits."""
+    waits = {f"e{number}": 2.0 for number in range(12)}
+    placement = place(demand(PROMPTS, 150_000), waits | {"e5": 0.0})
+    assert placement.endpoint_id == "e5"
+    assert placement.helpers
+
+
+def test_what_no_endpoint_takes_in_time_is_refused_at_once():
+    """Guards against callers who wait in vain; they are told when there is room."""
+    waits = {"e1": 3.0, "e2": 1.5}
+    assert place(demand(), waits) is None
+
+    def seconds(wanted, waits_by_id):
+        def wait(endpoint_id, now):
+            return waits_by_id[endpoint_id]
+
+        return limited_seconds(wanted, pool(waits_by_id), wait, 1.0)
+
+    assert seconds(demand(), waits) == 1.5
+    assert seconds(demand(tried_ids=frozenset({"e2"})), waits) == 3.0
+    assert seconds(demand(), waits | {"e3": 0.0}) is None
+
+
+def test_refused_callers_come_back_one_after_the_other():
+    """Guards against callers who come back in one moment and are refused again."""
+    returns = LimitedReturns(random.Random(1))
+    told = [returns.retry_seconds("notices", 1.0, 0.5, 10.0) for _ in range(9)]
+    assert 0.75 <= told[0] <= 1.25
+    assert 3.75 <= told[8] <= 6.25
+    # Once they are gone, the next waits no longer than the first of them.
+    assert returns.retry_seconds("notices", 1.0, 0.5, 30.0) <= 1.25
+    assert max(returns.retry_seconds("notices", 1.0, 9.0, 30.0) for _ in "1234") < 13
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -43,7 +43,10 @@
         domains_out=frozenset(),
         store_is_away=False,
         load=FleetLoad(),
-        news=SimpleNamespace(job_added=lambda: None),
+        news=SimpleNamespace(
+            job_added=lambda: None,
+            limits=SimpleNamespace(wait_seconds=lambda endpoint_id, now: 0.0),
+        ),
         last_resort=lambda service: EndpointPool([]),
     )
 
