Divide the retry budget's fixed part among all daemons that may live

Counted now are all that were heard in the last minute and all that are registered.

Left: a daemon that restarts has forgotten what it spent within the window.

--- a/cranberrywick/bench/simulated_news.py
+++ b/cranberrywick/bench/simulated_news.py
@@ -4,7 +4,7 @@
 import random
 import time
 from collections import Counter
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from types import SimpleNamespace
 
 from cranberrywick.gateway.endpoint_reading import EndpointReading
@@ -28,12 +28,15 @@
 class NewsNetwork:
     """Carries datagrams between daemons; some are cut off, a share is lost.
 
+    ``cut`` has the addresses that reach nobody, ``is_cut`` tells whether one address
+    can't reach another.
     ``received_bytes`` and ``received_datagrams`` count by the receiver's address.
     """
 
     def __init__(self) -> None:
         self.daemons_by_address: dict[str, NewsDaemon] = {}
         self.cut: set[str] = set()
+        self.is_cut: Callable[[str, str], bool] = lambda source, address: False
         self.loss = 0.0
         self.received_datagrams: Counter[str] = Counter()
         self.received_bytes: Counter[str] = Counter()
@@ -43,7 +46,9 @@
         """Take a datagram to its receiver."""
         self.received_datagrams[address] += 1
         self.received_bytes[address] += len(data)
-        if {source, address} & self.cut or self._rng.random() < self.loss:
+        if {source, address} & self.cut or self.is_cut(source, address):
+            return
+        if self._rng.random() < self.loss:
             return
         daemon = self.daemons_by_address.get(address)
         if daemon is not None:
--- a/cranberrywick/gateway/fleet_news.py
+++ b/cranberrywick/gateway/fleet_news.py
@@ -126,6 +126,11 @@
         recipients = self._recipients
         return bool(recipients.registered_addresses) and not recipients.strangers()
 
+    @property
+    def most_members(self) -> int:
+        """How many daemons may live, this one included."""
+        return self._recipients.most_members
+
     def job_added(self) -> None:
         """Tell the others at once what this daemon now has at endpoints."""
         self._tell_within(JOB_NEWS_SECONDS)
--- a/cranberrywick/gateway/forwarder.py
+++ b/cranberrywick/gateway/forwarder.py
@@ -250,7 +250,7 @@
         if exchange.answering_ids is not None and not exchange.answering_ids:
             return "no further endpoint is allowed"
         if _reached(error) and not self._budget.take(
-            exchange.service.name, self._state.members.count(now), now
+            exchange.service.name, self._state.news.most_members, now
         ):
             return "the retry budget is spent"
         return ""
--- a/cranberrywick/gateway/recipients.py
+++ b/cranberrywick/gateway/recipients.py
@@ -39,6 +39,15 @@
         """How many daemons are known, this one included."""
         return 1 + len(self._members.members_by_id)
 
+    @property
+    def most_members(self) -> int:
+        """How many daemons may live, this one included.
+
+        Those that have fallen silent count: they may live on the other side of a cut.
+        """
+        others = self._members.members_by_id.keys() | self.registered_addresses.keys()
+        return 1 + len(others)
+
     @property
     def has_relays(self) -> bool:
         """Whether the fleet is large enough for relays."""
--- a/cranberrywick/routing/retry_budget.py
+++ b/cranberrywick/routing/retry_budget.py
@@ -4,7 +4,9 @@
 bound, every failure becomes another request, and a service that is half down gets
 twice the load. The fleet's allowance for a window is a share of the requests that
 came in it and a fixed part; each daemon spends the share of its own requests and
-its part of the fixed one, so that no message is needed to keep the sum.
+its part of the fixed one, so that no message is needed to keep the sum. The parts are
+those of all daemons that may live: divided among those that a daemon hears, two halves
+of a fleet that have lost each other spend the fixed part twice.
 """
 
 from collections import defaultdict, deque
@@ -30,7 +32,10 @@
         self._requests[service].append(now)
 
     def take(self, service: str, members: int, now: float) -> bool:
-        """Take one second try, if the window still has one."""
+        """Take one second try, if the window still has one.
+
+        ``members`` is how many daemons may be taking from the same allowance.
+        """
         requests, tries = self._requests[service], self._tries[service]
         for moments in (requests, tries):
             while moments and moments[0] <= now - self._window:
--- a/tests/limited_fleet.py
+++ b/tests/limited_fleet.py
@@ -75,19 +75,18 @@
 
 
 class Network(NewsNetwork):
-    """Also holds back what frozen daemons send and are sent, and cuts links."""
+    """Also holds back what frozen daemons send and are sent."""
 
     def __init__(self) -> None:
         super().__init__()
         self.frozen: set[str] = set()
-        self.is_cut: Callable[[str, str], bool] = lambda source, target: False
         self._held: list[tuple[str, str, bytes]] = []
 
     def carry(self, source: str, address: str, data: bytes) -> None:
         """Take a datagram to its receiver, later if one of them is frozen."""
         if {source, address} & self.frozen:
             self._held.append((source, address, data))
-        elif not self.is_cut(source, address):
+        else:
             super().carry(source, address, data)
 
     def thaw(self, address: str) -> None:
--- a/tests/test_fleet_news.py
+++ b/tests/test_fleet_news.py
@@ -16,6 +16,7 @@
 from cranberrywick.logs import EventLog
 from cranberrywick.routing.model import EndpointView, OperatorView
 from cranberrywick.routing.relays import Relays, needs_relays
+from cranberrywick.routing.retry_budget import RetryBudget
 
 DOMAINS = ("fd-a", "fd-b", "fd-c")
 
@@ -105,6 +106,28 @@
     play(40, scene)
 
 
+@pytest.mark.parametrize("size", [9, 40])
+@pytest.mark.parametrize("parts", [2, 3])
+def test_parts_of_a_fleet_that_lose_each_other_keep_the_retry_budget(size, parts):
+    """Guards against a fixed allowance that each side of a cut spends in full."""
+
+    async def scene(network, daemons):
+        def part(address):
+            return int(address[1:4]) % parts
+
+        network.is_cut = lambda source, target: part(source) != part(target)
+        await asyncio.sleep(20.0)
+        now = asyncio.get_running_loop().time()
+        taken = 0
+        for daemon in daemons:
+            budget = RetryBudget(ratio=0.2, window_seconds=10.0, slack=100.0)
+            while budget.take("pool", daemon.news.most_members, now):
+                taken += 1
+        assert taken <= 100
+
+    play(size, scene)
+
+
 def test_a_relay_that_comes_back_is_heard_again():
     """A relay is cut off for three seconds, and its domain's news arrive afterwards."""
 
