Send to cold endpoints with permits, as to those that name a limit

The rate of a cold endpoint, too, bounds a sum over all daemons; each kept it by counting the jobs it was told of that are still running. Calls of some milliseconds have ended before anybody hears of them: in the new test six daemons sent everything to two cold endpoints that take two requests a second each, and refused nobody. Now they ask the endpoint's steward, like for a limit that answers name, and the sum keeps to 1.5 times the rate and 5 in any second.

--- a/cranberrywick/bench/simulated_news.py
+++ b/cranberrywick/bench/simulated_news.py
@@ -5,6 +5,7 @@
 import time
 from collections import Counter
 from collections.abc import Callable, Iterable, Sequence
+from math import inf
 from types import SimpleNamespace
 
 from cranberrywick.gateway.endpoint_reading import EndpointReading
@@ -134,6 +135,10 @@
         """Return nothing: this daemon knows neither endpoints nor configuration."""
         return None
 
+    def declared_rate(self, endpoint_id: str) -> float:
+        """Return that no endpoint is cold."""
+        return inf
+
     # What scenes do and ask
 
     def knows_job_of(self, other: "NewsDaemon") -> bool:
--- a/cranberrywick/gateway/fleet.capnp
+++ b/cranberrywick/gateway/fleet.capnp
@@ -35,15 +35,17 @@
   domainsOut @3 :List(Text);
 }
 
-# Asks the steward of an endpoint for a permit to send it one request. The limit, in
-# requests a second, is what the asking daemon knows, as of an answer of so long ago.
+# Asks the steward of an endpoint for a permit to send it one request. The limit is what
+# answers have named, as of so long ago; the rate also counts what is declared. Both are
+# in requests a second.
 struct PermitRequest {
   number @0 :UInt64;
   endpointId @1 :Text;
-  longestWaitMs @2 :UInt32;
+  rate @2 :Float64;
   liveShare @3 :Float64;
-  limit @4 :Float64;
-  limitAgeMs @5 :UInt32;
+  longestWaitMs @4 :UInt32;
+  limit @5 :Float64;
+  limitAgeMs @6 :UInt32;
 }
 
 struct PermitResponse {
--- a/cranberrywick/gateway/fleet_news.py
+++ b/cranberrywick/gateway/fleet_news.py
@@ -74,6 +74,9 @@
     def answer(self, wanted: Wanted) -> Message | None:
         """Return what a peer that asks is told; None while nothing is known."""
 
+    def declared_rate(self, endpoint_id: str) -> float:
+        """Return an endpoint's declared limit in requests a second, or infinity."""
+
 
 class FleetNews:
     """Hears and tells; keeps the fleet's members, load, paces and rate limits."""
@@ -95,7 +98,12 @@
         self.members = Members(settings.daemon_id, contact)
         self.load = FleetLoad()
         self.paces = EnginePaces()
-        self.limits = FleetLimits(settings.daemon_id, self.members, self._is_leaving)
+        self.limits = FleetLimits(
+            settings.daemon_id,
+            self.members,
+            self._is_leaving,
+            listener.declared_rate,
+        )
         self.permits = EndpointPermits(
             settings.daemon_id, self.limits, self._send_to_peers, log
         )
--- a/cranberrywick/gateway/messages.py
+++ b/cranberrywick/gateway/messages.py
@@ -20,7 +20,7 @@
 )
 from cranberrywick.gateway.schema import MAX_MESSAGE_BYTES, SCHEMA, pack, unpack
 from cranberrywick.routing.endpoint_limits import LimitReport
-from cranberrywick.routing.fleet_limits import Permit
+from cranberrywick.routing.fleet_limits import Permit, PermitTerms
 from cranberrywick.routing.members import Heartbeat
 from cranberrywick.routing.model import OperatorView
 
@@ -57,13 +57,12 @@
 class PermitRequest(NamedTuple):
     """Asks an endpoint's steward for a permit; see `FleetLimits.grant`.
 
-    ``number`` tells the responses to one daemon apart. ``limit`` is what the asking
-    daemon knows of it, which may be newer than what the steward knows.
+    ``number`` tells the responses to one daemon apart. ``limit`` is what answers have
+    told the asking daemon, which may be newer than what the steward knows.
     """
 
     number: int
-    longest_wait: float
-    live_share: float
+    terms: PermitTerms
     limit: LimitReport
 
 
@@ -194,8 +193,9 @@
 def _write_permit_request(request: PermitRequest, now: float) -> dict[str, Any]:
     return {
         "number": request.number,
-        "longestWaitMs": milliseconds(request.longest_wait),
-        "liveShare": request.live_share,
+        "rate": request.terms.rate,
+        "liveShare": request.terms.live_share,
+        "longestWaitMs": milliseconds(request.terms.longest_wait),
         "endpointId": request.limit.endpoint_id,
         "limit": request.limit.rate,
         "limitAgeMs": milliseconds(now - request.limit.seen_at),
@@ -203,15 +203,12 @@
 
 
 def _read_permit_request(request: Any, now: float) -> PermitRequest:
-    if not (request.limit >= 0 and 0 < request.liveShare <= 1):
+    terms = PermitTerms(request.rate, request.liveShare, request.longestWaitMs / 1000)
+    if not (request.limit >= 0 and terms.rate >= 0 and 0 < terms.live_share <= 1):
         raise ValueError("a rate or a share is out of its range")
     seen_at = now - request.limitAgeMs / 1000
-    return PermitRequest(
-        request.number,
-        request.longestWaitMs / 1000,
-        request.liveShare,
-        LimitReport(request.endpointId, request.limit, seen_at),
-    )
+    limit = LimitReport(request.endpointId, request.limit, seen_at)
+    return PermitRequest(request.number, terms, limit)
 
 
 def _write_permit_response(response: PermitResponse) -> dict[str, Any]:
--- a/cranberrywick/gateway/permits.py
+++ b/cranberrywick/gateway/permits.py
@@ -77,9 +77,7 @@
         """Answer a daemon that asks this one as a steward."""
         now = self._loop.time()
         self._limits.hear(request.limit)
-        permit = self._limits.grant(
-            request.limit.endpoint_id, request.longest_wait, request.live_share, now
-        )
+        permit = self._limits.grant(request.limit.endpoint_id, request.terms, now)
         self._send(PermitResponse(request.number, permit), [source])
 
     def take(self, response: PermitResponse) -> None:
@@ -91,14 +89,14 @@
     async def _ask(self, endpoint_id: str, longest_wait: float) -> tuple[str, Permit]:
         now = self._loop.time()
         steward = self._limits.steward(endpoint_id, now)
-        share = self._limits.live_share(now)
+        terms = self._limits.terms(endpoint_id, longest_wait, now)
         if steward is None:
-            permit = self._limits.grant(endpoint_id, longest_wait, share, now)
+            permit = self._limits.grant(endpoint_id, terms, now)
             self._limits.note_permit(endpoint_id, permit, now)
             return self._daemon_id, permit
         self._number += 1
         limit = self._limits.report(endpoint_id)
-        request = PermitRequest(self._number, longest_wait, share, limit)
+        request = PermitRequest(self._number, terms, limit)
         permit = await self._ask_peer(request, steward.peer_address)
         now = self._loop.time()
         if permit is None:
--- a/cranberrywick/gateway/state.py
+++ b/cranberrywick/gateway/state.py
@@ -8,6 +8,7 @@
 import random
 from collections.abc import Callable
 from functools import partial
+from math import inf
 
 from cranberrywick.external.key_value import LeaseLapsed
 from cranberrywick.gateway.endpoint_knowledge import EndpointKnowledge, PeerReading
@@ -233,6 +234,15 @@
             return None
         return OperatorReading(view, self._operator.age(self._loop.time()))
 
+    def declared_rate(self, endpoint_id: str) -> float:
+        """Return how many requests a second a cold endpoint takes; else infinity."""
+        belief = self.registry.beliefs_by_id.get(endpoint_id)
+        table = self.table
+        if belief is None or table is None or self._loop.time() >= belief.cold_until:
+            return inf
+        service = table.configuration.services_by_name.get(belief.record.service)
+        return service.cold_rate if service and service.cold_rate > 0 else inf
+
     def _fetch_operator(self, revision: int) -> None:
         def informed() -> list[str]:
             return self.news.informed(lambda beat: beat.operator_revision >= revision)
--- a/cranberrywick/routing/endpoint_limits.py
+++ b/cranberrywick/routing/endpoint_limits.py
@@ -51,6 +51,9 @@
     is_own: bool
 
 
+_NEVER_SEEN = _Belief(inf, -inf, is_own=False)
+
+
 class EndpointLimits:
     """The limits in force, by endpoint.
 
@@ -76,6 +79,8 @@
     def hear(self, report: LimitReport) -> LimitChange | None:
         """Take what a peer tells; return what it changes."""
         known = self._beliefs_by_id.get(report.endpoint_id)
+        if known is None and report.rate == inf:
+            return None
         if known is not None and report.seen_at <= known.seen_at:
             return None
         belief = _Belief(report.rate, report.seen_at, is_own=False)
@@ -90,13 +95,11 @@
 
     def rate(self, endpoint_id: str) -> float:
         """Return an endpoint's limit; infinity without one."""
-        belief = self._beliefs_by_id.get(endpoint_id)
-        return inf if belief is None else belief.rate
+        return self._beliefs_by_id.get(endpoint_id, _NEVER_SEEN).rate
 
     def age(self, endpoint_id: str, now: float) -> float:
         """Return how long ago the newest answer was seen; infinity without any."""
-        belief = self._beliefs_by_id.get(endpoint_id)
-        return inf if belief is None else now - belief.seen_at
+        return now - self._beliefs_by_id.get(endpoint_id, _NEVER_SEEN).seen_at
 
     @property
     def limited_ids(self) -> list[str]:
@@ -104,9 +107,9 @@
         return [i for i, b in self._beliefs_by_id.items() if isfinite(b.rate)]
 
     def report(self, endpoint_id: str) -> LimitReport:
-        """Return what is known of an endpoint's limit; it must be known."""
-        rate, seen_at, _ = self._beliefs_by_id[endpoint_id]
-        return LimitReport(endpoint_id, rate, seen_at)
+        """Return what is known of an endpoint's limit."""
+        belief = self._beliefs_by_id.get(endpoint_id, _NEVER_SEEN)
+        return LimitReport(endpoint_id, belief.rate, belief.seen_at)
 
     def recent_ids(self, now: float) -> list[str]:
         """Return the endpoints of which this daemon's own answers told lately."""
--- a/cranberrywick/routing/fleet_limits.py
+++ b/cranberrywick/routing/fleet_limits.py
@@ -1,10 +1,10 @@
 """Rate limits of endpoints that the daemons keep together.
 
 Load pattern: hundreds of daemons before an endpoint that takes one request a second
-from all of them. Kept by each daemon for itself, such a limit is exceeded as many times
-as there are daemons; divided among them, each part is less than one request. Here one
-daemon, the endpoint's steward, gives permits at the rate of the limit, and nobody sends
-to the endpoint without one.
+from all of them, or a few while it is cold. Kept by each daemon for itself, such a
+limit is exceeded as many times as there are daemons; divided among them, each part is
+less than one request. Here one daemon, the endpoint's steward, gives permits at the
+rate of the limit, and nobody sends to the endpoint without one.
 
 The steward is found by rendezvous hashing over the daemons that live and serve, so
 that nobody has to appoint it. It may die, and daemons that can't reach one another
@@ -45,6 +45,18 @@
 UNANSWERED_PAUSE_SECONDS = 0.3
 
 
+class PermitTerms(NamedTuple):
+    """What a daemon that asks for a permit wants and knows.
+
+    ``rate`` is the endpoint's limit in requests a second, ``live_share`` how much of
+    the fleet is known to live, ``longest_wait`` for how many seconds it would wait.
+    """
+
+    rate: float
+    live_share: float
+    longest_wait: float
+
+
 class Permit(NamedTuple):
     """A steward's answer: whether one request may be sent to an endpoint, and when.
 
@@ -72,15 +84,21 @@
 class FleetLimits:
     """The limits of endpoints, and the permits that this daemon gives as a steward.
 
-    ``is_leaving`` says whether this daemon takes no callers.
+    ``is_leaving`` says whether this daemon takes no callers. ``declared_rate`` returns
+    the limit of an endpoint that its answers don't name, in requests a second.
     """
 
     def __init__(
-        self, daemon_id: str, members: Members, is_leaving: Callable[[], bool]
+        self,
+        daemon_id: str,
+        members: Members,
+        is_leaving: Callable[[], bool],
+        declared_rate: Callable[[str], float],
     ):
         self._daemon_id = daemon_id
         self._members = members
         self._is_leaving = is_leaving
+        self._declared_rate = declared_rate
         self._limits = EndpointLimits()
         self._buckets_by_id: dict[str, TokenBucket] = {}
         self._free_at_by_id: dict[str, float] = {}
@@ -112,14 +130,14 @@
 
     def rate(self, endpoint_id: str) -> float:
         """Return an endpoint's limit in requests a second; infinity without one."""
-        return self._limits.rate(endpoint_id)
+        return min(self._limits.rate(endpoint_id), self._declared_rate(endpoint_id))
 
     def age(self, endpoint_id: str, now: float) -> float:
         """Return how many seconds ago the newest answer told of the limit."""
         return self._limits.age(endpoint_id, now)
 
     def report(self, endpoint_id: str) -> LimitReport:
-        """Return what is known of an endpoint's limit; it must be known."""
+        """Return what answers have told of an endpoint's limit."""
         return self._limits.report(endpoint_id)
 
     def reports(self, now: float) -> list[LimitReport]:
@@ -156,22 +174,20 @@
             beats_by_id[self._daemon_id] = None
         return beats_by_id[self._stewards.choose(endpoint_id, beats_by_id.keys())]
 
-    def live_share(self, now: float) -> float:
-        """Return how much of the fleet this daemon knows to live, between 0 and 1."""
-        return self._members.live_share(now)
-
-    def grant(
-        self, endpoint_id: str, longest_wait: float, live_share: float, now: float
-    ) -> Permit:
-        """Give a permit, as the endpoint's steward, within a wait in seconds.
+    def terms(self, endpoint_id: str, longest_wait: float, now: float) -> PermitTerms:
+        """Return what this daemon asks a steward for."""
+        share = self._members.live_share(now)
+        return PermitTerms(self.rate(endpoint_id), share, longest_wait)
 
-        ``live_share`` is what whoever asks knows to live.
-        """
-        if self.rate(endpoint_id) == inf:
+    def grant(self, endpoint_id: str, terms: PermitTerms, now: float) -> Permit:
+        """Give a permit, as the endpoint's steward."""
+        rate = min(terms.rate, self.rate(endpoint_id))
+        if rate == inf:
             return NO_LIMIT
-        bucket = self._bucket(endpoint_id, live_share, now)
+        share = min(terms.live_share, self._members.live_share(now))
+        bucket = self._bucket(endpoint_id, rate * share, now)
         wait = bucket.take(now)
-        if wait > longest_wait:
+        if wait > terms.longest_wait:
             bucket.give_back()
             return Permit(False, 0.0, wait)
         return Permit(True, wait, bucket.wait_seconds(now))
@@ -194,11 +210,11 @@
         return max(0.0, self._free_at_by_id.get(endpoint_id, now) - now)
 
     def _free_at(self, endpoint_id: str, now: float) -> float:
-        return now + self._bucket(endpoint_id, 1.0, now).wait_seconds(now)
+        rate = self.rate(endpoint_id) * self._members.live_share(now)
+        return now + self._bucket(endpoint_id, rate, now).wait_seconds(now)
 
-    def _bucket(self, endpoint_id: str, live_share: float, now: float) -> TokenBucket:
-        share = min(live_share, self.live_share(now))
-        rate = max(self.rate(endpoint_id), LEAST_RATE) * share
+    def _bucket(self, endpoint_id: str, rate: float, now: float) -> TokenBucket:
+        rate = max(rate, LEAST_RATE)
         burst = 1.0 + BURST_SECONDS * rate
         bucket = self._buckets_by_id.get(endpoint_id)
         if bucket is None:
--- a/tests/test_endpoint_limits_fleet.py
+++ b/tests/test_endpoint_limits_fleet.py
@@ -6,7 +6,7 @@
 
 import pytest
 import urllib3
-from gateway_fleet import Answer, running_gateways
+from gateway_fleet import Answer, configuration, running_gateways
 
 # Requests a second that each endpoint takes from all daemons together.
 RATE = 1.0
@@ -19,6 +19,12 @@
 # Long enough for two requests at the rate of the limit to show that it has ended.
 NOTICED_SECONDS = 2.5
 AFTERWARDS_SECONDS = 4.0
+# Requests a second that a cold endpoint takes, and how callers press it.
+COLD_RATE = 2.0
+COLD_SECONDS = 4.0
+COLD_PAUSE_SECONDS = 0.02
+# A new configuration and changed records are known everywhere by then.
+APPLIED_SECONDS = 2.5
 # A caller that can't be served has most of its five seconds left when it hears so.
 LONGEST_REFUSAL_SECONDS = 0.5
 
@@ -37,6 +43,34 @@
         assert 'cranberrywick_limited_answers_total{class="reads"} 1.0' in metrics
 
 
+def test_daemons_together_spare_a_cold_endpoint(tmp_path):
+    """Guards against short calls that no daemon sees for long, at a cold endpoint."""
+    with running_gateways(tmp_path, gateways=6) as fleet:
+        services = configuration()["services"]
+        services[0]["coldPerS"] = COLD_RATE
+        for number in (1, 2):
+            fleet.register(f"desk-{number}", "desk", coldRemainingMs=60_000)
+        fleet.configure(configuration(version=2, services=services))
+        time.sleep(APPLIED_SECONDS)
+        started = fleet.on_loop(fleet.loop.time)
+        until = started + COLD_SECONDS
+        with ThreadPoolExecutor(len(fleet.gateways)) as callers:
+            calls = [
+                callers.submit(press, fleet, g, until, COLD_PAUSE_SECONDS)
+                for g in fleet.gateways
+            ]
+            statuses = {
+                timed.answer.status for call in calls for timed in call.result()
+            }
+        assert statuses == {200, 503}
+        for number in (1, 2):
+            arrived_at = fleet.endpoints[f"desk-{number}"].arrived_at
+            for first in arrived_at:
+                second = [at for at in arrived_at if first <= at < first + 1.0]
+                assert len(second) <= 1.5 * COLD_RATE + 5
+            assert len(arrived_at) >= 0.8 * COLD_RATE * COLD_SECONDS
+
+
 class Timed(NamedTuple):
     """An answer, when it was asked for and how long it took, in seconds."""
 
@@ -77,14 +111,14 @@
         yield Load(arrived, started + TOLD_SECONDS, ended, answers)
 
 
-def press(fleet, gateway, until):
+def press(fleet, gateway, until, pause=CALL_PAUSE_SECONDS):
     """Call a gateway again and again; return the answers."""
     answers = []
     while (asked_at := fleet.on_loop(fleet.loop.time)) < until:
         answer = fleet.call(gateway, "GET", "/reads/1")
         seconds = fleet.on_loop(fleet.loop.time) - asked_at
         answers.append(Timed(answer, asked_at, seconds))
-        time.sleep(CALL_PAUSE_SECONDS)
+        time.sleep(pause)
     return answers
 
 
--- a/tests/test_fleet_messages.py
+++ b/tests/test_fleet_messages.py
@@ -29,7 +29,7 @@
 )
 from cranberrywick.gateway.schema import SCHEMA, pack
 from cranberrywick.routing.endpoint_limits import LimitReport
-from cranberrywick.routing.fleet_limits import Permit
+from cranberrywick.routing.fleet_limits import Permit, PermitTerms
 from cranberrywick.routing.load import Job
 from cranberrywick.routing.members import Heartbeat
 from cranberrywick.routing.model import EndpointRecord, EndpointView
@@ -193,18 +193,19 @@
         message.applied_to(None, 0)
 
 
+TERMS = PermitTerms(2.0, 0.75, 0.5)
 VALID = [
     encode_message(heartbeat(), 10.0),
     encode_message(RelayNews("a", "b", (PassedOn(9.0, heartbeat()),)), 10.0),
     encode_message(EndpointReading.whole(view_of(3), view_of(3).digest, 0.0), 10.0),
-    encode_message(PermitRequest(3, 0.5, 0.75, LimitReport("i-1", 2.0, 9.0)), 10.0),
+    encode_message(PermitRequest(3, TERMS, LimitReport("i-1", 2.0, 9.0)), 10.0),
     encode_message(PermitResponse(3, Permit(True, 0.25, 1.5)), 10.0),
 ]
 
 
 def test_permits_are_asked_for_and_given_as_told():
     """Moments are moved to the steward's clock, all else is the same."""
-    asked = PermitRequest(3, 0.5, 0.75, LimitReport("i-1", 2.0, 9.0))
+    asked = PermitRequest(3, TERMS, LimitReport("i-1", 2.0, 9.0))
     heard = decode_message(encode_message(asked, 10.0), 110.0).message
     assert heard == asked._replace(limit=LimitReport("i-1", 2.0, 109.0))
     response = PermitResponse(3, Permit(True, 0.25, 1.5))
@@ -212,11 +213,21 @@
 
 
 @pytest.mark.parametrize(
-    ("limit", "share"), [(-1.0, 1.0), (nan, 1.0), (1.0, 0.0), (1.0, 1.5), (1.0, nan)]
+    ("limit", "rate", "share"),
+    [
+        (-1.0, 1.0, 1.0),
+        (nan, 1.0, 1.0),
+        (1.0, -1.0, 1.0),
+        (1.0, nan, 1.0),
+        (1.0, 1.0, 0.0),
+        (1.0, 1.0, 1.5),
+        (1.0, 1.0, nan),
+    ],
 )
-def test_a_permit_request_with_absurd_figures_is_refused(limit, share):
+def test_a_permit_request_with_absurd_figures_is_refused(limit, rate, share):
     """Guards against a rate limit that one malformed datagram sets for a fleet."""
-    asked = PermitRequest(3, 0.5, share, LimitReport("i-1", limit, 9.0))
+    terms = PermitTerms(rate, share, 0.5)
+    asked = PermitRequest(3, terms, LimitReport("i-1", limit, 9.0))
     with pytest.raises(PeerMessageInvalid):
         decode_message(encode_message(asked, 10.0), 10.0)
 
