Wait for a log line that a thread writes before reading it

Log lines leave through a thread of their own, so an answer can arrive before its line: with a pause of three seconds in that thread the test failed in the only way it can (expected 1 line, got 0).

--- a/tests/test_endpoint_limits_fleet.py
+++ b/tests/test_endpoint_limits_fleet.py
@@ -6,7 +6,7 @@
 
 import pytest
 import urllib3
-from gateway_fleet import Answer, configuration, running_gateways
+from gateway_fleet import Answer, configuration, running_gateways, wait_for
 
 # Requests a second that each endpoint takes from all daemons together.
 RATE = 1.0
@@ -36,6 +36,7 @@
         for endpoint in fleet.endpoints.values():
             endpoint.rate_limit = 2.5
         assert fleet.call(gateway, "GET", "/reads/1", request_id="first").status == 200
+        wait_for(lambda: "_limit_changed" in gateway.log, "the line of the limit")
         (line,) = [li for li in gateway.log.splitlines() if "_limit_changed" in li]
         assert " limit=2.5 previous=inf status=200 request_id=first" in line
         host, port = gateway.settings["ip"], gateway.settings["internalPorts"][1]
