Let endpoints name rate limits in the soak, and check what they got

An endpoint names a limit for eight seconds while gateways are killed, stopped, paused and cut off. Every request that came from three seconds after its first answer that named it is counted, whoever sent it.

--- a/cranberrywick/standin/platform/endpoint.py
+++ b/cranberrywick/standin/platform/endpoint.py
@@ -47,8 +47,9 @@
 
     ``work_seconds`` is how long a call, or the reading of a prompt, takes;
     ``event_seconds`` the pause between a stream's events. While ``rate_limit`` is set,
-    each answer names it, in requests a second; ``arrived_at`` has the moment of each
-    request. A registry of addresses lets an engine find its helpers' tickets.
+    each answer names it, in requests a second, first at ``limit_named_at``;
+    ``arrived_at`` has the moment of each request. A registry of addresses lets an
+    engine find its helpers' tickets.
     """
 
     by_address: dict[str, "EndpointStandIn"] = {}
@@ -68,6 +69,7 @@
         self.events = events
         self.memory_tokens = memory_tokens
         self.rate_limit: float | None = None
+        self.limit_named_at: float | None = None
         self.arrived_at: list[float] = []
         self.runs: Counter[str] = Counter()
         self.heads: list[tuple[bytes, bytes, dict[str, str], bytes]] = []
@@ -153,6 +155,8 @@
     def _limit_headers(self) -> list[tuple[str, str]]:
         if self.rate_limit is None:
             return []
+        if self.limit_named_at is None:
+            self.limit_named_at = asyncio.get_running_loop().time()
         return [("Server-Limit", f"{self.rate_limit:g}")]
 
     def _at_fault(self, headers: dict[str, str]) -> str | None:
--- a/tests/gateway_soak.py
+++ b/tests/gateway_soak.py
@@ -6,12 +6,13 @@
 a proxy before each endpoint, and lets callers press while faults come one after the
 other and overlap: processes are killed, stopped, paused and restarted, connections
 delayed, silenced, cut one way or reset, the store turns gateways away, endpoints
-misbehave, operators change what is in force. What callers were told is held against
-what endpoints ran:
+misbehave or name rate limits, operators change what is in force. What callers were
+told is held against what endpoints ran:
 
 - a call that may not run twice ran at most once;
 - a refusal that promises "not run" is true, also later;
-- a success is the whole answer to this very request.
+- a success is the whole answer to this very request;
+- an endpoint that names a rate limit gets no more than it allows from all together.
 """
 
 import asyncio
@@ -44,6 +45,12 @@
 LONGEST_FAULT_SECONDS = 3.0
 # After the last fault a fleet serves again within this.
 RECOVERY_SECONDS = 20.0
+# Rates that endpoints name, in requests a second, and for how long. Requests are summed
+# over a window; from so long after the first answer that named it the limit binds.
+LIMITS = (0.5, 1.0, 3.0)
+LIMIT_SECONDS = 8.0
+LIMIT_WINDOW_SECONDS = 4.0
+LIMIT_BINDS_SECONDS = 3.0
 BEHAVIOURS = ("failing", "full", "reset", "hang", "twice", "other", "short", "cut")
 
 
@@ -119,6 +126,15 @@
     answer: Answer | None
 
 
+class Limit(NamedTuple):
+    """A rate that an endpoint named, in requests a second, from and until a moment."""
+
+    endpoint_id: str
+    rate: float
+    named_at: float
+    ended_at: float
+
+
 class Soak:
     """One seed's run."""
 
@@ -131,6 +147,7 @@
         self._undo: list[tuple[float, Callable[[], None]]] = []
         self._version = 100
         self.faults: list[str] = []
+        self.limits: list[Limit] = []
         # Processes that the soak has killed or told to stop, and gateways whose
         # process ended without that.
         self._ended_by_soak: set[int] = set()
@@ -174,6 +191,7 @@
     def check(self) -> list[str]:
         """Return what was promised and not kept."""
         broken = [f"{name} ended by itself" for name in self._ended_by_themselves]
+        broken += filter(None, map(self._excess, self.limits))
         for call in self.calls:
             runs = self.fleet.runs(call.request_id)
             if call.kind == "books" and runs > 1:
@@ -187,6 +205,22 @@
                 broken.append(f"{call.request_id}: {answer.body[:60]!r}")
         return broken
 
+    def _excess(self, limit: Limit) -> str:
+        """Return what an endpoint got beyond its limit; empty if it did not."""
+        times = [
+            at
+            for at in self.fleet.endpoints[limit.endpoint_id].arrived_at
+            if limit.named_at + LIMIT_BINDS_SECONDS <= at < limit.ended_at
+        ]
+        most = max(
+            sum(first <= at < first + LIMIT_WINDOW_SECONDS for at in times)
+            for first in times or [0.0]
+        )
+        allowed = 1.5 * limit.rate * LIMIT_WINDOW_SECONDS + 5
+        if most <= allowed:
+            return ""
+        return f"{limit.endpoint_id}: {most} requests at {limit.rate} a second"
+
     def _is_own(self, call: Call, answer: Answer) -> bool:
         if call.kind == "prompts":
             whole = answer.body == STREAM
@@ -230,6 +264,7 @@
             self._harm_link,
             self._harm_store,
             self._harm_endpoint,
+            self._limit_endpoint,
             self._drain,
             self._reconfigure,
             self._take_out,
@@ -293,6 +328,22 @@
 
         self._later(mend)
 
+    def _limit_endpoint(self) -> None:
+        endpoint = self.rng.choice(list(self.fleet.endpoints.values()))
+        rate = self.rng.choice(LIMITS)
+        if endpoint.rate_limit is not None:
+            return
+        endpoint.rate_limit, endpoint.limit_named_at = rate, None
+
+        def end() -> None:
+            endpoint.rate_limit = None
+            if endpoint.limit_named_at is not None:
+                now = self.fleet.on_loop(self.fleet.loop.time)
+                limit = Limit(endpoint.endpoint_id, rate, endpoint.limit_named_at, now)
+                self.limits.append(limit)
+
+        self._undo.append((time.monotonic() + LIMIT_SECONDS, end))
+
     def _drain(self) -> None:
         endpoint_id = self.rng.choice(list(self.fleet.endpoints))
         self.register(endpoint_id, state="draining")
