Hold callers while a daemon that has just started reads the configuration

What callers saw: after all daemons had lost power, those that connected in the first 0.4 s were refused, though the configuration was on its way. Cause, from a trial with lines for each call of the store: all daemons read it at once; it takes 0.05 s on a link of 200 Mbit/s and 0.39 to 0.42 s on one of 20 Mbit/s, while the endpoints are known after 0.02 to 0.1 s. It doesn't wait behind other calls, as had been guessed: those are made afterwards.

Requests that come within a second of the start are now held until the daemon could serve, or are refused then as before. Both tests use a store that answers late or not at all; the first failed before (503).

--- a/cranberrywick/gateway/forwarder.py
+++ b/cranberrywick/gateway/forwarder.py
@@ -85,6 +85,8 @@
         exchange = Exchange(request, caller, decode_request(request.headers))
         outcome = "internal_error"
         try:
+            allowed = exchange.meta.deadline_seconds or float("inf")
+            await self._state.wait_for_start(request.arrived + allowed)
             self._route(exchange)
             async with asyncio.timeout_at(exchange.deadline):
                 await self._serve(exchange)
--- a/cranberrywick/gateway/state.py
+++ b/cranberrywick/gateway/state.py
@@ -51,6 +51,9 @@
 # How often it is looked whether knowledge has got old, at the most; a call that is
 # under way is due until it is answered.
 LEAST_LOOK_SECONDS = 0.05
+# A daemon that starts reads the store at once. The largest configuration takes most of
+# this on a narrow link; requests that come meanwhile are held.
+STARTING_SECONDS = 1.0
 # At the least: the rank of a daemon falls when others die, and it reads earlier then.
 LONGEST_LOOK_SECONDS = 0.3
 # All endpoints are fetched from a peer at most so often, the less the more there are:
@@ -88,6 +91,8 @@
         self._endpoints = EndpointKnowledge(log)
         self.news = FleetNews(settings, self, log)
         self.leaving = False
+        self._was_ready = asyncio.Event()
+        self._starts_until = float("inf")
         self.changed: Callable[[], None] = lambda: None
         self._lease: int | None = None
         self._fetches = PeerFetches(lambda: self.news.link, log)
@@ -102,6 +107,7 @@
 
     async def start(self) -> None:
         """Begin to listen, read and tell."""
+        self._starts_until = self._loop.time() + STARTING_SECONDS
         await self.news.start(self._ticker)
         self._look()
         self._register()
@@ -112,6 +118,20 @@
         every(RENEW_SECONDS, self._register, jitter=0.1)
         every(TURN_SECONDS, self._read_members_by_turns, jitter=0.2)
 
+    async def wait_for_start(self, deadline: float) -> None:
+        """Wait until requests could be served for the first time.
+
+        No longer than a start may take and a deadline allows: what is not known by
+        then may not be known for long.
+        """
+        if self._was_ready.is_set():
+            return
+        try:
+            async with asyncio.timeout_at(min(deadline, self._starts_until)):
+                await self._was_ready.wait()
+        except TimeoutError:
+            return  # The request is refused for what is not known yet.
+
     def leave(self) -> None:
         """Tell the others that this daemon takes no new callers."""
         self.leaving = True
@@ -335,6 +355,8 @@
 
     def _note_change(self, was_ready: bool) -> None:
         """Let requests go on, and tell at once whether callers may be sent here."""
+        if self.ready:
+            self._was_ready.set()
         if self.ready != was_ready:
             self._log.info("ready_changed", ready=self.ready)
             self.news.send_heartbeat()
--- a/cranberrywick/standin/platform/store.py
+++ b/cranberrywick/standin/platform/store.py
@@ -5,6 +5,7 @@
 
 ======== =======================================================
 open     calls are served
+slow     calls are served after `SLOW_SECONDS`
 busy     503, nothing done
 many     429, nothing done
 silent   the call is read and never answered
@@ -24,7 +25,9 @@
 
 __all__ = ["DOOR_MODES", "StoreStandIn"]
 
-DOOR_MODES = ("open", "busy", "many", "silent", "reset", "lost")
+DOOR_MODES = ("open", "slow", "busy", "many", "silent", "reset", "lost")
+# A configuration of a megabyte takes so long on a narrow link.
+SLOW_SECONDS = 0.4
 # How often leases are looked at, in seconds.
 LEASE_LOOK_SECONDS = 0.05
 # Keys that only operators and endpoints may write.
@@ -99,6 +102,8 @@
     ) -> None:
         self.calls_by_door[door] += 1
         mode = self.modes_by_door[door]
+        if mode == "slow":
+            await asyncio.sleep(SLOW_SECONDS)
         if mode == "busy":
             await _answer(caller, 503, {})
         elif mode == "many":
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -624,6 +624,27 @@
             assert fleet.call(restarted, "GET", "/reads/1").status == 200
             wait_for(lambda: fleet.addresses(other) == both, "it to be named again")
 
+    def test_a_gateway_that_has_just_started_serves_its_first_callers(self, tmp_path):
+        """Guards against refusals while the configuration is on its way.
+
+        After the whole fleet has lost power, callers connect to daemons that began to
+        listen a moment ago and have not read a large configuration yet.
+        """
+        with running_gateways(tmp_path, gateways=0) as fleet:
+            started = fleet.start_gateway("started", wait=False, store_mode="slow")
+            wait_for(lambda: "gateway_started" in started.log, "it to listen")
+            assert fleet.call(started, "GET", "/reads/1").status == 200
+
+    def test_one_that_reads_nothing_refuses_at_once_after_its_start(self, tmp_path):
+        """Guards against callers who wait for a daemon that knows nothing."""
+        with running_gateways(tmp_path, gateways=0) as fleet:
+            started = fleet.start_gateway("started", wait=False, store_mode="silent")
+            wait_for(lambda: "gateway_started" in started.log, "it to listen")
+            time.sleep(1.5)
+            before = time.monotonic()
+            assert fleet.call(started, "GET", "/reads/1").status == 503
+            assert time.monotonic() - before < 0.5
+
     def test_the_directory_does_not_name_a_gateway_that_is_not_ready(self, tmp_path):
         """Callers are not sent to a gateway that would refuse all of them.
 
