--- /dev/null
+++ b/cranberrywick/gateway/registration.py
@@ -0,0 +1,95 @@
+"""This daemon among the registered ones: its own entry, and who else has one."""
+
+import asyncio
+import random
+from functools import partial
+
+from cranberrywick.external.key_value import LeaseLapsed
+from cranberrywick.gateway.fleet_news import FleetNews
+from cranberrywick.gateway.store_calls import StoreCalls
+from cranberrywick.gateway.store_reader import Store
+from cranberrywick.gateway.ticker import Ticker
+from cranberrywick.routing.member_list import START_SECONDS, TURN_SECONDS, is_turn
+
+__all__ = ["Registration"]
+
+# A daemon that died is off the members' list after this. Who reads the list meanwhile
+# writes to its address for nothing; who lives is told by heartbeats.
+LEASE_SECONDS = 60.0
+# Two renewals may fail before the lease ends.
+RENEW_SECONDS = 18.0
+
+
+class Registration:
+    """Keeps this daemon's entry in the store, and tells the news who is registered."""
+
+    def __init__(
+        self,
+        daemon_id: str,
+        store: Store,
+        calls: StoreCalls,
+        news: FleetNews,
+        rng: random.Random,
+    ):
+        self._daemon_id = daemon_id
+        self._store = store
+        self._calls = calls
+        self._news = news
+        self._rng = rng
+        self._loop = asyncio.get_running_loop()
+        self._lease: int | None = None
+        self._has_ended = False
+
+    def start(self, ticker: Ticker) -> None:
+        """Register, and read who else has."""
+        self._register()
+        for seconds in START_SECONDS:
+            self._loop.call_later(seconds, self._read_members_unless_heard)
+        ticker.every(RENEW_SECONDS, self._register, jitter=0.1)
+        ticker.every(TURN_SECONDS, self._read_members_by_turns, jitter=0.2)
+
+    def end(self) -> None:
+        """Give the entry up."""
+        self._has_ended = True
+        if self._lease is not None:
+            self._calls.make("operator", partial(self._store.end, self._lease), _ignore)
+
+    def _register(self) -> None:
+        if not self._has_ended:
+            self._calls.make("operator", self._renew, self._registered)
+
+    def _renew(self) -> int:
+        """Renew the lease or take a new one; on the reader's thread."""
+        if self._lease is not None:
+            try:
+                self._store.keep(self._lease)
+                return self._lease
+            except LeaseLapsed:
+                pass  # As after an outage of the store: the key is gone with it.
+        return self._store.register(
+            self._daemon_id, self._news.peer_address, LEASE_SECONDS
+        )
+
+    def _registered(self, lease: int, asked_at: float) -> None:
+        if lease != self._lease:
+            self._lease = lease
+            self._log.info("registered", address=self._news.peer_address, lease=lease)
+
+    def _read_members_unless_heard(self) -> None:
+        if not self._news.has_heard_all:
+            self._read_members()
+
+    def _read_members_by_turns(self) -> None:
+        if is_turn(self._news.members.count(self._loop.time()), self._rng):
+            self._read_members()
+
+    def _read_members(self) -> None:
+        self._calls.make("operator", self._store.read_members, self._take_members)
+
+    def _take_members(self, addresses_by_id: dict[str, str], asked_at: float) -> None:
+        addresses_by_id.pop(self._daemon_id, None)
+        self._news.know(addresses_by_id)
+
+
+def _ignore(answer: object, asked_at: float) -> None:
+    """Take an answer that says no more than that the call succeeded."""
--- a/cranberrywick/gateway/state.py
+++ b/cranberrywick/gateway/state.py
@@ -7,10 +7,8 @@
 import asyncio
 import random
 from collections.abc import Callable
-from functools import partial
 from math import inf
 
-from cranberrywick.external.key_value import LeaseLapsed
 from cranberrywick.gateway.endpoint_knowledge import EndpointKnowledge, PeerReading
 from cranberrywick.gateway.endpoint_reading import EndpointReading
 from cranberrywick.gateway.fleet_news import FleetNews, Standing
@@ -23,13 +21,13 @@
 )
 from cranberrywick.gateway.operator_knowledge import OperatorKnowledge
 from cranberrywick.gateway.peer_fetches import PeerFetches
+from cranberrywick.gateway.registration import Registration
 from cranberrywick.gateway.store_calls import StoreCalls
 from cranberrywick.gateway.store_reader import Store
 from cranberrywick.gateway.ticker import Ticker
 from cranberrywick.logs import EventLog
 from cranberrywick.routing.endpoint_index import EndpointPool
 from cranberrywick.routing.load import FleetLoad
-from cranberrywick.routing.member_list import START_SECONDS, TURN_SECONDS, is_turn
 from cranberrywick.routing.members import Heartbeat, Members
 from cranberrywick.routing.model import (
     EndpointView,
@@ -60,11 +58,6 @@
 # while thousands register, a peer is behind as well when its answer comes.
 FETCH_AGAIN_SECONDS = 0.5
 FETCH_AGAIN_SECONDS_PER_ENDPOINT = 0.0005
-# A daemon that died is off the members' list after this. Who reads the list meanwhile
-# writes to its address for nothing; who lives is told by heartbeats.
-LEASE_SECONDS = 60.0
-# Two renewals may fail before the lease ends.
-RENEW_SECONDS = 18.0
 
 
 class FleetState:
@@ -94,7 +87,6 @@
         self._was_ready = asyncio.Event()
         self._starts_until = float("inf")
         self.changed: Callable[[], None] = lambda: None
-        self._lease: int | None = None
         self._fetches = PeerFetches(lambda: self.news.link, log)
         self._fetch_not_before = float("-inf")
         self._rng = random.Random()
@@ -104,19 +96,17 @@
             log,
             self._rng,
         )
+        self._registration = Registration(
+            settings.daemon_id, store, self._calls, self.news, self._rng
+        )
 
     async def start(self) -> None:
         """Begin to listen, read and tell."""
         self._starts_until = self._loop.time() + STARTING_SECONDS
         await self.news.start(self._ticker)
         self._look()
-        self._register()
-        for seconds in START_SECONDS:
-            self._loop.call_later(seconds, self._read_members_unless_heard)
+        self._registration.start(self._ticker)
         self._ticker.when_due(self._look, self._look_pause)
-        every = self._ticker.every
-        every(RENEW_SECONDS, self._register, jitter=0.1)
-        every(TURN_SECONDS, self._read_members_by_turns, jitter=0.2)
 
     async def wait_for_start(self, deadline: float) -> None:
         """Wait until requests could be served for the first time.
@@ -136,8 +126,7 @@
         """Tell the others that this daemon takes no new callers."""
         self.leaving = True
         self.news.send_heartbeat()
-        if self._lease is not None:
-            self._calls.make("operator", partial(self._store.end, self._lease), _ignore)
+        self._registration.end()
 
     @property
     def members(self) -> Members:
@@ -361,43 +350,3 @@
             self._log.info("ready_changed", ready=self.ready)
             self.news.send_heartbeat()
         self.changed()
-
-    def _register(self) -> None:
-        if not self.leaving:
-            self._calls.make("operator", self._renew, self._registered)
-
-    def _renew(self) -> int:
-        """Renew the lease or take a new one; on the reader's thread."""
-        if self._lease is not None:
-            try:
-                self._store.keep(self._lease)
-                return self._lease
-            except LeaseLapsed:
-                pass  # As after an outage of the store: the key is gone with it.
-        return self._store.register(
-            self._settings.daemon_id, self.news.peer_address, LEASE_SECONDS
-        )
-
-    def _registered(self, lease: int, asked_at: float) -> None:
-        if lease != self._lease:
-            self._lease = lease
-            self._log.info("registered", address=self.news.peer_address, lease=lease)
-
-    def _read_members_unless_heard(self) -> None:
-        if not self.news.has_heard_all:
-            self._read_members()
-
-    def _read_members_by_turns(self) -> None:
-        if is_turn(self.members.count(self._loop.time()), self._rng):
-            self._read_members()
-
-    def _read_members(self) -> None:
-        self._calls.make("operator", self._store.read_members, self._take_members)
-
-    def _take_members(self, addresses_by_id: dict[str, str], asked_at: float) -> None:
-        addresses_by_id.pop(self._settings.daemon_id, None)
-        self.news.know(addresses_by_id)
-
-
-def _ignore(answer: object, asked_at: float) -> None:
-    """Take an answer that says no more than that the call succeeded."""
