Test that permits whose moments passed in a freeze are void

The model's frozen daemons dropped what they had waiting, so the test that was to guard against requests that all wake at once did not. Time now passes while nothing runs: six requests wait, the daemon stands still for six seconds, two may go in the second after.

--- a/cranberrywick/bench/virtual_time.py
+++ b/cranberrywick/bench/virtual_time.py
@@ -4,7 +4,7 @@
 import selectors
 from collections.abc import Coroutine
 
-__all__ = ["run_in_virtual_time", "virtual_loop"]
+__all__ = ["run_in_virtual_time", "stand_still", "virtual_loop"]
 
 
 class _Selector(selectors.SelectSelector):
@@ -27,12 +27,20 @@
     def time(self):
         return self._clock.now
 
+    def skip(self, seconds):
+        self._clock.now += seconds
+
 
 def virtual_loop() -> asyncio.AbstractEventLoop:
     """Return a loop whose time is virtual, to be run step by step."""
     return _Loop()
 
 
+def stand_still(seconds: float) -> None:
+    """Let time pass while nothing on the running loop does, as in a freeze."""
+    asyncio.get_running_loop().skip(seconds)
+
+
 def run_in_virtual_time(main: Coroutine):
     """Run a coroutine to its end; a minute of its time takes no minute."""
     loop = virtual_loop()
--- a/tests/test_fleet_limits.py
+++ b/tests/test_fleet_limits.py
@@ -9,7 +9,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, rule
 from limited_fleet import DOMAINS, LimitedFleet, play
 
-from cranberrywick.bench.virtual_time import virtual_loop
+from cranberrywick.bench.virtual_time import stand_still, virtual_loop
 
 # Three times what the endpoints take.
 OVERLOAD = 3.0
@@ -75,7 +75,7 @@
 
 
 def test_a_steward_that_stood_still_does_not_make_up_for_it():
-    """Guards against two stewards at once, and requests that all wake in one moment."""
+    """Guards against two stewards at once after one has woken."""
 
     async def scene(fleet):
         await limit(fleet, 5.0)
@@ -94,6 +94,30 @@
     play(9, scene)
 
 
+def test_requests_that_waited_through_a_freeze_do_not_go_at_once():
+    """Guards against permits whose moments all passed while the daemon stood still."""
+
+    async def scene(fleet):
+        loop = asyncio.get_running_loop()
+        (daemon,) = fleet.daemons
+        daemon.news.limits.observe("e0", 1.0, loop.time())
+        granted_at = []
+
+        async def call():
+            if (await daemon.news.permits.admit("e0", 10.0)).granted:
+                granted_at.append(loop.time())
+
+        calls = [asyncio.create_task(call()) for _ in range(6)]
+        await asyncio.sleep(0.5)
+        stand_still(6.0)
+        woken_at = loop.time()
+        await asyncio.gather(*calls)
+        assert len(granted_at) == 6
+        assert sum(woken_at <= at < woken_at + 1.0 for at in granted_at) <= 2
+
+    play(1, scene)
+
+
 @pytest.mark.parametrize("parts", [2, 3])
 @pytest.mark.parametrize("rate", [1.0, 20.0])
 def test_parts_of_a_fleet_that_lose_each_other_keep_the_sum(parts, rate):
