Name where the token bucket stands, and put short lists on one line

The doc comment of the budget still sent readers to the module that the bucket has left. No code changes.

--- a/cranberrywick/external/budget.py
+++ b/cranberrywick/external/budget.py
@@ -6,12 +6,12 @@
 what the others need; the platform would answer late, every daemon would time out
 and try again, and the outage would last.
 
-Three bounds answer it, decided in `cranberrywick.external.call_limits`. Each
-daemon takes its part of half of the rates, so that the other half is left for the
-operators' own use of the service. After a few failures in a row no call is made
-but a probe now and then, at a random moment, so callers get their refusal at once
-instead of a timeout. After an outage the rate grows from a tenth to the whole over
-ten seconds.
+Three bounds answer it, decided in `cranberrywick.external.call_limits` and
+`cranberrywick.token_bucket`. Each daemon takes its part of half of the rates, so that
+the other half is left for the operators' own use of the service. After a few failures
+in a row no call is made but a probe now and then, at a random moment, so callers get
+their refusal at once instead of a timeout. After an outage the rate grows from a tenth
+to the whole over ten seconds.
 """
 
 import random
--- a/cranberrywick/routing/candidates.py
+++ b/cranberrywick/routing/candidates.py
@@ -16,13 +16,7 @@
 from cranberrywick.routing.load import FleetLoad, Job
 from cranberrywick.routing.model import Service
 
-__all__ = [
-    "SAMPLE_SIZE",
-    "Candidate",
-    "Candidates",
-    "LimitWait",
-    "sound",
-]
+__all__ = ["SAMPLE_SIZE", "Candidate", "Candidates", "LimitWait", "sound"]
 
 # How many endpoints one decision looks at. A random sample costs the same however many
 # there are, and daemons that look at different ones seldom meet.
--- a/cranberrywick/routing/placement.py
+++ b/cranberrywick/routing/placement.py
@@ -16,12 +16,7 @@
 from math import ceil
 from typing import NamedTuple
 
-from cranberrywick.routing.candidates import (
-    Candidate,
-    Candidates,
-    LimitWait,
-    sound,
-)
+from cranberrywick.routing.candidates import Candidate, Candidates, LimitWait, sound
 from cranberrywick.routing.demand import PART_CHOICES, Demand, may_answer
 from cranberrywick.routing.endpoint_index import EndpointPool
 from cranberrywick.routing.engine_model import forecast, read_seconds
