Log and count what answers say about their endpoints, before it has any effect

Decode `Server-Leaving` and the `Retry-After` of a 503, and write a line and count for each. Placement is unchanged.

The stand-in of an endpoint can announce draining, request a backoff, and add headers.

--- a/cranberrywick/gateway/lazy_metrics.py
+++ b/cranberrywick/gateway/lazy_metrics.py
@@ -61,6 +61,18 @@
         """Count an answer in which an endpoint named a rate limit."""
         self._record(methodcaller("limit_named", class_name))
 
+    def draining_announced(self, class_name: str) -> None:
+        """Count an answer in which an endpoint announced that it is draining."""
+        self._record(methodcaller("draining_announced", class_name))
+
+    def backoff_requested(self, class_name: str) -> None:
+        """Count a refusal in which an endpoint requested a backoff."""
+        self._record(methodcaller("backoff_requested", class_name))
+
+    def header_unread(self, name: str) -> None:
+        """Count an answer header that has no effect; called once for each name."""
+        self._record(methodcaller("header_unread", name))
+
     def permit_asked(self, class_name: str, granted: bool, seconds: float) -> None:
         """Record a request that needed a permit, and its wait for that, in seconds."""
         self._record(methodcaller("permit_asked", class_name, granted, seconds))
--- a/cranberrywick/gateway/observations.py
+++ b/cranberrywick/gateway/observations.py
@@ -1,4 +1,4 @@
-"""Slowdowns and rate limits of endpoints, as observed in their answers."""
+"""What the answers of endpoints show about them: their pace, limits and notices."""
 
 import asyncio
 from collections.abc import Callable
@@ -13,6 +13,9 @@
 
 __all__ = ["EndpointObservations"]
 
+# Number of names of unread headers that are logged; an endpoint may invent any number.
+MAX_LOGGED_NAMES = 64
+
 
 class EndpointObservations:
     """Records what attempts show about endpoints, and sends updates of it to peers."""
@@ -22,15 +25,53 @@
         self._metrics = metrics
         self._log = log
         self._loop = asyncio.get_running_loop()
+        self._unread_names: set[str] = set()
 
     def record_head(self, exchange: Exchange, status: int, meta: ResponseMeta) -> None:
-        """Record the rate limit that an answer names, or that it names none any more.
+        """Record what the head of an answer states about its endpoint."""
+        self._record_unread(exchange, meta)
+        if meta.draining:
+            self._record_draining(exchange, status)
+        if meta.backoff_seconds is not None:
+            self._record_backoff(exchange, meta.backoff_seconds)
+        if meta.rate_limit is not None:
+            self._record_limit(exchange, status, meta)
 
-        The decoded limit is in requests per second, infinite where there is none, and
-        None if the answer says nothing about limits.
-        """
-        if meta.rate_limit is None:
-            return
+    def _record_unread(self, exchange: Exchange, meta: ResponseMeta) -> None:
+        """Log and count headers that have no effect, each name once."""
+        for name in sorted(meta.unread_names - self._unread_names):
+            if len(self._unread_names) >= MAX_LOGGED_NAMES:
+                return
+            self._unread_names.add(name)
+            self._metrics.header_unread(name)
+            self._log.warning(
+                "answer_header_unread",
+                header=name,
+                endpoint=exchange.endpoint_id,
+                request_id=exchange.meta.request_id,
+            )
+
+    def _record_draining(self, exchange: Exchange, status: int) -> None:
+        self._metrics.draining_announced(exchange.route.name)
+        self._log.warning(
+            "endpoint_draining_announced",
+            endpoint=exchange.endpoint_id,
+            status=status,
+            request_id=exchange.meta.request_id,
+        )
+
+    def _record_backoff(self, exchange: Exchange, seconds: float) -> None:
+        self._metrics.backoff_requested(exchange.route.name)
+        self._log.warning(
+            "endpoint_backoff_requested",
+            endpoint=exchange.endpoint_id,
+            seconds=seconds,
+            request_id=exchange.meta.request_id,
+        )
+
+    def _record_limit(
+        self, exchange: Exchange, status: int, meta: ResponseMeta
+    ) -> None:
         if isfinite(meta.rate_limit):
             self._metrics.limit_named(exchange.route.name)
         peer_updates = self._state.peer_updates
--- a/cranberrywick/metrics.py
+++ b/cranberrywick/metrics.py
@@ -134,6 +134,15 @@
         self._limited_answers = counter(
             "limited_answers", description="Answers that named a rate limit."
         )
+        self._draining_answers = counter(
+            "draining_answers", description="Answers of endpoints that are draining."
+        )
+        self._backoff_answers = counter(
+            "backoff_answers", description="Refusals that requested a backoff."
+        )
+        self._unread_headers = counter(
+            "unread_headers", description="Names of answer headers without effect."
+        )
 
     def _create_histograms(self) -> None:
         self._completion = self._histogram(
@@ -212,6 +221,18 @@
         """Count an answer in which an endpoint named a rate limit."""
         self._limited_answers.add(1, {"class": class_name})
 
+    def draining_announced(self, class_name: str) -> None:
+        """Count an answer in which an endpoint announced that it is draining."""
+        self._draining_answers.add(1, {"class": class_name})
+
+    def backoff_requested(self, class_name: str) -> None:
+        """Count a refusal in which an endpoint requested a backoff."""
+        self._backoff_answers.add(1, {"class": class_name})
+
+    def header_unread(self, name: str) -> None:
+        """Count an answer header that has no effect; called once for each name."""
+        self._unread_headers.add(1, {"header": name})
+
     def permit_asked(self, class_name: str, granted: bool, seconds: float) -> None:
         """Record a request that needed a permit, and the time it waited for it."""
         outcome = "granted" if granted else "refused"
--- a/cranberrywick/platform/headers.py
+++ b/cranberrywick/platform/headers.py
@@ -1,5 +1,6 @@
 """The platform's headers: their names, and decoding and encoding of their values."""
 
+import re
 from collections.abc import Iterable, Mapping
 from math import ceil, inf, isfinite
 from typing import NamedTuple
@@ -33,6 +34,8 @@
 SEAL = b"cranberrywick-response-seal"
 LOAD = b"cranberrywick-server-load"
 RATE_LIMIT = b"server-limit"
+DRAINING = b"server-leaving"
+RETRY_AFTER = b"retry-after"
 WEIGHTS_VERSION = b"cranberrywick-weights-version"
 AT_FAULT = b"at-server"
 
@@ -66,6 +69,37 @@
 )
 
 
+# Headers of answers that the gateway decodes or that carry no state of the endpoint.
+_READ_IN_ANSWERS = HOP_BY_HOP | frozenset(
+    (
+        REQUEST_ID,
+        NOT_EXECUTED,
+        SEAL,
+        LOAD,
+        RATE_LIMIT,
+        DRAINING,
+        RETRY_AFTER,
+        WEIGHTS_VERSION,
+        AT_FAULT,
+        b"age",
+        b"cache-control",
+        b"content-encoding",
+        b"content-language",
+        b"content-length",
+        b"content-type",
+        b"cranberrywick-instance-id",
+        b"date",
+        b"etag",
+        b"expires",
+        b"last-modified",
+        b"location",
+        b"server",
+        b"vary",
+    )
+)
+_DECIMAL = re.compile(rb"[0-9]+(\.[0-9]+)?")
+
+
 class RequestMeta(NamedTuple):
     """The decoded headers of a caller's request.
 
@@ -87,7 +121,10 @@
     ``waiting`` count its requests at the time of the answer, -1 if not stated.
     ``rate_limit`` is how many requests a second it accepts at present from all daemons
     together: infinity without a limit, None if the answer does not state it.
-    ``at_fault`` is the address of the endpoint that caused a refusal.
+    ``at_fault`` is the address of the endpoint that caused a refusal. ``draining`` says
+    that the endpoint is about to stop, and ``backoff_seconds`` for how long it wants no
+    requests from this daemon, None if it does not ask for that. ``unread_names`` are
+    the headers that are unknown or have a malformed value.
     """
 
     request_id: str | None
@@ -98,6 +135,9 @@
     weights_version: str | None
     at_fault: str | None
     rate_limit: float | None
+    draining: bool
+    backoff_seconds: float | None
+    unread_names: frozenset[str]
 
 
 class SetHeaders(NamedTuple):
@@ -137,6 +177,15 @@
     # header.
     not_executed = NOT_EXECUTED in headers or status == 421
     running, waiting = _decode_load(headers.get(LOAD))
+    rate_limit = _decode_rate_limit(status, headers)
+    backoff_seconds = _decode_backoff(status, headers)
+    unread_names = headers.keys() - _READ_IN_ANSWERS
+    if RATE_LIMIT in headers and rate_limit is None and status != 421:
+        unread_names.add(RATE_LIMIT)
+    if RETRY_AFTER in headers and backoff_seconds is None and status == 503:
+        unread_names.add(RETRY_AFTER)
+    if headers.get(DRAINING, b"1") != b"1":
+        unread_names.add(DRAINING)
     return ResponseMeta(
         request_id=_decode_text(headers.get(REQUEST_ID)),
         not_executed=not_executed,
@@ -145,7 +194,11 @@
         waiting=waiting,
         weights_version=_decode_text(headers.get(WEIGHTS_VERSION)),
         at_fault=_decode_text(headers.get(AT_FAULT)),
-        rate_limit=_decode_rate_limit(status, headers),
+        rate_limit=rate_limit,
+        # With status 421, it is another endpoint that has taken over the address.
+        draining=headers.get(DRAINING) == b"1" and status != 421,
+        backoff_seconds=backoff_seconds,
+        unread_names=frozenset(map(_decode_text, unread_names)),
     )
 
 
@@ -247,3 +300,11 @@
     except ValueError:
         return None
     return rate if isfinite(rate) and rate >= 0 else None
+
+
+def _decode_backoff(status: int, headers: Mapping[bytes, bytes]) -> float | None:
+    value = headers.get(RETRY_AFTER)
+    if status != 503 or value is None or not _DECIMAL.fullmatch(value.strip()):
+        return None
+    seconds = float(value)
+    return seconds if isfinite(seconds) else None
--- a/cranberrywick/standin/platform/endpoint.py
+++ b/cranberrywick/standin/platform/endpoint.py
@@ -23,6 +23,7 @@
 import asyncio
 import json
 from collections import Counter
+from math import inf
 from typing import NamedTuple
 
 import h11
@@ -43,6 +44,24 @@
     expires_at: float
 
 
+class Arrival(NamedTuple):
+    """A request that an endpoint received, at a time of the loop's clock."""
+
+    request_id: str
+    at: float
+
+
+class Backoff(NamedTuple):
+    """A refusal that named a time in which the endpoint wants no requests.
+
+    ``value`` is the header's, ``at`` the time of the refusal on the loop's clock.
+    """
+
+    request_id: str
+    at: float
+    value: str
+
+
 class EndpointStandIn:
     """One endpoint; created and used on one event loop.
 
@@ -50,10 +69,13 @@
     ``event_seconds`` the pause between a stream's events. While ``rate_limit`` is set,
     each answer states it, in requests a second; ``limit_named_at`` is the time of the
     first such answer and ``arrived_at`` has the time of each request, both on the
-    loop's clock. ``runs`` counts runs by request id, ``heads`` has the method, target,
-    headers and body of each run, ``at_work`` the request ids in progress and
-    ``tickets`` the reservations of memory by id. ``by_address`` has all endpoints of
-    the process, so that an engine can check its helpers' tickets.
+    loop's clock. ``arrivals`` has the ids, too. While ``draining`` is set, each answer
+    says so. While ``retry_after`` is set, the next ``refusals`` requests are refused
+    with that value of the header; ``backoffs`` has these refusals. ``extra_headers``
+    are added to each answer. ``runs`` counts runs by request id, ``heads`` has the
+    method, target, headers and body of each run, ``at_work`` the request ids in
+    progress and ``tickets`` the reservations of memory by id. ``by_address`` has all
+    endpoints of the process, so that an engine can check its helpers' tickets.
     """
 
     by_address: dict[str, "EndpointStandIn"] = {}
@@ -74,7 +96,12 @@
         self.memory_tokens = memory_tokens
         self.rate_limit: float | None = None
         self.limit_named_at: float | None = None
-        self.arrived_at: list[float] = []
+        self.arrivals: list[Arrival] = []
+        self.draining = False
+        self.retry_after: str | None = None
+        self.refusals = inf
+        self.backoffs: list[Backoff] = []
+        self.extra_headers: list[tuple[str, str]] = []
         self.runs: Counter[str] = Counter()
         self.heads: list[tuple[bytes, bytes, dict[str, str], bytes]] = []
         self.at_work: set[str] = set()
@@ -90,6 +117,11 @@
         self.by_address[self.address] = self
         return self.address
 
+    @property
+    def arrived_at(self) -> list[float]:
+        """The time of each request that arrived."""
+        return [arrival.at for arrival in self.arrivals]
+
     def stop(self) -> None:
         """Stop listening, as after a crash."""
         self._server.close()
@@ -127,14 +159,24 @@
             own = [("Cranberrywick-Instance-Id", self.endpoint_id)]
             writer.write(_encode_response(http, 421, own, b""))
             return
-        self.arrived_at.append(asyncio.get_running_loop().time())
+        request_id = headers.get("cranberrywick-request-id", "")
+        now = asyncio.get_running_loop().time()
+        self.arrivals.append(Arrival(request_id, now))
+        if self.retry_after is not None and self.refusals > 0:
+            self.refusals -= 1
+            await asyncio.sleep(self.work_seconds)
+            now = asyncio.get_running_loop().time()
+            self.backoffs.append(Backoff(request_id, now, self.retry_after))
+            own = [("Cranberrywick-Not-Executed", "1")]
+            own += [("Retry-After", self.retry_after), *self._state_headers()]
+            writer.write(_encode_response(http, 503, own, b""))
+            return
         at_fault = self._refusing_address(headers)
         if at_fault is not None:
             own = [("Cranberrywick-Not-Executed", "1"), ("At-Server", at_fault)]
-            own += self._limit_headers()
+            own += self._state_headers()
             writer.write(_encode_response(http, 503, own, b""))
             return
-        request_id = headers.get("cranberrywick-request-id", "")
         self.heads.append((bytes(head.method), bytes(head.target), headers, body))
         self.runs[request_id] += 1
         self.at_work.add(request_id)
@@ -156,6 +198,10 @@
         self.tickets[order["id"]] = _Ticket(order["tokens"], expires_at)
         return 200, [], b'{"free": 0}'
 
+    def _state_headers(self) -> list[tuple[str, str]]:
+        draining = [("Server-Leaving", "1")] if self.draining else []
+        return [*draining, *self._limit_headers(), *self.extra_headers]
+
     def _limit_headers(self) -> list[tuple[str, str]]:
         if self.rate_limit is None:
             return []
@@ -195,7 +241,7 @@
             ("Cranberrywick-Request-Id", echoed),
             ("Cranberrywick-Response-Seal", f"seal.{self.endpoint_id}"),
             ("Cranberrywick-Server-Load", "1,0,8"),
-            *self._limit_headers(),
+            *self._state_headers(),
         ]
         if "cranberrywick-token-count" in headers and self.behaviour != "failing":
             await self._stream(http, headers, own, writer)
--- a/tests/test_platform_headers.py
+++ b/tests/test_platform_headers.py
@@ -1,7 +1,7 @@
 """Decoding of the headers of endpoints' answers.
 
-Guards against limits that are missed, ended too early or recorded for the wrong
-endpoint.
+Guards against limits and notices that are missed, ended too early or recorded for the
+wrong endpoint.
 """
 
 from math import inf
@@ -41,3 +41,48 @@
 def test_a_limit_from_an_endpoint_that_took_over_the_address_is_ignored():
     """Otherwise its limit would be recorded for the endpoint that was there before."""
     assert decode_response(421, {b"server-limit": b"1"}).rate_limit is None
+
+
+def test_an_answer_of_any_status_says_that_its_endpoint_is_draining():
+    """A missed notice sends requests to an endpoint that is about to stop."""
+    for status in (200, 429, 500, 503):
+        meta = decode_response(status, {b"server-leaving": b"1"})
+        assert meta.draining
+        assert not meta.unread_names
+    assert not decode_response(200, SEALED).draining
+    assert not decode_response(421, {b"server-leaving": b"1"}).draining
+
+
+@pytest.mark.parametrize("value", [b"", b"0", b"true", b"1, 1", b"9" * 400])
+def test_a_malformed_notice_of_draining_takes_no_endpoint_out_of_use(value):
+    """It is reported as unread instead."""
+    meta = decode_response(200, {b"server-leaving": value})
+    assert not meta.draining
+    assert meta.unread_names == {"server-leaving"}
+
+
+@pytest.mark.parametrize(("value", "seconds"), [(b"3", 3.0), (b"0.25", 0.25)])
+def test_a_refusal_names_a_backoff(value, seconds):
+    """Only a refusal with status 503 does."""
+    headers = {b"retry-after": value}
+    assert decode_response(503, headers).backoff_seconds == seconds
+    for status in (200, 301, 421, 429, 500):
+        assert decode_response(status, headers).backoff_seconds is None
+
+
+@pytest.mark.parametrize(
+    "value",
+    [b"", b"abc", b"-1", b"1e999", b"1e3", b"nan", b"inf", b"3, 4", b".", b"9" * 400]
+    + [b"Wed, 21 Oct 2026 07:28:00 GMT", "٣".encode()],
+)
+def test_a_malformed_backoff_takes_no_endpoint_out_of_use(value):
+    """It is reported as unread instead."""
+    meta = decode_response(503, {b"retry-after": value})
+    assert meta.backoff_seconds is None
+    assert meta.unread_names == {"retry-after"}
+
+
+def test_unknown_headers_of_answers_are_reported():
+    """A new header of the endpoints that nobody reads is otherwise not noticed."""
+    headers = {b"server-mood": b"low", b"content-type": b"text/plain", **SEALED}
+    assert decode_response(200, headers).unread_names == {"server-mood"}
