Keep what an endpoint announces about draining as state of that endpoint

Callers' requests reached endpoints that had told this very daemon, in their answers, that they are about to stop; whatever such an endpoint still runs when it stops is lost.

Cause: an endpoint counted as leaving by its record in the store alone.

`routing/drain_notices.py` keeps the announcements, each for one start of an endpoint (`born`). A record that is rewritten, or lapses and returns, doesn't end the notice; a new start does. If a service has no other endpoint, a draining one is the last resort within the bound, counted from the first answer. Daemons send each other the notices of the last three seconds, and all of them to one that starts.

--- a/cranberrywick/bench/simulated_network.py
+++ b/cranberrywick/bench/simulated_network.py
@@ -19,6 +19,7 @@
 )
 from cranberrywick.gateway.peer_updates import DaemonStatus, PeerUpdates
 from cranberrywick.logs import EventLog
+from cranberrywick.routing.drain_notices import DrainNotice
 from cranberrywick.routing.load import Job
 from cranberrywick.routing.members import Heartbeat
 
@@ -147,6 +148,9 @@
         """Return None, as this daemon has neither endpoints nor configuration."""
         return None
 
+    def draining_announced(self, notice: DrainNotice) -> None:
+        """Do nothing; `PeerUpdates` records the notice itself."""
+
     def declared_rate(self, endpoint_id: str) -> float:
         """Return infinity: no endpoint is cold."""
         return inf
--- a/cranberrywick/gateway/app.py
+++ b/cranberrywick/gateway/app.py
@@ -114,7 +114,9 @@
         registered_ids = self.state.registry.tracked_by_id.keys()
         self._health.keep_only(registered_ids)
         now = asyncio.get_running_loop().time()
-        self.state.peer_updates.limits.forget(registered_ids, now)
+        peer_updates = self.state.peer_updates
+        peer_updates.limits.forget(registered_ids, now)
+        peer_updates.drain_notices.forget(self.state.registry.born_by_id, now)
 
     def _reload(self) -> None:
         """Log that SIGHUP has no effect.
--- a/cranberrywick/gateway/attempt.py
+++ b/cranberrywick/gateway/attempt.py
@@ -1,7 +1,7 @@
 """One attempt: a request sent to one endpoint, its answer forwarded to the caller."""
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import NamedTuple
 
 from cranberrywick.errors import (
@@ -27,7 +27,7 @@
 from cranberrywick.platform.orders import helper_entry
 from cranberrywick.routing.connect_timeout import ConnectTimeout, is_own_delay
 from cranberrywick.routing.model import EndpointRecord
-from cranberrywick.routing.placement import Placement
+from cranberrywick.routing.placement import Part, Placement
 from cranberrywick.routing.registry import TrackedEndpoint
 
 __all__ = ["Attempt", "AnswerCallbacks", "ForwardedAnswer", "WholeAnswer"]
@@ -118,6 +118,7 @@
         wanted = self._wanted_reservations()
         reservations = Reservations(wanted, self._free_seconds, self._log)
         try:
+            self._check_usable(self._placement.helpers)
             await reservations.acquire()
             return await self._run(tracked.record, reservations)
         finally:
@@ -140,12 +141,9 @@
         exchange = self._exchange
         async with EndpointConnection(record.address) as connection:
             await self._open(connection)
-            # Checked again after connecting: the endpoint may have started to leave
+            # Checked again after connecting: an endpoint may have started to leave
             # since it was chosen, and must get no work after its bound for that.
-            if not self._may_send(record.endpoint_id, self._placement.last_resort):
-                raise EndpointRefused(
-                    "the endpoint is leaving", reason=EndpointRefusal.LEAVING
-                )
+            self._check_usable((Part(record.endpoint_id), *self._placement.helpers))
             await self._send(connection, reservations)
             try:
                 forwarded = await self._receive(connection)
@@ -159,6 +157,24 @@
         exchange.in_flight = False
         return forwarded
 
+    def _check_usable(self, parts: Iterable[Part]) -> None:
+        """Raise `EndpointRefused` if one of the endpoints may not get new work.
+
+        A helper that was removed from the registry is left out of the request instead.
+        """
+        for part in parts:
+            tracked = self._tracked_by_id.get(part.endpoint_id)
+            is_helper = part.endpoint_id != self._placement.endpoint_id
+            if tracked is None and is_helper:
+                continue
+            if self._may_send(part.endpoint_id, self._placement.last_resort):
+                continue
+            raise EndpointRefused(
+                f"{part.endpoint_id} may not get new work",
+                reason=EndpointRefusal.LEAVING,
+                at_fault=tracked.record.address if tracked else None,
+            )
+
     async def _open(self, connection: EndpointConnection) -> None:
         """Connect; try again if the first try timed out while this daemon was busy."""
         started = self._loop.time()
@@ -192,7 +208,9 @@
                 weights_version=exchange.weights_version,
             ),
         )
-        exchange.record_sent(placement.endpoint_id, self._loop.time())
+        # The record may have changed since the endpoint was chosen.
+        record = self._tracked_by_id[placement.endpoint_id].record
+        exchange.record_sent(record, self._loop.time())
         exchange.predicted = placement.first_event_seconds
         exchange.parts = 1 + len(placement.helpers)
         exchange.last_resort = placement.last_resort
--- a/cranberrywick/gateway/endpoint_tracker.py
+++ b/cranberrywick/gateway/endpoint_tracker.py
@@ -7,6 +7,7 @@
 
 from cranberrywick.gateway.endpoint_snapshot import NO_DELTA, Applied, EndpointSnapshot
 from cranberrywick.logs import EventLog, id_lists
+from cranberrywick.routing.drain_notices import DrainNotices
 from cranberrywick.routing.model import EndpointDelta, EndpointView
 from cranberrywick.routing.registry import EndpointChange, EndpointRegistry
 
@@ -52,9 +53,9 @@
 class EndpointTracker:
     """Applies snapshots of the endpoints, from the store or peers, and logs changes."""
 
-    def __init__(self, log: EventLog):
+    def __init__(self, log: EventLog, drain_notices: DrainNotices | None = None):
         self._log = log
-        self.registry = EndpointRegistry()
+        self.registry = EndpointRegistry(drain_notices)
         self._view: EndpointView | None = None
         self._digest = 0
         # Packed once for all peers that request it.
--- a/cranberrywick/gateway/exchange.py
+++ b/cranberrywick/gateway/exchange.py
@@ -6,7 +6,13 @@
 from cranberrywick.gateway.ingress import CallerConnection, HttpRequest
 from cranberrywick.model import Executed
 from cranberrywick.platform.headers import RequestMeta
-from cranberrywick.routing.model import Organisation, Route, RouteKind, Service
+from cranberrywick.routing.model import (
+    EndpointRecord,
+    Organisation,
+    Route,
+    RouteKind,
+    Service,
+)
 
 __all__ = ["Exchange"]
 
@@ -22,9 +28,11 @@
 
     ``key`` is unique in this process, which the request id of a caller need not be.
     ``sent_ids`` are the endpoints that the request was sent to, ``tried_ids`` the
-    endpoints that were at fault for a failed attempt. ``in_flight`` says whether an
-    endpoint has the request now, ``may_have_run`` whether one that failed may have run
-    it. ``predicted`` is the forecast time from placement to the first event,
+    endpoints that were at fault for a failed attempt. ``endpoint_id`` is the endpoint
+    that the request was last sent to, and ``endpoint_born`` identifies its start.
+    ``in_flight`` says whether an endpoint has the request now, ``may_have_run`` whether
+    one that failed may have run it. ``predicted`` is the forecast time from placement
+    to the first event,
     ``longest_gap`` the longest pause between events, ``parts`` the number of endpoints
     that the last attempt used, helpers included. Times are in seconds, moments those of
     the event loop's clock.
@@ -59,13 +67,15 @@
         self.last_event_id = meta.last_event_id
         self.weights_version: str | None = None
         self.endpoint_id = ""
+        self.endpoint_born = 0
         self.status = 0
 
-    def record_sent(self, endpoint_id: str, now: float) -> None:
+    def record_sent(self, endpoint: EndpointRecord, now: float) -> None:
         """Record that the request is being sent to an endpoint."""
         self.sent_at = now
-        self.sent_ids.add(endpoint_id)
-        self.endpoint_id = endpoint_id
+        self.sent_ids.add(endpoint.endpoint_id)
+        self.endpoint_id = endpoint.endpoint_id
+        self.endpoint_born = endpoint.born
         self.in_flight = True
 
     @property
--- a/cranberrywick/gateway/heartbeat_rows.py
+++ b/cranberrywick/gateway/heartbeat_rows.py
@@ -15,6 +15,7 @@
 from msgspec import Meta
 from msgspec.msgpack import Decoder, Encoder
 
+from cranberrywick.routing.drain_notices import DrainNotice
 from cranberrywick.routing.endpoint_limits import LimitReport
 from cranberrywick.routing.load import Job
 from cranberrywick.routing.members import Heartbeat
@@ -89,6 +90,12 @@
     free_ms: _Milliseconds | None
 
 
+class _DrainRow(NamedTuple):
+    endpoint_id: str
+    born: int
+    age_ms: _Milliseconds
+
+
 class _HeartbeatRow(NamedTuple):
     age_ms: _Milliseconds
     daemon_id: str
@@ -104,6 +111,7 @@
     jobs: tuple[_JobRow, ...]
     slow_engines: tuple[EndpointSlowdown, ...]
     limits: tuple[_LimitRow, ...] = ()
+    drain_notices: tuple[_DrainRow, ...] = ()
 
 
 class _BatchRow(NamedTuple):
@@ -162,6 +170,7 @@
         _job_rows(beat.jobs, now),
         tuple(beat.slow_engines),
         _limit_rows(beat.limits, now),
+        _drain_rows(beat.drain_notices, now),
     )
 
 
@@ -185,13 +194,14 @@
 
 
 def _relayed_heartbeat(row: _HeartbeatRow, now: float) -> RelayedHeartbeat:
-    age_ms, *fields, operator_age_ms, jobs, slow_engines, limits = row
+    age_ms, *fields, operator_age_ms, jobs, slow_engines, limits, drains = row
     heartbeat = Heartbeat(
         *fields,
         operator_age_ms / 1000,
         _jobs(jobs, now),
         slow_engines,
         _limits(limits, now),
+        _drain_notices(drains, now),
     )
     return RelayedHeartbeat(now - age_ms / 1000, heartbeat)
 
@@ -249,3 +259,17 @@
         )
         for endpoint_id, rate, age, free in rows
     )
+
+
+def _drain_rows(notices: Sequence[DrainNotice], now: float) -> tuple[_DrainRow, ...]:
+    return tuple(
+        _DrainRow(endpoint_id, born, milliseconds(now - announced_at))
+        for endpoint_id, born, announced_at in notices
+    )
+
+
+def _drain_notices(rows: Sequence[_DrainRow], now: float) -> tuple[DrainNotice, ...]:
+    return tuple(
+        DrainNotice(endpoint_id, born, now - age / 1000)
+        for endpoint_id, born, age in rows
+    )
--- a/cranberrywick/gateway/observations.py
+++ b/cranberrywick/gateway/observations.py
@@ -9,6 +9,7 @@
 from cranberrywick.gateway.state import FleetState
 from cranberrywick.logs import EventLog
 from cranberrywick.platform.headers import ResponseMeta
+from cranberrywick.routing.drain_notices import DrainNotice
 from cranberrywick.routing.slowdown import StreamPauses, call_slowdown
 
 __all__ = ["EndpointObservations"]
@@ -53,9 +54,15 @@
 
     def _record_draining(self, exchange: Exchange, status: int) -> None:
         self._metrics.draining_announced(exchange.route.name)
+        notice = DrainNotice(
+            exchange.endpoint_id, exchange.endpoint_born, self._loop.time()
+        )
+        if not self._state.peer_updates.announce_draining(notice):
+            return
         self._log.warning(
             "endpoint_draining_announced",
             endpoint=exchange.endpoint_id,
+            born=exchange.endpoint_born,
             status=status,
             request_id=exchange.meta.request_id,
         )
--- a/cranberrywick/gateway/peer_updates.py
+++ b/cranberrywick/gateway/peer_updates.py
@@ -25,6 +25,7 @@
 from cranberrywick.gateway.relaying import HeartbeatRelaying
 from cranberrywick.gateway.ticker import Ticker
 from cranberrywick.logs import EventLog, id_lists
+from cranberrywick.routing.drain_notices import DrainNotice, DrainNotices
 from cranberrywick.routing.fleet_limits import FleetLimits
 from cranberrywick.routing.load import FleetLoad
 from cranberrywick.routing.members import Heartbeat, Members, heartbeat_seconds
@@ -81,6 +82,9 @@
     def answer(self, request: SnapshotRequest) -> Message | None:
         """Return the snapshot that a peer requests; None if there is none yet."""
 
+    def draining_announced(self, notice: DrainNotice) -> None:
+        """Handle the first notice that a start of an endpoint is draining."""
+
     def declared_rate(self, endpoint_id: str) -> float:
         """Return an endpoint's declared limit in requests a second, or infinity."""
 
@@ -89,7 +93,7 @@
     """Exchanges updates with the other daemons.
 
     Keeps what the updates are merged into: the fleet's members, their load, and the
-    endpoints' slowdowns and rate limits.
+    endpoints' slowdowns, rate limits and notices.
     """
 
     def __init__(
@@ -109,6 +113,7 @@
         self.members = Members(settings.daemon_id, contact)
         self.load = FleetLoad()
         self.slowdowns = EndpointSlowdowns()
+        self.drain_notices = DrainNotices()
         self.limits = FleetLimits(
             settings.daemon_id,
             self.members,
@@ -162,6 +167,14 @@
         """Schedule a heartbeat, as soon as for a new job, for a changed rate limit."""
         self._send_heartbeat_within(JOB_UPDATE_SECONDS)
 
+    def announce_draining(self, notice: DrainNotice) -> bool:
+        """Record and send on an endpoint's notice; return whether it is the first."""
+        if not self.drain_notices.add(notice, is_own=True):
+            return False
+        self._listener.draining_announced(notice)
+        self._send_heartbeat_within(JOB_UPDATE_SECONDS)
+        return True
+
     def job_ended(self) -> None:
         """Schedule a heartbeat after a job has begun to decode or has ended.
 
@@ -242,6 +255,7 @@
             jobs=self.load.own,
             slow_engines=self.slowdowns.own(now),
             limits=self.limits.reports(now),
+            drain_notices=self.drain_notices.recent(now),
         )
 
     def _send_heartbeat_within(self, seconds: float) -> None:
@@ -296,8 +310,10 @@
 
     def _answer_newcomer(self, peer_address: str, now: float) -> None:
         self._sequence += 1
-        limits = self.limits.all_reports(now)
-        heartbeat = self._heartbeat(now)._replace(limits=limits)
+        heartbeat = self._heartbeat(now)._replace(
+            limits=self.limits.all_reports(now),
+            drain_notices=self.drain_notices.all(),
+        )
         self.link.send(heartbeat, [peer_address])
 
     def _answers_newcomers(self, scope: Scope) -> bool:
@@ -320,6 +336,7 @@
         self.load.receive(daemon_id, heartbeat.jobs, received_at)
         self.slowdowns.receive(heartbeat.slow_engines, received_at)
         self._receive_limits(heartbeat)
+        self._receive_drain_notices(heartbeat)
         self._listener.heartbeat_received(heartbeat, received_at)
         return True
 
@@ -333,6 +350,18 @@
                     peer=heartbeat.daemon_id,
                 )
 
+    def _receive_drain_notices(self, heartbeat: Heartbeat) -> None:
+        for notice in heartbeat.drain_notices:
+            if self.drain_notices.add(notice, is_own=False):
+                self._listener.draining_announced(notice)
+                self._log.info(
+                    "endpoint_draining_announced",
+                    endpoint=notice.endpoint_id,
+                    born=notice.born,
+                    age=self._loop.time() - notice.announced_at,
+                    peer=heartbeat.daemon_id,
+                )
+
     def _check_members(self) -> None:
         now = self._loop.time()
         for daemon_id in self.members.detect_silent(now):
--- a/cranberrywick/gateway/state.py
+++ b/cranberrywick/gateway/state.py
@@ -26,6 +26,7 @@
 from cranberrywick.gateway.store_reader import Store
 from cranberrywick.gateway.ticker import Ticker
 from cranberrywick.logs import EventLog
+from cranberrywick.routing.drain_notices import DrainNotice
 from cranberrywick.routing.endpoint_index import EndpointPool
 from cranberrywick.routing.load import FleetLoad
 from cranberrywick.routing.members import Heartbeat, Members
@@ -87,8 +88,8 @@
         self._log = log
         self._loop = asyncio.get_running_loop()
         self._operator = OperatorTracker(decode, log)
-        self._endpoints = EndpointTracker(log)
         self.peer_updates = PeerUpdates(settings, self, log)
+        self._endpoints = EndpointTracker(log, self.peer_updates.drain_notices)
         self.leaving = False
         self._became_ready = asyncio.Event()
         self._start_deadline = float("inf")
@@ -249,6 +250,11 @@
             return None
         return OperatorSnapshot(view, self._operator.age(self._loop.time()))
 
+    def draining_announced(self, notice: DrainNotice) -> None:
+        """Give an endpoint that is draining no new work from now on."""
+        self.registry.apply_notice(notice)
+        self.changed()
+
     def declared_rate(self, endpoint_id: str) -> float:
         """Return the declared limit of a cold endpoint in requests a second.
 
--- /dev/null
+++ b/cranberrywick/routing/drain_notices.py
@@ -0,0 +1,89 @@
+"""Which endpoints have announced in their answers that they are draining.
+
+Load pattern: an endpoint is about to stop and says so in each of its answers, while its
+record in the store shows it as ready: the store is unavailable, the record is written
+seconds later or not at all, or it expires and is written again. If the newest record
+alone decided, requests would reach the endpoint until it stops, and be lost there.
+
+A notice holds for the start of the endpoint that gave it, and no record or later answer
+ends it: a process that is stopping does not change its mind, but answers can overtake
+one another. Daemons send each other what their answers have announced, since an
+endpoint that gets no more requests announces nothing to the others.
+"""
+
+from collections.abc import Mapping
+from typing import NamedTuple
+
+__all__ = ["DrainNotice", "DrainNotices"]
+
+# How long a daemon sends a notice that it has received from the endpoint itself, in
+# seconds. This covers several heartbeats, since some are lost.
+REPORT_SECONDS = 3.0
+# How long notices of endpoints that are not registered are kept, in seconds. A record
+# that expired while the store was unavailable may return that late.
+KEEP_SECONDS = 600.0
+
+
+class DrainNotice(NamedTuple):
+    """An announcement that an endpoint is draining.
+
+    ``born`` identifies the start of the endpoint, as in its record. ``announced_at`` is
+    the time of the first answer with the announcement.
+    """
+
+    endpoint_id: str
+    born: int
+    announced_at: float
+
+
+class DrainNotices:
+    """The notices that this daemon has received, from endpoints and from peers.
+
+    >>> notices = DrainNotices()
+    >>> notices.add(DrainNotice("e1", born=1, announced_at=10.0), is_own=True)
+    True
+    >>> notices.announced_at("e1", born=1), notices.announced_at("e1", born=2)
+    (10.0, None)
+    """
+
+    def __init__(self) -> None:
+        self._notices_by_start: dict[tuple[str, int], DrainNotice] = {}
+        self._own_starts: set[tuple[str, int]] = set()
+
+    def add(self, notice: DrainNotice, is_own: bool) -> bool:
+        """Record a notice; return whether it is the first for this start.
+
+        ``is_own`` says that the endpoint announced it to this daemon.
+        """
+        start = notice.endpoint_id, notice.born
+        if is_own:
+            self._own_starts.add(start)
+        known = self._notices_by_start.get(start)
+        if known is None or notice.announced_at < known.announced_at:
+            self._notices_by_start[start] = notice
+        return known is None
+
+    def announced_at(self, endpoint_id: str, born: int) -> float | None:
+        """Return when a start of an endpoint announced that it drains, or None."""
+        notice = self._notices_by_start.get((endpoint_id, born))
+        return None if notice is None else notice.announced_at
+
+    def recent(self, now: float) -> list[DrainNotice]:
+        """Return the recent notices that endpoints gave to this daemon."""
+        return [
+            notice
+            for start, notice in self._notices_by_start.items()
+            if start in self._own_starts and now - notice.announced_at <= REPORT_SECONDS
+        ]
+
+    def all(self) -> list[DrainNotice]:
+        """Return all notices, for a daemon that has just started."""
+        return list(self._notices_by_start.values())
+
+    def forget(self, born_by_id: Mapping[str, int], now: float) -> None:
+        """Remove old notices, except those of the registered starts."""
+        for start, notice in list(self._notices_by_start.items()):
+            is_old = now - notice.announced_at > KEEP_SECONDS
+            if is_old and born_by_id.get(notice.endpoint_id) != notice.born:
+                del self._notices_by_start[start]
+                self._own_starts.discard(start)
--- a/cranberrywick/routing/endpoint_index.py
+++ b/cranberrywick/routing/endpoint_index.py
@@ -20,12 +20,20 @@
     ``missing_since`` is set while its record is missing after an outage of the store.
     ``ready_until_known`` is the last time at which an endpoint that is draining was
     known not to be; minus infinity if it was never known to be ready.
+    ``drain_announced_at`` is the time of the first answer in which it announced that it
+    is draining, None without one.
     """
 
     record: EndpointRecord
     cold_until: float
     missing_since: float | None = None
     ready_until_known: float = float("-inf")
+    drain_announced_at: float | None = None
+
+    @property
+    def is_draining(self) -> bool:
+        """Whether its record or one of its answers says that it is draining."""
+        return self.record.draining or self.drain_announced_at is not None
 
     @property
     def endpoint_id(self) -> str:
@@ -131,7 +139,7 @@
 
 def _key(tracked: TrackedEndpoint) -> _GroupKey:
     record = tracked.record
-    return _GroupKey(record.service, record.failure_domain, record.draining)
+    return _GroupKey(record.service, record.failure_domain, tracked.is_draining)
 
 
 class _Group:
--- a/cranberrywick/routing/members.py
+++ b/cranberrywick/routing/members.py
@@ -8,6 +8,7 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
+from cranberrywick.routing.drain_notices import DrainNotice
 from cranberrywick.routing.endpoint_limits import LimitReport
 from cranberrywick.routing.load import Job
 from cranberrywick.routing.relays import needs_relays
@@ -52,7 +53,7 @@
     operators' settings that it holds, and ``operator_age`` is how many seconds ago that
     was the newest. ``jobs`` are its requests at endpoints, ``slow_engines`` the engines
     that its streams show to be slower than declared, ``limits`` its reports of
-    endpoints' rate limits.
+    endpoints' rate limits, ``drain_notices`` what endpoints have announced to it.
     """
 
     @property
@@ -73,6 +74,7 @@
     jobs: Sequence[Job]
     slow_engines: Sequence[EndpointSlowdown] = ()
     limits: Sequence[LimitReport] = ()
+    drain_notices: Sequence[DrainNotice] = ()
 
 
 class Member(NamedTuple):
--- a/cranberrywick/routing/registry.py
+++ b/cranberrywick/routing/registry.py
@@ -8,6 +8,7 @@
 
 from typing import NamedTuple
 
+from cranberrywick.routing.drain_notices import DrainNotice, DrainNotices
 from cranberrywick.routing.endpoint_index import EndpointIndex, TrackedEndpoint
 from cranberrywick.routing.model import EndpointDelta, EndpointRecord, EndpointView
 
@@ -34,9 +35,13 @@
 
     Tracked endpoints are changed in place, so that the cost of a snapshot depends on
     the number of changes and not on that of registered endpoints.
+
+    ``drain_notices`` are what endpoints have announced in their answers, which a
+    snapshot does not change.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, drain_notices: DrainNotices | None = None) -> None:
+        self._drain_notices = drain_notices or DrainNotices()
         self.revision = 0
         self.read_at = float("-inf")
         self.tracked_by_id: dict[str, TrackedEndpoint] = {}
@@ -50,6 +55,18 @@
         """Return the age of the newest snapshot, in seconds."""
         return now - self.read_at
 
+    @property
+    def born_by_id(self) -> dict[str, int]:
+        """The start of each tracked endpoint, as in its record."""
+        return {i: tracked.record.born for i, tracked in self.tracked_by_id.items()}
+
+    def apply_notice(self, notice: DrainNotice) -> None:
+        """Mark an endpoint as draining, unless it has started again since."""
+        tracked = self.tracked_by_id.get(notice.endpoint_id)
+        if tracked is not None and tracked.record.born == notice.born:
+            announced_at = notice.announced_at
+            self._replace(tracked._replace(drain_announced_at=announced_at), tracked)
+
     def apply(
         self, view: EndpointView, read_at: float, now: float
     ) -> list[EndpointChange]:
@@ -102,7 +119,12 @@
         else:
             self._cold_ids.discard(endpoint_id)
         tracked = TrackedEndpoint(
-            record, float("-inf"), ready_until_known=ready_until_known
+            record,
+            float("-inf"),
+            ready_until_known=ready_until_known,
+            drain_announced_at=self._drain_notices.announced_at(
+                endpoint_id, record.born
+            ),
         )
         self._replace(tracked, before)
 
@@ -121,7 +143,7 @@
             return
         # An endpoint that was draining before its record disappeared has left, and is
         # not kept even after an outage.
-        if now < self._grace_until and not old.record.draining:
+        if now < self._grace_until and not old.is_draining:
             self._replace(old._replace(missing_since=now), old)
             changes.append(EndpointChange(endpoint_id, "lapsed"))
         self._missing_ids.add(endpoint_id)
--- a/cranberrywick/routing/usable.py
+++ b/cranberrywick/routing/usable.py
@@ -34,8 +34,9 @@
     with the earliest time at which that may have happened. The store acknowledges a
     change before any daemon reads it, so this is the time of the last snapshot without
     it; minus infinity if there was none. An endpoint may get new work for
-    ``drain_seconds`` after the last time at which it was known not to be draining, and
-    for ``evacuate_seconds`` after its domain was taken out.
+    ``drain_seconds`` after the last time at which it was known not to be draining, or
+    after it announced in an answer that it is, and for ``evacuate_seconds`` after its
+    domain was taken out.
     """
 
     out_since_by_domain: Mapping[str, float]
@@ -49,8 +50,8 @@
     It may unless it is draining or in a failure domain that operators have taken out.
     `EndpointIndex.ready` applies the same rule.
     """
-    record = tracked.record
-    return not record.draining and record.failure_domain not in domains_out
+    domain = tracked.record.failure_domain
+    return not tracked.is_draining and domain not in domains_out
 
 
 def usable_until(tracked: TrackedEndpoint, restrictions: Restrictions) -> float:
@@ -59,6 +60,8 @@
     until = float("inf")
     if record.draining:
         until = tracked.ready_until_known + restrictions.drain_seconds
+    if tracked.drain_announced_at is not None:
+        until = min(until, tracked.drain_announced_at + restrictions.drain_seconds)
     out_since = restrictions.out_since_by_domain.get(record.failure_domain)
     if out_since is not None:
         until = min(until, out_since + restrictions.evacuate_seconds)
--- a/tests/test_fleet_messages.py
+++ b/tests/test_fleet_messages.py
@@ -28,6 +28,7 @@
     encode_message,
 )
 from cranberrywick.gateway.schema import SCHEMA, pack
+from cranberrywick.routing.drain_notices import DrainNotice
 from cranberrywick.routing.endpoint_limits import LimitReport
 from cranberrywick.routing.fleet_limits import Permit, PermitTerms
 from cranberrywick.routing.load import Job
@@ -54,6 +55,7 @@
             LimitReport(f"i-{number:010x}", 0.5, 9.0, 11.0),
             LimitReport("i-recovered", inf, 9.0),
         ),
+        drain_notices=(DrainNotice(f"i-{number:010x}", 1_764_000_000_000, 8.5),),
     )
 
 
@@ -124,7 +126,7 @@
     (received,) = message.heartbeats
     assert received.received_at == pytest.approx(109.5)
     expected = heartbeat()
-    assert received.heartbeat[:-3] == expected[:-3]
+    assert received.heartbeat[:-4] == expected[:-4]
     assert received.heartbeat.slow_engines == expected.slow_engines
     limits = [
         LimitReport(i, rate, seen_at + 100, free_at and free_at + 100)
@@ -133,6 +135,9 @@
     for there, here in zip(received.heartbeat.limits, limits, strict=True):
         assert there[:2] == here[:2]
         assert there[2:] == pytest.approx(here[2:])
+    (there,), (here,) = received.heartbeat.drain_notices, expected.drain_notices
+    assert there[:2] == here[:2]
+    assert there.announced_at == pytest.approx(here.announced_at + 100)
     for there, here in zip(received.heartbeat.jobs, expected.jobs, strict=True):
         assert there.started_at == pytest.approx(here.started_at + 100)
         assert there.due_at == pytest.approx(here.due_at + 100)
--- a/tests/test_last_resort.py
+++ b/tests/test_last_resort.py
@@ -9,6 +9,7 @@
 from cranberrywick.gateway.operator_tracker import OperatorTracker
 from cranberrywick.logs import EventLog
 from cranberrywick.routing.demand import Demand
+from cranberrywick.routing.drain_notices import DrainNotice, DrainNotices
 from cranberrywick.routing.endpoint_index import EndpointPool, TrackedEndpoint
 from cranberrywick.routing.health import EndpointHealth
 from cranberrywick.routing.load import FleetLoad
@@ -48,8 +49,10 @@
         self.revision = 1
         self.records = {i: record(i, DOMAINS[n % 2]) for n, i in enumerate(IDS)}
         self.left_at = {}
+        self.announced_at = {}
         self.out_at = {}
-        self.registry = EndpointRegistry()
+        self.notices = DrainNotices()
+        self.registry = EndpointRegistry(self.notices)
         self.operator = OperatorTracker(lambda document: None, EventLog())
         self.read_endpoints(0.0)
         self.read_operator()
@@ -63,6 +66,18 @@
         born = before.born + (before.draining and not draining)
         self.records[endpoint_id] = before._replace(draining=draining, born=born)
 
+    @rule(endpoint_id=st.sampled_from(IDS))
+    def announce(self, endpoint_id):
+        """An answer of an endpoint says that it is draining."""
+        tracked = self.registry.tracked_by_id.get(endpoint_id)
+        if tracked is None or tracked.record.born != self.records[endpoint_id].born:
+            return
+        start = endpoint_id, tracked.record.born
+        self.announced_at.setdefault(start, self.now)
+        notice = DrainNotice(*start, self.now)
+        if self.notices.add(notice, is_own=True):
+            self.registry.apply_notice(notice)
+
     @rule(domain=st.sampled_from(DOMAINS))
     def take_out_or_back(self, domain):
         self.revision += 1
@@ -107,10 +122,21 @@
                 and known_record.born == self.records[endpoint_id].born
             ):
                 assert self.now < self.left_at[endpoint_id] + DRAIN_SECONDS
+            start = endpoint_id, known_record.born
+            announced_at = self.announced_at.get(start, self.now)
+            assert self.now < announced_at + DRAIN_SECONDS
             if known_record.failure_domain in restrictions.out_since_by_domain:
                 out_at = self.out_at.get(known_record.failure_domain, self.now)
                 assert self.now < out_at + EVACUATE_SECONDS
 
+    @invariant()
+    def an_announcement_holds_for_one_start(self):
+        for tracked in self.registry.tracked_by_id.values():
+            start = tracked.endpoint_id, tracked.record.born
+            assert tracked.is_draining == (
+                tracked.record.draining or start in self.announced_at
+            )
+
 
 TestLastResort = LastResortMachine.TestCase
 TestLastResort.settings = settings(stateful_step_count=20, max_examples=200)
