Send an endpoint no requests in the time without them that it asked for

An endpoint refused a request with 503 and named three seconds; the daemon sent it five more in that time, from 1.2 s on. Overloaded endpoints were kept overloaded, and callers' requests went to them instead of to idle ones.

Cause: the time was dropped. What kept a daemon away was a cooldown of its own, 0.5 s after a first failure and doubled with each in a row, which covers a time that it knows nothing of only by chance, and which any success ends. In the record cooldown_seconds=1 stands beside three seconds asked for, with requests right after its end. Ruled out: second tries and requests placed before the refusal (sent=1, sent 2 ms after arrival).

`routing/endpoint_backoffs.py` keeps the latest end for each start of an endpoint: a shorter time or a success doesn't bring it forward, a rewritten or returned record doesn't end it, a new start does, and an hour is the most. The time is this daemon's alone, as the endpoint said it, and is not sent to peers.

If all endpoints of a service ask for time, a request waits when the first end is within the time that it may wait for a permit, and is refused at once otherwise, with a Retry-After after that end, spread so that callers don't return together; the same holds for a refusal that an endpoint's 503 causes.

The test of a shorter time raced with its own change of the header; the stand-in now has one value for each refusal.

--- a/cranberrywick/gateway/forwarder.py
+++ b/cranberrywick/gateway/forwarder.py
@@ -167,7 +167,7 @@
             exchange,
             placement,
             tracked_endpoints,
-            self._state.may_send,
+            self._state.usable_endpoints.may_send,
             self._make_callbacks(exchange),
             self._connect_timeout,
             self._settings.bounds.free_seconds,
@@ -296,7 +296,12 @@
             return await self._forward_failure(exchange, error)
         status = exchange.failure_status(error)
         exchange.status = status
-        retry_seconds = exchange.retry_seconds(error) if status in (429, 503) else None
+        retry_seconds = None
+        if status in (429, 503):
+            retry_seconds = exchange.retry_seconds(error)
+            if exchange.service is not None:
+                backoff = self._waiting.backoff_retry_seconds(exchange.service.name)
+                retry_seconds = max(retry_seconds, backoff)
         headers = failure_headers(exchange.meta.request_id, retry_seconds)
         try:
             await exchange.caller.answer(status, headers, exchange.failure_body(error))
--- a/cranberrywick/gateway/observations.py
+++ b/cranberrywick/gateway/observations.py
@@ -69,10 +69,15 @@
 
     def _record_backoff(self, exchange: Exchange, seconds: float) -> None:
         self._metrics.backoff_requested(exchange.route.name)
+        ends_after = self._state.usable_endpoints.request_backoff(
+            exchange.endpoint_id, exchange.endpoint_born, seconds
+        )
         self._log.warning(
             "endpoint_backoff_requested",
             endpoint=exchange.endpoint_id,
+            born=exchange.endpoint_born,
             seconds=seconds,
+            ends_after=ends_after,
             request_id=exchange.meta.request_id,
         )
 
--- a/cranberrywick/gateway/state.py
+++ b/cranberrywick/gateway/state.py
@@ -25,9 +25,9 @@
 from cranberrywick.gateway.store_calls import StoreCalls
 from cranberrywick.gateway.store_reader import Store
 from cranberrywick.gateway.ticker import Ticker
+from cranberrywick.gateway.usable_endpoints import UsableEndpoints
 from cranberrywick.logs import EventLog
 from cranberrywick.routing.drain_notices import DrainNotice
-from cranberrywick.routing.endpoint_index import EndpointPool
 from cranberrywick.routing.load import FleetLoad
 from cranberrywick.routing.members import Heartbeat, Members
 from cranberrywick.routing.model import (
@@ -38,12 +38,6 @@
 )
 from cranberrywick.routing.registry import EndpointRegistry
 from cranberrywick.routing.table import RouteTable
-from cranberrywick.routing.usable import (
-    Restrictions,
-    is_usable,
-    last_resort,
-    usable_until,
-)
 
 __all__ = ["FleetState"]
 
@@ -90,6 +84,9 @@
         self._operator = OperatorTracker(decode, log)
         self.peer_updates = PeerUpdates(settings, self, log)
         self._endpoints = EndpointTracker(log, self.peer_updates.drain_notices)
+        self.usable_endpoints = UsableEndpoints(
+            self._endpoints.registry, self._operator, settings.bounds, log
+        )
         self.leaving = False
         self._became_ready = asyncio.Event()
         self._start_deadline = float("inf")
@@ -155,36 +152,6 @@
         """The routes of the configuration in force; None before the first one."""
         return self._operator.table
 
-    @property
-    def domains_out(self) -> frozenset[str]:
-        """The failure domains that are out of service and get no new work."""
-        return self._operator.domains_out
-
-    @property
-    def restrictions(self) -> Restrictions:
-        """The failure domains that are out, and the drain and evacuation times."""
-        bounds = self._settings.bounds
-        return Restrictions(
-            self._operator.out_since_by_domain,
-            bounds.drain_seconds,
-            bounds.evacuate_seconds,
-        )
-
-    def last_resort(self, service: str) -> EndpointPool:
-        """Return the endpoints that a service may use while it has no others."""
-        return last_resort(
-            self.registry.index, service, self.restrictions, self._loop.time()
-        )
-
-    def may_send(self, endpoint_id: str, as_last_resort: bool) -> bool:
-        """Whether a request may be sent to an endpoint at this moment."""
-        tracked = self.registry.tracked_by_id.get(endpoint_id)
-        if tracked is None:
-            return False
-        if not as_last_resort:
-            return is_usable(tracked, self.domains_out)
-        return self._loop.time() < usable_until(tracked, self.restrictions)
-
     @property
     def ready(self) -> bool:
         """Whether this daemon can serve requests."""
--- a/cranberrywick/gateway/waiting.py
+++ b/cranberrywick/gateway/waiting.py
@@ -11,13 +11,22 @@
 
 from cranberrywick.errors import Overloaded
 from cranberrywick.gateway.state import FleetState
-from cranberrywick.routing.demand import Demand, fits_fleet, min_first_event_seconds
+from cranberrywick.routing.demand import (
+    Demand,
+    fits_fleet,
+    min_first_event_seconds,
+    seconds_until_fits,
+)
 from cranberrywick.routing.endpoint_index import EndpointPool
 from cranberrywick.routing.fleet_limits import MIN_RATE
 from cranberrywick.routing.limited_choice import limited_seconds
 from cranberrywick.routing.placement import Placement, Placer
 from cranberrywick.routing.queue_order import order_key
-from cranberrywick.routing.retry_after import LimitedReturns, ServiceOutages
+from cranberrywick.routing.retry_after import (
+    BackoffReturns,
+    LimitedReturns,
+    ServiceOutages,
+)
 
 __all__ = ["WaitingRequests"]
 
@@ -51,6 +60,7 @@
         self._loop = asyncio.get_running_loop()
         self._outages = ServiceOutages(random.Random())
         self._returns = LimitedReturns(random.Random())
+        self._backoff_returns = BackoffReturns(random.Random())
         self._waiters: list[_Waiter] = []
         self._scheduled: asyncio.Handle | None = None
 
@@ -64,8 +74,8 @@
 
         The answer should begin at ``due_at`` and must begin by ``deadline``, both
         times of the event loop. Raises `Overloaded` when no known endpoints of the
-        service could hold the request, when their rate limits leave no room for too
-        long, and as soon as no answer can begin before the deadline.
+        service could hold the request, when their rate limits or their backoffs leave
+        no room for too long, and as soon as no answer can begin before the deadline.
         """
         placement = None
         if not self._waiters:
@@ -134,10 +144,12 @@
         Raises `Overloaded` for a request that can't be placed in time.
         """
         service = demand.service.name
-        usable = self._state.registry.index.ready(service, self._state.domains_out)
-        last_resort = partial(self._state.last_resort, service)
+        usable = self._state.usable_endpoints.ready(service)
+        last_resort = partial(self._state.usable_endpoints.last_resort, service)
         now = self._loop.time()
         if not fits_fleet(demand, usable) and not fits_fleet(demand, last_resort()):
+            if self._may_wait_for_backoff(demand, usable, now):
+                return None
             raise Overloaded(
                 "no endpoints that could hold the request are known",
                 retry_after=self._outages.retry_seconds(
@@ -153,6 +165,35 @@
         self._state.peer_updates.job_added()
         return placement
 
+    def _may_wait_for_backoff(
+        self, demand: Demand, usable: EndpointPool, now: float
+    ) -> bool:
+        """Return whether endpoints will soon be usable again that have backed off.
+
+        Raises `Overloaded` if that takes too long.
+        """
+        backing_off = self._state.usable_endpoints.backing_off(demand.service.name)
+        wait = seconds_until_fits(demand, usable, backing_off, now)
+        if wait is None or wait <= demand.longest_wait:
+            return wait is not None
+        raise Overloaded(
+            "the endpoints have asked for a time without requests",
+            retry_after=self._backoff_returns.retry_seconds(wait),
+        )
+
+    def backoff_retry_seconds(self, service: str) -> float:
+        """Return after how many seconds a refused caller of a service may return.
+
+        It is 0 unless all endpoints are in a backoff.
+        """
+        endpoints = self._state.usable_endpoints
+        if endpoints.ready(service) or endpoints.last_resort(service):
+            return 0.0
+        ends = [each.backoff_until for each in endpoints.backing_off(service)]
+        if not ends:
+            return 0.0
+        return self._backoff_returns.retry_seconds(min(ends) - self._loop.time())
+
     def _refuse_limited(self, demand: Demand, usable: EndpointPool, now: float) -> None:
         """Raise `Overloaded` for a request that rate limits delay for too long."""
         limit_wait = self._state.peer_updates.limits.wait_seconds
@@ -172,7 +213,7 @@
         """
         state = self._state
         now = self._loop.time()
-        usable = state.registry.index.ready(service, state.domains_out)
+        usable = state.usable_endpoints.ready(service)
         limits = state.peer_updates.limits
         rates = (limits.rate(tracked.endpoint_id) for tracked in usable)
         total = sum(rate for rate in rates if rate < inf)
--- a/cranberrywick/routing/demand.py
+++ b/cranberrywick/routing/demand.py
@@ -1,6 +1,7 @@
 """The requirements of a request, and whether the endpoints could ever meet them."""
 
 from math import ceil
+from operator import attrgetter
 from typing import NamedTuple
 
 from cranberrywick.routing.endpoint_index import EndpointPool
@@ -13,6 +14,7 @@
     "fits_fleet",
     "may_answer",
     "min_first_event_seconds",
+    "seconds_until_fits",
 ]
 
 # The numbers of parts into which a prompt may be divided. An endpoint accepts at most
@@ -65,6 +67,23 @@
     return holders <= min(untried, PART_CHOICES[-1])
 
 
+def seconds_until_fits(
+    demand: Demand, usable: EndpointPool, backing_off: EndpointPool, now: float
+) -> float | None:
+    """Return in how many seconds enough backoffs have ended to hold the request.
+
+    Return None if all of these endpoints together could not hold it either.
+    """
+    if not fits_fleet(demand, EndpointPool.of([*usable, *backing_off])):
+        return None
+    available = list(usable)
+    for tracked in sorted(backing_off, key=attrgetter("backoff_until")):
+        available.append(tracked)
+        if fits_fleet(demand, EndpointPool.of(available)):
+            return max(0.0, tracked.backoff_until - now)
+    return None
+
+
 def min_first_event_seconds(demand: Demand) -> float:
     """Return the shortest time to the first event, in seconds, at idle endpoints.
 
--- a/cranberrywick/routing/endpoint_index.py
+++ b/cranberrywick/routing/endpoint_index.py
@@ -21,7 +21,8 @@
     ``ready_until_known`` is the last time at which an endpoint that is draining was
     known not to be; minus infinity if it was never known to be ready.
     ``drain_announced_at`` is the time of the first answer in which it announced that it
-    is draining, None without one.
+    is draining, None without one. ``backoff_until`` is the end of the time in which it
+    wants no requests, minus infinity if there is none.
     """
 
     record: EndpointRecord
@@ -29,12 +30,18 @@
     missing_since: float | None = None
     ready_until_known: float = float("-inf")
     drain_announced_at: float | None = None
+    backoff_until: float = float("-inf")
 
     @property
     def is_draining(self) -> bool:
         """Whether its record or one of its answers says that it is draining."""
         return self.record.draining or self.drain_announced_at is not None
 
+    @property
+    def is_backing_off(self) -> bool:
+        """Whether it has asked for a time without requests that hasn't ended."""
+        return self.backoff_until > float("-inf")
+
     @property
     def endpoint_id(self) -> str:
         """The endpoint's id."""
@@ -97,7 +104,7 @@
 
 
 class EndpointIndex:
-    """Endpoints grouped by service, failure domain and whether they are draining."""
+    """Endpoints by service, failure domain, and whether they drain or back off."""
 
     def __init__(self) -> None:
         self._groups_by_service: dict[str, dict[_GroupKey, _Group]] = {}
@@ -117,15 +124,19 @@
         """Return the endpoints of a service that may get new work."""
         return self._pool(
             service,
-            lambda key: not key.draining and key.failure_domain not in domains_out,
+            lambda key: key.is_in_use(domains_out) and not key.backing_off,
         )
 
-    def others(self, service: str, domains_out: Set[str]) -> EndpointPool:
-        """Return a service's endpoints that are draining or in a domain taken out."""
+    def backing_off(self, service: str, domains_out: Set[str]) -> EndpointPool:
+        """Return those that may get new work once their backoff has ended."""
         return self._pool(
-            service, lambda key: key.draining or key.failure_domain in domains_out
+            service, lambda key: key.is_in_use(domains_out) and key.backing_off
         )
 
+    def others(self, service: str, domains_out: Set[str]) -> EndpointPool:
+        """Return a service's endpoints that are draining or in a domain taken out."""
+        return self._pool(service, lambda key: not key.is_in_use(domains_out))
+
     def _pool(self, service, is_wanted) -> EndpointPool:
         groups = self._groups_by_service.get(service, {})
         return EndpointPool([g for key, g in groups.items() if is_wanted(key)])
@@ -135,11 +146,20 @@
     service: str
     failure_domain: str
     draining: bool
+    backing_off: bool
+
+    def is_in_use(self, domains_out: Set[str]) -> bool:
+        return not self.draining and self.failure_domain not in domains_out
 
 
 def _key(tracked: TrackedEndpoint) -> _GroupKey:
     record = tracked.record
-    return _GroupKey(record.service, record.failure_domain, tracked.is_draining)
+    return _GroupKey(
+        record.service,
+        record.failure_domain,
+        tracked.is_draining,
+        tracked.is_backing_off,
+    )
 
 
 class _Group:
--- a/cranberrywick/routing/registry.py
+++ b/cranberrywick/routing/registry.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 from cranberrywick.routing.drain_notices import DrainNotice, DrainNotices
+from cranberrywick.routing.endpoint_backoffs import EndpointBackoffs
 from cranberrywick.routing.endpoint_index import EndpointIndex, TrackedEndpoint
 from cranberrywick.routing.model import EndpointDelta, EndpointRecord, EndpointView
 
@@ -36,12 +37,13 @@
     Tracked endpoints are changed in place, so that the cost of a snapshot depends on
     the number of changes and not on that of registered endpoints.
 
-    ``drain_notices`` are what endpoints have announced in their answers, which a
-    snapshot does not change.
+    ``drain_notices`` are what endpoints have announced in their answers. A snapshot
+    changes neither these nor the backoffs that endpoints have requested.
     """
 
     def __init__(self, drain_notices: DrainNotices | None = None) -> None:
         self._drain_notices = drain_notices or DrainNotices()
+        self._backoffs = EndpointBackoffs()
         self.revision = 0
         self.read_at = float("-inf")
         self.tracked_by_id: dict[str, TrackedEndpoint] = {}
@@ -67,6 +69,28 @@
             announced_at = notice.announced_at
             self._replace(tracked._replace(drain_announced_at=announced_at), tracked)
 
+    def request_backoff(
+        self, endpoint_id: str, born: int, seconds: float, now: float
+    ) -> float:
+        """Give an endpoint no requests for some seconds; return when that ends."""
+        until = self._backoffs.request(endpoint_id, born, seconds, now)
+        self._set_backoff(endpoint_id, born, until)
+        return until
+
+    def end_backoffs(self, now: float) -> list[str]:
+        """Use endpoints again whose backoff is over; return their ids."""
+        if not self._backoffs:
+            return []
+        ended = self._backoffs.end(now)
+        for endpoint_id, born in ended:
+            self._set_backoff(endpoint_id, born, float("-inf"))
+        return [endpoint_id for endpoint_id, _ in ended]
+
+    def _set_backoff(self, endpoint_id: str, born: int, until: float) -> None:
+        tracked = self.tracked_by_id.get(endpoint_id)
+        if tracked is not None and tracked.record.born == born:
+            self._replace(tracked._replace(backoff_until=until), tracked)
+
     def apply(
         self, view: EndpointView, read_at: float, now: float
     ) -> list[EndpointChange]:
@@ -125,6 +149,7 @@
             drain_announced_at=self._drain_notices.announced_at(
                 endpoint_id, record.born
             ),
+            backoff_until=self._backoffs.until(endpoint_id, record.born),
         )
         self._replace(tracked, before)
 
--- a/cranberrywick/routing/retry_after.py
+++ b/cranberrywick/routing/retry_after.py
@@ -1,10 +1,10 @@
 """Retry-After times for callers that could not be served.
 
-Load pattern: a daemon starts, a service has no endpoints left, or the rate limits of
-its endpoints leave no room for all requests, while many callers send them, each with
-one retry left. If a caller retries too early, its only retry gets the same refusal; if
-too late, its own timeout has passed. If all callers get the same time, they return at
-the same moment.
+Load pattern: a daemon starts, a service has no endpoints left, or the rate limits or
+backoffs of its endpoints leave no room for all requests, while many callers send them,
+each with one retry left. If a caller retries too early, its only retry gets the same
+refusal; if too late, its own timeout has passed. If all callers get the same time, they
+return at the same moment.
 
 How long a service will have no endpoints is unknown. The estimate follows the rule that
 an outage of unknown length lasts on for as long as it has lasted already.
@@ -15,6 +15,7 @@
 __all__ = [
     "MIN_SECONDS_WITHOUT_STORE",
     "STARTING_SECONDS",
+    "BackoffReturns",
     "LimitedReturns",
     "ServiceOutages",
 ]
@@ -32,6 +33,8 @@
 MAX_SECONDS = 10.0
 # Largest random deviation from the estimated time, as a share of it.
 SPREAD = 0.25
+# Least span over which callers return after the end of a backoff, in seconds.
+MIN_SPREAD_SECONDS = 0.25
 
 
 class ServiceOutages:
@@ -63,6 +66,26 @@
         return expected * self._rng.uniform(1 - SPREAD, 1 + SPREAD)
 
 
+class BackoffReturns:
+    """Spreads the retries of callers over the time after the end of a backoff.
+
+    >>> returns = BackoffReturns(random.Random())
+    >>> returns.retry_seconds(2.0)
+    2.31
+    """
+
+    def __init__(self, rng: random.Random):
+        self._rng = rng
+
+    def retry_seconds(self, wait: float) -> float:
+        """Return after how many seconds a caller should retry.
+
+        ``wait`` is the time in seconds until an endpoint wants requests again; no
+        caller returns before that.
+        """
+        return wait + self._rng.uniform(0.0, max(SPREAD * wait, MIN_SPREAD_SECONDS))
+
+
 class LimitedReturns:
     """Spaces out the retries of callers, at the rate that limits allow.
 
--- a/cranberrywick/routing/usable.py
+++ b/cranberrywick/routing/usable.py
@@ -1,5 +1,7 @@
 """Rules for which endpoints may get new work, and which only as a last resort.
 
+An endpoint that has asked for a backoff gets none before its end, in any case.
+
 Load pattern: endpoints leave and failure domains are taken out while requests wait for
 a slot or a connection. If the rules were checked only on a request's arrival, a request
 that waits would be sent seconds after the endpoint's deadline for new work. They are
@@ -47,15 +49,17 @@
 def is_usable(tracked: TrackedEndpoint, domains_out: Set[str]) -> bool:
     """Whether an endpoint may get new work.
 
-    It may unless it is draining or in a failure domain that operators have taken out.
-    `EndpointIndex.ready` applies the same rule.
+    It may unless it is draining, in a backoff, or in a failure domain that operators
+    have taken out. `EndpointIndex.ready` applies the same rule.
     """
-    domain = tracked.record.failure_domain
-    return not tracked.is_draining and domain not in domains_out
+    is_out = tracked.record.failure_domain in domains_out
+    return not (tracked.is_draining or tracked.is_backing_off or is_out)
 
 
 def usable_until(tracked: TrackedEndpoint, restrictions: Restrictions) -> float:
     """Return the time until which an endpoint may get requests; infinity if usable."""
+    if tracked.is_backing_off:
+        return float("-inf")
     record = tracked.record
     until = float("inf")
     if record.draining:
--- a/cranberrywick/standin/platform/endpoint.py
+++ b/cranberrywick/standin/platform/endpoint.py
@@ -23,7 +23,6 @@
 import asyncio
 import json
 from collections import Counter
-from math import inf
 from typing import NamedTuple
 
 import h11
@@ -70,9 +69,9 @@
     each answer states it, in requests a second; ``limit_named_at`` is the time of the
     first such answer and ``arrived_at`` has the time of each request, both on the
     loop's clock. ``arrivals`` has the ids, too. While ``draining`` is set, each answer
-    says so. While ``retry_after`` is set, the next ``refusals`` requests are refused
-    with that value of the header; ``backoffs`` has these refusals. ``extra_headers``
-    are added to each answer. ``runs`` counts runs by request id, ``heads`` has the
+    says so. The next requests are refused, one with each of the ``retry_afters`` as
+    value of the header; ``backoffs`` has these refusals. ``extra_headers`` are added to
+    each answer. ``runs`` counts runs by request id, ``heads`` has the
     method, target, headers and body of each run, ``at_work`` the request ids in
     progress and ``tickets`` the reservations of memory by id. ``by_address`` has all
     endpoints of the process, so that an engine can check its helpers' tickets.
@@ -98,8 +97,7 @@
         self.limit_named_at: float | None = None
         self.arrivals: list[Arrival] = []
         self.draining = False
-        self.retry_after: str | None = None
-        self.refusals = inf
+        self.retry_afters: list[str] = []
         self.backoffs: list[Backoff] = []
         self.extra_headers: list[tuple[str, str]] = []
         self.runs: Counter[str] = Counter()
@@ -162,13 +160,13 @@
         request_id = headers.get("cranberrywick-request-id", "")
         now = asyncio.get_running_loop().time()
         self.arrivals.append(Arrival(request_id, now))
-        if self.retry_after is not None and self.refusals > 0:
-            self.refusals -= 1
+        if self.retry_afters:
+            retry_after = self.retry_afters.pop(0)
             await asyncio.sleep(self.work_seconds)
             now = asyncio.get_running_loop().time()
-            self.backoffs.append(Backoff(request_id, now, self.retry_after))
+            self.backoffs.append(Backoff(request_id, now, retry_after))
             own = [("Cranberrywick-Not-Executed", "1")]
-            own += [("Retry-After", self.retry_after), *self._state_headers()]
+            own += [("Retry-After", retry_after), *self._state_headers()]
             writer.write(_encode_response(http, 503, own, b""))
             return
         at_fault = self._refusing_address(headers)
--- a/tests/test_answer_logs.py
+++ b/tests/test_answer_logs.py
@@ -9,10 +9,9 @@
     with running_gateways(tmp_path) as fleet:
         (gateway,) = fleet.gateways
         first, second = fleet.endpoints["desk-1"], fleet.endpoints["desk-2"]
-        first.retry_after = second.retry_after = "0.1"
+        first.retry_afters, second.retry_afters = ["0.1"], ["0.1"]
         first.extra_headers = second.extra_headers = [("Server-Mood", "low")]
         fleet.call(gateway, "GET", "/reads/1", request_id="refused")
-        first.retry_after = second.retry_after = None
         first.draining = second.draining = True
         wait_for(
             lambda: fleet.call(gateway, "GET", "/reads/1").status == 200, "an answer"
@@ -22,7 +21,7 @@
         (header,) = [line for line in lines if "answer_header_unread" in line]
         assert " header=server-mood " in header
         backoff = next(line for line in lines if "backoff_requested" in line)
-        assert " seconds=0.1 request_id=refused" in backoff
+        assert " born=1 seconds=0.1 ends_after=0.1 request_id=refused" in backoff
         host, port = gateway.settings["ip"], gateway.settings["internalPorts"][1]
         metrics = urllib3.request("GET", f"http://{host}:{port}/metrics").data.decode()
         for name in ("draining_answers", "backoff_answers"):
--- a/tests/test_backoff_fleet.py
+++ b/tests/test_backoff_fleet.py
@@ -3,8 +3,6 @@
 Guards against requests within that time: they keep an overloaded endpoint overloaded.
 """
 
-from threading import Thread
-
 import pytest
 from endpoint_promises import MOST_IN_BACKOFF, call_all, most_in_backoff
 from gateway_fleet import running_gateways, wait_for
@@ -25,7 +23,7 @@
     with running_gateways(tmp_path, gateways=2) as fleet:
         endpoint = fleet.endpoints["desk-1"]
         endpoint.work_seconds = WORK_SECONDS
-        endpoint.retry_after, endpoint.refusals = str(BACKOFF_SECONDS), 4
+        endpoint.retry_afters = [str(BACKOFF_SECONDS)] * 4
         calls = call_all(fleet, seconds=BACKOFF_SECONDS + 1.0, callers_each=8)
         most = most_in_backoff(endpoint, gateways_by_request(calls))
         assert most <= MOST_IN_BACKOFF
@@ -39,16 +37,8 @@
     with running_gateways(tmp_path) as fleet:
         endpoint = fleet.endpoints["desk-1"]
         endpoint.work_seconds = WORK_SECONDS
-        endpoint.retry_after, endpoint.refusals = str(BACKOFF_SECONDS), 8
-
-        def shorten():
-            wait_for(lambda: endpoint.backoffs, "the first refusal")
-            endpoint.retry_after = "0.2"
-
-        thread = Thread(target=shorten)
-        thread.start()
+        endpoint.retry_afters = [str(BACKOFF_SECONDS), "0.2", "0.2", "0.2"]
         calls = call_all(fleet, seconds=BACKOFF_SECONDS, callers_each=16)
-        thread.join()
         assert {backoff.value for backoff in endpoint.backoffs} == {"2.5", "0.2"}
         most = most_in_backoff(endpoint, gateways_by_request(calls))
         assert most <= MOST_IN_BACKOFF
@@ -62,7 +52,7 @@
     with running_gateways(tmp_path, gateways=2) as fleet:
         desks = [fleet.endpoints["desk-1"], fleet.endpoints["desk-2"]]
         for desk in desks:
-            desk.retry_after, desk.refusals = str(BACKOFF_SECONDS), 2
+            desk.retry_afters = [str(BACKOFF_SECONDS)] * 2
         calls = call_all(fleet, seconds=BACKOFF_SECONDS + 1.0, callers_each=2)
         gateways = gateways_by_request(calls)
         for desk in desks:
@@ -85,7 +75,7 @@
     """Such an endpoint gets requests again after the cooldown of a failure."""
     with running_gateways(tmp_path) as fleet:
         for desk in (fleet.endpoints["desk-1"], fleet.endpoints["desk-2"]):
-            desk.retry_after, desk.refusals = value, 1
+            desk.retry_afters = [value]
         call_all(fleet, seconds=0.2)
         (gateway,) = fleet.gateways
         wait_for(
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -11,9 +11,10 @@
 from cranberrywick.bench.prompt_engines import PROFILE
 from cranberrywick.bench.virtual_time import run_in_virtual_time
 from cranberrywick.errors import Overloaded
+from cranberrywick.gateway.usable_endpoints import UsableEndpoints
 from cranberrywick.gateway.waiting import WaitingRequests
+from cranberrywick.logs import EventLog
 from cranberrywick.routing.demand import Demand, min_first_event_seconds
-from cranberrywick.routing.endpoint_index import EndpointPool
 from cranberrywick.routing.load import FleetLoad
 from cranberrywick.routing.model import (
     EndpointRecord,
@@ -41,16 +42,16 @@
     record = EndpointRecord("e1", "drafting", "10.1.0.1:80", "fd-a", 8, False, 0.0, 1)
     registry = EndpointRegistry()
     registry.apply(EndpointView(1, {"e1": record}), 0.0, 0.0)
+    operator = SimpleNamespace(domains_out=frozenset(), out_since_by_domain={})
+    bounds = SimpleNamespace(drain_seconds=2.0, evacuate_seconds=5.0)
     return SimpleNamespace(
-        registry=registry,
-        domains_out=frozenset(),
+        usable_endpoints=UsableEndpoints(registry, operator, bounds, EventLog()),
         store_is_unavailable=False,
         load=FleetLoad(),
         peer_updates=SimpleNamespace(
             job_added=lambda: None,
             limits=SimpleNamespace(wait_seconds=lambda endpoint_id, now: 0.0),
         ),
-        last_resort=lambda service: EndpointPool([]),
     )
 
 
