Read what answers to orders state about their endpoints

If it announced draining or named a time without requests there, the announcement was dropped, as those in answers to requests had been: other prompts went on being placed at it, and their reservations had to be refused first.

The heads of such answers now pass through the same observations, rate limits included.

--- a/cranberrywick/gateway/attempt.py
+++ b/cranberrywick/gateway/attempt.py
@@ -11,7 +11,7 @@
     EndpointRefused,
 )
 from cranberrywick.gateway.events import EventSplitter
-from cranberrywick.gateway.exchange import Exchange
+from cranberrywick.gateway.exchange import AnswerSource, Exchange
 from cranberrywick.gateway.ingress import CallerConnection
 from cranberrywick.gateway.reservations import Reservations
 from cranberrywick.gateway.upstream import EndpointAnswer, EndpointConnection
@@ -61,13 +61,13 @@
 class AnswerCallbacks(NamedTuple):
     """Callbacks for the stages of an answer that is being received.
 
-    ``on_head`` is called with the exchange, the status and the decoded headers;
-    ``on_first_event`` with the exchange, once, at the first event of a stream;
-    ``on_pause`` with the endpoint's id and the pause since the previous event, in
-    seconds.
+    ``on_head`` is called with the source, the status and the decoded headers, also for
+    answers to orders; ``on_first_event`` with the exchange, once, at the first event of
+    a stream; ``on_pause`` with the endpoint's id and the pause since the previous
+    event, in seconds.
     """
 
-    on_head: Callable[[Exchange, int, ResponseMeta], None]
+    on_head: Callable[[AnswerSource, int, ResponseMeta], None]
     on_first_event: Callable[[Exchange], None]
     on_pause: Callable[[str, float], None]
 
@@ -116,7 +116,9 @@
                 "the endpoint is gone", reason=EndpointRefusal.LEAVING
             )
         wanted = self._wanted_reservations()
-        reservations = Reservations(wanted, self._free_seconds, self._log)
+        reservations = Reservations(
+            wanted, self._free_seconds, self._record_order_answer, self._log
+        )
         try:
             self._check_usable(self._placement.helpers)
             await reservations.acquire()
@@ -157,6 +159,14 @@
         exchange.in_flight = False
         return forwarded
 
+    def _record_order_answer(self, endpoint_id: str, answer: EndpointAnswer) -> None:
+        tracked = self._tracked_by_id.get(endpoint_id)
+        if tracked is None:
+            return
+        meta = decode_response(answer.status, answer.headers_by_name)
+        source = self._exchange.answer_source(endpoint_id, tracked.record.born)
+        self._callbacks.on_head(source, answer.status, meta)
+
     def _check_usable(self, parts: Iterable[Part]) -> None:
         """Raise `EndpointRefused` if one of the endpoints may not get new work.
 
@@ -237,7 +247,9 @@
     async def _receive(self, connection: EndpointConnection) -> ForwardedAnswer:
         answer = await connection.read_head()
         meta = decode_response(answer.status, answer.headers_by_name)
-        self._callbacks.on_head(self._exchange, answer.status, meta)
+        exchange = self._exchange
+        source = exchange.answer_source(exchange.endpoint_id, exchange.endpoint_born)
+        self._callbacks.on_head(source, answer.status, meta)
         self._check_head(answer, meta)
         if self._exchange.is_stream and answer.status == 200:
             await self._forward_stream(connection, answer, meta)
--- a/cranberrywick/gateway/exchange.py
+++ b/cranberrywick/gateway/exchange.py
@@ -1,6 +1,7 @@
 """The state of one request while it is served."""
 
 import json
+from typing import NamedTuple
 
 from cranberrywick.errors import CranberrywickError, EndpointRefused, InvalidRequest
 from cranberrywick.gateway.ingress import CallerConnection, HttpRequest
@@ -14,7 +15,7 @@
     Service,
 )
 
-__all__ = ["Exchange"]
+__all__ = ["AnswerSource", "Exchange"]
 
 # Value of Retry-After where the failure sets none, in seconds. In this time daemons
 # exchange updates about endpoints that became free or failed.
@@ -23,6 +24,18 @@
 _keys = iter(range(1, 2**62))
 
 
+class AnswerSource(NamedTuple):
+    """The endpoint that gave an answer, and the request that led to it.
+
+    ``born`` identifies the start of the endpoint, as in its record.
+    """
+
+    endpoint_id: str
+    born: int
+    route_name: str
+    request_id: str
+
+
 class Exchange:
     """One request, its caller and its attempts so far.
 
@@ -78,6 +91,10 @@
         self.endpoint_born = endpoint.born
         self.in_flight = True
 
+    def answer_source(self, endpoint_id: str, born: int) -> AnswerSource:
+        """Return the source of an endpoint's answer to this request or for it."""
+        return AnswerSource(endpoint_id, born, self.route.name, self.meta.request_id)
+
     @property
     def sent_count(self) -> int:
         """How many endpoints the request was sent to."""
--- a/cranberrywick/gateway/observations.py
+++ b/cranberrywick/gateway/observations.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from math import isfinite
 
-from cranberrywick.gateway.exchange import Exchange
+from cranberrywick.gateway.exchange import AnswerSource, Exchange
 from cranberrywick.gateway.lazy_metrics import LazyMetrics
 from cranberrywick.gateway.state import FleetState
 from cranberrywick.logs import EventLog
@@ -28,17 +28,19 @@
         self._loop = asyncio.get_running_loop()
         self._unread_names: set[str] = set()
 
-    def record_head(self, exchange: Exchange, status: int, meta: ResponseMeta) -> None:
+    def record_head(
+        self, source: AnswerSource, status: int, meta: ResponseMeta
+    ) -> None:
         """Record what the head of an answer states about its endpoint."""
-        self._record_unread(exchange, meta)
+        self._record_unread(source, meta)
         if meta.draining:
-            self._record_draining(exchange, status)
+            self._record_draining(source, status)
         if meta.backoff_seconds is not None:
-            self._record_backoff(exchange, meta.backoff_seconds)
+            self._record_backoff(source, meta.backoff_seconds)
         if meta.rate_limit is not None:
-            self._record_limit(exchange, status, meta)
+            self._record_limit(source, status, meta.rate_limit)
 
-    def _record_unread(self, exchange: Exchange, meta: ResponseMeta) -> None:
+    def _record_unread(self, source: AnswerSource, meta: ResponseMeta) -> None:
         """Log and count headers that have no effect, each name once."""
         for name in sorted(meta.unread_names - self._unread_names):
             if len(self._unread_names) >= MAX_LOGGED_NAMES:
@@ -48,47 +50,44 @@
             self._log.warning(
                 "answer_header_unread",
                 header=name,
-                endpoint=exchange.endpoint_id,
-                request_id=exchange.meta.request_id,
+                endpoint=source.endpoint_id,
+                request_id=source.request_id,
             )
 
-    def _record_draining(self, exchange: Exchange, status: int) -> None:
-        self._metrics.draining_announced(exchange.route.name)
-        notice = DrainNotice(
-            exchange.endpoint_id, exchange.endpoint_born, self._loop.time()
-        )
+    def _record_draining(self, source: AnswerSource, status: int) -> None:
+        self._metrics.draining_announced(source.route_name)
+        notice = DrainNotice(source.endpoint_id, source.born, self._loop.time())
         if not self._state.peer_updates.announce_draining(notice):
             return
         self._log.warning(
             "endpoint_draining_announced",
-            endpoint=exchange.endpoint_id,
-            born=exchange.endpoint_born,
+            endpoint=source.endpoint_id,
+            born=source.born,
             status=status,
-            request_id=exchange.meta.request_id,
+            request_id=source.request_id,
         )
 
-    def _record_backoff(self, exchange: Exchange, seconds: float) -> None:
-        self._metrics.backoff_requested(exchange.route.name)
+    def _record_backoff(self, source: AnswerSource, seconds: float) -> None:
+        self._metrics.backoff_requested(source.route_name)
         ends_after = self._state.usable_endpoints.request_backoff(
-            exchange.endpoint_id, exchange.endpoint_born, seconds
+            source.endpoint_id, source.born, seconds
         )
         self._log.warning(
             "endpoint_backoff_requested",
-            endpoint=exchange.endpoint_id,
-            born=exchange.endpoint_born,
+            endpoint=source.endpoint_id,
+            born=source.born,
             seconds=seconds,
             ends_after=ends_after,
-            request_id=exchange.meta.request_id,
+            request_id=source.request_id,
         )
 
-    def _record_limit(
-        self, exchange: Exchange, status: int, meta: ResponseMeta
-    ) -> None:
-        if isfinite(meta.rate_limit):
-            self._metrics.limit_named(exchange.route.name)
+    def _record_limit(self, source: AnswerSource, status: int, rate: float) -> None:
+        """Record the rate limit that an answer names, infinity if it names none."""
+        if isfinite(rate):
+            self._metrics.limit_named(source.route_name)
         peer_updates = self._state.peer_updates
         change = peer_updates.limits.observe(
-            exchange.endpoint_id, meta.rate_limit, self._loop.time()
+            source.endpoint_id, rate, self._loop.time()
         )
         if change is None:
             return
@@ -97,7 +96,7 @@
             "endpoint_limit_changed",
             **change.log_fields,
             status=status,
-            request_id=exchange.meta.request_id,
+            request_id=source.request_id,
         )
 
     def pause_recorder(self, exchange: Exchange) -> Callable[[str, float], None]:
--- a/cranberrywick/gateway/reservations.py
+++ b/cranberrywick/gateway/reservations.py
@@ -9,11 +9,11 @@
 
 import asyncio
 import secrets
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
 from cranberrywick.errors import CranberrywickError, EndpointRefused
-from cranberrywick.gateway.upstream import EndpointConnection
+from cranberrywick.gateway.upstream import EndpointAnswer, EndpointConnection
 from cranberrywick.logs import EventLog
 from cranberrywick.model import EndpointRefusal
 from cranberrywick.platform.orders import (
@@ -52,8 +52,9 @@
 
     ``wanted`` lists the endpoints with their address and the tokens to reserve.
     ``free_seconds`` is the longest time until memory must be free after its last use.
+    ``on_answer`` is called with an endpoint's id and its answer to an order.
 
-    >>> held = Reservations([(endpoint_id, address, tokens)], 4.0, log)
+    >>> held = Reservations([(endpoint_id, address, tokens)], 4.0, on_answer, log)
     >>> await held.acquire()
     >>> held.release()
     """
@@ -62,10 +63,12 @@
         self,
         wanted: Sequence[tuple[str, str, int]],
         free_seconds: float,
+        on_answer: Callable[[str, EndpointAnswer], None],
         log: EventLog,
     ):
         self._loop = asyncio.get_running_loop()
         self._log = log
+        self._on_answer = on_answer
         self._hold_seconds = HOLD_SHARE * free_seconds
         name = secrets.token_hex(6)
         self.held = [
@@ -139,7 +142,7 @@
                 async with EndpointConnection(reservation.address) as connection:
                     await connection.open(ORDER_TIMEOUT_SECONDS)
                     await connection.send(b"POST", ORDER_TARGET, headers, body)
-                    return (await connection.read_head()).status
+                    answer = await connection.read_head()
         except (CranberrywickError, TimeoutError) as error:
             self._log.warning(
                 "order_unanswered",
@@ -148,6 +151,8 @@
                 error=error,
             )
             return 0
+        self._on_answer(reservation.endpoint_id, answer)
+        return answer.status
 
 
 # The tasks of releases, which outlive their request. The event loop keeps only weak
--- a/cranberrywick/standin/platform/endpoint.py
+++ b/cranberrywick/standin/platform/endpoint.py
@@ -150,7 +150,9 @@
     async def _answer(self, head, body, http, reader, writer) -> None:
         headers = {bytes(n).decode(): bytes(v).decode() for n, v in head.headers}
         if head.target == b"/order":
-            writer.write(_encode_response(http, *self._order(json.loads(body))))
+            status, body = self._order(json.loads(body))
+            answer = _encode_response(http, status, self._state_headers(), body)
+            writer.write(answer)
             return
         expected = headers.get("cranberrywick-expect-instance")
         if expected not in (None, self.endpoint_id):
@@ -183,18 +185,18 @@
         finally:
             self.at_work.discard(request_id)
 
-    def _order(self, order: dict) -> tuple[int, list, bytes]:
+    def _order(self, order: dict) -> tuple[int, bytes]:
         now = asyncio.get_running_loop().time()
         if order["operation"] == "release":
             self.tickets.pop(order["id"], None)
-            return 200, [], b"{}"
+            return 200, b"{}"
         held = self.reserved
         known = self.tickets.get(order["id"])
         if known is None and held + order["tokens"] > self.memory_tokens:
-            return 409, [], b"{}"
+            return 409, b"{}"
         expires_at = now + order["holdMs"] / 1000
         self.tickets[order["id"]] = _Ticket(order["tokens"], expires_at)
-        return 200, [], b'{"free": 0}'
+        return 200, b'{"free": 0}'
 
     def _state_headers(self) -> list[tuple[str, str]]:
         draining = [("Server-Leaving", "1")] if self.draining else []
