Never ask refused callers back before a limited endpoint has room

Half of the callers that were refused for rate limits were told a time before the moment at which the first endpoint accepts a request again, down to three quarters of it: their only retry was refused again.

The deviation that keeps callers from returning together went to both sides of a moment that is known. It now goes only to the later side, as after a backoff; where the end is a guess, as for a service without endpoints, it stays on both. Found by looking for the same cause elsewhere. Two tests fail on the code before (the new one, and the bounds of the spacing, which are now 1.0 and 5.0 s where they were 0.75 and 3.75 s).

--- a/cranberrywick/routing/retry_after.py
+++ b/cranberrywick/routing/retry_after.py
@@ -31,7 +31,8 @@
 # Longest estimate, in seconds, before the random deviation: callers wait no longer than
 # this.
 MAX_SECONDS = 10.0
-# Largest random deviation from the estimated time, as a share of it.
+# Largest random deviation from the estimated time, as a share of it. Where the earliest
+# possible time is known, the deviation is only to the later side.
 SPREAD = 0.25
 # Least span over which callers return after the end of a backoff, in seconds.
 MIN_SPREAD_SECONDS = 0.25
@@ -93,7 +94,7 @@
     >>> returns.retry_seconds("notices", wait=1.0, pause=0.5, now=10.0)
     1.06
     >>> returns.retry_seconds("notices", wait=1.0, pause=0.5, now=10.0)
-    1.41
+    1.61
     """
 
     def __init__(self, rng: random.Random):
@@ -105,11 +106,11 @@
     ) -> float:
         """Return after how many seconds a caller should retry.
 
-        ``wait`` is the time in seconds until an endpoint accepts a request again,
-        ``pause`` the interval between two requests that the endpoints accept from the
+        ``wait`` is the time in seconds until an endpoint accepts a request again; no
+        caller returns before that. ``pause`` is the interval between two requests that the endpoints accept from the
         callers of one daemon.
         """
         retry_at = max(now + wait, self._next_retry_at_by_service.get(service, now))
         retry_at = min(retry_at, now + MAX_SECONDS)
         self._next_retry_at_by_service[service] = retry_at + pause
-        return (retry_at - now) * self._rng.uniform(1 - SPREAD, 1 + SPREAD)
+        return (retry_at - now) * self._rng.uniform(1, 1 + SPREAD)
--- a/tests/test_limited_choice.py
+++ b/tests/test_limited_choice.py
@@ -96,14 +96,22 @@
     assert seconds(demand(), waits | {"e3": 0.0}) is None
 
 
+def test_no_refused_caller_retries_before_an_endpoint_has_room():
+    """Guards against retries that are certain to be refused again."""
+    returns = LimitedReturns(random.Random(1))
+    for caller in range(200):
+        seconds = returns.retry_seconds(f"service-{caller}", 1.0, 0.5, 10.0)
+        assert seconds >= 1.0
+
+
 def test_refused_callers_retry_one_after_the_other():
     """Guards against callers that retry at the same moment and are refused again."""
     returns = LimitedReturns(random.Random(1))
     retry_seconds_by_caller = [
         returns.retry_seconds("notices", 1.0, 0.5, 10.0) for _ in range(9)
     ]
-    assert 0.75 <= retry_seconds_by_caller[0] <= 1.25
-    assert 3.75 <= retry_seconds_by_caller[8] <= 6.25
+    assert 1.0 <= retry_seconds_by_caller[0] <= 1.25
+    assert 5.0 <= retry_seconds_by_caller[8] <= 6.25
     # After their retries, the next caller waits no longer than the first of them.
     assert returns.retry_seconds("notices", 1.0, 0.5, 30.0) <= 1.25
     assert max(returns.retry_seconds("notices", 1.0, 9.0, 30.0) for _ in "1234") < 13
