--- a/cranberrywick/routing/retry_after.py
+++ b/cranberrywick/routing/retry_after.py
@@ -107,8 +107,8 @@
         """Return after how many seconds a caller should retry.
 
         ``wait`` is the time in seconds until an endpoint accepts a request again; no
-        caller returns before that. ``pause`` is the interval between two requests that the endpoints accept from the
-        callers of one daemon.
+        caller returns before that. ``pause`` is the interval between two requests that
+        the endpoints accept from the callers of one daemon.
         """
         retry_at = max(now + wait, self._next_retry_at_by_service.get(service, now))
         retry_at = min(retry_at, now + MAX_SECONDS)
