Send notices of draining for as long as ten heartbeats of the largest fleets

In a fleet of 195 daemons with a tenth of the datagrams lost, some daemons were never told that an endpoint drains: a notice was sent for three seconds, which are three heartbeats there, and each passes over three links. They went on sending callers' requests to it until it told them itself.

Fifteen seconds are ten heartbeats and more of such a fleet. A notice takes some thirty bytes of a heartbeat.

--- a/cranberrywick/routing/drain_notices.py
+++ b/cranberrywick/routing/drain_notices.py
@@ -17,8 +17,9 @@
 __all__ = ["DrainNotice", "DrainNotices"]
 
 # How long a daemon sends a notice that it has received from the endpoint itself, in
-# seconds. This covers several heartbeats, since some are lost.
-REPORT_SECONDS = 3.0
+# seconds. This covers ten heartbeats of the largest fleets: each passes over three
+# links, any of which may lose it.
+REPORT_SECONDS = 15.0
 # How long notices of endpoints that are not registered are kept, in seconds. A record
 # that expired while the store was unavailable may return that late.
 KEEP_SECONDS = 600.0
