Soak: let endpoints announce draining, start again, and ask for time

Beside the faults of a seed, which stay the same, endpoints announce draining and start again with a new `born`, or refuse some requests with times that are long, short or malformed. Two guarantees more are checked, from what callers and endpoints saw; a gateway that was killed, stopped, paused or started since is left out, as is the link of an endpoint that was harmed.

--- a/tests/endpoint_promises.py
+++ b/tests/endpoint_promises.py
@@ -4,12 +4,15 @@
 nothing that a daemon believes.
 """
 
-from collections.abc import Iterable, Mapping
+from collections import defaultdict
+from collections.abc import Iterable, Mapping, Sequence
 from concurrent.futures import ThreadPoolExecutor
+from math import inf
 from typing import NamedTuple
 
 from gateway_fleet import PROMPT_HEADERS, Answer, Fleet, Gateway
 
+from cranberrywick.platform.headers import decode_response
 from cranberrywick.standin.platform.endpoint import EndpointStandIn
 
 # Time after an answer that announced draining within which its endpoint may get the
@@ -22,17 +25,23 @@
 
 
 class TimedCall(NamedTuple):
-    """A caller's request, when it was sent and answered, and the answer.
+    """A caller's request, when it was sent and answered, and the answer, if any.
 
     Times are those of the stand-ins' loop.
     """
 
     gateway: str
     request_id: str
+    target: str
     sent_at: float
-    answer: Answer
+    answer: Answer | None
     answered_at: float
 
+    @property
+    def kind(self) -> str:
+        """The name of the route, the first segment of the target."""
+        return self.target.split("/")[1]
+
 
 def call_repeatedly(
     fleet: Fleet, gateway: Gateway, until: float, target: str = "/reads/1"
@@ -44,8 +53,9 @@
         headers = PROMPT_HEADERS if target.startswith("/prompts/") else {}
         answer = fleet.call(gateway, "POST", target, b"", headers, request_id)
         answered_at = fleet.loop.time()
-        call = TimedCall(gateway.name, request_id, sent_at, answer, answered_at)
-        calls.append(call)
+        calls.append(
+            TimedCall(gateway.name, request_id, target, sent_at, answer, answered_at)
+        )
     return calls
 
 
@@ -63,44 +73,99 @@
         return [call for result in results for call in result.result()]
 
 
-def late_at_draining(endpoint: EndpointStandIn, calls: Iterable[TimedCall]) -> int:
+class Disturbance(NamedTuple):
+    """A time in which a gateway or the link of an endpoint was disturbed."""
+
+    name: str
+    begun_at: float
+    ended_at: float
+
+
+def late_at_draining(
+    endpoint: EndpointStandIn,
+    calls: Iterable[TimedCall],
+    begun_at: float = -inf,
+    ended_at: float = inf,
+    disturbances: Sequence[Disturbance] = (),
+) -> int:
     """Count requests that reached a draining endpoint after its bound.
 
     The bound runs, for each daemon, from the first answer that it passed on and that
-    announced draining, to the moment at which the caller sent the request.
+    announced draining, to the moment at which the caller sent the request. A daemon
+    that was disturbed has to be told again. The endpoint announced draining from
+    ``begun_at`` to ``ended_at``.
     """
     calls = sorted(calls, key=lambda call: call.answered_at)
-    seal = f"seal.{endpoint.endpoint_id}"
-    arrived_ids = {arrival.request_id for arrival in endpoint.arrivals}
-    told_at_by_gateway: dict[str, float] = {}
+    told_at_by_gateway: dict[str, list[float]] = defaultdict(list)
     for call in calls:
-        headers = call.answer.headers
-        is_notice = "server-leaving" in headers
-        if is_notice and headers.get("cranberrywick-response-seal") == seal:
-            told_at_by_gateway.setdefault(call.gateway, call.answered_at)
+        if _announces(call, endpoint) and begun_at <= call.answered_at < ended_at:
+            told_at_by_gateway[call.gateway].append(call.answered_at)
+    arrived_ids = {
+        a.request_id for a in endpoint.arrivals if begun_at <= a.at < ended_at
+    }
     return sum(
         call.request_id in arrived_ids
-        and call.sent_at
-        > told_at_by_gateway.get(call.gateway, call.sent_at) + DRAIN_SECONDS
+        and any(
+            told_at + DRAIN_SECONDS < call.sent_at
+            and not _is_disturbed(disturbances, call.gateway, told_at, call.sent_at)
+            for told_at in told_at_by_gateway[call.gateway]
+        )
         for call in calls
     )
 
 
 def most_in_backoff(
-    endpoint: EndpointStandIn, gateways_by_request: Mapping[str, str]
+    endpoint: EndpointStandIn,
+    gateways_by_request: Mapping[str, str],
+    restarted_at: Sequence[float] = (),
+    disturbances: Sequence[Disturbance] = (),
 ) -> int:
-    """Return the most requests that an endpoint got from one daemon in a backoff."""
-    return max(
-        (
-            sum(
-                gateways_by_request.get(arrival.request_id)
-                == gateways_by_request[backoff.request_id]
-                and backoff.at + UNDER_WAY_SECONDS
-                <= arrival.at
-                < backoff.at + float(backoff.value)
-                for arrival in endpoint.arrivals
+    """Return the most requests that an endpoint got from one daemon in a backoff.
+
+    Those after a restart of the endpoint don't count, nor those after a disturbance of
+    the daemon or of the endpoint's link.
+    """
+    most = 0
+    for backoff in endpoint.backoffs:
+        gateway = gateways_by_request.get(backoff.request_id)
+        if gateway is None:
+            continue  # It was none of the callers' requests.
+        begin = backoff.at + UNDER_WAY_SECONDS
+        restarts = (at for at in restarted_at if at > backoff.at)
+        end = min(backoff.at + _seconds(backoff.value), *restarts, inf)
+        received = [
+            arrival
+            for arrival in endpoint.arrivals
+            if begin <= arrival.at < end
+            and gateways_by_request.get(arrival.request_id) == gateway
+            and not any(
+                _is_disturbed(disturbances, name, backoff.at, arrival.at)
+                for name in (gateway, endpoint.endpoint_id)
             )
-            for backoff in endpoint.backoffs
-        ),
-        default=0,
+        ]
+        most = max(most, len(received))
+    return most
+
+
+def _seconds(value: str) -> float:
+    """Return the seconds that a value of Retry-After names, 0 if it is malformed."""
+    headers = {b"retry-after": value.encode()}
+    return decode_response(503, headers).backoff_seconds or 0.0
+
+
+def _announces(call: TimedCall, endpoint: EndpointStandIn) -> bool:
+    headers = call.answer.headers if call.answer else {}
+    seal = f"seal.{endpoint.endpoint_id}"
+    return (
+        "server-leaving" in headers
+        and headers.get("cranberrywick-response-seal") == seal
+    )
+
+
+def _is_disturbed(
+    disturbances: Sequence[Disturbance], name: str, begun_at: float, ended_at: float
+) -> bool:
+    return any(
+        each.name == name and each.begun_at < ended_at and begun_at < each.ended_at
+        for each in disturbances
     )
--- a/tests/gateway_soak.py
+++ b/tests/gateway_soak.py
@@ -6,17 +6,20 @@
 a proxy in front of each endpoint. Callers send requests continuously while faults
 follow one another and overlap: processes are killed, stopped, paused and restarted;
 connections are delayed, blocked in one or both directions, or reset; the store refuses
-gateways; endpoints fail or name rate limits; operators change the configuration. The
-answers that callers received are compared with what the endpoints ran:
+gateways; endpoints fail, name rate limits, announce draining and start again, or ask
+for time; operators change the configuration. The answers that callers received are
+compared with what the endpoints received and ran:
 
 - a request that must not run twice ran at most once;
 - a request that was refused as not run has not run, and does not run later;
 - a successful answer is complete and belongs to its request;
 - an endpoint that names a rate limit gets no more requests from all gateways together
-  than it allows.
+  than it allows;
+- an endpoint that announces draining gets none of the requests that callers send later
+  than the bound to gateways that have passed the announcement on;
+- an endpoint that asks a gateway for a time without requests gets two at most in it.
 """
 
-import asyncio
 import random
 import signal
 import sys
@@ -25,21 +28,19 @@
 import time
 from collections.abc import Callable
 from pathlib import Path
-from typing import NamedTuple
 
 import click
+from endpoint_promises import Disturbance, TimedCall
+from fault_proxy import Proxy
 from gateway_fleet import (
     PROMPT_HEADERS,
-    Answer,
     Fleet,
     configuration,
     running_gateways,
     wait_for,
 )
+from soak_promises import Drain, Limit, SoakRecord
 
-STREAM = b"".join(f"id: {n}\ndata: piece {n}\n\n".encode() for n in range(1, 9))
-# Statuses that mean that a request has not run and will not run later.
-NOT_RUN_STATUSES = (408, 421, 429, 503)
 CALLERS = 6
 # About the mean interval between two faults, in seconds.
 FAULT_GAP_SECONDS = 0.5
@@ -51,107 +52,35 @@
 LIMITS = (0.5, 1.0, 3.0)
 # How long an endpoint names a rate limit, in seconds.
 LIMIT_SECONDS = 8.0
-# Length of the window in which an endpoint's requests are counted, in seconds.
-LIMIT_WINDOW_SECONDS = 4.0
-# Time from the first answer that names a limit until it is checked, in seconds.
-LIMIT_BINDS_SECONDS = 3.0
+# Share of the faults after which an endpoint announces draining or asks for time.
+STATEMENT_SHARE = 0.3
+# Values of Retry-After with which endpoints ask for a time without requests.
+RETRY_AFTERS = ("0.3", "1", "2.5", "4", "4", "6", "-1", "soon", "1e999")
+MOST_REFUSALS = 3
+# How long an endpoint announces draining before it starts again, in seconds.
+LONGEST_DRAIN_SECONDS = 6.0
+# Least time between the start of an endpoint and its next announcement, in seconds. A
+# gateway that has not read the new start yet takes the announcement for the former's.
+MIN_LIFE_SECONDS = LONGEST_FAULT_SECONDS + 2.0
 BEHAVIOURS = ("failing", "full", "reset", "hang", "twice", "other", "short", "cut")
 
 
-class Proxy:
-    """Forwards the bytes of connections to an endpoint, with the fault of its mode.
-
-    ``delay`` delays each piece by 0.05 s, ``silent`` forwards nothing, ``one_way``
-    forwards nothing from the endpoint, and ``reset`` closes the open connections.
-    """
-
-    MODES = ("delay", "silent", "one_way", "reset")
-
-    def __init__(self, target: str):
-        self._target = target
-        self.mode = "open"
-        self.address = ""
-        self._writers: set[asyncio.StreamWriter] = set()
-
-    async def start(self) -> str:
-        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        host, port = server.sockets[0].getsockname()[:2]
-        self.address = f"{host}:{port}"
-        return self.address
-
-    def set_mode(self, mode: str) -> None:
-        self.mode = mode
-        if mode == "reset":
-            for writer in self._writers:
-                writer.transport.abort()
-
-    async def _serve(self, reader, writer) -> None:
-        host, _, port = self._target.rpartition(":")
-        try:
-            upstream, onward = await asyncio.open_connection(host, int(port))
-        except OSError:
-            writer.transport.abort()
-            return
-        self._writers |= {writer, onward}
-        try:
-            ways = (
-                self._pass(reader, onward, "silent"),
-                self._pass(upstream, writer, "one_way"),
-            )
-            await asyncio.gather(*ways)
-        finally:
-            self._writers -= {writer, onward}
-            writer.close()
-            onward.close()
-
-    async def _pass(self, reader, writer, blocked_by: str) -> None:
-        while True:
-            try:
-                data = await reader.read(65536)
-                if self.mode == "delay":
-                    await asyncio.sleep(0.05)
-                while self.mode in ("silent", blocked_by):
-                    await asyncio.sleep(0.05)
-                if not data:
-                    writer.close()
-                    return
-                writer.write(data)
-                await writer.drain()
-            except OSError:
-                writer.transport.abort()
-                return
-
-
-class Call(NamedTuple):
-    """One request of a caller and its answer, None if there was none."""
-
-    request_id: str
-    kind: str
-    answer: Answer | None
-
-
-class Limit(NamedTuple):
-    """A rate, in requests per second, that an endpoint named, and from when to when."""
-
-    endpoint_id: str
-    rate: float
-    named_at: float
-    ended_at: float
-
-
 class Soak:
     """The run of one seed."""
 
     def __init__(self, fleet: Fleet, seed: int):
         self.fleet = fleet
         self.rng = random.Random(seed)
-        self.calls: list[Call] = []
+        # Apart from the faults', so that a seed's faults stay the same.
+        self._statement_rng = random.Random(f"statements {seed}")
+        self.record = SoakRecord()
         self.proxies: dict[str, Proxy] = {}
         self._stopping = threading.Event()
         self._undo: list[tuple[float, Callable[[], None]]] = []
         self._version = 100
         self.faults: list[str] = []
-        self.limits: list[Limit] = []
+        self._born_by_id = dict.fromkeys(fleet.endpoints, 1)
+        self._started_at_by_id = dict.fromkeys(fleet.endpoints, float("-inf"))
         # Ids of the processes that the soak has killed or stopped, and names of
         # the gateways whose process ended without that.
         self._ended_by_soak: set[int] = set()
@@ -168,7 +97,8 @@
     def register(self, endpoint_id: str, **fields: object) -> None:
         service = "desk" if endpoint_id.startswith("desk") else "pool"
         address = self.proxies[endpoint_id].address
-        self.fleet.register(endpoint_id, service, address=address, **fields)
+        born = self._born_by_id[endpoint_id]
+        self.fleet.register(endpoint_id, service, address=address, born=born, **fields)
 
     def run(self, seconds: float) -> None:
         """Send requests and cause faults for ``seconds``, then wait for recovery.
@@ -187,6 +117,7 @@
             time.sleep(self.rng.uniform(0.1, 2 * FAULT_GAP_SECONDS))
             self._undo_due(time.monotonic())
             self._cause_fault()
+            self._make_statement()
         self._undo_due(float("inf"))
         self._stopping.set()
         for caller in callers:
@@ -199,42 +130,7 @@
     def check(self) -> list[str]:
         """Return a line for each guarantee that was broken."""
         broken = [f"{name} ended by itself" for name in self._ended_by_themselves]
-        broken += filter(None, map(self._excess, self.limits))
-        for call in self.calls:
-            runs = self.fleet.runs(call.request_id)
-            if call.kind == "books" and runs > 1:
-                broken.append(f"{call.request_id} ran {runs} times")
-            answer = call.answer
-            if answer is None or not answer.status:
-                continue
-            if call.kind == "books" and answer.status in NOT_RUN_STATUSES and runs:
-                broken.append(f"{call.request_id}: {answer.status}, but it ran")
-            if answer.status == 200 and not self._is_own(call, answer):
-                broken.append(f"{call.request_id}: {answer.body[:60]!r}")
-        return broken
-
-    def _excess(self, limit: Limit) -> str:
-        """Return a line about an endpoint that got too many requests, else empty."""
-        times = [
-            at
-            for at in self.fleet.endpoints[limit.endpoint_id].arrived_at
-            if limit.named_at + LIMIT_BINDS_SECONDS <= at < limit.ended_at
-        ]
-        most = max(
-            sum(first <= at < first + LIMIT_WINDOW_SECONDS for at in times)
-            for first in times or [0.0]
-        )
-        allowed = 1.5 * limit.rate * LIMIT_WINDOW_SECONDS + 5
-        if most <= allowed:
-            return ""
-        return f"{limit.endpoint_id}: {most} requests at {limit.rate} a second"
-
-    def _is_own(self, call: Call, answer: Answer) -> bool:
-        if call.kind == "prompts":
-            whole = answer.body == STREAM
-            return whole if answer.whole else STREAM.startswith(answer.body)
-        expected = f"answer to {call.request_id}".encode()
-        return answer.body == expected if answer.whole else True
+        return broken + self.record.broken_promises(self.fleet)
 
     def _send_requests(self, rng: random.Random) -> None:
         while not self._stopping.is_set():
@@ -242,15 +138,22 @@
             headers = dict(PROMPT_HEADERS) if kind == "prompts" else {}
             headers["Cranberrywick-Deadline-Ms"] = "2000"
             request_id = self.fleet.new_id()
+            target = f"/{kind}/1"
+            sent_at = self.fleet.loop.time()
             gateway = rng.choice(self.fleet.gateways)
             method = "GET" if kind == "reads" else "POST"
             try:
                 answer = self.fleet.call(
-                    gateway, method, f"/{kind}/1", b"", headers, request_id, 6.0
+                    gateway, method, target, b"", headers, request_id, 6.0
                 )
             except (OSError, ValueError, IndexError):
                 answer = None  # No connection, or it ended within the head.
-            self.calls.append(Call(request_id, kind, answer))
+            answered_at = self.fleet.loop.time()
+            self.record.calls.append(
+                TimedCall(
+                    gateway.name, request_id, target, sent_at, answer, answered_at
+                )
+            )
             time.sleep(rng.uniform(0.0, 0.05))
 
     def _serves_again(self, number: int) -> bool:
@@ -281,10 +184,26 @@
         self.faults.append(cause_fault.__name__)
         cause_fault()
 
+    def _make_statement(self) -> None:
+        """Let an endpoint announce draining or ask for time, at random."""
+        rng = self._statement_rng
+        if rng.random() < STATEMENT_SHARE:
+            rng.choice((self._announce_draining, self._request_backoffs))()
+
     def _undo_later(self, undo: Callable[[], None]) -> None:
         lasts = self.rng.uniform(0.3, LONGEST_FAULT_SECONDS)
         self._undo.append((time.monotonic() + lasts, undo))
 
+    def _disturb_later(self, name: str, begun_at: float) -> None:
+        """Record at the end of the fault, undone last, that it disturbed ``name``."""
+
+        def record() -> None:
+            now = self.fleet.loop.time()
+            self.record.disturbances.append(Disturbance(name, begun_at, now))
+
+        lasts_until = self._undo[-1][0]
+        self._undo.append((lasts_until, record))
+
     def _undo_due(self, now: float) -> None:
         for entry in sorted(self._undo, key=lambda each: each[0]):
             if entry[0] <= now:
@@ -294,20 +213,26 @@
     def _kill(self) -> None:
         gateway = self.rng.choice(self.fleet.gateways)
         self._ended_by_soak.add(gateway.process.pid)
+        begun_at = self.fleet.loop.time()
         gateway.process.kill()
         gateway.process.wait()
         self._undo_later(self._restart_dead)
+        self._disturb_later(gateway.name, begun_at)
 
     def _stop(self) -> None:
-        process = self.rng.choice(self.fleet.gateways).process
-        self._ended_by_soak.add(process.pid)
-        process.send_signal(signal.SIGTERM)
+        gateway = self.rng.choice(self.fleet.gateways)
+        self._ended_by_soak.add(gateway.process.pid)
+        begun_at = self.fleet.loop.time()
+        gateway.process.send_signal(signal.SIGTERM)
         self._undo_later(self._restart_dead)
+        self._disturb_later(gateway.name, begun_at)
 
     def _pause(self) -> None:
-        process = self.rng.choice(self.fleet.gateways).process
-        process.send_signal(signal.SIGSTOP)
-        self._undo_later(lambda: process.send_signal(signal.SIGCONT))
+        gateway = self.rng.choice(self.fleet.gateways)
+        begun_at = self.fleet.loop.time()
+        gateway.process.send_signal(signal.SIGSTOP)
+        self._undo_later(lambda: gateway.process.send_signal(signal.SIGCONT))
+        self._disturb_later(gateway.name, begun_at)
 
     def _restart_dead(self) -> None:
         for number, gateway in enumerate(self.fleet.gateways):
@@ -315,11 +240,15 @@
                 if gateway.process.pid not in self._ended_by_soak:
                     self._ended_by_themselves.append(gateway.name)
                 self.fleet.gateways[number] = self.fleet.restart(gateway)
+                now = self.fleet.loop.time()
+                self.record.disturbances.append(Disturbance(gateway.name, now, now))
 
     def _fail_link(self) -> None:
-        proxy = self.rng.choice(list(self.proxies.values()))
+        endpoint_id, proxy = self.rng.choice(list(self.proxies.items()))
+        begun_at = self.fleet.loop.time()
         self.fleet.on_loop(proxy.set_mode, self.rng.choice(Proxy.MODES))
         self._undo_later(lambda: self.fleet.on_loop(proxy.set_mode, "open"))
+        self._disturb_later(endpoint_id, begun_at)
 
     def _fail_store(self) -> None:
         doors = self.fleet.store.modes_by_listener
@@ -348,10 +277,35 @@
             if endpoint.limit_named_at is not None:
                 now = self.fleet.on_loop(self.fleet.loop.time)
                 limit = Limit(endpoint.endpoint_id, rate, endpoint.limit_named_at, now)
-                self.limits.append(limit)
+                self.record.limits.append(limit)
 
         self._undo.append((time.monotonic() + LIMIT_SECONDS, end))
 
+    def _announce_draining(self) -> None:
+        endpoint_id = self._statement_rng.choice(list(self.fleet.endpoints))
+        endpoint = self.fleet.endpoints[endpoint_id]
+        now = self.fleet.loop.time()
+        lived = now - self._started_at_by_id[endpoint_id]
+        if endpoint.draining or lived < MIN_LIFE_SECONDS:
+            return
+        endpoint.draining = True
+
+        def start_again() -> None:
+            endpoint.draining = False
+            ended_at = self.fleet.loop.time()
+            self.record.drains.append(Drain(endpoint_id, now, ended_at))
+            self._born_by_id[endpoint_id] += 1
+            self._started_at_by_id[endpoint_id] = ended_at
+            self.register(endpoint_id)
+
+        lasts = self._statement_rng.uniform(2.0, LONGEST_DRAIN_SECONDS)
+        self._undo.append((time.monotonic() + lasts, start_again))
+
+    def _request_backoffs(self) -> None:
+        endpoint = self._statement_rng.choice(list(self.fleet.endpoints.values()))
+        refusals = self._statement_rng.randint(1, MOST_REFUSALS)
+        endpoint.retry_afters += self._statement_rng.choices(RETRY_AFTERS, k=refusals)
+
     def _drain(self) -> None:
         endpoint_id = self.rng.choice(list(self.fleet.endpoints))
         self.register(endpoint_id, state="draining")
@@ -387,9 +341,9 @@
     failed = 0
     for seed in range(first, first + seeds):
         soak, broken = run_seed(seed, seconds, gateways)
-        answered = sum(bool(c.answer and c.answer.status) for c in soak.calls)
+        answered = sum(bool(c.answer and c.answer.status) for c in soak.record.calls)
         click.echo(
-            f"seed {seed}: {len(soak.calls)} calls, {answered} answered, "
+            f"seed {seed}: {len(soak.record.calls)} calls, {answered} answered, "
             f"{len(soak.faults)} faults, {len(broken)} promises broken"
         )
         for line in broken:
--- a/tests/test_gateway_soak.py
+++ b/tests/test_gateway_soak.py
@@ -16,7 +16,7 @@
     """
     soak, broken = run_seed(seed, seconds=6.0)
     assert not broken
-    assert len(soak.calls) > 20
+    assert len(soak.record.calls) > 20
 
 
 def test_a_gateway_that_is_stopped_at_the_end_is_restarted():
@@ -35,4 +35,4 @@
     """The same in a fleet that sends updates through a relay, which is killed too."""
     soak, broken = run_seed(seed, seconds=6.0, gateways=20)
     assert not broken
-    assert len(soak.calls) > 20
+    assert len(soak.record.calls) > 20
