Test a rush of requests after a lull at endpoints with rate limits

With BURST_SECONDS at 4 s, 81 of 65 and 161 of 125 allowed requests came through after a lull, and the project's tests passed: none had callers that pause. Fleets of 9 and 67 daemons in virtual time now play two lulls of six seconds, each followed by callers that send three times what the limit allows.

With BURST_SECONDS at 4 s four of the six cases fail, those of 10 and 20 requests a second; with one request a second nine of eleven allowed come, which is within the bound. As it stands, at 0.5 s, all six pass, as they do at 1.5 s, which the bound allows too.

--- a/tests/test_fleet_limits.py
+++ b/tests/test_fleet_limits.py
@@ -7,7 +7,7 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, rule
-from limited_fleet import DOMAINS, LimitedFleet, run_scenario
+from limited_fleet import DOMAINS, WINDOW_SECONDS, LimitedFleet, run_scenario
 
 from cranberrywick.bench.virtual_time import suspend_loop, virtual_loop
 
@@ -49,6 +49,24 @@
     run_scenario(size, scenario)
 
 
+@pytest.mark.parametrize("size", [9, 67])
+@pytest.mark.parametrize("rate", [1.0, 10.0, 20.0])
+def test_a_rush_after_a_lull_stays_within_the_limit(size, rate):
+    """Guards against permits that accumulate while few requests come."""
+
+    async def scenario(fleet):
+        await limit(fleet, rate)
+        await asyncio.sleep(4.0)
+        for _ in range(2):
+            fleet.stop_callers()
+            await asyncio.sleep(6.0)
+            fleet.start_callers(OVERLOAD * rate)
+            await asyncio.sleep(WINDOW_SECONDS + 2.0)
+        fleet.check_limits()
+
+    run_scenario(size, scenario)
+
+
 def test_requests_within_a_limit_are_served():
     """Guards against refusals while the endpoints could accept the requests."""
 
