--- a/cranberrywick/routing/demand.py
+++ b/cranberrywick/routing/demand.py
@@ -31,7 +31,7 @@
     ``failure_domain`` is that of the daemon. ``tried_ids`` are the endpoints that have
     failed the request. Only those in ``answering_ids`` may answer it, though others may
     help; None allows all. It waits up to ``longest_wait`` seconds for the permit that
-    an endpoint with a rate limit requires.
+    an endpoint with a rate limit requires, or for the end of a backoff.
     """
 
     request_id: str
--- a/tests/test_backoff_fleet.py
+++ b/tests/test_backoff_fleet.py
@@ -32,6 +32,20 @@
         assert any(arrival.at > ended for arrival in endpoint.arrivals)
 
 
+def test_streams_stay_away_from_an_engine_in_its_backoff(tmp_path):
+    """Prompts are placed by another path than plain calls."""
+    with running_gateways(tmp_path, gateways=2) as fleet:
+        engine = fleet.endpoints["engine-1"]
+        engine.retry_afters = [str(BACKOFF_SECONDS)] * 2
+        calls = call_all(
+            fleet, seconds=BACKOFF_SECONDS, callers_each=4, target="/prompts/1"
+        )
+        assert engine.backoffs
+        most = most_in_backoff(engine, gateways_by_request(calls))
+        assert most <= MOST_IN_BACKOFF
+        assert {call.answer.status for call in calls} == {200}
+
+
 def test_a_shorter_backoff_does_not_end_a_longer_one(tmp_path):
     """A later refusal of a request that was under way may name a shorter time."""
     with running_gateways(tmp_path) as fleet:
