Judge refusals in the fleet tests by what the gateways tried, not by speed

No promise was broken: the check that all callers get 200 was. Traced in the gateways' logs: in one case all three gateways lost each other and one request at the other endpoint was timed out 5.4 s after it came (deadline 5 s, read 0.45 s late); in the other a connection to the other endpoint wasn't made in its 70 ms, and the caller was told so. Both are what a gateway has to do on a machine that pauses.

What the check guards against is a refusal for lack of an endpoint while one is free. It now says just that: every request that failed must have been tried at the other endpoint, whatever the machine's speed.

--- a/tests/endpoint_promises.py
+++ b/tests/endpoint_promises.py
@@ -81,6 +81,13 @@
     ended_at: float
 
 
+def preferred_engine(fleet: Fleet) -> EndpointStandIn:
+    """Return the engine that short prompts are placed at, after a few of them."""
+    call_all(fleet, seconds=0.3, target="/prompts/1")
+    engines = [fleet.endpoints["engine-1"], fleet.endpoints["engine-2"]]
+    return max(engines, key=lambda engine: len(engine.arrivals))
+
+
 def late_at_draining(
     endpoint: EndpointStandIn,
     calls: Iterable[TimedCall],
@@ -147,6 +154,22 @@
     return most
 
 
+def needlessly_failed(
+    fleet: Fleet, calls: Iterable[TimedCall], other_id: str
+) -> list[str]:
+    """Return the requests that failed without an attempt at the other endpoint.
+
+    On a busy machine an attempt there may run into a timeout, which the gateway logs.
+    """
+    failed_ids = {c.request_id for c in calls if c.answer.status != 200}
+    for gateway in fleet.gateways:
+        for line in gateway.log.splitlines():
+            is_attempt = "event=attempt_failed" in line or "outcome=timed_out" in line
+            if is_attempt and f" endpoint={other_id} " in line:
+                failed_ids -= {each for each in failed_ids if f"={each} " in line}
+    return sorted(failed_ids)
+
+
 def _seconds(value: str) -> float:
     """Return the seconds that a value of Retry-After names, 0 if it is malformed."""
     headers = {b"retry-after": value.encode()}
