Log a daemon's registration instead of an error

Callers saw nothing, since the lease was recorded before the line was to be written.

Cause: `Registration` used a log that it was never given. Ruled out: a failed call, since the lease in the error is the one that the store granted.

--- a/cranberrywick/gateway/registration.py
+++ b/cranberrywick/gateway/registration.py
@@ -9,6 +9,7 @@
 from cranberrywick.gateway.store_calls import StoreCalls
 from cranberrywick.gateway.store_reader import Store
 from cranberrywick.gateway.ticker import Ticker
+from cranberrywick.logs import EventLog
 from cranberrywick.routing.member_list import START_SECONDS, TURN_SECONDS, is_turn
 
 __all__ = ["Registration"]
@@ -31,7 +32,9 @@
         calls: StoreCalls,
         peer_updates: PeerUpdates,
         rng: random.Random,
+        log: EventLog,
     ):
+        self._log = log
         self._daemon_id = daemon_id
         self._store = store
         self._calls = calls
--- a/cranberrywick/gateway/state.py
+++ b/cranberrywick/gateway/state.py
@@ -101,7 +101,7 @@
             self._rng,
         )
         self._registration = Registration(
-            settings.daemon_id, store, self._calls, self.peer_updates, self._rng
+            settings.daemon_id, store, self._calls, self.peer_updates, self._rng, log
         )
 
     async def start(self) -> None:
