Log and count returns of the store and readings without effect

For operators: a daemon that drops readings of the store as outdated left no trace, nor did a store that came back from an older copy. No decision changes: the epoch is decoded and recorded with each reading, and compared by nothing yet.

Lines `store_epoch_changed`, `store_reading_ignored`, `store_epoch_unreadable`, counters store_epoch_changes and store_readings_ignored. The stand-in of the store states its epoch and can be put back to an older copy.

--- a/cranberrywick/external/exchange.py
+++ b/cranberrywick/external/exchange.py
@@ -3,6 +3,8 @@
 import json
 import math
 import threading
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import NamedTuple
 from urllib.parse import urlencode
 
@@ -48,10 +50,11 @@
 
 
 class Reply(NamedTuple):
-    """A decoded answer: the HTTP status and the JSON object of the body."""
+    """A decoded answer: the HTTP status, the JSON object of the body, the headers."""
 
     status: int
     fields: dict
+    headers: Mapping[str, str] = MappingProxyType({})
 
 
 class PlatformClient:
@@ -156,7 +159,7 @@
         raise no_answer_error(method, f"{url}: answer is not JSON") from error
     if not isinstance(fields, dict):
         raise no_answer_error(method, f"{url}: answer is not a JSON object")
-    return Reply(status, fields)
+    return Reply(status, fields, response.headers)
 
 
 def _retry_after(header: str | None) -> float:
--- a/cranberrywick/gateway/app.py
+++ b/cranberrywick/gateway/app.py
@@ -49,9 +49,9 @@
         self._rng = random.Random()
         self._metrics = LazyMetrics(settings.daemon_id)
         self._ticker = Ticker(log)
-        store = PlatformStore(settings.store_address)
+        store = PlatformStore(settings.store_address, log)
         self.state = FleetState(
-            settings, store, decode_configuration, self._ticker, log
+            settings, store, decode_configuration, self._ticker, self._metrics, log
         )
         health = EndpointHealth()
         peer_updates = self.state.peer_updates
--- a/cranberrywick/gateway/endpoint_tracker.py
+++ b/cranberrywick/gateway/endpoint_tracker.py
@@ -10,6 +10,7 @@
 from cranberrywick.routing.drain_notices import DrainNotices
 from cranberrywick.routing.model import EndpointDelta, EndpointView
 from cranberrywick.routing.registry import EndpointChange, EndpointRegistry
+from cranberrywick.routing.store_position import UNKNOWN_EPOCH, StorePosition
 
 __all__ = ["EndpointTracker", "PeerSnapshotOutcome", "StoreSnapshotOutcome"]
 
@@ -63,6 +64,11 @@
         self._changed_at_by_id: dict[str, float] = {}
         self._unusable_ids: frozenset[str] = frozenset()
 
+    @property
+    def position(self) -> StorePosition:
+        """The point in the store's history at which the state was read."""
+        return self._view.position if self._view else StorePosition(UNKNOWN_EPOCH, 0)
+
     def apply_store_snapshot(
         self, view: EndpointView, read_at: float, now: float
     ) -> StoreSnapshotOutcome:
--- a/cranberrywick/gateway/lazy_metrics.py
+++ b/cranberrywick/gateway/lazy_metrics.py
@@ -73,6 +73,14 @@
         """Count an answer header that has no effect; called once for each name."""
         self._record(methodcaller("header_unread", name))
 
+    def store_epoch_changed(self) -> None:
+        """Count a return of the store with a new epoch."""
+        self._record(methodcaller("store_epoch_changed"))
+
+    def store_reading_ignored(self, reader: str) -> None:
+        """Count a reading of the store that had no effect, as an older one."""
+        self._record(methodcaller("store_reading_ignored", reader))
+
     def permit_asked(self, class_name: str, granted: bool, seconds: float) -> None:
         """Record a request that needed a permit, and its wait for that, in seconds."""
         self._record(methodcaller("permit_asked", class_name, granted, seconds))
--- a/cranberrywick/gateway/operator_tracker.py
+++ b/cranberrywick/gateway/operator_tracker.py
@@ -5,6 +5,7 @@
 from cranberrywick.errors import InvalidConfiguration
 from cranberrywick.logs import EventLog
 from cranberrywick.routing.model import GatewayConfiguration, OperatorView
+from cranberrywick.routing.store_position import UNKNOWN_EPOCH, StorePosition
 from cranberrywick.routing.table import RouteTable
 
 __all__ = ["OperatorTracker"]
@@ -42,6 +43,11 @@
         """The store's revision of the view; 0 without a view."""
         return self.view.revision if self.view else 0
 
+    @property
+    def position(self) -> StorePosition:
+        """The point in the store's history at which the view was read."""
+        return self.view.position if self.view else StorePosition(UNKNOWN_EPOCH, 0)
+
     def age(self, now: float) -> float:
         """Return the seconds since the view was known to be the newest."""
         return now - self._newest_at
--- a/cranberrywick/gateway/state.py
+++ b/cranberrywick/gateway/state.py
@@ -11,6 +11,7 @@
 
 from cranberrywick.gateway.endpoint_snapshot import EndpointSnapshot
 from cranberrywick.gateway.endpoint_tracker import EndpointTracker, PeerSnapshotOutcome
+from cranberrywick.gateway.lazy_metrics import LazyMetrics
 from cranberrywick.gateway.messages import (
     EndpointSnapshotRequest,
     Message,
@@ -23,6 +24,7 @@
 from cranberrywick.gateway.peer_updates import DaemonStatus, PeerUpdates
 from cranberrywick.gateway.registration import Registration
 from cranberrywick.gateway.store_calls import StoreCalls
+from cranberrywick.gateway.store_history import StoreHistory
 from cranberrywick.gateway.store_reader import Store
 from cranberrywick.gateway.ticker import Ticker
 from cranberrywick.gateway.usable_endpoints import UsableEndpoints
@@ -74,6 +76,7 @@
         store: Store,
         decode: Callable[[bytes], GatewayConfiguration],
         ticker: Ticker,
+        metrics: LazyMetrics,
         log: EventLog,
     ):
         self._settings = settings
@@ -81,6 +84,7 @@
         self._ticker = ticker
         self._log = log
         self._loop = asyncio.get_running_loop()
+        self._history = StoreHistory(self._loop.time, metrics, log)
         self._operator = OperatorTracker(decode, log)
         self.peer_updates = PeerUpdates(settings, self, log)
         self._endpoints = EndpointTracker(log, self.peer_updates.drain_notices)
@@ -308,6 +312,10 @@
     def _endpoints_read(self, view: EndpointView, read_at: float) -> None:
         now = self._loop.time()
         was_ready = self.ready
+        self._history.observe(view.epoch, "store")
+        known = self._endpoints.position
+        if view.revision < known.revision:
+            self._history.reading_ignored("endpoints", view.position, known)
         outcome = self._endpoints.apply_store_snapshot(view, read_at, now)
         if outcome.changed:
             self._handle_change(was_ready)
@@ -315,6 +323,10 @@
             self.peer_updates.broadcast(outcome.snapshot)
 
     def _operator_read(self, view: OperatorView, read_at: float) -> None:
+        self._history.observe(view.epoch, "store")
+        known = self._operator.position
+        if view.revision < known.revision:
+            self._history.reading_ignored("operator", view.position, known)
         if not self._apply_operator(view, read_at, "store"):
             # The next heartbeat shows the peers how recent their equal view is.
             self.peer_updates.job_added()
--- a/cranberrywick/metrics.py
+++ b/cranberrywick/metrics.py
@@ -143,6 +143,12 @@
         self._unread_headers = counter(
             "unread_headers", description="Names of answer headers without effect."
         )
+        self._store_epochs = counter(
+            "store_epoch_changes", description="New epochs of the store."
+        )
+        self._ignored_readings = counter(
+            "store_readings_ignored", description="Readings without effect, as older."
+        )
 
     def _create_histograms(self) -> None:
         self._completion = self._histogram(
@@ -233,6 +239,14 @@
         """Count an answer header that has no effect; called once for each name."""
         self._unread_headers.add(1, {"header": name})
 
+    def store_epoch_changed(self) -> None:
+        """Count a return of the store with a new epoch."""
+        self._store_epochs.add(1)
+
+    def store_reading_ignored(self, reader: str) -> None:
+        """Count a reading of the store that had no effect, as an older one."""
+        self._ignored_readings.add(1, {"reader": reader})
+
     def permit_asked(self, class_name: str, granted: bool, seconds: float) -> None:
         """Record a request that needed a permit, and the time it waited for it."""
         outcome = "granted" if granted else "refused"
--- a/cranberrywick/platform/store.py
+++ b/cranberrywick/platform/store.py
@@ -7,6 +7,7 @@
 from cranberrywick.errors import InvalidConfiguration, PlatformUnavailable
 from cranberrywick.external.exchange import PlatformClient, Reply
 from cranberrywick.external.key_value import LeaseLapsed
+from cranberrywick.logs import EventLog
 from cranberrywick.platform.documents import (
     CONFIGURATION_KEY,
     ENDPOINTS_PREFIX,
@@ -17,7 +18,9 @@
     decode_member,
     encode_member,
 )
+from cranberrywick.platform.store_epoch import StoreEpochs
 from cranberrywick.routing.model import EndpointRecord, EndpointView, OperatorView
+from cranberrywick.routing.store_position import StorePosition
 
 __all__ = ["PlatformStore"]
 
@@ -33,7 +36,8 @@
     Every call without a usable answer raises `PlatformUnavailable`.
     """
 
-    def __init__(self, address: str):
+    def __init__(self, address: str, log: EventLog):
+        self._epochs = StoreEpochs(log)
         self._client = PlatformClient(
             (f"http://{address}",), read_timeout=READ_TIMEOUT_SECONDS
         )
@@ -43,7 +47,7 @@
 
     def read_endpoints(self) -> EndpointView:
         """Return a snapshot of every registered endpoint; it is never stale."""
-        revision, items = self._read_items(ENDPOINTS_PREFIX)
+        position, items = self._read_items(ENDPOINTS_PREFIX)
         decoded_by_id = {}
         for item in items:
             endpoint_id = item["key"].removeprefix(ENDPOINTS_PREFIX)
@@ -54,11 +58,11 @@
         self._decoded_by_id = decoded_by_id
         records = {i: d.record for i, d in decoded_by_id.items() if d.record}
         unusable = tuple(i for i, d in decoded_by_id.items() if d.record is None)
-        return EndpointView(revision, records, unusable)
+        return EndpointView(position.revision, records, unusable, position.epoch)
 
     def read_operator(self) -> OperatorView:
         """Return a snapshot of what operators have written; it is never stale."""
-        revision, items = self._read_items(OPERATOR_PREFIX)
+        position, items = self._read_items(OPERATOR_PREFIX)
         document = b""
         domains = set()
         for item in items:
@@ -66,7 +70,9 @@
                 document = _decode_value(item)
             elif item["key"].startswith(EVACUATION_PREFIX):
                 domains.add(item["key"].removeprefix(EVACUATION_PREFIX))
-        return OperatorView.of(revision, document, frozenset(domains))
+        return OperatorView.of(
+            position.revision, document, frozenset(domains), position.epoch
+        )
 
     def read_members(self) -> dict[str, str]:
         """Return the peer addresses of the registered daemons by id.
@@ -106,19 +112,21 @@
 
     def _read_items(
         self, prefix: str, serializable: bool = False
-    ) -> tuple[int, Iterable[dict[str, Any]]]:
-        """Return the store's revision and the items of all pages under a prefix."""
+    ) -> tuple[StorePosition, Iterable[dict[str, Any]]]:
+        """Return the store's position and the items of all pages under a prefix."""
         items: list[dict[str, Any]] = []
         query = {"prefix": prefix}
         if serializable:
             query["serializable"] = "1"
         while True:
-            fields = self._call("GET", "/kv-range", query).fields
+            reply = self._call("GET", "/kv-range", query)
+            fields = reply.fields
             page = fields.get("items") or []
             items.extend(page)
             if not fields.get("truncated") or not page:
                 # This is the last page's revision; items of earlier pages may be older.
-                return int(fields["asOf"]), items
+                epoch = self._epochs.read(reply.headers)
+                return StorePosition(epoch, int(fields["asOf"])), items
             query = {**query, "after": page[-1]["key"]}
 
     def _call(
--- a/cranberrywick/routing/model.py
+++ b/cranberrywick/routing/model.py
@@ -9,6 +9,8 @@
 from hashlib import blake2b
 from typing import NamedTuple
 
+from cranberrywick.routing.store_position import UNKNOWN_EPOCH, StorePosition
+
 __all__ = [
     "BoundsSettings",
     "EndpointDelta",
@@ -212,7 +214,8 @@
 class EndpointView(NamedTuple):
     """A snapshot of all registered endpoints at one revision of the store.
 
-    ``unusable_ids`` are the ids of records that could not be decoded as an endpoint.
+    ``epoch`` is the store's, `UNKNOWN_EPOCH` if it states none. ``unusable_ids`` are
+    the ids of records that could not be decoded as an endpoint.
     Two snapshots with the same ``digest`` are equal, except for how long endpoints stay
     cold.
     """
@@ -220,6 +223,12 @@
     revision: int
     records_by_id: Mapping[str, EndpointRecord]
     unusable_ids: tuple[str, ...] = ()
+    epoch: int = UNKNOWN_EPOCH
+
+    @property
+    def position(self) -> StorePosition:
+        """The point in the store's history at which it was read."""
+        return StorePosition(self.epoch, self.revision)
 
     @property
     def digest(self) -> int:
@@ -265,6 +274,7 @@
 class OperatorView(NamedTuple):
     """A snapshot of the operators' settings at one revision of the store.
 
+    ``epoch`` is the store's, `UNKNOWN_EPOCH` if it states none.
     ``document`` is the configuration as stored, empty before the first one.
     ``domains_out`` are the failure domains that are taken out. Two snapshots with the
     same ``digest`` are equal. Revisions can't show this, since a deletion leaves no
@@ -275,14 +285,24 @@
     document: bytes
     domains_out: frozenset[str]
     digest: int
+    epoch: int = UNKNOWN_EPOCH
+
+    @property
+    def position(self) -> StorePosition:
+        """The point in the store's history at which it was read."""
+        return StorePosition(self.epoch, self.revision)
 
     @classmethod
     def of(
-        cls, revision: int, document: bytes, domains_out: frozenset[str]
+        cls,
+        revision: int,
+        document: bytes,
+        domains_out: frozenset[str],
+        epoch: int = UNKNOWN_EPOCH,
     ) -> "OperatorView":
         """Return a snapshot with its digest computed."""
         hashed = blake2b(document, digest_size=8)
         for domain in sorted(domains_out):
             hashed.update(b"\0" + domain.encode())
         digest = int.from_bytes(hashed.digest(), "big")
-        return cls(revision, document, domains_out, digest)
+        return cls(revision, document, domains_out, digest, epoch)
--- a/cranberrywick/standin/platform/store.py
+++ b/cranberrywick/standin/platform/store.py
@@ -13,6 +13,8 @@
 reset    the connection is closed; the call is not executed
 lost     the call is executed, the connection closed without an answer
 ======== =======================================================
+
+`StoreStandIn.restore` puts back an older copy, as after a loss of acknowledged writes.
 """
 
 import asyncio
@@ -24,7 +26,7 @@
 
 from cranberrywick.gateway.ingress import CallerConnection, HttpRequest, Ingress
 
-__all__ = ["LISTENER_MODES", "StoreStandIn"]
+__all__ = ["LISTENER_MODES", "StoreCopy", "StoreStandIn"]
 
 LISTENER_MODES = ("open", "slow", "busy", "many", "silent", "reset", "lost")
 # Delay of a call in the mode ``slow``, in seconds: what a configuration of a megabyte
@@ -49,9 +51,20 @@
     expires_at: float
 
 
+class StoreCopy(NamedTuple):
+    """All that the store holds at one moment."""
+
+    items: Mapping[str, _Item]
+    leases: Mapping[int, _Lease]
+    revision: int
+    next_lease: int
+
+
 class StoreStandIn:
     """Keys and leases in memory; created and used on one event loop.
 
+    ``epoch`` is stated in every answer and counts the returns from older copies; with
+    ``epoch_text`` set, answers state that text instead, or nothing if it is empty.
     ``modes_by_listener`` can be changed at any time and holds for the calls after it;
     ``calls_by_listener`` counts the calls received.
     """
@@ -61,6 +74,8 @@
         self._leases: dict[int, _Lease] = {}
         self._revision = 1
         self._next_lease = 100
+        self.epoch = 1
+        self.epoch_text: str | None = None
         self._ingresses: list[Ingress] = []
         self.modes_by_listener: dict[str, str] = {}
         self.calls_by_listener: dict[str, int] = {}
@@ -110,6 +125,21 @@
         """Return the sorted keys that start with a prefix."""
         return sorted(key for key in self._items if key.startswith(prefix))
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of all items and leases."""
+        return StoreCopy(
+            dict(self._items), dict(self._leases), self._revision, self._next_lease
+        )
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Return to an older copy: all that was written since is lost.
+
+        Revisions and the numbers of leases are given out again.
+        """
+        self._items, self._leases = dict(copy.items), dict(copy.leases)
+        self._revision, self._next_lease = copy.revision, copy.next_lease
+        self.epoch += 1
+
     async def _handle(
         self, listener: str, request: HttpRequest, caller: CallerConnection
     ) -> None:
@@ -118,15 +148,24 @@
         if mode == "slow":
             await asyncio.sleep(SLOW_SECONDS)
         if mode == "busy":
-            await _answer(caller, 503, {})
+            await self._answer(caller, 503, {})
         elif mode == "many":
-            await _answer(caller, 429, {})
+            await self._answer(caller, 429, {})
         elif mode == "silent":
             await asyncio.sleep(3600)
         elif mode != "reset":
             status, fields = self._serve(request)
             if mode != "lost":
-                await _answer(caller, status, fields)
+                await self._answer(caller, status, fields)
+
+    async def _answer(
+        self, caller: CallerConnection, status: int, fields: object
+    ) -> None:
+        headers = [(b"Content-Type", b"application/json")]
+        text = str(self.epoch) if self.epoch_text is None else self.epoch_text
+        if text:
+            headers.append((b"Store-Era", text.encode()))
+        await caller.answer(status, headers, json.dumps(fields).encode())
 
     def _serve(self, request: HttpRequest) -> tuple[int, dict[str, Any]]:
         path, _, query = request.target.decode().partition("?")
@@ -218,8 +257,3 @@
 
 def _now() -> float:
     return asyncio.get_running_loop().time()
-
-
-async def _answer(caller: CallerConnection, status: int, fields: object) -> None:
-    body = json.dumps(fields).encode()
-    await caller.answer(status, [(b"Content-Type", b"application/json")], body)
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -7,8 +7,10 @@
 import base64
 import json
 
+from cranberrywick.logs import EventLog
 from cranberrywick.platform import store as platform_store
 from cranberrywick.platform.store import PlatformStore
+from cranberrywick.routing.store_position import StorePosition
 
 
 def item(endpoint_id, revision, state="ready"):
@@ -29,11 +31,11 @@
     """A client whose answers hold the items that a test sets."""
 
     def __init__(self):
-        super().__init__("127.0.0.1:1")
+        super().__init__("127.0.0.1:1", EventLog())
         self.items = []
 
     def _read_items(self, prefix, serializable=False):
-        return 7, self.items
+        return StorePosition(0, 7), self.items
 
 
 def test_unchanged_records_are_not_decoded_again(monkeypatch):
