Compare records by value instead of by revision before decoding

What callers see: requests at an endpoint that is draining or has moved, for as long as its record keeps the revision of an older one.

Cause: decoded records were kept by id and revision, and a store that came back from an older copy gives revisions out again. Values are compared instead: equal values describe the same endpoint at any revision.

The new test decodes two values of one revision; it failed before (the record was not draining) and passes now.

--- a/cranberrywick/platform/store.py
+++ b/cranberrywick/platform/store.py
@@ -52,7 +52,7 @@
         for item in items:
             endpoint_id = item["key"].removeprefix(ENDPOINTS_PREFIX)
             decoded = self._decoded_by_id.get(endpoint_id)
-            if decoded is None or decoded.revision != item.get("revision"):
+            if decoded is None or decoded.value != item.get("value"):
                 decoded = _decode_record(endpoint_id, item)
             decoded_by_id[endpoint_id] = decoded
         self._decoded_by_id = decoded_by_id
@@ -145,9 +145,12 @@
 
 
 class _Decoded(NamedTuple):
-    """The endpoint in an item at a revision; None if it describes no usable one."""
+    """The endpoint that a value describes; None if it describes no usable one.
 
-    revision: int | None
+    Items are compared by their values, since the store can give out a revision again.
+    """
+
+    value: str | None
     record: EndpointRecord | None
 
 
@@ -156,7 +159,7 @@
         record = decode_endpoint(endpoint_id, _decode_value(item))
     except InvalidConfiguration:
         record = None
-    return _Decoded(item.get("revision"), record)
+    return _Decoded(item.get("value"), record)
 
 
 def _decode_value(item: dict[str, Any]) -> bytes:
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -58,6 +58,15 @@
     assert [r.draining for r in view.records_by_id.values()] == [False, True, False]
 
 
+def test_a_revision_that_is_given_out_again_is_decoded():
+    """Guards against an old record in place of another with the same revision."""
+    store = StoreWithItems()
+    for state in ("ready", "draining"):
+        store.items = [item("e1", 3, state)]
+        view = store.read_endpoints()
+    assert view.records_by_id["e1"].draining
+
+
 def test_an_unreadable_record_is_listed_as_unusable():
     store = StoreWithItems()
     store.items = [item("e1", 3), item("e2", 4, "dancing")]
