Order readings of the store by its epoch, and keep what an older copy lacks

Cause: daemons ordered readings by the store's revision alone. A store that comes back from an older copy gives lower revisions, so that all readings counted as outdated; the gap in applied readings then looked like an outage, which kept removed endpoints in use for two seconds more.

That alone would unlearn what the copy lacks, so whoever hears of a new epoch keeps it: a configuration never goes back, a domain stays out until the store shows it again or for thirty seconds, draining endpoints become notices for their start, gone ones get no requests for six seconds, cold ones stay cold. Daemons send each other what they keep; daemons that start are sent all of it. Entries are taken over once for an epoch, so that they end.

--- a/cranberrywick/bench/simulated_network.py
+++ b/cranberrywick/bench/simulated_network.py
@@ -22,6 +22,7 @@
 from cranberrywick.routing.drain_notices import DrainNotice
 from cranberrywick.routing.load import Job
 from cranberrywick.routing.members import Heartbeat
+from cranberrywick.routing.store_knowledge import StoreKnowledge
 
 __all__ = ["SimulatedDaemon", "SimulatedNetwork"]
 
@@ -131,7 +132,11 @@
 
     def daemon_status(self, now: float) -> DaemonStatus:
         """Return the state of this daemon that its heartbeats carry."""
-        return DaemonStatus(self.leaving, 1, 1, 0.0)
+        return DaemonStatus(self.leaving, 1, 1, 0.0, self.store_knowledge(now))
+
+    def store_knowledge(self, now: float) -> StoreKnowledge:
+        """Return what this daemon knows of the store: its first epoch."""
+        return StoreKnowledge(epoch=1, operator_epoch=1, configuration_version=1)
 
     def heartbeat_received(self, heartbeat: Heartbeat, received_at: float) -> None:
         """Do nothing; `PeerUpdates` records the heartbeat itself."""
--- a/cranberrywick/gateway/endpoint_snapshot.py
+++ b/cranberrywick/gateway/endpoint_snapshot.py
@@ -19,6 +19,7 @@
 from cranberrywick.gateway.heartbeat_rows import milliseconds
 from cranberrywick.gateway.schema import SCHEMA, pack, unpack
 from cranberrywick.routing.model import EndpointDelta, EndpointRecord, EndpointView
+from cranberrywick.routing.store_position import UNKNOWN_EPOCH
 
 __all__ = ["NO_DELTA", "Applied", "EndpointSnapshot"]
 
@@ -30,9 +31,10 @@
 class EndpointSnapshot(NamedTuple):
     """The registered endpoints as they were read ``age`` seconds ago.
 
-    ``revision`` is the store's, and ``digest`` identifies the records. ``changes``
-    holds, packed, the changes that lead from an earlier state to these records. It is
-    empty if nothing has changed lately or the records are to be requested.
+    ``revision`` and ``epoch`` are the store's, and ``digest`` identifies the records.
+    ``changes`` holds, packed, the changes that lead from an earlier state to these
+    records. It is empty if nothing has changed lately or the records are to be
+    requested.
     """
 
     @property
@@ -44,12 +46,13 @@
     age: float
     digest: int
     changes: bytes = b""
+    epoch: int = UNKNOWN_EPOCH
 
     @classmethod
     def whole(cls, view: EndpointView, digest: int, age: float) -> "EndpointSnapshot":
         """Return a snapshot with all records."""
         changes = _pack_changes(NO_BASE, view.records_by_id, ())
-        return cls(view.revision, age, digest, changes)
+        return cls(view.revision, age, digest, changes, view.epoch)
 
     @classmethod
     def difference(
@@ -67,7 +70,7 @@
         """
         records_by_id = {record.endpoint_id: record for record in delta.changed}
         changes = _pack_changes(base, records_by_id, delta.gone_ids)
-        return cls(view.revision, age, digest, changes)
+        return cls(view.revision, age, digest, changes, view.epoch)
 
     def applied_to(self, view: EndpointView | None, digest: int) -> "Applied | None":
         """Return the result of applying this snapshot to ``view`` with this digest.
@@ -78,17 +81,19 @@
         lead to the digest although they hold all records or start from this view.
         """
         if view is not None and digest == self.digest:
-            return Applied(view._replace(revision=self.revision), NO_DELTA)
+            return Applied(self._positioned(view), NO_DELTA)
         if not self.changes:
             return None
         base, delta = _unpack_changes(self.changes)
         if base == NO_BASE:
             view = view or EndpointView(0, {})
             whole = EndpointView(0, {}).with_delta(delta, self.revision)
+            whole = self._positioned(whole)
             applied = Applied(whole, whole.delta_from(view))
             reached = whole.digest
         elif view is not None:
-            applied = Applied(view.with_delta(delta, self.revision), delta)
+            changed = view.with_delta(delta, self.revision)
+            applied = Applied(self._positioned(changed), delta)
             reached = view.digest_with_delta(delta, digest)
         else:
             return None
@@ -98,6 +103,9 @@
             raise PeerMessageInvalid("the records are not those of their digest")
         return None
 
+    def _positioned(self, view: EndpointView) -> EndpointView:
+        return view._replace(revision=self.revision, epoch=self.epoch)
+
 
 class Applied(NamedTuple):
     """A view after a snapshot was applied, and what the snapshot changed."""
--- a/cranberrywick/gateway/endpoint_tracker.py
+++ b/cranberrywick/gateway/endpoint_tracker.py
@@ -67,7 +67,7 @@
     @property
     def position(self) -> StorePosition:
         """The point in the store's history at which the state was read."""
-        return self._view.position if self._view else StorePosition(UNKNOWN_EPOCH, 0)
+        return self.registry.position
 
     def apply_store_snapshot(
         self, view: EndpointView, read_at: float, now: float
@@ -99,7 +99,7 @@
         sent_ids = {record.endpoint_id for record in delta.changed}
         sent_ids.update(delta.gone_ids, self._recently_changed_ids(now))
         if not sent_ids:
-            return EndpointSnapshot(self.registry.revision, age, self._digest)
+            return self._without_changes(age)
         if len(sent_ids) > MAX_UPDATE_ENDPOINTS:
             return None
         sent = EndpointDelta(
@@ -128,7 +128,9 @@
         to the snapshot's digest.
         """
         read_at = now - snapshot.age
-        if read_at <= self.registry.read_at:
+        if snapshot.epoch == UNKNOWN_EPOCH:
+            snapshot = snapshot._replace(epoch=self.position.epoch)
+        if self._is_outdated(snapshot, read_at):
             return PeerSnapshotOutcome.OLD
         applied = snapshot.applied_to(self._view, self._digest)
         if applied is None:
@@ -137,14 +139,23 @@
             return PeerSnapshotOutcome.CHANGED
         return PeerSnapshotOutcome.SAME
 
+    def _is_outdated(self, snapshot: EndpointSnapshot, read_at: float) -> bool:
+        known = self.position.epoch
+        if snapshot.epoch != known:
+            return snapshot.epoch < known
+        return read_at <= self.registry.read_at
+
     def full_snapshot(self, now: float) -> EndpointSnapshot | None:
         """Return a snapshot with all records; None before the first reading."""
         if self._view is None:
             return None
         if self._full_snapshot is None or self._full_snapshot.digest != self._digest:
             self._full_snapshot = EndpointSnapshot.whole(self._view, self._digest, 0.0)
-        revision, age = self.registry.revision, self.registry.age(now)
-        return self._full_snapshot._replace(revision=revision, age=age)
+        return self._full_snapshot._replace(
+            revision=self.registry.revision,
+            age=self.registry.age(now),
+            epoch=self.position.epoch,
+        )
 
     def initial_snapshot(self, now: float) -> EndpointSnapshot | None:
         """Return the snapshot for a peer that may have no state yet.
@@ -155,17 +166,21 @@
         """
         if self._view is None or len(self._view.records_by_id) <= MAX_UPDATE_ENDPOINTS:
             return self.full_snapshot(now)
-        age = self.registry.age(now)
-        return EndpointSnapshot(self.registry.revision, age, self._digest)
+        return self._without_changes(self.registry.age(now))
+
+    def _without_changes(self, age: float) -> EndpointSnapshot:
+        revision, epoch = self.registry.revision, self.position.epoch
+        return EndpointSnapshot(revision, age, self._digest, epoch=epoch)
 
     def _apply(self, applied: Applied, digest: int, read_at: float, now: float) -> bool:
         view, delta = applied
+        if self.registry.is_outdated(view.position, read_at):
+            return False
         changes = self.registry.apply_delta(view, delta, read_at, now)
-        if self.registry.read_at == read_at:
-            if self._view is not None and digest != self._digest:
-                self._record_changes(delta, now)
-            self._view, self._digest = view, digest
-            self._log_unusable(view)
+        if self._view is not None and digest != self._digest:
+            self._record_changes(delta, now)
+        self._view, self._digest = view, digest
+        self._log_unusable(view)
         self._log_changes(changes, view.revision, now - read_at)
         return bool(changes)
 
--- a/cranberrywick/gateway/fleet.capnp
+++ b/cranberrywick/gateway/fleet.capnp
@@ -21,20 +21,24 @@
   goneIds @2 :List(Text);
 }
 
-# A snapshot of the endpoints. The changes are a compressed EndpointChanges message, or
+# A snapshot of the endpoints. The epoch is the store's, -1 if it is not known. The changes are a compressed EndpointChanges message, or
 # empty if nothing has changed or the records are to be requested.
 struct EndpointReading {
   revision @0 :UInt64;
   ageMs @1 :UInt32;
   digest @2 :UInt64;
   changes @3 :Data;
+  epoch @4 :Int64 = -1;
 }
 
+# The document in force is empty if it is the one that was read.
 struct OperatorReading {
   revision @0 :UInt64;
   ageMs @1 :UInt32;
   document @2 :Data;
   domainsOut @3 :List(Text);
+  epoch @4 :Int64 = -1;
+  documentInForce @5 :Data;
 }
 
 # Requests a permit to send an endpoint one request from its steward. The limit is the
@@ -66,6 +70,7 @@
 }
 
 # The fields heartbeats and batch hold rows; see cranberrywick.gateway.heartbeat_rows.
+# The field knowledge has a row for each of them; see cranberrywick.gateway.knowledge_rows.
 struct Message {
   scope @4 :Scope;
   union {
@@ -78,4 +83,5 @@
     permitRequest @7 :PermitRequest;
     permitResponse @8 :PermitResponse;
   }
+  knowledge @9 :Data;
 }
--- a/cranberrywick/gateway/fleet_link.py
+++ b/cranberrywick/gateway/fleet_link.py
@@ -63,6 +63,7 @@
         self._udp: asyncio.DatagramTransport | None = None
         self._tcp: asyncio.Server | None = None
         self._invalid = ThrottledLog(log, self._loop.time)
+        self._invalid_rows = ThrottledLog(log, self._loop.time)
         self._too_long = ThrottledLog(log, self._loop.time)
         self._served = 0
 
@@ -114,7 +115,7 @@
     def datagram_received(self, data: bytes, address: tuple[str, int]) -> None:
         """Decode a datagram and hand its message on; called by asyncio."""
         try:
-            envelope = decode_message(data, self._loop.time())
+            envelope = decode_message(data, self._loop.time(), self._record_dropped_row)
             self._receive(envelope, "{}:{}".format(*address))
         except PeerMessageInvalid as error:
             self._record_invalid(error)
@@ -125,6 +126,9 @@
         Called by asyncio.
         """
 
+    def _record_dropped_row(self, error: str) -> None:
+        self._invalid_rows.warning("peer_row_invalid", error=error)
+
     def _record_invalid(self, error: PeerMessageInvalid) -> None:
         self._invalid.warning("peer_message_invalid", error=error)
 
--- /dev/null
+++ b/cranberrywick/gateway/knowledge_rows.py
@@ -0,0 +1,138 @@
+"""What heartbeats state about the store, on the wire: a row beside each heartbeat.
+
+Rows travel in a field of their own, since daemons of earlier versions read heartbeats
+as rows of fixed length. A reader ignores elements that a newer version appended and
+takes the defaults for those that an older one lacks; a row that can't be read is
+dropped alone.
+"""
+
+from collections.abc import Iterable
+from math import inf
+from typing import Annotated, NamedTuple
+
+from msgspec import Meta, MsgspecError, Raw, Struct
+from msgspec.msgpack import Decoder, Encoder
+
+from cranberrywick.gateway.heartbeat_rows import milliseconds
+from cranberrywick.routing.store_knowledge import (
+    RetainedDomain,
+    RetainedEndpoint,
+    StoreKnowledge,
+)
+from cranberrywick.routing.store_position import UNKNOWN_EPOCH
+
+__all__ = ["KnowledgeRows", "pack_knowledge", "unpack_knowledge"]
+
+_Milliseconds = Annotated[int, Meta(ge=0, le=2**31 - 1)]
+_Epoch = Annotated[int, Meta(ge=UNKNOWN_EPOCH, lt=10**18)]
+
+
+class _DomainRow(Struct, array_like=True, frozen=True):
+    domain: str
+    remaining_ms: _Milliseconds
+    known_age_ms: _Milliseconds
+
+
+class _EndpointRow(Struct, array_like=True, frozen=True):
+    endpoint_id: str
+    born: int
+    unused_ms: _Milliseconds = 0
+    cold_ms: _Milliseconds = 0
+
+
+class _KnowledgeRow(Struct, array_like=True, frozen=True):
+    epoch: _Epoch = UNKNOWN_EPOCH
+    operator_epoch: _Epoch = UNKNOWN_EPOCH
+    configuration_version: Annotated[int, Meta(ge=0)] = 0
+    domains: tuple[_DomainRow, ...] = ()
+    endpoints: tuple[_EndpointRow, ...] = ()
+
+
+class KnowledgeRows(NamedTuple):
+    """The readable rows by their position, and why another one could not be read."""
+
+    knowledge_by_position: dict[int, StoreKnowledge]
+    error: str
+
+
+_ENCODER = Encoder()
+_ROWS_DECODER = Decoder(list[Raw])
+_ROW_DECODER = Decoder(_KnowledgeRow)
+
+
+def pack_knowledge(statements: Iterable[StoreKnowledge], now: float) -> bytes:
+    """Return the rows of what heartbeats state, in the order of the heartbeats."""
+    return _ENCODER.encode([_row(statement, now) for statement in statements])
+
+
+def unpack_knowledge(data: bytes, now: float) -> KnowledgeRows:
+    """Return the rows in these bytes; ``now`` is the time of the receiver's clock."""
+    if not data:
+        return KnowledgeRows({}, "")
+    try:
+        rows = _ROWS_DECODER.decode(data)
+    except MsgspecError as error:
+        return KnowledgeRows({}, str(error))
+    knowledge_by_position = {}
+    invalid = ""
+    for position, row in enumerate(rows):
+        try:
+            knowledge = _knowledge(_ROW_DECODER.decode(row), now)
+            knowledge_by_position[position] = knowledge
+        except MsgspecError as error:
+            invalid = str(error)
+    return KnowledgeRows(knowledge_by_position, invalid)
+
+
+def _row(statement: StoreKnowledge, now: float) -> _KnowledgeRow:
+    return _KnowledgeRow(
+        statement.epoch,
+        statement.operator_epoch,
+        statement.configuration_version,
+        tuple(
+            _DomainRow(
+                each.domain,
+                milliseconds(each.until - now),
+                milliseconds(now - each.known_at),
+            )
+            for each in statement.domains
+        ),
+        tuple(
+            _EndpointRow(
+                each.endpoint_id,
+                each.born,
+                milliseconds(each.unused_until - now),
+                milliseconds(each.cold_until - now),
+            )
+            for each in statement.endpoints
+        ),
+    )
+
+
+def _knowledge(row: _KnowledgeRow, now: float) -> StoreKnowledge:
+    domains = [
+        RetainedDomain(
+            each.domain, now + each.remaining_ms / 1000, now - each.known_age_ms / 1000
+        )
+        for each in row.domains
+    ]
+    endpoints = [
+        RetainedEndpoint(
+            each.endpoint_id,
+            each.born,
+            _moment(each.unused_ms, now),
+            _moment(each.cold_ms, now),
+        )
+        for each in row.endpoints
+    ]
+    return StoreKnowledge(
+        row.epoch,
+        row.operator_epoch,
+        row.configuration_version,
+        tuple(domains),
+        tuple(endpoints),
+    )
+
+
+def _moment(remaining_ms: int, now: float) -> float:
+    return now + remaining_ms / 1000 if remaining_ms else -inf
--- a/cranberrywick/gateway/messages.py
+++ b/cranberrywick/gateway/messages.py
@@ -5,6 +5,7 @@
 """
 
 import zlib
+from collections.abc import Callable
 from enum import StrEnum
 from typing import Any, NamedTuple
 
@@ -19,6 +20,11 @@
     pack_heartbeats,
     unpack_heartbeats,
 )
+from cranberrywick.gateway.knowledge_rows import (
+    KnowledgeRows,
+    pack_knowledge,
+    unpack_knowledge,
+)
 from cranberrywick.gateway.schema import MAX_MESSAGE_BYTES, SCHEMA, pack, unpack
 from cranberrywick.routing.endpoint_limits import LimitReport
 from cranberrywick.routing.fleet_limits import Permit, PermitTerms
@@ -41,7 +47,11 @@
 
 
 class OperatorSnapshot(NamedTuple):
-    """The operators' view, known to be the newest ``age`` seconds ago."""
+    """The operators' view, known to be the newest ``age`` seconds ago.
+
+    ``document_in_force`` is the configuration that the sender uses if that is newer
+    than the view's, else empty.
+    """
 
     @property
     def log_kind(self) -> str:
@@ -50,6 +60,7 @@
 
     view: OperatorView
     age: float
+    document_in_force: bytes = b""
 
 
 class OperatorSnapshotRequest(NamedTuple):
@@ -138,13 +149,13 @@
     """
     if isinstance(message, Heartbeat):
         batch = HeartbeatBatch("", "", (RelayedHeartbeat(now, message),))
-        body = {"heartbeats": pack_heartbeats(batch, now)}
+        body = _write_heartbeats("heartbeats", batch, now)
     elif isinstance(message, EndpointSnapshot):
         body = {"endpoints": _write_endpoints(message)}
     elif isinstance(message, OperatorSnapshot):
         body = {"operator": _write_operator(message)}
     elif isinstance(message, HeartbeatBatch):
-        body = {"batch": pack_heartbeats(message, now)}
+        body = _write_heartbeats("batch", message, now)
     elif isinstance(message, PermitRequest):
         body = {"permitRequest": _write_permit_request(message, now)}
     elif isinstance(message, PermitResponse):
@@ -156,17 +167,21 @@
     return pack(SCHEMA.Message.new_message(scope=scope.value, **body))
 
 
-def decode_message(data: bytes, now: float) -> Envelope:
+def decode_message(
+    data: bytes, now: float, row_dropped: Callable[[str], None] = lambda error: None
+) -> Envelope:
     """Return the message and scope in these bytes.
 
-    ``now`` is the current time of the receiver's clock. Raises `PeerMessageInvalid`
-    for bytes that are too long or malformed.
+    ``now`` is the current time of the receiver's clock. ``row_dropped`` is called with
+    the reason if a part of the message can't be read. Raises `PeerMessageInvalid` for
+    bytes that are too long or malformed as a whole.
     """
     if len(data) > MAX_MESSAGE_BYTES:
         raise PeerMessageInvalid("the message is too long")
     try:
         with unpack(SCHEMA.Message, data) as message:
-            return Envelope(_read_body(message, now), _read_scope(message))
+            body = _read_body(message, now, row_dropped)
+            return Envelope(body, _read_scope(message))
     except (capnp.KjException, ValueError, IndexError, zlib.error) as error:
         raise PeerMessageInvalid(f"malformed message: {error!s:.100}") from error
 
@@ -179,17 +194,22 @@
         raise ValueError("an unknown scope") from error
 
 
-def _read_body(message: Any, now: float) -> Message:
+def _read_body(message: Any, now: float, row_dropped: Callable[[str], None]) -> Message:
     which = message.which()
-    if which == "heartbeats":
-        (relayed,) = unpack_heartbeats(message.heartbeats, now).heartbeats
+    if which in ("heartbeats", "batch"):
+        batch = unpack_heartbeats(getattr(message, which), now)
+        rows = unpack_knowledge(bytes(message.knowledge), now)
+        if rows.error:
+            row_dropped(rows.error)
+        batch = _with_knowledge(batch, rows)
+        if which == "batch":
+            return batch
+        (relayed,) = batch.heartbeats
         return relayed.heartbeat
     if which == "endpoints":
         return _read_endpoints(message.endpoints)
     if which == "operator":
         return _read_operator(message.operator)
-    if which == "batch":
-        return unpack_heartbeats(message.batch, now)
     if which == "permitRequest":
         return _read_permit_request(message.permitRequest, now)
     if which == "permitResponse":
@@ -201,12 +221,31 @@
     )
 
 
+def _write_heartbeats(field: str, batch: HeartbeatBatch, now: float) -> dict[str, Any]:
+    statements = [relayed.heartbeat.store for relayed in batch.heartbeats]
+    return {
+        field: pack_heartbeats(batch, now),
+        "knowledge": pack_knowledge(statements, now),
+    }
+
+
+def _with_knowledge(batch: HeartbeatBatch, rows: KnowledgeRows) -> HeartbeatBatch:
+    relayed = list(batch.heartbeats)
+    for position, statement in rows.knowledge_by_position.items():
+        if position < len(relayed):
+            each = relayed[position]
+            heartbeat = each.heartbeat._replace(store=statement)
+            relayed[position] = each._replace(heartbeat=heartbeat)
+    return batch._replace(heartbeats=tuple(relayed))
+
+
 def _write_endpoints(snapshot: EndpointSnapshot) -> dict[str, Any]:
     return {
         "revision": snapshot.revision,
         "ageMs": milliseconds(snapshot.age),
         "digest": snapshot.digest,
         "changes": snapshot.changes,
+        "epoch": snapshot.epoch,
     }
 
 
@@ -216,6 +255,7 @@
         snapshot.ageMs / 1000,
         snapshot.digest,
         bytes(snapshot.changes),
+        snapshot.epoch,
     )
 
 
@@ -226,13 +266,17 @@
         "ageMs": milliseconds(snapshot.age),
         "document": view.document,
         "domainsOut": sorted(view.domains_out),
+        "epoch": view.epoch,
+        "documentInForce": snapshot.document_in_force,
     }
 
 
 def _read_operator(snapshot: Any) -> OperatorSnapshot:
     document = bytes(snapshot.document)
-    view = OperatorView.of(snapshot.revision, document, frozenset(snapshot.domainsOut))
-    return OperatorSnapshot(view, snapshot.ageMs / 1000)
+    domains_out = frozenset(snapshot.domainsOut)
+    view = OperatorView.of(snapshot.revision, document, domains_out, snapshot.epoch)
+    in_force = bytes(snapshot.documentInForce)
+    return OperatorSnapshot(view, snapshot.ageMs / 1000, in_force)
 
 
 def _write_permit_request(request: PermitRequest, now: float) -> dict[str, Any]:
--- a/cranberrywick/gateway/peer_updates.py
+++ b/cranberrywick/gateway/peer_updates.py
@@ -37,6 +37,7 @@
     update_delay_seconds,
 )
 from cranberrywick.routing.slowdown import EndpointSlowdowns
+from cranberrywick.routing.store_knowledge import StoreKnowledge
 
 __all__ = ["DaemonStatus", "PeerUpdateListener", "PeerUpdates"]
 
@@ -55,13 +56,14 @@
 
     ``leaving`` is set for a daemon that accepts no callers. The other fields are the
     store's revision and the digest of its operators' view, and the seconds since that
-    view was known to be the newest.
+    view was known to be the newest; ``store`` is what is known of the store.
     """
 
     leaving: bool
     operator_revision: int
     operator_digest: int
     operator_age: float
+    store: StoreKnowledge
 
 
 class PeerUpdateListener(Protocol):
@@ -82,6 +84,9 @@
     def answer(self, request: SnapshotRequest) -> Message | None:
         """Return the snapshot that a peer requests; None if there is none yet."""
 
+    def store_knowledge(self, now: float) -> StoreKnowledge:
+        """Return all that is known of the store, for a daemon that has just started."""
+
     def draining_announced(self, notice: DrainNotice) -> None:
         """Handle the first notice that a start of an endpoint is draining."""
 
@@ -169,7 +174,8 @@
 
     def announce_draining(self, notice: DrainNotice) -> bool:
         """Record and send on an endpoint's notice; return whether it is the first."""
-        if not self.drain_notices.add(notice, is_own=True):
+        now = self._loop.time()
+        if not self.drain_notices.add(notice, is_own=True, now=now):
             return False
         self._listener.draining_announced(notice)
         self._send_heartbeat_within(JOB_UPDATE_SECONDS)
@@ -256,6 +262,7 @@
             slow_engines=self.slowdowns.own(now),
             limits=self.limits.reports(now),
             drain_notices=self.drain_notices.recent(now),
+            store=daemon_status.store,
         )
 
     def _send_heartbeat_within(self, seconds: float) -> None:
@@ -313,6 +320,7 @@
         heartbeat = self._heartbeat(now)._replace(
             limits=self.limits.all_reports(now),
             drain_notices=self.drain_notices.all(),
+            store=self._listener.store_knowledge(now),
         )
         self.link.send(heartbeat, [peer_address])
 
--- a/cranberrywick/gateway/state.py
+++ b/cranberrywick/gateway/state.py
@@ -26,6 +26,7 @@
 from cranberrywick.gateway.store_calls import StoreCalls
 from cranberrywick.gateway.store_history import StoreHistory
 from cranberrywick.gateway.store_reader import Store
+from cranberrywick.gateway.store_returns import StoreReturns
 from cranberrywick.gateway.ticker import Ticker
 from cranberrywick.gateway.usable_endpoints import UsableEndpoints
 from cranberrywick.logs import EventLog
@@ -39,6 +40,8 @@
     OperatorView,
 )
 from cranberrywick.routing.registry import EndpointRegistry
+from cranberrywick.routing.store_knowledge import StoreKnowledge
+from cranberrywick.routing.store_position import StorePosition
 from cranberrywick.routing.table import RouteTable
 
 __all__ = ["FleetState"]
@@ -91,6 +94,14 @@
         self.usable_endpoints = UsableEndpoints(
             self._endpoints.registry, self._operator, settings.bounds, log
         )
+        self._returns = StoreReturns(
+            self._history,
+            self._operator,
+            self._endpoints.registry,
+            self.peer_updates.announce_draining,
+            log,
+        )
+        self._returns.returned = self._store_returned
         self.leaving = False
         self._became_ready = asyncio.Event()
         self._start_deadline = float("inf")
@@ -183,21 +194,30 @@
             operator_revision=self._operator.revision,
             operator_digest=self._operator.digest,
             operator_age=self._operator.age(now),
+            store=self._returns.knowledge_sample(now),
         )
 
+    def store_knowledge(self, now: float) -> StoreKnowledge:
+        """Return all that is known of the store, for a daemon that has just started."""
+        return self._returns.knowledge(now)
+
     def heartbeat_received(self, heartbeat: Heartbeat, received_at: float) -> None:
-        """Fetch the operators' view if a peer's heartbeat announces a newer one."""
+        """Take over what a peer knows; fetch its operators' view if that is newer."""
+        stated = heartbeat.store
+        self._returns.receive(stated, heartbeat.daemon_id)
         newest_at = received_at - heartbeat.operator_age
+        position, version = heartbeat.operator_position, stated.configuration_version
         is_newer = self._operator.compare(
-            heartbeat.operator_revision, heartbeat.operator_digest, newest_at
+            position, heartbeat.operator_digest, newest_at, version
         )
         if is_newer:
-            self._fetch_operator(heartbeat.operator_revision)
+            self._fetch_operator(position, version)
         self.changed()
 
     def endpoints_received(self, snapshot: EndpointSnapshot) -> None:
         """Apply a peer's snapshot of the endpoints; fetch all after a missed update."""
         was_ready = self.ready
+        self._returns.observe(snapshot.epoch, "peer")
         outcome = self._endpoints.apply_peer_snapshot(snapshot, self._loop.time())
         if outcome is not PeerSnapshotOutcome.OLD:
             self._calls.policies["endpoints"].arrived(snapshot.age)
@@ -219,7 +239,12 @@
         view = self._operator.view
         if view is None:
             return None
-        return OperatorSnapshot(view, self._operator.age(self._loop.time()))
+        in_force = self._operator.document_in_force
+        return OperatorSnapshot(
+            view,
+            self._operator.age(self._loop.time()),
+            b"" if in_force == view.document else in_force,
+        )
 
     def draining_announced(self, notice: DrainNotice) -> None:
         """Give an endpoint that is draining no new work from now on."""
@@ -238,15 +263,24 @@
         service = table.configuration.services_by_name.get(tracked.record.service)
         return service.cold_rate if service and service.cold_rate > 0 else inf
 
-    def _fetch_operator(self, revision: int) -> None:
+    def _store_returned(self, epoch: int) -> None:
+        """Tell the peers at once, which may not have heard of it."""
+        self.peer_updates.send_heartbeat()
+
+    def _fetch_operator(self, position: StorePosition, version: int) -> None:
         def informed_peers() -> list[str]:
             return self.peer_updates.informed_peers(
-                lambda beat: beat.operator_revision >= revision
+                lambda beat: (
+                    beat.operator_position >= position
+                    and beat.store.configuration_version >= version
+                )
             )
 
         def apply_answer(snapshot: Message, source: str, requested_at: float) -> None:
             if isinstance(snapshot, OperatorSnapshot):
-                self._apply_operator(snapshot.view, requested_at - snapshot.age, source)
+                self._apply_operator_snapshot(
+                    snapshot, requested_at - snapshot.age, source
+                )
 
         self._fetches.begin(OperatorSnapshotRequest(), informed_peers, apply_answer)
 
@@ -283,6 +317,8 @@
 
     def _read_if_due(self) -> None:
         now = self._loop.time()
+        if self._operator.expire(now):
+            self.changed()
         if self._is_due("endpoints", self.registry.age(now), now):
             self._calls.make(
                 "endpoints", self._store.read_endpoints, self._endpoints_read
@@ -312,9 +348,9 @@
     def _endpoints_read(self, view: EndpointView, read_at: float) -> None:
         now = self._loop.time()
         was_ready = self.ready
-        self._history.observe(view.epoch, "store")
+        self._returns.observe(view.epoch, "store")
         known = self._endpoints.position
-        if view.revision < known.revision:
+        if view.position < known:
             self._history.reading_ignored("endpoints", view.position, known)
         outcome = self._endpoints.apply_store_snapshot(view, read_at, now)
         if outcome.changed:
@@ -323,9 +359,9 @@
             self.peer_updates.broadcast(outcome.snapshot)
 
     def _operator_read(self, view: OperatorView, read_at: float) -> None:
-        self._history.observe(view.epoch, "store")
+        self._returns.observe(view.epoch, "store")
         known = self._operator.position
-        if view.revision < known.revision:
+        if view.position < known:
             self._history.reading_ignored("operator", view.position, known)
         if not self._apply_operator(view, read_at, "store"):
             # The next heartbeat shows the peers how recent their equal view is.
@@ -335,10 +371,23 @@
         was_ready = self.ready
         if not self._operator.apply(view, read_at, source):
             return False
+        self._operator_changed(was_ready)
+        return True
+
+    def _apply_operator_snapshot(
+        self, snapshot: OperatorSnapshot, read_at: float, source: str
+    ) -> None:
+        view, document = snapshot.view, snapshot.document_in_force
+        self._returns.observe(view.epoch, source)
+        self._apply_operator(view, read_at, source)
+        was_ready = self.ready
+        if document and self._operator.apply_in_force(document, view, source):
+            self._operator_changed(was_ready)
+
+    def _operator_changed(self, was_ready: bool) -> None:
         # The heartbeat shows peers that lack this view that they can fetch it here.
         self.peer_updates.send_heartbeat()
         self._handle_change(was_ready)
-        return True
 
     def _handle_change(self, was_ready: bool) -> None:
         """Let waiting requests proceed; announce a change of readiness at once."""
--- a/cranberrywick/routing/drain_notices.py
+++ b/cranberrywick/routing/drain_notices.py
@@ -12,6 +12,7 @@
 """
 
 from collections.abc import Mapping
+from math import inf
 from typing import NamedTuple
 
 __all__ = ["DrainNotice", "DrainNotices"]
@@ -49,16 +50,20 @@
 
     def __init__(self) -> None:
         self._notices_by_start: dict[tuple[str, int], DrainNotice] = {}
-        self._own_starts: set[tuple[str, int]] = set()
+        # When this daemon began to send each notice.
+        self._sent_since_by_start: dict[tuple[str, int], float] = {}
 
-    def add(self, notice: DrainNotice, is_own: bool) -> bool:
+    def add(self, notice: DrainNotice, is_own: bool, now: float | None = None) -> bool:
         """Record a notice; return whether it is the first for this start.
 
-        ``is_own`` says that the endpoint announced it to this daemon.
+        ``is_own`` says that this daemon sends it to others from ``now`` on, by default
+        the time of the announcement: the endpoint announced it to this daemon, or its
+        record did, which the store may have forgotten.
         """
         start = notice.endpoint_id, notice.born
         if is_own:
-            self._own_starts.add(start)
+            since = notice.announced_at if now is None else now
+            self._sent_since_by_start.setdefault(start, since)
         known = self._notices_by_start.get(start)
         if known is None or notice.announced_at < known.announced_at:
             self._notices_by_start[start] = notice
@@ -70,11 +75,11 @@
         return None if notice is None else notice.announced_at
 
     def recent(self, now: float) -> list[DrainNotice]:
-        """Return the recent notices that endpoints gave to this daemon."""
+        """Return the notices that this daemon has begun to send lately."""
         return [
             notice
             for start, notice in self._notices_by_start.items()
-            if start in self._own_starts and now - notice.announced_at <= REPORT_SECONDS
+            if now - self._sent_since_by_start.get(start, -inf) <= REPORT_SECONDS
         ]
 
     def all(self) -> list[DrainNotice]:
@@ -87,4 +92,4 @@
             is_old = now - notice.announced_at > KEEP_SECONDS
             if is_old and born_by_id.get(notice.endpoint_id) != notice.born:
                 del self._notices_by_start[start]
-                self._own_starts.discard(start)
+                self._sent_since_by_start.pop(start, None)
--- a/cranberrywick/routing/members.py
+++ b/cranberrywick/routing/members.py
@@ -13,6 +13,8 @@
 from cranberrywick.routing.load import Job
 from cranberrywick.routing.relays import needs_relays
 from cranberrywick.routing.slowdown import EndpointSlowdown
+from cranberrywick.routing.store_knowledge import StoreKnowledge
+from cranberrywick.routing.store_position import StorePosition
 
 __all__ = ["Heartbeat", "Member", "Members", "heartbeat_seconds"]
 
@@ -53,7 +55,8 @@
     operators' settings that it holds, and ``operator_age`` is how many seconds ago that
     was the newest. ``jobs`` are its requests at endpoints, ``slow_engines`` the engines
     that its streams show to be slower than declared, ``limits`` its reports of
-    endpoints' rate limits, ``drain_notices`` what endpoints have announced to it.
+    endpoints' rate limits, ``drain_notices`` what endpoints have announced to it, and
+    ``store`` what it knows of the store.
     """
 
     @property
@@ -75,6 +78,12 @@
     slow_engines: Sequence[EndpointSlowdown] = ()
     limits: Sequence[LimitReport] = ()
     drain_notices: Sequence[DrainNotice] = ()
+    store: StoreKnowledge = StoreKnowledge()
+
+    @property
+    def operator_position(self) -> StorePosition:
+        """The point in the store's history at which its operators' view was read."""
+        return StorePosition(self.store.operator_epoch, self.operator_revision)
 
 
 class Member(NamedTuple):
--- a/cranberrywick/routing/registry.py
+++ b/cranberrywick/routing/registry.py
@@ -6,12 +6,15 @@
 missing, and all traffic goes to the rest.
 """
 
+from math import isfinite
 from typing import NamedTuple
 
 from cranberrywick.routing.drain_notices import DrainNotice, DrainNotices
 from cranberrywick.routing.endpoint_backoffs import EndpointBackoffs
 from cranberrywick.routing.endpoint_index import EndpointIndex, TrackedEndpoint
 from cranberrywick.routing.model import EndpointDelta, EndpointRecord, EndpointView
+from cranberrywick.routing.store_knowledge import RetainedEndpoint, RetainedEndpoints
+from cranberrywick.routing.store_position import UNKNOWN_EPOCH, StorePosition
 
 __all__ = ["EndpointChange", "EndpointRegistry", "TrackedEndpoint"]
 
@@ -22,6 +25,9 @@
 # Grace period after an outage, in seconds. The platform guarantees that endpoints which
 # are alive have registered again by its end; those still missing then are gone.
 RETURN_GRACE_SECONDS = 2.0
+# How long an endpoint counts as draining that was never known to be ready, in seconds;
+# longer than any deployment lets endpoints get work after they have begun to drain.
+UNKNOWN_DRAIN_SECONDS = 60.0
 
 
 class EndpointChange(NamedTuple):
@@ -44,7 +50,8 @@
     def __init__(self, drain_notices: DrainNotices | None = None) -> None:
         self._drain_notices = drain_notices or DrainNotices()
         self._backoffs = EndpointBackoffs()
-        self.revision = 0
+        self._retained = RetainedEndpoints()
+        self.position = StorePosition(UNKNOWN_EPOCH, 0)
         self.read_at = float("-inf")
         self.tracked_by_id: dict[str, TrackedEndpoint] = {}
         self.index = EndpointIndex()
@@ -53,6 +60,11 @@
         self._view = EndpointView(0, {})
         self._grace_until = float("-inf")
 
+    @property
+    def revision(self) -> int:
+        """The store's revision at the newest snapshot; 0 before the first."""
+        return self.position.revision
+
     def age(self, now: float) -> float:
         """Return the age of the newest snapshot, in seconds."""
         return now - self.read_at
@@ -86,6 +98,41 @@
             self._set_backoff(endpoint_id, born, float("-inf"))
         return [endpoint_id for endpoint_id, _ in ended]
 
+    def store_returned(self, now: float) -> list[DrainNotice]:
+        """Keep what is known of endpoints, which the store may have forgotten.
+
+        An endpoint that is draining gets no requests before its next start, one that is
+        gone for some seconds, and a cold one stays cold. Return notices of those that
+        are draining.
+        """
+        for kept in self._retained.store_returned(self.tracked_by_id, now):
+            self._apply_retained(kept, now)
+        return [
+            DrainNotice(endpoint_id, tracked.record.born, _drained_since(tracked, now))
+            for endpoint_id, tracked in self.tracked_by_id.items()
+            if tracked.record.draining
+        ]
+
+    def adopt(self, endpoint: RetainedEndpoint, now: float) -> bool:
+        """Keep what a peer keeps of an endpoint; return whether this is news."""
+        if not self._retained.adopt(endpoint):
+            return False
+        self._apply_retained(endpoint, now)
+        return True
+
+    def retained(self, now: float) -> tuple[RetainedEndpoint, ...]:
+        """Return what is kept of endpoints although the store may not show it."""
+        return self._retained.entries(now)
+
+    def _apply_retained(self, kept: RetainedEndpoint, now: float) -> None:
+        if kept.unused_until > now:
+            unused_seconds = kept.unused_until - now
+            self.request_backoff(kept.endpoint_id, kept.born, unused_seconds, now)
+        tracked = self.tracked_by_id.get(kept.endpoint_id)
+        if tracked is not None and tracked.record.born == kept.born:
+            cold_until = max(tracked.cold_until, kept.cold_until)
+            self._replace(tracked._replace(cold_until=cold_until), tracked)
+
     def _set_backoff(self, endpoint_id: str, born: int, until: float) -> None:
         tracked = self.tracked_by_id.get(endpoint_id)
         if tracked is not None and tracked.record.born == born:
@@ -104,13 +151,14 @@
 
         Return the changes: none for a snapshot that is older than the last one.
         """
-        if view.revision < self.revision or read_at <= self.read_at:
+        if self.is_outdated(view.position, read_at):
             return []
         is_first = self.revision == 0
+        has_returned = view.epoch > self.position.epoch
         known_until, self.read_at = self.read_at, read_at
-        if not is_first and read_at - known_until > OUTAGE_SECONDS:
+        if not is_first and (has_returned or read_at - known_until > OUTAGE_SECONDS):
             self._grace_until = now + RETURN_GRACE_SECONDS
-        self.revision, self._view = view.revision, view
+        self.position, self._view = view.position, view
         changes: list[EndpointChange] = []
         for record in delta.changed:
             self._apply_record(record, known_until, changes)
@@ -120,6 +168,12 @@
         self._evict_missing(now, changes)
         return changes
 
+    def is_outdated(self, position: StorePosition, read_at: float) -> bool:
+        """Whether a snapshot of this position is no newer than the last one."""
+        if position.epoch != self.position.epoch:
+            return position.epoch < self.position.epoch
+        return position.revision < self.position.revision or read_at <= self.read_at
+
     def _apply_record(
         self, record: EndpointRecord, known_until: float, changes: list[EndpointChange]
     ) -> None:
@@ -138,13 +192,14 @@
         if old is not None and old.record.draining and record.draining:
             ready_until_known = old.ready_until_known
         self._missing_ids.discard(endpoint_id)
+        self._retained.appeared(endpoint_id, record.born)
         if record.cold_seconds > 0:
             self._cold_ids.add(endpoint_id)
         else:
             self._cold_ids.discard(endpoint_id)
         tracked = TrackedEndpoint(
             record,
-            float("-inf"),
+            self._retained.cold_until(endpoint_id, record.born),
             ready_until_known=ready_until_known,
             drain_announced_at=self._drain_notices.announced_at(
                 endpoint_id, record.born
@@ -181,7 +236,10 @@
         """
         for endpoint_id in self._cold_ids:
             old = self.tracked_by_id[endpoint_id]
-            cold_until = self.read_at + old.record.cold_seconds
+            cold_until = max(
+                self.read_at + old.record.cold_seconds,
+                self._retained.cold_until(endpoint_id, old.record.born),
+            )
             self._replace(old._replace(cold_until=cold_until), old)
 
     def _evict_missing(self, now: float, changes: list[EndpointChange]) -> None:
@@ -190,7 +248,14 @@
             if now < self._grace_until and old.missing_since is not None:
                 continue
             del self.tracked_by_id[endpoint_id]
+            self._retained.departed(endpoint_id, old.record.born, now)
             self._missing_ids.discard(endpoint_id)
             self._cold_ids.discard(endpoint_id)
             self.index.remove(old)
             changes.append(EndpointChange(endpoint_id, "gone"))
+
+
+def _drained_since(tracked: TrackedEndpoint, now: float) -> float:
+    """Return the earliest moment at which an endpoint may have begun to drain."""
+    since = tracked.ready_until_known
+    return since if isfinite(since) else now - UNKNOWN_DRAIN_SECONDS
--- a/tests/test_fleet_messages.py
+++ b/tests/test_fleet_messages.py
@@ -35,6 +35,11 @@
 from cranberrywick.routing.members import Heartbeat
 from cranberrywick.routing.model import EndpointRecord, EndpointView
 from cranberrywick.routing.slowdown import EndpointSlowdown
+from cranberrywick.routing.store_knowledge import (
+    RetainedDomain,
+    RetainedEndpoint,
+    StoreKnowledge,
+)
 
 
 def heartbeat(number=1, jobs=2):
@@ -56,6 +61,16 @@
             LimitReport("i-recovered", inf, 9.0),
         ),
         drain_notices=(DrainNotice(f"i-{number:010x}", 1_764_000_000_000, 8.5),),
+        store=StoreKnowledge(
+            epoch=3,
+            operator_epoch=2,
+            configuration_version=41,
+            domains=(RetainedDomain("fd-b", 25.0, 9.0),),
+            endpoints=(
+                RetainedEndpoint("i-gone", 7, 14.0),
+                RetainedEndpoint("i-cold", 8, -inf, 12.5),
+            ),
+        ),
     )
 
 
@@ -126,7 +141,14 @@
     (received,) = message.heartbeats
     assert received.received_at == pytest.approx(109.5)
     expected = heartbeat()
-    assert received.heartbeat[:-4] == expected[:-4]
+    assert received.heartbeat[:-5] == expected[:-5]
+    there, here = received.heartbeat.store, expected.store
+    assert there[:3] == here[:3]
+    assert there.domains == (RetainedDomain("fd-b", 125.0, 109.0),)
+    assert there.endpoints == (
+        RetainedEndpoint("i-gone", 7, 114.0),
+        RetainedEndpoint("i-cold", 8, -inf, 112.5),
+    )
     assert received.heartbeat.slow_engines == expected.slow_engines
     limits = [
         LimitReport(i, rate, seen_at + 100, free_at and free_at + 100)
--- a/tests/test_last_resort.py
+++ b/tests/test_last_resort.py
@@ -106,7 +106,7 @@
     def receive_unchanged_digest(self):
         view = OperatorView.of(self.revision, b"", frozenset(self.out_at))
         if self.operator.view is not None and self.operator.digest == view.digest:
-            self.operator.compare(view.revision, view.digest, self.now)
+            self.operator.compare(view.position, view.digest, self.now, 0)
 
     @invariant()
     def nothing_is_sent_after_the_bound(self):
