Tie a registration to the epoch in which it was written

What operators saw: after the store came back from an older copy no daemon was on the list of members until its next renewal, up to 18 s later; and a daemon that stopped could delete the key of another one. Daemons that started meanwhile found no peers but those their settings name.

Cause: a registration was known by its lease's number alone, and the store gives numbers out again. A renewal that succeeded could be that of another daemon's lease, and ending the lease at a stop ended the other's registration.

A registration now holds its lease and position. A renewal answered in another epoch counts as lapsed; at a stop the daemon deletes its own key if that is unchanged, and leaves the lease to its time.

--- a/cranberrywick/gateway/peer_updates.py
+++ b/cranberrywick/gateway/peer_updates.py
@@ -149,6 +149,11 @@
             self._recipients.registered_addresses = addresses_by_id
             self.send_heartbeat()
 
+    @property
+    def registered_addresses(self) -> dict[str, str]:
+        """The addresses of the daemons that are registered in the store, by id."""
+        return self._recipients.registered_addresses
+
     @property
     def has_received_all(self) -> bool:
         """Whether the registered daemons are known and all have sent a heartbeat."""
--- a/cranberrywick/gateway/state.py
+++ b/cranberrywick/gateway/state.py
@@ -264,8 +264,9 @@
         return service.cold_rate if service and service.cold_rate > 0 else inf
 
     def _store_returned(self, epoch: int) -> None:
-        """Tell the peers at once, which may not have heard of it."""
+        """Tell the peers at once, and register again."""
         self.peer_updates.send_heartbeat()
+        self._registration.store_returned(epoch)
 
     def _fetch_operator(self, position: StorePosition, version: int) -> None:
         def informed_peers() -> list[str]:
--- a/cranberrywick/gateway/store_reader.py
+++ b/cranberrywick/gateway/store_reader.py
@@ -1,13 +1,25 @@
 """Blocking calls to the store, made on an actor's thread."""
 
 from collections.abc import Callable
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from cranberrywick.controllers.actor import Controller
 from cranberrywick.errors import CranberrywickError
 from cranberrywick.routing.model import EndpointView, OperatorView
+from cranberrywick.routing.store_position import StorePosition
 
-__all__ = ["Store", "StoreReader"]
+__all__ = ["Registered", "Store", "StoreReader"]
+
+
+class Registered(NamedTuple):
+    """A daemon's registration: its lease, and the position at which it was written.
+
+    A store that came back from an older copy has lost the lease, and may have given its
+    number to another daemon.
+    """
+
+    lease: int
+    position: StorePosition
 
 
 class Store(Protocol):
@@ -25,14 +37,16 @@
     def read_members(self) -> dict[str, str]:
         """Return the registered daemons' peer addresses by their ids."""
 
-    def register(self, daemon_id: str, peer_address: str, ttl_seconds: float) -> int:
-        """Register a daemon for ``ttl_seconds`` and return the lease."""
+    def register(
+        self, daemon_id: str, peer_address: str, ttl_seconds: float
+    ) -> Registered:
+        """Register a daemon for ``ttl_seconds``."""
 
-    def keep(self, lease: int) -> None:
-        """Renew a lease. Raises `LeaseLapsed` if it has ended."""
+    def keep(self, registered: Registered) -> None:
+        """Renew a registration's lease. Raises `LeaseLapsed` if it has ended."""
 
-    def end(self, lease: int) -> None:
-        """End a lease."""
+    def end(self, daemon_id: str, registered: Registered) -> None:
+        """Remove a registration, unless it was written again since."""
 
 
 class StoreReader(Controller):
--- a/cranberrywick/platform/store.py
+++ b/cranberrywick/platform/store.py
@@ -7,6 +7,7 @@
 from cranberrywick.errors import InvalidConfiguration, PlatformUnavailable
 from cranberrywick.external.exchange import PlatformClient, Reply
 from cranberrywick.external.key_value import LeaseLapsed
+from cranberrywick.gateway.store_reader import Registered
 from cranberrywick.logs import EventLog
 from cranberrywick.platform.documents import (
     CONFIGURATION_KEY,
@@ -90,25 +91,45 @@
                 continue
         return members
 
-    def register(self, daemon_id: str, peer_address: str, ttl_seconds: float) -> int:
-        """Write this daemon's own key under a new lease and return the lease's id."""
+    def register(
+        self, daemon_id: str, peer_address: str, ttl_seconds: float
+    ) -> Registered:
+        """Write this daemon's own key under a new lease.
+
+        Raises `LeaseLapsed` if the store lost the lease before the key was written.
+        """
         fields = {"ttlMs": int(ttl_seconds * 1000)}
-        lease = int(self._call("POST", "/kv-lease", fields=fields).fields["lease"])
+        granted = self._call("POST", "/kv-lease", fields=fields)
+        lease, epoch = int(granted.fields["lease"]), self._epochs.read(granted.headers)
         write = {
             "key": MEMBERS_PREFIX + daemon_id,
             "value": base64.b64encode(encode_member(peer_address)).decode(),
             "lease": lease,
         }
-        self._call("POST", "/kv-txn", fields={"expected": [], "writes": [write]})
-        return lease
-
-    def keep(self, lease: int) -> None:
-        """Renew the lease; raises `LeaseLapsed`."""
-        self._call("POST", f"/kv-keep/{lease}")
-
-    def end(self, lease: int) -> None:
-        """End the lease, which deletes this daemon's key."""
-        self._call("DELETE", f"/kv-lease-end/{lease}")
+        fields = {"expected": [], "writes": [write]}
+        written = self._call("POST", "/kv-txn", fields=fields)
+        if self._epochs.read(written.headers) != epoch:
+            # The key may have been written under another daemon's lease.
+            raise LeaseLapsed(f"lease {lease} was granted in epoch {epoch}")
+        return Registered(lease, StorePosition(epoch, int(written.fields["revision"])))
+
+    def keep(self, registered: Registered) -> None:
+        """Renew the lease; raises `LeaseLapsed`, also if the store has lost it."""
+        reply = self._call("POST", f"/kv-keep/{registered.lease}")
+        epoch = registered.position.epoch
+        if self._epochs.read(reply.headers) != epoch:
+            raise LeaseLapsed(f"lease {registered.lease} was granted in epoch {epoch}")
+
+    def end(self, daemon_id: str, registered: Registered) -> None:
+        """Delete this daemon's key if it is still the one that was written.
+
+        The lease itself ends by its time: the store may have given its number to
+        another daemon, whose key would be deleted with it.
+        """
+        key = MEMBERS_PREFIX + daemon_id
+        expected = {"key": key, "revision": registered.position.revision}
+        fields = {"expected": [expected], "writes": [], "remove": [key]}
+        self._call("POST", "/kv-txn", fields=fields, accepted=(200, 412))
 
     def _read_items(
         self, prefix: str, serializable: bool = False
@@ -135,11 +156,12 @@
         path: str,
         query: dict[str, str] | None = None,
         fields: dict[str, Any] | None = None,
+        accepted: tuple[int, ...] = (200,),
     ) -> Reply:
         reply = self._client.call(method, path, query, fields)
         if reply.status == 404:
             raise LeaseLapsed(f"{path}: no such lease")
-        if reply.status != 200:
+        if reply.status not in accepted:
             raise PlatformUnavailable(f"{method} {path}: status {reply.status}")
         return reply
 
