Take the position of a reading from its first page, and only pages of one epoch

What callers could see in a deployment of more than 500 endpoints: an endpoint that an older page shows as ready under the revision of a later page, so that the change in between counts as known; and a mixture of records from before and after a return of the store.

The first page's position is a lower bound for all; pages of several epochs are read again, three times at most.

The stand-in of the store divides listings into pages.

--- a/cranberrywick/platform/store.py
+++ b/cranberrywick/platform/store.py
@@ -30,6 +30,16 @@
 # again or to use an update from a peer.
 READ_TIMEOUT_SECONDS = 1.0
 
+# How often a reading of several pages is begun if the store returns in the middle.
+MAX_READS = 3
+
+
+class _Page(NamedTuple):
+    """A page of a reading, and the store's position at it."""
+
+    position: StorePosition
+    items: list[dict[str, Any]]
+
 
 class PlatformStore:
     """The calls to the store that the gateway makes; they block and are not retried.
@@ -134,21 +144,31 @@
     def _read_items(
         self, prefix: str, serializable: bool = False
     ) -> tuple[StorePosition, Iterable[dict[str, Any]]]:
-        """Return the store's position and the items of all pages under a prefix."""
-        items: list[dict[str, Any]] = []
+        """Return the store's position and the items of all pages under a prefix.
+
+        Pages are no snapshot: the position is that of the first. Pages of two epochs
+        can't be combined; they are read again.
+        """
+        for _ in range(MAX_READS):
+            pages = self._read_pages(prefix, serializable)
+            if len({page.position.epoch for page in pages}) == 1:
+                return pages[0].position, [i for page in pages for i in page.items]
+        raise PlatformUnavailable(f"{prefix}: the store returned while it was read")
+
+    def _read_pages(self, prefix: str, serializable: bool) -> list[_Page]:
+        pages: list[_Page] = []
         query = {"prefix": prefix}
         if serializable:
             query["serializable"] = "1"
         while True:
             reply = self._call("GET", "/kv-range", query)
             fields = reply.fields
-            page = fields.get("items") or []
-            items.extend(page)
-            if not fields.get("truncated") or not page:
-                # This is the last page's revision; items of earlier pages may be older.
-                epoch = self._epochs.read(reply.headers)
-                return StorePosition(epoch, int(fields["asOf"])), items
-            query = {**query, "after": page[-1]["key"]}
+            items = fields.get("items") or []
+            epoch = self._epochs.read(reply.headers)
+            pages.append(_Page(StorePosition(epoch, int(fields["asOf"])), items))
+            if not fields.get("truncated") or not items:
+                return pages
+            query = {**query, "after": items[-1]["key"]}
 
     def _call(
         self,
--- a/cranberrywick/standin/platform/store.py
+++ b/cranberrywick/standin/platform/store.py
@@ -65,6 +65,7 @@
 
     ``epoch`` is stated in every answer and counts the returns from older copies; with
     ``epoch_text`` set, answers state that text instead, or nothing if it is empty.
+    A listing has pages of ``page_items``.
     ``modes_by_listener`` can be changed at any time and holds for the calls after it;
     ``calls_by_listener`` counts the calls received.
     """
@@ -76,6 +77,7 @@
         self._next_lease = 100
         self.epoch = 1
         self.epoch_text: str | None = None
+        self.page_items = 500
         self._ingresses: list[Ingress] = []
         self.modes_by_listener: dict[str, str] = {}
         self.calls_by_listener: dict[str, int] = {}
@@ -189,8 +191,10 @@
     def _range(self, arguments: Mapping[str, str]) -> tuple[int, dict[str, Any]]:
         after = arguments.get("after", "")
         keys = [key for key in self.keys(arguments.get("prefix", "")) if key > after]
-        items = [_item_json(key, self._items[key]) for key in keys]
-        return 200, {"items": items, "truncated": False, "asOf": self._revision}
+        page = keys[: self.page_items]
+        items = [_item_json(key, self._items[key]) for key in page]
+        is_cut = len(page) < len(keys)
+        return 200, {"items": items, "truncated": is_cut, "asOf": self._revision}
 
     def _key(self, key: str) -> tuple[int, dict[str, Any]]:
         item = self._items.get(key)
