Let statements of a start hold for records of earlier starts

What callers see: a request at an endpoint that is draining, cold or in a backoff, for seconds, if the endpoint had started again shortly before the store came back from a copy with the record of its former start.

Cause: what is known of a start (drain notices, backoffs, cold times) was matched with records of exactly that start. A copy can show a record of a former start, never of a later one, so that statements now hold for records of the same or an earlier start. A new start still ends them.

Three tests failed before (usable at 100 s, cold until minus infinity, usable within the backoff) and pass now, with those of notices, backoffs and the last resort.

--- a/cranberrywick/routing/drain_notices.py
+++ b/cranberrywick/routing/drain_notices.py
@@ -5,12 +5,14 @@
 seconds later or not at all, or it expires and is written again. If the newest record
 alone decided, requests would reach the endpoint until it stops, and be lost there.
 
-A notice holds for the start of the endpoint that gave it, and no record or later answer
-ends it: a process that is stopping does not change its mind, but answers can overtake
-one another. Daemons send each other what their answers have announced, since an
-endpoint that gets no more requests announces nothing to the others.
+A notice holds for the start of the endpoint that gave it and for earlier ones, whose
+records an older copy of the store may show again. No record or later answer ends it: a
+process that is stopping does not change its mind, but answers can overtake one another.
+Daemons send each other what their answers have announced, since an endpoint that gets
+no more requests announces nothing to the others.
 """
 
+from collections import defaultdict
 from collections.abc import Mapping
 from math import inf
 from typing import NamedTuple
@@ -49,6 +51,7 @@
     """
 
     def __init__(self) -> None:
+        self._borns_by_id: dict[str, set[int]] = defaultdict(set)
         self._notices_by_start: dict[tuple[str, int], DrainNotice] = {}
         # When this daemon began to send each notice.
         self._sent_since_by_start: dict[tuple[str, int], float] = {}
@@ -67,12 +70,22 @@
         known = self._notices_by_start.get(start)
         if known is None or notice.announced_at < known.announced_at:
             self._notices_by_start[start] = notice
+            self._borns_by_id[notice.endpoint_id].add(notice.born)
         return known is None
 
     def announced_at(self, endpoint_id: str, born: int) -> float | None:
-        """Return when a start of an endpoint announced that it drains, or None."""
-        notice = self._notices_by_start.get((endpoint_id, born))
-        return None if notice is None else notice.announced_at
+        """Return when a start of an endpoint, or a later one, announced that it drains.
+
+        None if none did.
+        """
+        return min(
+            (
+                self._notices_by_start[endpoint_id, announced].announced_at
+                for announced in self._borns_by_id.get(endpoint_id, ())
+                if announced >= born
+            ),
+            default=None,
+        )
 
     def recent(self, now: float) -> list[DrainNotice]:
         """Return the notices that this daemon has begun to send lately."""
@@ -92,4 +105,7 @@
             is_old = now - notice.announced_at > KEEP_SECONDS
             if is_old and born_by_id.get(notice.endpoint_id) != notice.born:
                 del self._notices_by_start[start]
+                self._borns_by_id[notice.endpoint_id].discard(notice.born)
+                if not self._borns_by_id[notice.endpoint_id]:
+                    del self._borns_by_id[notice.endpoint_id]
                 self._sent_since_by_start.pop(start, None)
--- a/cranberrywick/routing/endpoint_backoffs.py
+++ b/cranberrywick/routing/endpoint_backoffs.py
@@ -22,6 +22,7 @@
 class EndpointBackoffs:
     """The end of each endpoint's backoff, for the start that requested it.
 
+    It holds for earlier starts too, whose records an older copy of the store may show.
     ``born`` identifies the start of an endpoint, as in its record.
 
     >>> backoffs = EndpointBackoffs()
@@ -48,7 +49,14 @@
 
     def until(self, endpoint_id: str, born: int) -> float:
         """Return when the last backoff ends or has ended; minus infinity if none."""
-        return self._until_by_start.get((endpoint_id, born), -inf)
+        return max(
+            (
+                until
+                for (each_id, requested), until in self._until_by_start.items()
+                if each_id == endpoint_id and requested >= born
+            ),
+            default=-inf,
+        )
 
     def end(self, now: float) -> list[tuple[str, int]]:
         """Remove the backoffs that are over; return the endpoints' ids and starts."""
--- a/cranberrywick/routing/registry.py
+++ b/cranberrywick/routing/registry.py
@@ -77,7 +77,7 @@
     def apply_notice(self, notice: DrainNotice) -> None:
         """Mark an endpoint as draining, unless it has started again since."""
         tracked = self.tracked_by_id.get(notice.endpoint_id)
-        if tracked is not None and tracked.record.born == notice.born:
+        if tracked is not None and tracked.record.born <= notice.born:
             announced_at = notice.announced_at
             self._replace(tracked._replace(drain_announced_at=announced_at), tracked)
 
@@ -86,7 +86,7 @@
     ) -> float:
         """Give an endpoint no requests for some seconds; return when that ends."""
         until = self._backoffs.request(endpoint_id, born, seconds, now)
-        self._set_backoff(endpoint_id, born, until)
+        self._set_backoff(endpoint_id, born)
         return until
 
     def end_backoffs(self, now: float) -> list[str]:
@@ -95,7 +95,7 @@
             return []
         ended = self._backoffs.end(now)
         for endpoint_id, born in ended:
-            self._set_backoff(endpoint_id, born, float("-inf"))
+            self._set_backoff(endpoint_id, born)
         return [endpoint_id for endpoint_id, _ in ended]
 
     def store_returned(self, now: float) -> list[DrainNotice]:
@@ -129,13 +129,14 @@
             unused_seconds = kept.unused_until - now
             self.request_backoff(kept.endpoint_id, kept.born, unused_seconds, now)
         tracked = self.tracked_by_id.get(kept.endpoint_id)
-        if tracked is not None and tracked.record.born == kept.born:
+        if tracked is not None and tracked.record.born <= kept.born:
             cold_until = max(tracked.cold_until, kept.cold_until)
             self._replace(tracked._replace(cold_until=cold_until), tracked)
 
-    def _set_backoff(self, endpoint_id: str, born: int, until: float) -> None:
+    def _set_backoff(self, endpoint_id: str, born: int) -> None:
         tracked = self.tracked_by_id.get(endpoint_id)
-        if tracked is not None and tracked.record.born == born:
+        if tracked is not None and tracked.record.born <= born:
+            until = self._backoffs.until(endpoint_id, tracked.record.born)
             self._replace(tracked._replace(backoff_until=until), tracked)
 
     def apply(
--- a/cranberrywick/routing/store_knowledge.py
+++ b/cranberrywick/routing/store_knowledge.py
@@ -207,9 +207,18 @@
         return True
 
     def cold_until(self, endpoint_id: str, born: int) -> float:
-        """Return until when a start counts as cold; minus infinity if it is not."""
-        kept = self._retained_by_start.get((endpoint_id, born))
-        return kept.cold_until if kept else -inf
+        """Return until when a start counts as cold; minus infinity if it is not.
+
+        A later start that is cold counts too: the record is that of a copy.
+        """
+        return max(
+            (
+                kept.cold_until
+                for (each_id, kept_born), kept in self._retained_by_start.items()
+                if each_id == endpoint_id and kept_born >= born
+            ),
+            default=-inf,
+        )
 
     def entries(self, now: float) -> tuple[RetainedEndpoint, ...]:
         """Return what is still kept; entries whose time is over are removed."""
--- a/tests/test_store_knowledge.py
+++ b/tests/test_store_knowledge.py
@@ -119,6 +119,43 @@
     assert is_usable(registry, "e2")
 
 
+def return_to_first_start(registry):
+    """Apply a copy that holds the start before the one that is known."""
+    for notice in registry.store_returned(3.0):
+        registry._drain_notices.add(notice, is_own=True, now=3.0)
+        registry.apply_notice(notice)
+    registry.apply(view(31, record(born=1), epoch=2), 3.0, 3.0)
+
+
+def test_the_copy_of_an_earlier_start_is_bound_by_what_the_later_one_stated():
+    """Guards against a drain that is undone by the record of the former process."""
+    registry = EndpointRegistry()
+    registry.apply(view(33, record(born=1)), 1.0, 1.0)
+    registry.apply(view(34, record(born=2, draining=True)), 2.0, 2.0)
+    return_to_first_start(registry)
+    assert not is_usable(registry, now=100.0)
+    registry.apply(view(32, record(born=3), epoch=2), 100.0, 100.0)
+    assert is_usable(registry, now=100.0)
+
+
+def test_the_copy_of_an_earlier_start_counts_as_cold_as_the_later_one():
+    registry = EndpointRegistry()
+    registry.apply(view(33, record(born=1)), 1.0, 1.0)
+    registry.apply(view(34, record(born=2, cold_seconds=5.0)), 2.0, 2.0)
+    return_to_first_start(registry)
+    assert registry.tracked_by_id["e1"].cold_until == 7.0
+
+
+def test_the_copy_of_an_earlier_start_is_in_the_backoff_of_the_later_one():
+    registry = EndpointRegistry()
+    registry.apply(view(33, record(born=1)), 1.0, 1.0)
+    registry.apply(view(34, record(born=2)), 2.0, 2.0)
+    registry.request_backoff("e1", 2, seconds=5.0, now=2.0)
+    return_to_first_start(registry)
+    assert not is_usable(registry, now=6.9)
+    assert is_usable(registry, now=7.1)
+
+
 def test_an_endpoint_whose_record_had_returned_is_not_taken_for_departed():
     registry = EndpointRegistry()
     for revision, records in ((33, [record()]), (34, []), (35, [record()])):
