--- a/tests/soak_promises.py
+++ b/tests/soak_promises.py
@@ -11,6 +11,7 @@
     most_in_backoff,
 )
 from gateway_fleet import Answer, Fleet
+from soak_store import RecordedDrain, late_at_recorded_drain
 
 STREAM = b"".join(f"id: {n}\ndata: piece {n}\n\n".encode() for n in range(1, 9))
 # Statuses that mean that a request has not run and will not run later.
@@ -45,12 +46,14 @@
         self.calls: list[TimedCall] = []
         self.limits: list[Limit] = []
         self.drains: list[Drain] = []
+        self.recorded_drains: list[RecordedDrain] = []
         self.disturbances: list[Disturbance] = []
 
     def broken_promises(self, fleet: Fleet) -> list[str]:
         """Return a line for each guarantee that was broken."""
         lines = [_excess(fleet, limit) for limit in self.limits]
         lines += [self._late_at_draining(fleet, drain) for drain in self.drains]
+        lines += [self._late_at_recorded(fleet, each) for each in self.recorded_drains]
         lines += [self._in_backoff(fleet, each) for each in fleet.endpoints]
         return [line for line in lines if line] + _broken_calls(fleet, self.calls)
 
@@ -62,6 +65,11 @@
         )
         return f"{drain.endpoint_id}: {late} requests while draining" if late else ""
 
+    def _late_at_recorded(self, fleet: Fleet, drain: RecordedDrain) -> str:
+        """Return a line about requests after the bound of a drain, else empty."""
+        late = late_at_recorded_drain(fleet, self.calls, drain, self.disturbances)
+        return f"{drain.endpoint_id}: {late} requests while it drained" if late else ""
+
     def _in_backoff(self, fleet: Fleet, endpoint_id: str) -> str:
         """Return a line about requests in an endpoint's backoff, else empty."""
         gateways_by_request = {call.request_id: call.gateway for call in self.calls}
