Judge peers that state no epoch by the time of their view

A daemon of an earlier build keeps its old view with a higher revision and states no epoch; it was taken for newer, fetched, and its revision then stood above all that the store shows.

A view without an epoch is used only if it was the newest later than the own one, and never raises the own position. Two neighbours of it: a reading whose epoch can't be read counts as of the epoch that peers state instead of one before all others, and a registration whose epoch can't be read isn't written again every two seconds.

--- a/cranberrywick/gateway/endpoint_tracker.py
+++ b/cranberrywick/gateway/endpoint_tracker.py
@@ -73,6 +73,8 @@
         self, view: EndpointView, read_at: float, now: float
     ) -> StoreSnapshotOutcome:
         """Apply a snapshot read from the store; return the update to send to peers."""
+        if view.epoch == UNKNOWN_EPOCH:
+            view = view._replace(epoch=self.position.epoch)
         base_view, base = self._view, self._digest
         known = base_view or EndpointView(0, {})
         delta = view.delta_from(known)
--- a/cranberrywick/gateway/operator_tracker.py
+++ b/cranberrywick/gateway/operator_tracker.py
@@ -75,12 +75,15 @@
         so was this one, which is recorded. The configuration that the peer has in force
         has the ``version``, which may be newer than its view's.
         """
+        is_stated = position.epoch != UNKNOWN_EPOCH
+        if not is_stated and newest_at <= self._newest_at:
+            return version > self.version
         position = self._stated(position)
         if self.view is None or digest != self.digest:
             return position > self.position or version > self.version
         if position.epoch >= self.position.epoch:
             self._newest_at = max(self._newest_at, newest_at)
-            newest = max(position, self.position)
+            newest = max(position, self.position) if is_stated else self.position
             self.view = self.view._replace(revision=newest.revision, epoch=newest.epoch)
             self._record_shown(self.view)
         return version > self.version
@@ -92,6 +95,8 @@
         for the log.
         """
         own = self.view
+        if view.epoch == UNKNOWN_EPOCH and read_at <= self._newest_at:
+            return False
         position = self._stated(view.position)
         view = view._replace(epoch=position.epoch)
         if own is not None and position < own.position:
@@ -150,7 +155,11 @@
             self._retained.shown(view.domains_out)
 
     def _stated(self, position: StorePosition) -> StorePosition:
-        """Return a position; one of an unknown epoch counts as of the own one."""
+        """Return a position; one of an unknown epoch counts as of the own one.
+
+        Daemons of earlier versions state none. Those that have missed a return know
+        nothing later than it, so that the time of their view shows it to be older.
+        """
         if position.epoch == UNKNOWN_EPOCH:
             return position._replace(epoch=self.position.epoch)
         return position
--- a/cranberrywick/gateway/registration.py
+++ b/cranberrywick/gateway/registration.py
@@ -88,19 +88,26 @@
 
     def _catch_up(self) -> None:
         """Register, and try again until the registration is of the newest epoch."""
-        registered = self._registered
-        if registered is None or registered.position.epoch < self._epoch:
+        if not self._has_ended and not self._is_current(self._registered):
             self._register()
             self._catch_up_in(RETRY_SECONDS)
 
+    def _is_current(self, registered: Registered | None) -> bool:
+        """Whether the store can't have lost this registration by a return."""
+        if registered is None:
+            return False
+        epoch = registered.position.epoch
+        return epoch == UNKNOWN_EPOCH or epoch >= self._epoch
+
     def _register(self) -> None:
         if not self._has_ended:
-            renew = partial(self._renew, self._registered, self._epoch)
+            kept = self._registered if self._is_current(self._registered) else None
+            renew = partial(self._renew, kept)
             self._calls.make("operator", renew, self._record_registered)
 
-    def _renew(self, registered: Registered | None, epoch: int) -> Registered:
+    def _renew(self, registered: Registered | None) -> Registered:
         """Renew the lease or register again; called on the reader's thread."""
-        if registered is not None and registered.position.epoch >= epoch:
+        if registered is not None:
             try:
                 self._store.keep(registered)
                 return registered
