Take a peer's newer configuration also from a view of an earlier epoch

What callers could see: a daemon that started after a return and knew the copy alone used its older configuration, revoked keys included, until its peers had read the store since the return; a moment, or as long as they can't reach the store.

Cause: a peer's view of an earlier epoch was dropped whole, with the newer configuration that it holds. Found by a mutant that no test caught (the version that peers state ignored). The document counts by its version whichever view it comes in.

The new test of the comparison fails with that mutant; exchanges of entries are tested with three daemons, since two could not extend an entry (second mutant).

--- a/cranberrywick/gateway/state.py
+++ b/cranberrywick/gateway/state.py
@@ -264,7 +264,6 @@
         return service.cold_rate if service and service.cold_rate > 0 else inf
 
     def _store_returned(self, epoch: int) -> None:
-        """Tell the peers at once, and register again."""
         self.peer_updates.send_heartbeat()
         self._registration.store_returned(epoch)
 
@@ -378,7 +377,8 @@
     def _apply_operator_snapshot(
         self, snapshot: OperatorSnapshot, read_at: float, source: str
     ) -> None:
-        view, document = snapshot.view, snapshot.document_in_force
+        view = snapshot.view
+        document = snapshot.document_in_force or view.document
         self._returns.observe(view.epoch, source)
         self._apply_operator(view, read_at, source)
         was_ready = self.ready
--- a/tests/test_store_knowledge.py
+++ b/tests/test_store_knowledge.py
@@ -4,6 +4,7 @@
 daemons keep alive by sending them to each other.
 """
 
+from itertools import permutations
 from math import inf
 
 import pytest
@@ -225,6 +226,18 @@
     assert not operator.compare(read.position, read.digest, 2.0, version=24)
 
 
+def test_a_peer_that_has_not_read_since_the_return_is_asked_for_its_configuration(
+    operator,
+):
+    read = operator_view(31, 22, epoch=2)
+    operator.apply(read, 2.0, "store")
+    old = operator_view(34, 24, epoch=1)
+    assert operator.compare(old.position, old.digest, 1.5, version=24)
+    assert not operator.apply(old, 1.5, "peer")
+    assert operator.apply_in_force(old.document, old, "peer")
+    assert (operator.version, operator.position) == (24, (2, 31))
+
+
 def test_a_peer_of_an_earlier_epoch_is_not_asked(operator):
     operator.apply(operator_view(31, 24, epoch=2), 2.0, "store")
     old = operator_view(99, 22, "b")
@@ -277,18 +290,16 @@
 
 def test_entries_are_not_extended_by_sending_them_back_and_forth():
     """Each message takes a moment, by which its receiver's entry would end later."""
-    first, second = RetainedDomains(), RetainedDomains()
-    first.store_returned({"b"}, known_at=1.0, now=1.0)
+    daemons = [RetainedDomains() for _ in range(3)]
+    daemons[0].store_returned({"b"}, known_at=1.0, now=1.0)
     now, delay = 1.0, 0.1
-    while now < 3 * RETAIN_DOMAIN_SECONDS:
-        for sender, receiver in ((first, second), (second, first)):
+    while any(daemon.names for daemon in daemons) and now < 3 * RETAIN_DOMAIN_SECONDS:
+        for sender, receiver in permutations(daemons, 2):
             for entry in sender.entries:
                 receiver.adopt(entry._replace(until=entry.until + delay))
         now += delay
-        first.expire(now)
-        second.expire(now)
-        if not (first.names or second.names):
-            break
+        for daemon in daemons:
+            daemon.expire(now)
     assert now < RETAIN_DOMAIN_SECONDS + 2.0
 
 
