Keep an endpoint that was gone out of use after the last of several returns

What callers could see: requests at an endpoint that had left, if the store came back twice within six seconds and shows the record of a copy both times.

Cause: the first copy showed the record again, which ended what was known of its removal, and the time without requests ran from the first return. What is kept at a return is kept anew at the next one.

--- a/cranberrywick/gateway/store_returns.py
+++ b/cranberrywick/gateway/store_returns.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from cranberrywick.gateway.operator_tracker import OperatorTracker
 from cranberrywick.gateway.store_history import StoreHistory
@@ -89,7 +89,7 @@
 
     def _log_retained(
         self,
-        endpoints: list[RetainedEndpoint] | tuple[RetainedEndpoint, ...],
+        endpoints: Iterable[RetainedEndpoint],
         source: str,
     ) -> None:
         for listed in id_lists([endpoint.endpoint_id for endpoint in endpoints]):
--- a/cranberrywick/routing/store_knowledge.py
+++ b/cranberrywick/routing/store_knowledge.py
@@ -180,16 +180,28 @@
         self, tracked_by_id: Mapping[str, TrackedEndpoint], now: float
     ) -> list[RetainedEndpoint]:
         """Keep what is known of endpoints when the store comes back; return it."""
+        # Those that an earlier copy showed again count as gone still.
+        gone_starts = [
+            start
+            for start, kept in self._retained_by_start.items()
+            if kept.unused_until > now
+        ]
+        gone_starts += [
+            start
+            for start, departed_at in self._departed_at_by_start.items()
+            if now - departed_at <= DEPARTED_SECONDS
+        ]
+        unused_until = now + RETAIN_GONE_SECONDS
         retained = [
-            RetainedEndpoint(endpoint_id, born, now + RETAIN_GONE_SECONDS)
-            for (endpoint_id, born), at in self._departed_at_by_start.items()
-            if now - at <= DEPARTED_SECONDS
+            RetainedEndpoint(*start, unused_until)
+            for start in gone_starts[-MAX_ENDPOINTS:]
         ]
         retained += [
-            RetainedEndpoint(tracked.endpoint_id, born, -inf, tracked.cold_until)
+            RetainedEndpoint(
+                tracked.endpoint_id, tracked.record.born, -inf, tracked.cold_until
+            )
             for tracked in tracked_by_id.values()
             if tracked.cold_until > now
-            for born in (tracked.record.born,)
         ]
         self._retained_by_start = {
             (each.endpoint_id, each.born): each for each in retained[-MAX_ENDPOINTS:]
--- a/tests/test_store_knowledge.py
+++ b/tests/test_store_knowledge.py
@@ -157,6 +157,19 @@
     assert is_usable(registry, now=7.1)
 
 
+def test_a_departed_endpoint_is_unused_after_the_last_of_two_returns():
+    """Guards against a time that runs from the first return alone."""
+    registry = EndpointRegistry()
+    registry.apply(view(33, record(), record("e2")), 1.0, 1.0)
+    registry.apply(view(34, record("e2")), 1.5, 1.5)
+    for epoch, returned_at in ((2, 2.0), (3, 6.0)):
+        registry.store_returned(returned_at)
+        copy = view(31, record(), record("e2"), epoch=epoch)
+        registry.apply(copy, returned_at, returned_at)
+    assert not is_usable(registry, now=6.0 + RETAIN_GONE_SECONDS - 0.1)
+    assert is_usable(registry, now=6.0 + RETAIN_GONE_SECONDS + 0.1)
+
+
 def test_an_endpoint_whose_record_had_returned_is_not_taken_for_departed():
     registry = EndpointRegistry()
     for revision, records in ((33, [record()]), (34, []), (35, [record()])):
