Keep what peers' older messages show between the news of a return and its first reading

What callers could see: requests at an endpoint that drains or in a domain that is out, if a daemon heard of the new epoch first, then of the change in a peer's message from before the return, and then read the copy.

It is kept again when that one is applied.

--- a/cranberrywick/gateway/operator_tracker.py
+++ b/cranberrywick/gateway/operator_tracker.py
@@ -101,6 +101,9 @@
         view = view._replace(epoch=position.epoch)
         if own is not None and position < own.position:
             return False
+        if own is not None and view.epoch > own.epoch:
+            # Also what peers' older views have shown since the return was known.
+            self.store_returned(view.epoch, read_at)
         self._record_shown(view)
         if own is not None and view.digest == own.digest:
             self.view = view
--- a/cranberrywick/routing/registry.py
+++ b/cranberrywick/routing/registry.py
@@ -156,6 +156,10 @@
             return []
         is_first = self.revision == 0
         has_returned = view.epoch > self.position.epoch
+        if has_returned and not is_first:
+            # Also what peers' older snapshots have shown since the return was known.
+            for notice in self.store_returned(now):
+                self._drain_notices.add(notice, is_own=True, now=now)
         known_until, self.read_at = self.read_at, read_at
         if not is_first and (has_returned or read_at - known_until > OUTAGE_SECONDS):
             self._grace_until = now + RETURN_GRACE_SECONDS
--- a/tests/test_store_knowledge.py
+++ b/tests/test_store_knowledge.py
@@ -170,6 +170,27 @@
     assert is_usable(registry, now=6.0 + RETAIN_GONE_SECONDS + 0.1)
 
 
+def test_a_drain_that_is_heard_of_after_the_return_outlasts_the_copy():
+    """Guards against a peer's older snapshot that arrives between news and reading."""
+    registry = EndpointRegistry()
+    registry.apply(view(33, record(), record("e2")), 1.0, 1.0)
+    registry.store_returned(2.0)
+    registry.apply(view(34, record(draining=True)), 2.1, 2.1)
+    copy = view(31, record(), record("e2"), epoch=2)
+    registry.apply(copy, 2.2, 2.2)
+    assert not is_usable(registry, "e2", now=3.0)
+    assert not is_usable(registry, now=100.0)
+
+
+def test_a_domain_that_is_heard_of_after_the_return_stays_out(operator):
+    """Guards against a peer's older view that arrives between news and reading."""
+    operator.apply(operator_view(33, 22), 1.0, "store")
+    operator.store_returned(2, 2.0)
+    operator.apply(operator_view(34, 22, "b"), 2.1, "peer")
+    operator.apply(operator_view(31, 22, epoch=2), 2.2, "store")
+    assert operator.domains_out == {"b"}
+
+
 def test_an_endpoint_whose_record_had_returned_is_not_taken_for_departed():
     registry = EndpointRegistry()
     for revision, records in ((33, [record()]), (34, []), (35, [record()])):
