Soak: a new start ends a backoff whatever the reason for the start

Traced in the gateways' logs: gateway-0 was asked for 6 s by engine-2 with born 1 at 52.594, the soak let the endpoint start again after its recorded drain, read as born 2 at 54.875, and the requests came after that. The check excused starts after announcements in answers only, since the soak had caused no other starts before. A backoff holds for the start that asked for it, as docs/design/endpoint-statements.md says; what the check demands of one start is as it was.

--- a/tests/soak_promises.py
+++ b/tests/soak_promises.py
@@ -73,7 +73,11 @@
     def _in_backoff(self, fleet: Fleet, endpoint_id: str) -> str:
         """Return a line about requests in an endpoint's backoff, else empty."""
         gateways_by_request = {call.request_id: call.gateway for call in self.calls}
-        restarted_at = [d.ended_at for d in self.drains if d.endpoint_id == endpoint_id]
+        restarted_at = [
+            drain.ended_at
+            for drain in (*self.drains, *self.recorded_drains)
+            if drain.endpoint_id == endpoint_id
+        ]
         most = most_in_backoff(
             fleet.endpoints[endpoint_id],
             gateways_by_request,
