--- a/cranberrywick/gateway/state.py
+++ b/cranberrywick/gateway/state.py
@@ -16,13 +16,12 @@
     EndpointSnapshotRequest,
     Message,
     OperatorSnapshot,
-    OperatorSnapshotRequest,
     SnapshotRequest,
 )
 from cranberrywick.gateway.operator_tracker import OperatorTracker
-from cranberrywick.gateway.peer_fetches import PeerFetches
 from cranberrywick.gateway.peer_updates import DaemonStatus, PeerUpdates
 from cranberrywick.gateway.registration import Registration
+from cranberrywick.gateway.snapshot_fetches import SnapshotFetches
 from cranberrywick.gateway.store_calls import StoreCalls
 from cranberrywick.gateway.store_history import StoreHistory
 from cranberrywick.gateway.store_reader import Store
@@ -41,7 +40,6 @@
 )
 from cranberrywick.routing.registry import EndpointRegistry
 from cranberrywick.routing.store_knowledge import StoreKnowledge
-from cranberrywick.routing.store_position import StorePosition
 from cranberrywick.routing.table import RouteTable
 
 __all__ = ["FleetState"]
@@ -58,12 +56,6 @@
 # When other daemons die, this daemon's rank falls and its readings are due earlier than
 # computed at the last check.
 MAX_CHECK_SECONDS = 0.3
-# Shortest interval between two fetches of all endpoints from a peer: the larger of a
-# fixed number of seconds and a number of seconds for each known endpoint. While
-# thousands of endpoints register, a peer's answer is out of date when it arrives, and
-# fetching more often gains nothing.
-REFETCH_SECONDS = 0.5
-REFETCH_SECONDS_PER_ENDPOINT = 0.0005
 
 
 class FleetState:
@@ -106,8 +98,12 @@
         self._became_ready = asyncio.Event()
         self._start_deadline = float("inf")
         self.changed: Callable[[], None] = lambda: None
-        self._fetches = PeerFetches(lambda: self.peer_updates.link, log)
-        self._fetch_not_before = float("-inf")
+        self._fetches = SnapshotFetches(
+            self.peer_updates,
+            self._apply_operator_snapshot,
+            self.endpoints_received,
+            log,
+        )
         self._rng = random.Random()
         self._calls = StoreCalls(
             settings.bounds.drain_seconds,
@@ -211,7 +207,7 @@
             position, heartbeat.operator_digest, newest_at, version
         )
         if is_newer:
-            self._fetch_operator(position, version)
+            self._fetches.fetch_operator(position, version)
         self.changed()
 
     def endpoints_received(self, snapshot: EndpointSnapshot) -> None:
@@ -224,7 +220,7 @@
         if outcome is PeerSnapshotOutcome.CHANGED:
             self._handle_change(was_ready)
         elif outcome is PeerSnapshotOutcome.MISSED:
-            self._fetch_endpoints_if_due()
+            self._fetch_endpoints_unless_read()
 
     def peer_joined(self, peer_address: str) -> None:
         """Send the endpoints to a daemon that has just started."""
@@ -267,51 +263,11 @@
         self.peer_updates.send_heartbeat()
         self._registration.store_returned(epoch)
 
-    def _fetch_operator(self, position: StorePosition, version: int) -> None:
-        def informed_peers() -> list[str]:
-            return self.peer_updates.informed_peers(
-                lambda beat: (
-                    beat.operator_position >= position
-                    and beat.store.configuration_version >= version
-                )
-            )
-
-        def apply_answer(snapshot: Message, source: str, requested_at: float) -> None:
-            if isinstance(snapshot, OperatorSnapshot):
-                self._apply_operator_snapshot(
-                    snapshot, requested_at - snapshot.age, source
-                )
-
-        self._fetches.begin(OperatorSnapshotRequest(), informed_peers, apply_answer)
-
-    def _fetch_endpoints_if_due(self) -> None:
-        """Fetch all endpoints, unless fetched lately or being read from the store.
-
-        Among thousands of endpoints some change with every reading. Without a minimum
-        interval, a daemon that lags behind would do little else than fetch.
-        """
-        now = self._loop.time()
-        if now < self._fetch_not_before or self._calls.is_under_way(
-            "endpoints", self._store.read_endpoints
-        ):
-            return
-        known = len(self.registry.tracked_by_id)
-        pause = max(REFETCH_SECONDS, known * REFETCH_SECONDS_PER_ENDPOINT)
-        self._fetch_not_before = now + pause
-        self._fetch_endpoints()
-
-    def _fetch_endpoints(self) -> None:
-        """Request a snapshot of all endpoints from a peer, after a missed update."""
-
-        def informed_peers() -> list[str]:
-            return self.peer_updates.informed_peers(lambda beat: not beat.leaving)
-
-        def apply_answer(snapshot: Message, source: str, requested_at: float) -> None:
-            if isinstance(snapshot, EndpointSnapshot):
-                age = snapshot.age + self._loop.time() - requested_at
-                self.endpoints_received(snapshot._replace(age=age))
-
-        self._fetches.begin(EndpointSnapshotRequest(), informed_peers, apply_answer)
+    def _fetch_endpoints_unless_read(self) -> None:
+        """Fetch all endpoints, unless they are just being read from the store."""
+        read_endpoints = self._store.read_endpoints
+        if not self._calls.is_under_way("endpoints", read_endpoints):
+            self._fetches.fetch_endpoints(len(self.registry.tracked_by_id))
 
     # Calls to the store
 
