Log and count when a VM reaches no endpoint of a service

Callers of VMs that had lost their links to all endpoints were refused, and the logs showed 1,057 single attempts that failed, but not that a daemon reached no endpoint at all. A lost link, endpoints that died and endpoints that turn a daemon away could not be told apart.

Connections to endpoints are now tracked by service: three different ones in a row that accept none, or all of a smaller service, are logged as service_unreachable with the endpoints and the error, the first that is accepted again as service_reachable. Each connection is counted by its outcome. No decision depends on it yet.

--- a/cranberrywick/gateway/attempt.py
+++ b/cranberrywick/gateway/attempt.py
@@ -10,6 +10,7 @@
     EndpointFailed,
     EndpointRefused,
 )
+from cranberrywick.gateway.endpoint_reach import EndpointReach
 from cranberrywick.gateway.events import EventSplitter
 from cranberrywick.gateway.exchange import AnswerSource, Exchange
 from cranberrywick.gateway.ingress import CallerConnection
@@ -88,10 +89,12 @@
         may_send: Callable[[str, bool], bool],
         callbacks: AnswerCallbacks,
         connect_timeout: ConnectTimeout,
+        reach: EndpointReach,
         free_seconds: float,
         log: EventLog,
     ):
         self._connect_timeout = connect_timeout
+        self._reach = reach
         self._free_seconds = free_seconds
         self._log = log
         self._exchange = exchange
@@ -192,15 +195,24 @@
         allowed = min(self._connect_timeout.seconds, remaining)
         try:
             await connection.open(allowed)
-        except EndpointRefused:
+        except EndpointRefused as error:
             waited = self._loop.time() - started
             if waited >= allowed:
                 self._connect_timeout.timed_out()
             if not is_own_delay(waited, allowed):
+                self._reach.failed(self._placement.endpoint_id, error)
                 raise
-            remaining = self._exchange.deadline - self._loop.time()
-            await connection.open(min(self._connect_timeout.seconds, remaining))
+            await self._open_again(connection)
         self._connect_timeout.answered(self._loop.time() - started)
+        self._reach.connected(self._placement.endpoint_id)
+
+    async def _open_again(self, connection: EndpointConnection) -> None:
+        remaining = self._exchange.deadline - self._loop.time()
+        try:
+            await connection.open(min(self._connect_timeout.seconds, remaining))
+        except EndpointRefused as error:
+            self._reach.failed(self._placement.endpoint_id, error)
+            raise
 
     async def _send(
         self, connection: EndpointConnection, reservations: Reservations
--- a/cranberrywick/gateway/forwarder.py
+++ b/cranberrywick/gateway/forwarder.py
@@ -170,6 +170,7 @@
             self._state.usable_endpoints.may_send,
             self._make_callbacks(exchange),
             self._connect_timeout,
+            self._state.reach,
             self._settings.bounds.free_seconds,
             self._log,
         )
--- a/cranberrywick/gateway/lazy_metrics.py
+++ b/cranberrywick/gateway/lazy_metrics.py
@@ -73,6 +73,10 @@
         """Count an answer header that has no effect; called once for each name."""
         self._record(methodcaller("header_unread", name))
 
+    def endpoint_connected(self, outcome: str) -> None:
+        """Count a connection to an endpoint; ``outcome`` is "accepted" or "failed"."""
+        self._record(methodcaller("endpoint_connected", outcome))
+
     def store_epoch_changed(self) -> None:
         """Count a return of the store with a new epoch."""
         self._record(methodcaller("store_epoch_changed"))
--- a/cranberrywick/gateway/state.py
+++ b/cranberrywick/gateway/state.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from math import inf
 
+from cranberrywick.gateway.endpoint_reach import EndpointReach
 from cranberrywick.gateway.endpoint_snapshot import EndpointSnapshot
 from cranberrywick.gateway.endpoint_tracker import EndpointTracker, PeerSnapshotOutcome
 from cranberrywick.gateway.lazy_metrics import LazyMetrics
@@ -86,6 +87,7 @@
         self.usable_endpoints = UsableEndpoints(
             self._endpoints.registry, self._operator, settings.bounds, log
         )
+        self.reach = EndpointReach(self._endpoints.registry, metrics, log)
         self._returns = StoreReturns(
             self._history,
             self._operator,
--- a/cranberrywick/metrics.py
+++ b/cranberrywick/metrics.py
@@ -143,6 +143,9 @@
         self._unread_headers = counter(
             "unread_headers", description="Names of answer headers without effect."
         )
+        self._endpoint_connections = counter(
+            "endpoint_connections", description="Connections to endpoints, by outcome."
+        )
         self._store_epochs = counter(
             "store_epoch_changes", description="New epochs of the store."
         )
@@ -239,6 +242,10 @@
         """Count an answer header that has no effect; called once for each name."""
         self._unread_headers.add(1, {"header": name})
 
+    def endpoint_connected(self, outcome: str) -> None:
+        """Count a connection to an endpoint; ``outcome`` is "accepted" or "failed"."""
+        self._endpoint_connections.add(1, {"outcome": outcome})
+
     def store_epoch_changed(self) -> None:
         """Count a return of the store with a new epoch."""
         self._store_epochs.add(1)
--- a/cranberrywick/routing/endpoint_index.py
+++ b/cranberrywick/routing/endpoint_index.py
@@ -120,6 +120,10 @@
         """Remove an endpoint."""
         self._groups_by_service[tracked.record.service][_key(tracked)].remove(tracked)
 
+    def of_service(self, service: str) -> EndpointPool:
+        """Return all endpoints of a service."""
+        return self._pool(service, lambda key: True)
+
     def ready(self, service: str, domains_out: Set[str]) -> EndpointPool:
         """Return the endpoints of a service that may get new work."""
         return self._pool(
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -190,7 +190,8 @@
         path = self.path / f"{name}.json"
         path.write_text(json.dumps(settings))
         log_path = self.path / f"{name}.log"
-        gateway = Gateway(name, start_process(path, log_path), settings, log_path)
+        process = self.start_process(path, log_path)
+        gateway = Gateway(name, process, settings, log_path)
         self.gateways.append(gateway)
         if wait:
             self.wait_ready(gateway)
@@ -199,7 +200,11 @@
     def restart(self, gateway: Gateway) -> Gateway:
         """Start a gateway that has ended again, with the same settings."""
         path = self.path / f"{gateway.name}.json"
-        return gateway._replace(process=start_process(path, gateway.log_path))
+        return gateway._replace(process=self.start_process(path, gateway.log_path))
+
+    def start_process(self, settings: Path, log: Path) -> subprocess.Popen:
+        """Start a gateway process, its output appended to ``log``."""
+        return start_process(settings, log)
 
     def _ip(self, name: str) -> str:
         # All gateways use the same ports, as on the VMs of the platform, so each
--- a/tests/test_gateway_attempt.py
+++ b/tests/test_gateway_attempt.py
@@ -34,7 +34,9 @@
 
     async def attempt():
         placement = Placement("e1", (), 0.1, ())
-        await Attempt(None, placement, {}, None, None, None, 4.0, EventLog()).run()
+        await Attempt(
+            None, placement, {}, None, None, None, None, 4.0, EventLog()
+        ).run()
 
     with pytest.raises(EndpointRefused) as raised:
         asyncio.run(attempt())
@@ -65,6 +67,7 @@
             lambda endpoint_id, as_last_resort: endpoint_id != "e2",
             None,
             None,
+            None,
             4.0,
             EventLog(),
         ).run()
@@ -110,6 +113,7 @@
             lambda endpoint_id, as_last_resort: True,
             callbacks,
             ConnectTimeout(),
+            SimpleNamespace(failed=lambda endpoint_id, error: None),
             4.0,
             EventLog(),
         ).run()
