--- a/cranberrywick/errors.py
+++ b/cranberrywick/errors.py
@@ -197,6 +197,11 @@
         self.reason = reason
         self.at_fault = at_fault
 
+    @property
+    def is_unreachable(self) -> bool:
+        """Whether no connection was made, so that the request was not sent."""
+        return self.reason is EndpointRefusal.UNREACHABLE
+
 
 class EntryUnreachable(CranberrywickError):
     """A caller or operator could not connect to an entry, so nothing was sent."""
--- /dev/null
+++ b/cranberrywick/gateway/answer_forwarding.py
@@ -0,0 +1,167 @@
+"""Forwarding of one answer, as it is received, to the caller."""
+
+import asyncio
+from collections.abc import Callable
+from typing import NamedTuple
+
+from cranberrywick.errors import AnswerLost, EndpointFailed, EndpointRefused
+from cranberrywick.gateway.events import EventSplitter
+from cranberrywick.gateway.exchange import AnswerSource, Exchange
+from cranberrywick.gateway.ingress import CallerConnection
+from cranberrywick.gateway.upstream import EndpointAnswer, EndpointConnection
+from cranberrywick.model import EndpointRefusal
+from cranberrywick.platform.headers import (
+    HOP_BY_HOP,
+    ResponseMeta,
+    decode_response,
+)
+
+__all__ = ["AnswerCallbacks", "AnswerForwarding", "WholeAnswer"]
+
+
+class WholeAnswer(NamedTuple):
+    """An endpoint's answer, its body fully received."""
+
+    head: EndpointAnswer
+    body: bytes
+
+    async def send_to(self, caller: CallerConnection) -> None:
+        """Send the answer to the caller with the endpoint's status, headers and body.
+
+        Raises `ConnectionError` if the caller has closed its connection.
+        """
+        headers = _forwarded_headers(self.head)
+        headers.append((b"Content-Length", str(len(self.body)).encode()))
+        await caller.send_head(self.head.status, self.head.reason, headers)
+        if self.body:
+            await caller.send_body(self.body)
+        caller.end()
+
+
+class AnswerCallbacks(NamedTuple):
+    """Callbacks for the stages of an answer that is being received.
+
+    ``on_head`` is called with the source, the status and the decoded headers, also for
+    answers to orders; ``on_first_event`` with the exchange, once, at the first event of
+    a stream; ``on_pause`` with the endpoint's id and the pause since the previous
+    event, in seconds.
+    """
+
+    on_head: Callable[[AnswerSource, int, ResponseMeta], None]
+    on_first_event: Callable[[Exchange], None]
+    on_pause: Callable[[str, float], None]
+
+
+class AnswerForwarding:
+    """Checks an answer to the exchange's request and forwards it to the caller."""
+
+    def __init__(self, exchange: Exchange, callbacks: AnswerCallbacks):
+        self._exchange = exchange
+        self._callbacks = callbacks
+        self._loop = asyncio.get_running_loop()
+        self._awaits_first_event = True
+
+    async def forward(
+        self, connection: EndpointConnection, answer: EndpointAnswer
+    ) -> None:
+        """Forward an answer whose head was read from the connection.
+
+        Raises `EndpointRefused` if the endpoint did not run the request, `AnswerLost`
+        or `AmbiguousSend` for an answer that breaks off or is not the endpoint's,
+        `EndpointFailed` for its own 5xx answer where the request may be repeated, and
+        `ConnectionError` if the caller has left.
+        """
+        meta = decode_response(answer.status, answer.headers_by_name)
+        exchange = self._exchange
+        source = exchange.answer_source(exchange.endpoint_id, exchange.endpoint_born)
+        self._callbacks.on_head(source, answer.status, meta)
+        self._check_head(answer, meta)
+        if exchange.is_stream and answer.status == 200:
+            await self._forward_stream(connection, answer, meta)
+        else:
+            await self._forward_whole(connection, answer)
+        exchange.status = answer.status
+
+    def _check_head(self, answer: EndpointAnswer, meta: ResponseMeta) -> None:
+        if meta.not_executed:
+            is_misdirected = answer.status == 421
+            raise EndpointRefused(
+                f"status {answer.status}, not run, at fault: {meta.at_fault}",
+                reason=EndpointRefusal.LEAVING
+                if is_misdirected
+                else EndpointRefusal.FULL,
+                at_fault=meta.at_fault,
+            )
+        expected = self._exchange.meta.request_id
+        if meta.request_id != expected:
+            # The id is missing or another request's: a late answer to an earlier
+            # request, or one from a server that is not the endpoint.
+            raise AnswerLost("the answer belongs to another request")
+        if answer.is_encoded:
+            raise AnswerLost("the answer's body is encoded")
+        if answer.status < 300 and not meta.sealed:
+            raise AnswerLost("the answer is not the endpoint's own")
+
+    async def _forward_whole(
+        self, connection: EndpointConnection, answer: EndpointAnswer
+    ) -> None:
+        """Forward an answer after its last byte has come.
+
+        An answer that breaks off can then still be replaced by another endpoint's.
+        """
+        parts = [part async for part in connection.body()]
+        whole = WholeAnswer(answer, b"".join(parts))
+        exchange = self._exchange
+        if exchange.caller.answer_started:
+            raise AnswerLost(f"status {answer.status} in place of more events")
+        if answer.status >= 500 and exchange.route.idempotent:
+            raise EndpointFailed(f"status {answer.status}", whole)
+        await whole.send_to(exchange.caller)
+
+    async def _forward_stream(
+        self,
+        connection: EndpointConnection,
+        answer: EndpointAnswer,
+        meta: ResponseMeta,
+    ) -> None:
+        exchange = self._exchange
+        splitter = EventSplitter()
+        async for data in connection.body():
+            whole = splitter.feed(data)
+            if splitter.is_too_long:
+                raise AnswerLost("the stream has no events")
+            if whole:
+                await self._forward_events(answer, meta, whole)
+                exchange.last_event_id = splitter.last_id or exchange.last_event_id
+        rest = splitter.flush()
+        if rest.strip():
+            raise AnswerLost("the stream ended in the middle of an event")
+        if not exchange.caller.answer_started:
+            await self._send_head(answer, meta)
+        exchange.caller.end()
+
+    async def _forward_events(
+        self, answer: EndpointAnswer, meta: ResponseMeta, whole: bytes
+    ) -> None:
+        pause = self._exchange.record_events(self._loop.time())
+        if pause is not None and not self._awaits_first_event:
+            self._callbacks.on_pause(self._exchange.endpoint_id, pause)
+        if not self._exchange.caller.answer_started:
+            await self._send_head(answer, meta)
+        if self._awaits_first_event:
+            self._awaits_first_event = False
+            self._callbacks.on_first_event(self._exchange)
+        await self._exchange.caller.send_body(whole)
+
+    async def _send_head(self, answer: EndpointAnswer, meta: ResponseMeta) -> None:
+        self._exchange.weights_version = meta.weights_version
+        headers = _forwarded_headers(answer)
+        await self._exchange.caller.send_head(answer.status, answer.reason, headers)
+
+
+def _forwarded_headers(answer: EndpointAnswer) -> list[tuple[bytes, bytes]]:
+    return [
+        (name, value)
+        for name, value in answer.raw_headers
+        if name.lower() not in HOP_BY_HOP and name.lower() != b"content-length"
+    ]
--- a/cranberrywick/gateway/app.py
+++ b/cranberrywick/gateway/app.py
@@ -5,9 +5,11 @@
 import random
 import signal
 
+from cranberrywick.gateway.direct_attempts import DirectAttempts
 from cranberrywick.gateway.forwarder import Forwarder
 from cranberrywick.gateway.ingress import CallerConnection, HttpRequest, Ingress
 from cranberrywick.gateway.lazy_metrics import LazyMetrics
+from cranberrywick.gateway.peer_requests import PeerRequests
 from cranberrywick.gateway.state import FleetState
 from cranberrywick.gateway.ticker import Ticker
 from cranberrywick.gateway.waiting import WaitingRequests
@@ -66,10 +68,15 @@
         self._health = health
         self._waiting = WaitingRequests(self.state, placer)
         self.state.changed = self._waiting.schedule_placing
-        forwarder = Forwarder(
+        self.state.reach.regained = health.forget
+        direct = DirectAttempts(
             settings, self.state, self._waiting, health, self._metrics, log
         )
+        forwarder = Forwarder(
+            settings, self.state, self._waiting, direct, self._metrics, log
+        )
         self._ingress = Ingress(forwarder, self._request_limits)
+        self._peer_ingress = PeerRequests(self.state, direct, log).ingress
         self._internal_ingresses = [
             (settings.directory_address, Ingress(self._answer_directory)),
             (settings.ready_address, Ingress(self._answer_ready)),
@@ -106,6 +113,9 @@
         for address, ingress in self._internal_ingresses:
             if address:
                 await ingress.start(address)
+        if self._settings.forwarding_port:
+            ip, port = self._settings.ip, self._settings.forwarding_port
+            await self._peer_ingress.start(f"{ip}:{port}")
         self._ticker.every(FORGET_SECONDS, self._forget_gone)
         self._log.info("gateway_started", address=self._settings.entry_address)
 
@@ -133,19 +143,27 @@
         loop = asyncio.get_running_loop()
         started = loop.time()
         grace = self._settings.bounds.grace_seconds - STOP_MARGIN_SECONDS
-        self._log.info("drain_started", busy=self._ingress.busy, grace=grace)
+        self._log.info("drain_started", busy=self._busy, grace=grace)
         self.state.leave()
         self._ingress.drain()
+        self._peer_ingress.drain()
         while loop.time() - started < grace:
             waited = loop.time() - started
-            if waited >= LEAVE_SECONDS and not self._ingress.busy:
+            if waited >= LEAVE_SECONDS and not self._busy:
                 break
             await asyncio.sleep(IDLE_POLL_SECONDS)
-        self._log.info("gateway_stopped", busy=self._ingress.busy)
+        self._log.info("gateway_stopped", busy=self._busy)
         self._ingress.close()
+        self._peer_ingress.close()
+        self.state.reach.stop()
         self._ticker.stop()
         self.state.peer_updates.link.close()
 
+    @property
+    def _busy(self) -> int:
+        """How many requests of callers and of peers are being served."""
+        return self._ingress.busy + self._peer_ingress.busy
+
     async def _answer_directory(
         self, request: HttpRequest, caller: CallerConnection
     ) -> None:
--- a/cranberrywick/gateway/attempt.py
+++ b/cranberrywick/gateway/attempt.py
@@ -2,25 +2,20 @@
 
 import asyncio
 from collections.abc import Callable, Iterable, Mapping
-from typing import NamedTuple
 
 from cranberrywick.errors import (
     AmbiguousSend,
     AnswerLost,
-    EndpointFailed,
     EndpointRefused,
 )
+from cranberrywick.gateway.answer_forwarding import AnswerCallbacks, AnswerForwarding
 from cranberrywick.gateway.endpoint_reach import EndpointReach
-from cranberrywick.gateway.events import EventSplitter
-from cranberrywick.gateway.exchange import AnswerSource, Exchange
-from cranberrywick.gateway.ingress import CallerConnection
+from cranberrywick.gateway.exchange import Exchange
 from cranberrywick.gateway.reservations import Reservations
 from cranberrywick.gateway.upstream import EndpointAnswer, EndpointConnection
 from cranberrywick.logs import EventLog
 from cranberrywick.model import EndpointRefusal
 from cranberrywick.platform.headers import (
-    HOP_BY_HOP,
-    ResponseMeta,
     SetHeaders,
     decode_response,
     endpoint_headers,
@@ -31,46 +26,7 @@
 from cranberrywick.routing.placement import Part, Placement
 from cranberrywick.routing.registry import TrackedEndpoint
 
-__all__ = ["Attempt", "AnswerCallbacks", "ForwardedAnswer", "WholeAnswer"]
-
-
-class WholeAnswer(NamedTuple):
-    """An endpoint's answer, its body fully received."""
-
-    head: EndpointAnswer
-    body: bytes
-
-    async def send_to(self, caller: CallerConnection) -> None:
-        """Send the answer to the caller with the endpoint's status, headers and body.
-
-        Raises `ConnectionError` if the caller has closed its connection.
-        """
-        headers = _forwarded_headers(self.head)
-        headers.append((b"Content-Length", str(len(self.body)).encode()))
-        await caller.send_head(self.head.status, self.head.reason, headers)
-        if self.body:
-            await caller.send_body(self.body)
-        caller.end()
-
-
-class ForwardedAnswer(NamedTuple):
-    """The status of an answer that the caller was sent in full."""
-
-    status: int
-
-
-class AnswerCallbacks(NamedTuple):
-    """Callbacks for the stages of an answer that is being received.
-
-    ``on_head`` is called with the source, the status and the decoded headers, also for
-    answers to orders; ``on_first_event`` with the exchange, once, at the first event of
-    a stream; ``on_pause`` with the endpoint's id and the pause since the previous
-    event, in seconds.
-    """
-
-    on_head: Callable[[AnswerSource, int, ResponseMeta], None]
-    on_first_event: Callable[[Exchange], None]
-    on_pause: Callable[[str, float], None]
+__all__ = ["Attempt"]
 
 
 class Attempt:
@@ -104,13 +60,11 @@
         self._callbacks = callbacks
         self._loop = asyncio.get_running_loop()
 
-    async def run(self) -> ForwardedAnswer:
-        """Make the attempt and return the status that the caller was sent.
+    async def run(self) -> None:
+        """Make the attempt; return once the caller was sent the whole answer.
 
         Raises `EndpointRefused` if the endpoint did not run the request,
-        `AmbiguousSend` or `AnswerLost` if it may have, `EndpointFailed` for its own
-        5xx answer where the request may be repeated, and `ConnectionError` if the
-        caller has left.
+        `AmbiguousSend` if it may have, and as `AnswerForwarding.forward` does.
         """
         tracked = self._tracked_by_id.get(self._placement.endpoint_id)
         if tracked is None:
@@ -120,12 +74,16 @@
             )
         wanted = self._wanted_reservations()
         reservations = Reservations(
-            wanted, self._free_seconds, self._record_order_answer, self._log
+            wanted,
+            self._free_seconds,
+            self._record_order_answer,
+            self._reach,
+            self._log,
         )
         try:
             self._check_usable(self._placement.helpers)
             await reservations.acquire()
-            return await self._run(tracked.record, reservations)
+            await self._run(tracked.record, reservations)
         finally:
             reservations.release()
 
@@ -140,9 +98,7 @@
             if part.reserved_tokens and part.endpoint_id in self._tracked_by_id
         ]
 
-    async def _run(
-        self, record: EndpointRecord, reservations: Reservations
-    ) -> ForwardedAnswer:
+    async def _run(self, record: EndpointRecord, reservations: Reservations) -> None:
         exchange = self._exchange
         async with EndpointConnection(record.address) as connection:
             await self._open(connection)
@@ -151,7 +107,9 @@
             self._check_usable((Part(record.endpoint_id), *self._placement.helpers))
             await self._send(connection, reservations)
             try:
-                forwarded = await self._receive(connection)
+                answer = await connection.read_head()
+                forwarding = AnswerForwarding(exchange, self._callbacks)
+                await forwarding.forward(connection, answer)
             except EndpointRefused:
                 exchange.in_flight = False
                 raise
@@ -160,7 +118,6 @@
                 exchange.may_have_run = True
                 raise
         exchange.in_flight = False
-        return forwarded
 
     def _record_order_answer(self, endpoint_id: str, answer: EndpointAnswer) -> None:
         tracked = self._tracked_by_id.get(endpoint_id)
@@ -255,102 +212,3 @@
             for part in self._placement.helpers
             if part.endpoint_id in self._tracked_by_id
         )
-
-    async def _receive(self, connection: EndpointConnection) -> ForwardedAnswer:
-        answer = await connection.read_head()
-        meta = decode_response(answer.status, answer.headers_by_name)
-        exchange = self._exchange
-        source = exchange.answer_source(exchange.endpoint_id, exchange.endpoint_born)
-        self._callbacks.on_head(source, answer.status, meta)
-        self._check_head(answer, meta)
-        if self._exchange.is_stream and answer.status == 200:
-            await self._forward_stream(connection, answer, meta)
-        else:
-            await self._forward_whole(connection, answer)
-        return ForwardedAnswer(answer.status)
-
-    def _check_head(self, answer: EndpointAnswer, meta: ResponseMeta) -> None:
-        if meta.not_executed:
-            is_misdirected = answer.status == 421
-            raise EndpointRefused(
-                f"status {answer.status}, not run, at fault: {meta.at_fault}",
-                reason=EndpointRefusal.LEAVING
-                if is_misdirected
-                else EndpointRefusal.FULL,
-                at_fault=meta.at_fault,
-            )
-        expected = self._exchange.meta.request_id
-        if meta.request_id != expected:
-            # The id is missing or another request's: a late answer to an earlier
-            # request, or one from a server that is not the endpoint.
-            raise AnswerLost("the answer belongs to another request")
-        if answer.is_encoded:
-            raise AnswerLost("the answer's body is encoded")
-        if answer.status < 300 and not meta.sealed:
-            raise AnswerLost("the answer is not the endpoint's own")
-
-    async def _forward_whole(
-        self, connection: EndpointConnection, answer: EndpointAnswer
-    ) -> None:
-        """Forward an answer after its last byte has come.
-
-        An answer that breaks off can then still be replaced by another endpoint's.
-        """
-        parts = [part async for part in connection.body()]
-        whole = WholeAnswer(answer, b"".join(parts))
-        exchange = self._exchange
-        if exchange.caller.answer_started:
-            raise AnswerLost(f"status {answer.status} in place of more events")
-        if answer.status >= 500 and exchange.route.idempotent:
-            raise EndpointFailed(f"status {answer.status}", whole)
-        await whole.send_to(exchange.caller)
-
-    async def _forward_stream(
-        self,
-        connection: EndpointConnection,
-        answer: EndpointAnswer,
-        meta: ResponseMeta,
-    ) -> None:
-        exchange = self._exchange
-        splitter = EventSplitter()
-        async for data in connection.body():
-            whole = splitter.feed(data)
-            if splitter.is_too_long:
-                raise AnswerLost("the stream has no events")
-            if whole:
-                await self._forward_events(answer, meta, whole)
-                exchange.last_event_id = splitter.last_id or exchange.last_event_id
-        rest = splitter.flush()
-        if rest.strip():
-            raise AnswerLost("the stream ended in the middle of an event")
-        if not exchange.caller.answer_started:
-            await self._send_head(answer, meta)
-        exchange.caller.end()
-
-    async def _forward_events(
-        self, answer: EndpointAnswer, meta: ResponseMeta, whole: bytes
-    ) -> None:
-        pause = self._exchange.record_events(self._loop.time())
-        if pause is not None and not self._awaits_first_event:
-            self._callbacks.on_pause(self._placement.endpoint_id, pause)
-        if not self._exchange.caller.answer_started:
-            await self._send_head(answer, meta)
-        if self._awaits_first_event:
-            self._awaits_first_event = False
-            self._callbacks.on_first_event(self._exchange)
-        await self._exchange.caller.send_body(whole)
-
-    async def _send_head(self, answer: EndpointAnswer, meta: ResponseMeta) -> None:
-        self._exchange.weights_version = meta.weights_version
-        headers = _forwarded_headers(answer)
-        await self._exchange.caller.send_head(answer.status, answer.reason, headers)
-
-    _awaits_first_event = True
-
-
-def _forwarded_headers(answer: EndpointAnswer) -> list[tuple[bytes, bytes]]:
-    return [
-        (name, value)
-        for name, value in answer.raw_headers
-        if name.lower() not in HOP_BY_HOP and name.lower() != b"content-length"
-    ]
--- /dev/null
+++ b/cranberrywick/gateway/direct_attempts.py
@@ -0,0 +1,162 @@
+"""Attempts at endpoints from this VM, and what their outcomes show."""
+
+import asyncio
+from typing import NamedTuple
+
+from cranberrywick.errors import (
+    CranberrywickError,
+    EndpointFailed,
+    EndpointRefused,
+    TimedOut,
+)
+from cranberrywick.gateway.answer_forwarding import AnswerCallbacks
+from cranberrywick.gateway.attempt import Attempt
+from cranberrywick.gateway.exchange import Exchange
+from cranberrywick.gateway.lazy_metrics import LazyMetrics
+from cranberrywick.gateway.observations import EndpointObservations
+from cranberrywick.gateway.permitted_placements import PermittedPlacements
+from cranberrywick.gateway.state import FleetState
+from cranberrywick.gateway.waiting import WaitingRequests
+from cranberrywick.logs import EventLog
+from cranberrywick.model import Executed
+from cranberrywick.routing.connect_timeout import ConnectTimeout
+from cranberrywick.routing.health import EndpointHealth
+from cranberrywick.routing.model import GatewaySettings
+from cranberrywick.routing.placement import Placement
+
+__all__ = ["AttemptFailure", "DirectAttempts"]
+
+
+class AttemptFailure(NamedTuple):
+    """A failed attempt.
+
+    ``endpoint_id`` is the endpoint that it was meant for and ``at_fault_id`` the one
+    that caused the failure, which may be a helper; both are empty if a peer failed.
+    ``cooldown`` is how many seconds the latter is avoided.
+    """
+
+    error: CranberrywickError
+    endpoint_id: str = ""
+    at_fault_id: str = ""
+    cooldown: float = 0.0
+
+
+class DirectAttempts:
+    """Places requests, sends them to endpoints and records the outcomes."""
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        state: FleetState,
+        waiting: WaitingRequests,
+        health: EndpointHealth,
+        metrics: LazyMetrics,
+        log: EventLog,
+    ):
+        self._settings = settings
+        self._state = state
+        self._waiting = waiting
+        self._health = health
+        self._log = log
+        self._loop = asyncio.get_running_loop()
+        self._connect_timeout = ConnectTimeout()
+        self._placements = PermittedPlacements(
+            settings.failure_domain, state, waiting, metrics, log
+        )
+        self.observations = EndpointObservations(state, metrics, log)
+
+    async def run(self, exchange: Exchange) -> AttemptFailure | None:
+        """Make an attempt; return its failure, None if the answer was forwarded.
+
+        Raises the errors of `PermittedPlacements.take`.
+        """
+        exchange.peer_id = ""
+        placement = await self._placements.take(exchange)
+        try:
+            await self._attempt(exchange, placement)
+        except CranberrywickError as error:
+            self._state.load.drop(exchange.key)
+            return self._record_failure(placement, error)
+        self.observations.record_call_end(exchange)
+        if exchange.status < 500:
+            self._health.succeeded(placement.endpoint_id, self._loop.time())
+        return None
+
+    def time_out(self, exchange: Exchange) -> TimedOut:
+        """Record that a request's time is over; return the error for its answer."""
+        if exchange.in_flight:
+            self.observations.record_call_end(exchange)
+        executed = Executed.UNKNOWN if exchange.in_flight else Executed.NO
+        return TimedOut("the time for this request is over", executed=executed)
+
+    def end(self, exchange: Exchange) -> None:
+        """Remove a request that has ended from the load; let waiting ones proceed."""
+        self._state.load.drop(exchange.key)
+        self._state.peer_updates.job_ended()
+        self._waiting.schedule_placing()
+
+    def record_first_event(self, exchange: Exchange) -> None:
+        """Mark the request's jobs as decoding: its prompt has been read.
+
+        The jobs of helpers that hold no memory have ended and are dropped. Other
+        requests may now fit at the same endpoints, so waiting ones are tried.
+        """
+        now = self._loop.time()
+        if exchange.first_event_at is None:
+            exchange.first_event_at = now
+        jobs = [
+            job._replace(decoding=True, first_event_at=now)
+            for job in self._state.load.jobs_of(exchange.key)
+            if job.held_tokens
+        ]
+        self._state.load.put(exchange.key, jobs)
+        self._state.peer_updates.job_ended()
+        self._waiting.schedule_placing()
+
+    async def _attempt(self, exchange: Exchange, placement: Placement) -> None:
+        callbacks = AnswerCallbacks(
+            self.observations.record_head,
+            self.record_first_event,
+            self.observations.pause_recorder(exchange),
+        )
+        await Attempt(
+            exchange,
+            placement,
+            self._state.registry.tracked_by_id,
+            self._state.usable_endpoints.may_send,
+            callbacks,
+            self._connect_timeout,
+            self._state.reach,
+            self._settings.bounds.free_seconds,
+            self._log,
+        ).run()
+
+    def _record_failure(
+        self, placement: Placement, error: CranberrywickError
+    ) -> AttemptFailure:
+        now = self._loop.time()
+        at_fault_id = self._endpoint_at_fault(placement, error)
+        cooldown = 0.0
+        if isinstance(error, EndpointFailed):
+            self._health.answered_failure(at_fault_id, now)
+        else:
+            cooldown = self._health.failed(at_fault_id, now)
+        return AttemptFailure(error, placement.endpoint_id, at_fault_id, cooldown)
+
+    def _endpoint_at_fault(
+        self, placement: Placement, error: CranberrywickError
+    ) -> str:
+        """Return the id of the endpoint that is at fault for a failed attempt.
+
+        An endpoint may refuse because one of its helpers failed, and names that
+        helper's address. If the failure were recorded for the endpoint itself, the
+        helper would stay in use, and two such refusals would exhaust the endpoints
+        that a request may be sent to, seconds before its deadline.
+        """
+        address = error.at_fault if isinstance(error, EndpointRefused) else None
+        tracked_by_id = self._state.registry.tracked_by_id
+        for part in placement.helpers:
+            tracked = tracked_by_id.get(part.endpoint_id)
+            if tracked is not None and tracked.record.address == address:
+                return part.endpoint_id
+        return placement.endpoint_id
--- a/cranberrywick/gateway/exchange.py
+++ b/cranberrywick/gateway/exchange.py
@@ -41,11 +41,13 @@
 
     ``key`` is unique in this process, which the request id of a caller need not be.
     ``sent_ids`` are the endpoints that the request was sent to, ``tried_ids`` the
-    endpoints that were at fault for a failed attempt. ``endpoint_id`` is the endpoint
-    that the request was last sent to, and ``endpoint_born`` identifies its start.
-    ``in_flight`` says whether an endpoint has the request now, ``may_have_run`` whether
-    one that failed may have run it. ``predicted`` is the forecast time from placement
-    to the first event,
+    endpoints that were at fault for a failed attempt, and ``unreachable_ids`` those
+    that this daemon did not reach. ``failed_peer_ids`` are the peers that could not
+    serve it, ``peer_id`` the one that it was last forwarded to, empty if it was sent to
+    an endpoint since. ``endpoint_id`` is the endpoint that the request was last sent
+    to, and ``endpoint_born`` identifies its start. ``in_flight`` says whether an
+    endpoint or a peer has the request now, ``may_have_run`` whether one that failed may
+    have run it. ``predicted`` is the forecast time from placement to the first event,
     ``longest_gap`` the longest pause between events, ``parts`` the number of endpoints
     that the last attempt used, helpers included. Times are in seconds, moments those of
     the event loop's clock.
@@ -66,6 +68,9 @@
         self.deadline = float("inf")
         self.tried_ids: set[str] = set()
         self.sent_ids: set[str] = set()
+        self.unreachable_ids: set[str] = set()
+        self.failed_peer_ids: set[str] = set()
+        self.peer_id = ""
         self.in_flight = False
         self.sent_at: float | None = None
         self.may_have_run = False
@@ -86,11 +91,21 @@
     def record_sent(self, endpoint: EndpointRecord, now: float) -> None:
         """Record that the request is being sent to an endpoint."""
         self.sent_at = now
-        self.sent_ids.add(endpoint.endpoint_id)
-        self.endpoint_id = endpoint.endpoint_id
-        self.endpoint_born = endpoint.born
+        self.record_endpoint(endpoint.endpoint_id, endpoint.born)
         self.in_flight = True
 
+    def record_forwarded(self, now: float) -> None:
+        """Record that the request is being forwarded to a peer."""
+        self.sent_at = now
+        self.endpoint_id = ""
+        self.in_flight = True
+
+    def record_endpoint(self, endpoint_id: str, born: int) -> None:
+        """Record the endpoint that has the request, and its start."""
+        self.sent_ids.add(endpoint_id)
+        self.endpoint_id = endpoint_id
+        self.endpoint_born = born
+
     def answer_source(self, endpoint_id: str, born: int) -> AnswerSource:
         """Return the source of an endpoint's answer to this request or for it."""
         return AnswerSource(endpoint_id, born, self.route.name, self.meta.request_id)
--- a/cranberrywick/gateway/fleet.capnp
+++ b/cranberrywick/gateway/fleet.capnp
@@ -70,7 +70,8 @@
 }
 
 # The fields heartbeats and batch hold rows; see cranberrywick.gateway.heartbeat_rows.
-# The field knowledge has a row for each of them; see cranberrywick.gateway.knowledge_rows.
+# The fields knowledge and reach have a row for each of them; see
+# cranberrywick.gateway.knowledge_rows and cranberrywick.gateway.reach_rows.
 struct Message {
   scope @4 :Scope;
   union {
@@ -84,4 +85,33 @@
     permitResponse @8 :PermitResponse;
   }
   knowledge @9 :Data;
+  reach @10 :Data;
+}
+
+# What a daemon states about a request that it forwards to a peer. The peer may send it
+# to none of the excluded endpoints, nor to those of the domains that are out.
+struct ForwardedRequest {
+  daemonId @0 :Text;
+  elapsedMs @1 :UInt32;
+  remainingMs @2 :UInt32;
+  version @3 :UInt64;
+  service @4 :Text;
+  sentIds @5 :List(Text);
+  excludedIds @6 :List(Text);
+  domainsOut @7 :List(Text);
+  lastEventId @8 :Text;
+  weightsVersion @9 :Text;
+}
+
+# What the peer states about its answer: the endpoint that it sent the request to, empty
+# if it sent it to none, and why it has no answer of that endpoint, empty if it has.
+struct ForwardedAnswer {
+  endpointId @0 :Text;
+  born @1 :Int64;
+  failure @2 :Text;
+  reason @3 :Text;
+  mayHaveRun @4 :Bool;
+  atFaultId @5 :Text;
+  retryAfterMs @6 :UInt32;
+  message @7 :Text;
 }
--- a/cranberrywick/gateway/forwarder.py
+++ b/cranberrywick/gateway/forwarder.py
@@ -15,38 +15,24 @@
     CranberrywickError,
     EndpointFailed,
     EndpointRefused,
-    NotFound,
     Overloaded,
-    PlatformUnavailable,
-    TimedOut,
 )
-from cranberrywick.gateway.attempt import AnswerCallbacks, Attempt, ForwardedAnswer
+from cranberrywick.gateway.direct_attempts import AttemptFailure, DirectAttempts
 from cranberrywick.gateway.exchange import Exchange
 from cranberrywick.gateway.ingress import CallerConnection, HttpRequest
 from cranberrywick.gateway.lazy_metrics import LazyMetrics
-from cranberrywick.gateway.observations import EndpointObservations
-from cranberrywick.gateway.permitted_placements import PermittedPlacements
+from cranberrywick.gateway.peer_attempts import PeerAttempts
+from cranberrywick.gateway.request_routing import TIMEOUT_MARGIN_SECONDS, route_request
 from cranberrywick.gateway.state import FleetState
 from cranberrywick.gateway.waiting import WaitingRequests
 from cranberrywick.logs import EventLog
-from cranberrywick.model import EndpointRefusal, Executed
+from cranberrywick.model import Executed
 from cranberrywick.platform.headers import decode_request, failure_headers
-from cranberrywick.routing.connect_timeout import ConnectTimeout
-from cranberrywick.routing.health import EndpointHealth
 from cranberrywick.routing.model import GatewaySettings
-from cranberrywick.routing.placement import Placement
-from cranberrywick.routing.retry_after import (
-    MIN_SECONDS_WITHOUT_STORE,
-    STARTING_SECONDS,
-)
 from cranberrywick.routing.retry_budget import RetryBudget
-from cranberrywick.routing.table import pick_service
 
 __all__ = ["Forwarder"]
 
-# How long before the route's timeout the gateway gives a request up, in seconds, so
-# that the caller receives the gateway's error answer before the timeout.
-TIMEOUT_MARGIN_SECONDS = 0.01
 # Least time that must be left before the deadline for another attempt, in seconds.
 MIN_ATTEMPT_SECONDS = 0.05
 
@@ -59,23 +45,20 @@
         settings: GatewaySettings,
         state: FleetState,
         waiting: WaitingRequests,
-        health: EndpointHealth,
+        direct: DirectAttempts,
         metrics: LazyMetrics,
         log: EventLog,
     ):
-        self._settings = settings
         self._state = state
         self._waiting = waiting
-        self._placements = PermittedPlacements(
-            settings.failure_domain, state, waiting, metrics, log
+        self._direct = direct
+        self._peer_attempts = PeerAttempts(
+            settings.daemon_id, state, waiting, direct, metrics, log
         )
-        self._health = health
         self._metrics = metrics
         self._log = log
         self._loop = asyncio.get_running_loop()
         self._rng = random.Random()
-        self._connect_timeout = ConnectTimeout()
-        self._observations = EndpointObservations(state, metrics, log)
         bounds = settings.bounds
         self._budget = RetryBudget(
             bounds.retry_ratio, bounds.retry_window_seconds, bounds.retry_slack
@@ -99,170 +82,68 @@
         except CranberrywickError as error:
             outcome = await self._answer_failure(exchange, error)
         except TimeoutError:
-            if exchange.in_flight:
-                self._observations.record_call_end(exchange)
-            outcome = await self._answer_failure(
-                exchange, self._timeout_error(exchange)
-            )
+            error = self._direct.time_out(exchange)
+            outcome = await self._answer_failure(exchange, error)
         except ConnectionError:
             outcome = "caller_gone"
         except asyncio.CancelledError:
             outcome = "caller_gone"
             raise
         finally:
-            self._state.load.drop(exchange.key)
-            self._state.peer_updates.job_ended()
-            self._waiting.schedule_placing()
+            self._direct.end(exchange)
             self._record_end(exchange, outcome)
 
     def _route(self, exchange: Exchange) -> None:
-        """Set the route, the organisation, the service and the deadline.
-
-        Raises `PlatformUnavailable` while no configuration is known, and the errors
-        of the routing table, such as `NotFound` and `Unauthorised`.
-        """
-        table = self._state.table
-        if table is None:
-            is_without_store = self._state.store_is_unavailable
-            raise PlatformUnavailable(
-                "no configuration is known yet",
-                retry_after=MIN_SECONDS_WITHOUT_STORE
-                if is_without_store
-                else STARTING_SECONDS,
-            )
-        exchange.version = table.configuration.version
-        exchange.route = table.match(exchange.host, exchange.path)
-        route = exchange.route
-        exchange.organisation = table.identify(route, exchange.meta.key)
-        exchange.priority = table.priority(route, exchange.organisation)
-        name = pick_service(route.weights_by_service, self._rng)
-        service = table.configuration.services_by_name.get(name)
-        if service is None:
-            raise NotFound("the route has no service")
-        exchange.service = service
-        allowed = route.timeout_seconds - TIMEOUT_MARGIN_SECONDS
+        """Set the route and the deadline of a request, and count it."""
+        route_request(exchange, self._state, self._rng)
+        allowed = exchange.route.timeout_seconds - TIMEOUT_MARGIN_SECONDS
         if exchange.meta.deadline_seconds is not None:
             allowed = min(allowed, exchange.meta.deadline_seconds)
         exchange.deadline = exchange.request.arrived + allowed
-        self._budget.record_request(service.name, self._loop.time())
+        self._budget.record_request(exchange.service.name, self._loop.time())
 
     async def _serve(self, exchange: Exchange) -> None:
-        """Make attempts at endpoints until the answer of one has been forwarded."""
+        """Make attempts until the answer of an endpoint has been forwarded."""
         while True:
-            placement = await self._placements.take(exchange)
-            try:
-                forwarded = await self._attempt(exchange, placement)
-            except CranberrywickError as error:
-                self._state.load.drop(exchange.key)
-                self._raise_unless_retried(exchange, placement, error)
-                continue
-            self._record_answer(exchange, placement, forwarded)
-            return
-
-    async def _attempt(
-        self, exchange: Exchange, placement: Placement
-    ) -> ForwardedAnswer:
-        tracked_endpoints = self._state.registry.tracked_by_id
-        attempt = Attempt(
-            exchange,
-            placement,
-            tracked_endpoints,
-            self._state.usable_endpoints.may_send,
-            self._make_callbacks(exchange),
-            self._connect_timeout,
-            self._state.reach,
-            self._settings.bounds.free_seconds,
-            self._log,
-        )
-        return await attempt.run()
-
-    def _make_callbacks(self, exchange: Exchange) -> AnswerCallbacks:
-        observations = self._observations
-        return AnswerCallbacks(
-            observations.record_head,
-            self._record_first_event,
-            observations.pause_recorder(exchange),
-        )
-
-    def _record_first_event(self, exchange: Exchange) -> None:
-        """Mark the request's jobs as decoding: its prompt has been read.
-
-        The jobs of helpers that hold no memory have ended and are dropped. Other
-        requests may now fit at the same endpoints, so waiting ones are tried.
-        """
-        now = self._loop.time()
-        if exchange.first_event_at is None:
-            exchange.first_event_at = now
-        jobs = [
-            job._replace(decoding=True, first_event_at=now)
-            for job in self._state.load.jobs_of(exchange.key)
-            if job.held_tokens
-        ]
-        self._state.load.put(exchange.key, jobs)
-        self._state.peer_updates.job_ended()
-        self._waiting.schedule_placing()
-
-    def _record_answer(
-        self, exchange: Exchange, placement: Placement, forwarded: ForwardedAnswer
-    ) -> None:
-        exchange.status = forwarded.status
-        self._observations.record_call_end(exchange)
-        if forwarded.status < 500:
-            self._health.succeeded(placement.endpoint_id, self._loop.time())
+            peer = self._peer_attempts.choose(exchange)
+            if peer is None:
+                failure = await self._direct.run(exchange)
+            else:
+                failure = await self._peer_attempts.run(exchange, peer)
+            if failure is None:
+                return
+            self._raise_unless_retried(exchange, failure)
 
     def _raise_unless_retried(
-        self, exchange: Exchange, placement: Placement, error: CranberrywickError
+        self, exchange: Exchange, failure: AttemptFailure
     ) -> None:
         """Record a failed attempt, and raise its error unless another may follow."""
         now = self._loop.time()
-        endpoint_id = self._endpoint_at_fault(placement, error)
-        cooldown = self._record_failure(endpoint_id, error, now)
-        exchange.tried_ids.add(endpoint_id)
+        error = failure.error
+        if failure.at_fault_id:
+            is_refusal = isinstance(error, EndpointRefused)
+            is_unreached = is_refusal and error.is_unreachable and not exchange.peer_id
+            failed = exchange.unreachable_ids if is_unreached else exchange.tried_ids
+            failed.add(failure.at_fault_id)
         exchange.may_have_run |= error.executed is not Executed.NO
         reason = self._reason_to_stop(exchange, error, now)
         self._log.warning(
             "attempt_failed",
             request_id=exchange.meta.request_id,
             route=exchange.route.name,
-            endpoint=placement.endpoint_id,
-            at_fault=endpoint_id,
+            endpoint=failure.endpoint_id,
+            at_fault=failure.at_fault_id,
+            peer=exchange.peer_id,
             sent=exchange.sent_count,
             error=error,
             executed=error.executed.value,
-            cooldown_seconds=cooldown,
+            cooldown_seconds=failure.cooldown,
             endpoints_age=self._state.registry.age(now),
             next="stop: " + reason if reason else "another endpoint",
         )
         if reason:
             raise error
 
-    def _record_failure(
-        self, endpoint_id: str, error: CranberrywickError, now: float
-    ) -> float:
-        """Record a failure of the endpoint and return its cooldown, in seconds."""
-        if isinstance(error, EndpointFailed):
-            self._health.answered_failure(endpoint_id, now)
-            return 0.0
-        return self._health.failed(endpoint_id, now)
-
-    def _endpoint_at_fault(
-        self, placement: Placement, error: CranberrywickError
-    ) -> str:
-        """Return the id of the endpoint that is at fault for a failed attempt.
-
-        An endpoint may refuse because one of its helpers failed, and names that
-        helper's address. If the failure were recorded for the endpoint itself, the
-        helper would stay in use, and two such refusals would exhaust the endpoints
-        that a request may be sent to, seconds before its deadline.
-        """
-        address = error.at_fault if isinstance(error, EndpointRefused) else None
-        tracked_by_id = self._state.registry.tracked_by_id
-        for part in placement.helpers:
-            tracked = tracked_by_id.get(part.endpoint_id)
-            if tracked is not None and tracked.record.address == address:
-                return part.endpoint_id
-        return placement.endpoint_id
-
     def _reason_to_stop(
         self, exchange: Exchange, error: CranberrywickError, now: float
     ) -> str:
@@ -281,10 +162,6 @@
             return "the retry budget is spent"
         return ""
 
-    def _timeout_error(self, exchange: Exchange) -> TimedOut:
-        executed = Executed.UNKNOWN if exchange.in_flight else Executed.NO
-        return TimedOut("the time for this request is over", executed=executed)
-
     async def _answer_failure(
         self, exchange: Exchange, error: CranberrywickError
     ) -> str:
@@ -345,6 +222,7 @@
             outcome=outcome,
             status=exchange.status,
             endpoint=exchange.endpoint_id,
+            peer=exchange.peer_id,
             sent=exchange.sent_count,
             last_resort=exchange.last_resort,
             seconds=now - exchange.request.arrived,
@@ -371,5 +249,5 @@
     endpoints that may be overloaded.
     """
     if isinstance(error, EndpointRefused):
-        return error.reason is not EndpointRefusal.UNREACHABLE
+        return not error.is_unreachable
     return isinstance(error, AmbiguousSend | AnswerLost | Overloaded)
--- a/cranberrywick/gateway/heartbeat_rows.py
+++ b/cranberrywick/gateway/heartbeat_rows.py
@@ -20,6 +20,7 @@
 from cranberrywick.routing.endpoint_limits import LimitReport
 from cranberrywick.routing.load import Job
 from cranberrywick.routing.members import Heartbeat
+from cranberrywick.routing.reachability import ReachStatement
 from cranberrywick.routing.slowdown import EndpointSlowdown
 from cranberrywick.routing.store_knowledge import StoreKnowledge
 
@@ -123,6 +124,7 @@
 
 
 _NOTHING = StoreKnowledge()
+_NO_REACH = ReachStatement()
 _ENCODER = Encoder()
 _DECODER = Decoder(_BatchRow)
 
@@ -149,16 +151,23 @@
     data: bytes,
     now: float,
     knowledge_by_position: Mapping[int, StoreKnowledge] = MappingProxyType({}),
+    reach_by_position: Mapping[int, ReachStatement] = MappingProxyType({}),
 ) -> HeartbeatBatch:
     """Return the heartbeats in these bytes.
 
     ``now`` is the current time of the receiver's clock. ``knowledge_by_position`` has
-    what the heartbeats state about the store. Raises ValueError for bytes that are not
-    rows of the declared types and bounds.
+    what the heartbeats state about the store, ``reach_by_position`` what they state
+    about reached endpoints. Raises ValueError for bytes that are not rows of the
+    declared types and bounds.
     """
     relay_id, relay_domain, rows = _DECODER.decode(data)
     heartbeats = tuple(
-        _relayed_heartbeat(row, now, knowledge_by_position.get(position, _NOTHING))
+        _relayed_heartbeat(
+            row,
+            now,
+            knowledge_by_position.get(position, _NOTHING),
+            reach_by_position.get(position, _NO_REACH),
+        )
         for position, row in enumerate(rows)
     )
     return HeartbeatBatch(relay_id, relay_domain, heartbeats)
@@ -205,7 +214,7 @@
 
 
 def _relayed_heartbeat(
-    row: _HeartbeatRow, now: float, store: StoreKnowledge
+    row: _HeartbeatRow, now: float, store: StoreKnowledge, reach: ReachStatement
 ) -> RelayedHeartbeat:
     age_ms, *fields, operator_age_ms, jobs, slow_engines, limits, drains = row
     heartbeat = Heartbeat(
@@ -216,6 +225,7 @@
         _limits(limits, now),
         _drain_notices(drains, now),
         store,
+        reach,
     )
     return RelayedHeartbeat(now - age_ms / 1000, heartbeat)
 
--- a/cranberrywick/gateway/knowledge_rows.py
+++ b/cranberrywick/gateway/knowledge_rows.py
@@ -1,20 +1,18 @@
 """What heartbeats state about the store, on the wire: a row beside each heartbeat.
 
-Rows travel in a field of their own, since daemons of earlier versions read heartbeats
-as rows of fixed length. A reader ignores elements that a newer version appended and
-takes the defaults for those that an older one lacks; a row that can't be read is
-dropped alone.
+See `cranberrywick.gateway.row_lists` for how rows may grow.
 """
 
 from collections.abc import Iterable
 from functools import lru_cache
 from math import inf
-from typing import Annotated, NamedTuple
+from typing import Annotated
 
-from msgspec import Meta, MsgspecError, Raw, Struct
+from msgspec import Meta, Raw, Struct
 from msgspec.msgpack import Decoder, Encoder
 
 from cranberrywick.gateway.heartbeat_rows import milliseconds
+from cranberrywick.gateway.row_lists import DecodedRows, decode_rows
 from cranberrywick.routing.store_knowledge import (
     RetainedDomain,
     RetainedEndpoint,
@@ -22,7 +20,7 @@
 )
 from cranberrywick.routing.store_position import UNKNOWN_EPOCH
 
-__all__ = ["KnowledgeRows", "pack_knowledge", "unpack_knowledge"]
+__all__ = ["pack_knowledge", "unpack_knowledge"]
 
 _Milliseconds = Annotated[int, Meta(ge=0, le=2**31 - 1)]
 _Epoch = Annotated[int, Meta(ge=UNKNOWN_EPOCH, lt=10**18)]
@@ -49,18 +47,10 @@
     endpoints: tuple[_EndpointRow, ...] = ()
 
 
-class KnowledgeRows(NamedTuple):
-    """The readable rows by their position, and why another one could not be read."""
-
-    knowledge_by_position: dict[int, StoreKnowledge]
-    error: str
-
-
 # Number of rows whose bytes are kept. Mostly all daemons state the same; at a change a
 # few different rows are seen for a moment.
 MAX_CACHED = 256
 _ENCODER = Encoder()
-_ROWS_DECODER = Decoder(list[Raw])
 _ROW_DECODER = Decoder(_KnowledgeRow)
 
 
@@ -76,22 +66,9 @@
     )
 
 
-def unpack_knowledge(data: bytes, now: float) -> KnowledgeRows:
+def unpack_knowledge(data: bytes, now: float) -> DecodedRows:
     """Return the rows in these bytes; ``now`` is the time of the receiver's clock."""
-    if not data:
-        return KnowledgeRows({}, "")
-    try:
-        rows = _ROWS_DECODER.decode(data)
-    except MsgspecError as error:
-        return KnowledgeRows({}, str(error))
-    knowledge_by_position = {}
-    invalid = ""
-    for position, row in enumerate(rows):
-        try:
-            knowledge_by_position[position] = _unpack(bytes(row), now)
-        except MsgspecError as error:
-            invalid = str(error)
-    return KnowledgeRows(knowledge_by_position, invalid)
+    return decode_rows(data, lambda row: _unpack(row, now))
 
 
 @lru_cache(MAX_CACHED)
--- a/cranberrywick/gateway/lazy_metrics.py
+++ b/cranberrywick/gateway/lazy_metrics.py
@@ -73,6 +73,10 @@
         """Count an answer header that has no effect; called once for each name."""
         self._record(methodcaller("header_unread", name))
 
+    def request_forwarded(self, outcome: str) -> None:
+        """Count a request that was forwarded to a peer, by how that ended."""
+        self._record(methodcaller("request_forwarded", outcome))
+
     def endpoint_connected(self, outcome: str) -> None:
         """Count a connection to an endpoint; ``outcome`` is "accepted" or "failed"."""
         self._record(methodcaller("endpoint_connected", outcome))
--- a/cranberrywick/gateway/messages.py
+++ b/cranberrywick/gateway/messages.py
@@ -24,6 +24,7 @@
     pack_knowledge,
     unpack_knowledge,
 )
+from cranberrywick.gateway.reach_rows import pack_reach, unpack_reach
 from cranberrywick.gateway.schema import MAX_MESSAGE_BYTES, SCHEMA, pack, unpack
 from cranberrywick.routing.endpoint_limits import LimitReport
 from cranberrywick.routing.fleet_limits import Permit, PermitTerms
@@ -196,11 +197,17 @@
 def _read_body(message: Any, now: float, row_dropped: Callable[[str], None]) -> Message:
     which = message.which()
     if which in ("heartbeats", "batch"):
-        rows = unpack_knowledge(bytes(message.knowledge), now)
-        if rows.error:
-            row_dropped(rows.error)
-        data = getattr(message, which)
-        batch = unpack_heartbeats(data, now, rows.knowledge_by_position)
+        knowledge = unpack_knowledge(bytes(message.knowledge), now)
+        reach = unpack_reach(bytes(message.reach))
+        for rows in (knowledge, reach):
+            if rows.error:
+                row_dropped(rows.error)
+        batch = unpack_heartbeats(
+            getattr(message, which),
+            now,
+            knowledge.values_by_position,
+            reach.values_by_position,
+        )
         if which == "batch":
             return batch
         (relayed,) = batch.heartbeats
@@ -225,6 +232,7 @@
     return {
         field: pack_heartbeats(batch, now),
         "knowledge": pack_knowledge(statements, now),
+        "reach": pack_reach(each.heartbeat.reach for each in batch.heartbeats),
     }
 
 
--- a/cranberrywick/gateway/observations.py
+++ b/cranberrywick/gateway/observations.py
@@ -91,7 +91,7 @@
         )
         if change is None:
             return
-        peer_updates.limit_changed()
+        peer_updates.observation_changed()
         self._log.warning(
             "endpoint_limit_changed",
             **change.log_fields,
@@ -125,7 +125,7 @@
         peer_updates = self._state.peer_updates
         if not peer_updates.slowdowns.observe(endpoint_id, slowdown, self._loop.time()):
             return
-        peer_updates.slowdown_changed()
+        peer_updates.observation_changed()
         self._log.warning(
             "endpoint_pace_changed",
             endpoint=endpoint_id,
@@ -135,8 +135,10 @@
 
     def record_call_end(self, exchange: Exchange) -> None:
         """Record an endpoint as slow if a plain call took longer than its target."""
-        if exchange.is_stream:
+        if exchange.is_stream or exchange.peer_id:
             return
+        if self._state.reach.is_suspected(exchange.endpoint_id):
+            return  # The time may be that of this VM's own links.
         seconds = self._loop.time() - exchange.sent_at
         slowdown = call_slowdown(seconds, exchange.route.target_seconds)
         # A call within its target shows nothing: calls differ, and a short one is fast
--- /dev/null
+++ b/cranberrywick/gateway/peer_attempts.py
@@ -0,0 +1,246 @@
+"""Requests that this daemon forwards to a peer, since it reaches no endpoint itself.
+
+The peer makes a single attempt at an endpoint, as it would for a caller of its own:
+placement, permits, the checks before a send and what the answer states about the
+endpoint are all the peer's. Further attempts, the retry budget, the deadline and the
+caller stay with this daemon.
+"""
+
+import asyncio
+import random
+
+from cranberrywick.errors import (
+    AmbiguousSend,
+    AnswerLost,
+    CranberrywickError,
+    EndpointRefused,
+    Overloaded,
+    PeerMessageInvalid,
+    PlatformUnavailable,
+)
+from cranberrywick.gateway.answer_forwarding import AnswerCallbacks, AnswerForwarding
+from cranberrywick.gateway.direct_attempts import AttemptFailure, DirectAttempts
+from cranberrywick.gateway.exchange import AnswerSource, Exchange
+from cranberrywick.gateway.forwarded_statements import (
+    STATEMENT_HEADER,
+    AnswerStatement,
+    RequestStatement,
+    decode_answer_statement,
+    encode_request_statement,
+    take_statement,
+)
+from cranberrywick.gateway.lazy_metrics import LazyMetrics
+from cranberrywick.gateway.peer_connection import PeerConnection
+from cranberrywick.gateway.state import FleetState
+from cranberrywick.gateway.waiting import WaitingRequests
+from cranberrywick.logs import EventLog
+from cranberrywick.model import Executed
+from cranberrywick.platform.headers import ResponseMeta, end_to_end_headers
+from cranberrywick.routing.connect_timeout import ConnectTimeout
+from cranberrywick.routing.forwarding_peers import ForwardingPeers
+from cranberrywick.routing.members import Heartbeat
+from cranberrywick.routing.reachability import Reach
+
+__all__ = ["PeerAttempts"]
+
+# Largest number of peers that could not serve a request before it is given up.
+MAX_FAILED_PEERS = 4
+# How long endpoints that are gone stay excluded for a peer, in seconds. It reads of
+# their removal within this time, while a copy of theirs may still show them.
+DEPARTED_SECONDS = 5.0
+# Largest number of endpoints that a request is excluded from.
+MAX_EXCLUDED = 400
+
+
+class PeerAttempts:
+    """Chooses peers for requests, forwards these and records the outcomes."""
+
+    def __init__(
+        self,
+        daemon_id: str,
+        state: FleetState,
+        waiting: WaitingRequests,
+        direct: DirectAttempts,
+        metrics: LazyMetrics,
+        log: EventLog,
+    ):
+        self._daemon_id = daemon_id
+        self._state = state
+        self._waiting = waiting
+        self._direct = direct
+        self._metrics = metrics
+        self._log = log
+        self._loop = asyncio.get_running_loop()
+        self._peers = ForwardingPeers(random.Random())
+        self._connect_timeout = ConnectTimeout()
+
+    def choose(self, exchange: Exchange) -> Heartbeat | None:
+        """Return the peer to forward a request to, None to send it to an endpoint.
+
+        Raises `Overloaded` if neither this VM nor a peer is known to reach an endpoint.
+        """
+        service = exchange.service.name
+        reach = self._state.reach.reach(service)
+        if reach is Reach.FULL and not exchange.unreachable_ids:
+            return None
+        peer = None
+        if len(exchange.failed_peer_ids) < MAX_FAILED_PEERS:
+            now = self._loop.time()
+            peer = self._peers.choose(
+                self._state.members.serving(now),
+                service,
+                reach,
+                exchange.version,
+                exchange.failed_peer_ids,
+                now,
+            )
+        if peer is None and reach is Reach.NONE:
+            raise Overloaded(
+                "no endpoint is reached from here or from a peer",
+                retry_after=self._waiting.outage_retry_seconds(service),
+            )
+        return peer
+
+    async def run(self, exchange: Exchange, peer: Heartbeat) -> AttemptFailure | None:
+        """Forward a request; return the failure, None if its answer was forwarded.
+
+        Raises the peer's `Overloaded` and `TimedOut`, and its errors of routing.
+        """
+        exchange.peer_id = peer.daemon_id
+        outcome = "cancelled"
+        try:
+            failure = await self._forward(exchange, peer)
+            outcome = "answered" if failure is None else failure.error.type
+            return failure
+        except CranberrywickError as error:
+            outcome = error.type
+            raise
+        finally:
+            self._metrics.request_forwarded(outcome)
+            self._log.info(
+                "request_forwarded",
+                request_id=exchange.meta.request_id,
+                peer=peer.daemon_id,
+                endpoint=exchange.endpoint_id,
+                outcome=outcome,
+                reach=self._state.reach.reach(exchange.service.name).value,
+                seconds=self._loop.time() - exchange.request.arrived,
+            )
+
+    async def _forward(
+        self, exchange: Exchange, peer: Heartbeat
+    ) -> AttemptFailure | None:
+        host = peer.peer_address.rpartition(":")[0]
+        async with PeerConnection(f"{host}:{peer.reach.port}") as connection:
+            try:
+                await self._offer(connection, exchange)
+            except EndpointRefused as error:
+                self._peers.failed(peer.daemon_id, self._loop.time())
+                exchange.failed_peer_ids.add(peer.daemon_id)
+                return AttemptFailure(error)
+            exchange.record_forwarded(self._loop.time())
+            connection.send_body(exchange.request.body)
+            try:
+                failure = await self._receive(exchange, peer, connection)
+            except (AmbiguousSend, AnswerLost) as error:
+                if not exchange.endpoint_id:
+                    # The peer may have sent it to an endpoint that is not known here.
+                    exchange.sent_ids.add(f"peer {peer.daemon_id}")
+                exchange.may_have_run = True
+                endpoint_id = exchange.endpoint_id
+                failure = AttemptFailure(error, endpoint_id, endpoint_id)
+            except CranberrywickError:
+                exchange.in_flight = False
+                raise
+        exchange.in_flight = False
+        return failure
+
+    async def _offer(self, connection: PeerConnection, exchange: Exchange) -> None:
+        """Connect to the peer and let it accept the request.
+
+        Raises `EndpointRefused` if it does not.
+        """
+        started = self._loop.time()
+        allowed = min(self._connect_timeout.seconds, exchange.deadline - started)
+        try:
+            await connection.open(allowed)
+        except EndpointRefused:
+            if self._loop.time() - started >= allowed:
+                self._connect_timeout.timed_out()
+            raise
+        self._connect_timeout.answered(self._loop.time() - started)
+        request = exchange.request
+        statement = encode_request_statement(self._statement(exchange))
+        headers = end_to_end_headers(request.raw_headers)
+        headers.append((STATEMENT_HEADER, statement))
+        await connection.offer(
+            request.method, request.target, headers, self._connect_timeout.seconds
+        )
+
+    def _statement(self, exchange: Exchange) -> RequestStatement:
+        now = self._loop.time()
+        registry = self._state.registry
+        excluded_ids = exchange.tried_ids | registry.departed_ids(
+            now - DEPARTED_SECONDS
+        )
+        excluded_ids |= registry.draining_ids(exchange.service.name)
+        return RequestStatement(
+            self._daemon_id,
+            now - exchange.request.arrived,
+            exchange.deadline - now,
+            exchange.version,
+            exchange.service.name,
+            tuple(sorted(exchange.sent_ids)),
+            tuple(sorted(excluded_ids)[:MAX_EXCLUDED]),
+            tuple(sorted(self._state.domains_out)),
+            exchange.last_event_id,
+            exchange.weights_version,
+        )
+
+    async def _receive(
+        self, exchange: Exchange, peer: Heartbeat, connection: PeerConnection
+    ) -> AttemptFailure | None:
+        """Forward the answer, or return the failure that the peer states."""
+        answer = await connection.read_head()
+        value, answer.raw_headers = take_statement(answer.raw_headers)
+        answer.headers_by_name.pop(STATEMENT_HEADER.lower(), None)
+        try:
+            statement = decode_answer_statement(value)
+        except PeerMessageInvalid as error:
+            raise AnswerLost(f"a peer's answer: {error.message}") from error
+        if statement.endpoint_id:
+            exchange.record_endpoint(statement.endpoint_id, statement.born)
+        if statement.error is not None:
+            return self._stated_failure(exchange, peer, statement)
+        callbacks = AnswerCallbacks(
+            self._record_head,
+            self._direct.record_first_event,
+            lambda endpoint_id, seconds: None,
+        )
+        await AnswerForwarding(exchange, callbacks).forward(connection, answer)
+        return None
+
+    def _stated_failure(
+        self, exchange: Exchange, peer: Heartbeat, statement: AnswerStatement
+    ) -> AttemptFailure:
+        error, at_fault_id = statement.error, statement.at_fault_id
+        exchange.may_have_run |= error.executed is not Executed.NO
+        if isinstance(error, EndpointRefused) and error.is_unreachable:
+            # The endpoint is not at fault: another peer may reach it.
+            at_fault_id = ""
+        elif isinstance(error, EndpointRefused | AmbiguousSend | AnswerLost):
+            return AttemptFailure(error, statement.endpoint_id, at_fault_id)
+        elif not isinstance(error, PlatformUnavailable):
+            raise error
+        exchange.failed_peer_ids.add(peer.daemon_id)
+        if not statement.at_fault_id:
+            service, now = exchange.service.name, self._loop.time()
+            self._peers.unreachable(peer.daemon_id, service, now)
+        return AttemptFailure(error, statement.endpoint_id, at_fault_id)
+
+    def _record_head(
+        self, source: AnswerSource, status: int, meta: ResponseMeta
+    ) -> None:
+        # A backoff concerns the daemon that the endpoint answered.
+        own = meta._replace(backoff_seconds=None)
+        self._direct.observations.record_head(source, status, own)
--- /dev/null
+++ b/cranberrywick/gateway/peer_requests.py
@@ -0,0 +1,230 @@
+"""Requests that peers forward to this daemon, since they reach no endpoint.
+
+Each gets one attempt at an endpoint, under the same checks as a request of a caller. It
+is not forwarded again: where most daemons have lost their links, requests would travel
+from one to the next.
+"""
+
+import asyncio
+import random
+
+from cranberrywick.errors import (
+    CranberrywickError,
+    EndpointFailed,
+    EndpointRefused,
+    PeerMessageInvalid,
+    PlatformUnavailable,
+)
+from cranberrywick.gateway.direct_attempts import DirectAttempts
+from cranberrywick.gateway.exchange import Exchange
+from cranberrywick.gateway.forwarded_statements import (
+    STATEMENT_HEADER,
+    STATEMENT_HEADER_BYTES,
+    AnswerStatement,
+    RequestStatement,
+    decode_request_statement,
+    encode_answer_statement,
+    take_statement,
+)
+from cranberrywick.gateway.ingress import (
+    DEFAULT_LIMITS,
+    CallerConnection,
+    HttpRequest,
+    Ingress,
+)
+from cranberrywick.gateway.request_routing import TIMEOUT_MARGIN_SECONDS, route_request
+from cranberrywick.gateway.state import FleetState
+from cranberrywick.gateway.throttled_log import ThrottledLog
+from cranberrywick.logs import EventLog
+from cranberrywick.model import EndpointRefusal
+from cranberrywick.platform.headers import decode_request
+from cranberrywick.routing.model import RequestLimits
+from cranberrywick.routing.reachability import Reach
+
+__all__ = ["PeerRequests"]
+
+# Largest number of peers' requests that are served at the same time. Without a bound,
+# one daemon that still reaches the endpoints could be sent those of a whole fleet.
+MAX_SERVED = 400
+# Status of an answer that tells the peer why there is none of an endpoint.
+FAILURE_STATUS = 502
+
+
+class PeerCaller:
+    """A peer that forwarded a request, as the caller of this daemon's attempt.
+
+    It adds to the answer what the peer has to know of it.
+    """
+
+    def __init__(self, connection: CallerConnection):
+        self._connection = connection
+        self.statement = AnswerStatement()
+
+    @property
+    def answer_started(self) -> bool:
+        """Whether the head of the answer has been sent."""
+        return self._connection.answer_started
+
+    async def send_head(
+        self, status: int, reason: bytes, headers: list[tuple[bytes, bytes]]
+    ) -> None:
+        """Send the status line, the headers and the statement."""
+        value = encode_answer_statement(self.statement)
+        stated = [*headers, (STATEMENT_HEADER, value)]
+        await self._connection.send_head(status, reason, stated)
+
+    async def send_body(self, data: bytes) -> None:
+        """Send a part of the body."""
+        await self._connection.send_body(data)
+
+    def end(self) -> None:
+        """Send the end of the body, which marks the answer as complete."""
+        self._connection.end()
+
+    async def refuse(self) -> None:
+        """Send only the statement."""
+        value = encode_answer_statement(self.statement)
+        await self._connection.answer(FAILURE_STATUS, [(STATEMENT_HEADER, value)], b"")
+
+
+class PeerExchange(Exchange):
+    """A peer's request; the answer states which endpoint has it."""
+
+    def record_endpoint(self, endpoint_id: str, born: int) -> None:
+        """Record the endpoint that has the request, and its start."""
+        super().record_endpoint(endpoint_id, born)
+        self.caller.statement = AnswerStatement(endpoint_id, born)
+
+
+class PeerRequests:
+    """Serves the requests of peers: the handler that their ingress calls."""
+
+    def __init__(self, state: FleetState, direct: DirectAttempts, log: EventLog):
+        self._state = state
+        self._direct = direct
+        self._log = log
+        self._loop = asyncio.get_running_loop()
+        self._rng = random.Random()
+        self._invalid = ThrottledLog(log, self._loop.time)
+        self._served = 0
+        self.ingress = Ingress(self, self._limits)
+
+    async def __call__(
+        self, request: HttpRequest, connection: CallerConnection
+    ) -> None:
+        """Serve a request until its answer has been sent.
+
+        The task is cancelled when the peer closes the connection.
+        """
+        value, raw_headers = take_statement(request.raw_headers)
+        _, headers = take_statement(request.headers)
+        try:
+            stated = decode_request_statement(value)
+        except PeerMessageInvalid as error:
+            self._invalid.warning("peer_message_invalid", error=error)
+            await connection.answer(400, [], b"")
+            return
+        now = self._loop.time()
+        request = request._replace(
+            headers=headers, raw_headers=raw_headers, arrived=now - stated.elapsed
+        )
+        exchange = PeerExchange(
+            request, PeerCaller(connection), decode_request(headers)
+        )
+        exchange.deadline = now + stated.remaining - TIMEOUT_MARGIN_SECONDS
+        exchange.last_event_id = stated.last_event_id
+        exchange.weights_version = stated.weights_version
+        exchange.sent_ids.update(stated.sent_ids)
+        exchange.tried_ids.update(stated.excluded_ids)
+        outcome = "internal_error"
+        self._served += 1
+        try:
+            outcome = await self._serve(exchange, stated)
+        except ConnectionError:
+            outcome = "caller_gone"
+        except asyncio.CancelledError:
+            outcome = "caller_gone"
+            raise
+        finally:
+            self._served -= 1
+            self._direct.end(exchange)
+            self._record_end(exchange, stated, outcome)
+
+    async def _serve(self, exchange: PeerExchange, stated: RequestStatement) -> str:
+        """Serve a request and return the outcome for the log."""
+        at_fault_id = ""
+        try:
+            self._check_able(stated)
+            route_request(exchange, self._state, self._rng, stated.service)
+            self._exclude(exchange, stated)
+            async with asyncio.timeout_at(exchange.deadline):
+                failure = await self._direct.run(exchange)
+            if failure is None:
+                return "completed"
+            error, at_fault_id = failure.error, failure.at_fault_id
+        except CranberrywickError as raised:
+            error = raised
+        except TimeoutError:
+            error = self._direct.time_out(exchange)
+        await self._answer_failure(exchange, error, at_fault_id)
+        return error.type
+
+    def _check_able(self, stated: RequestStatement) -> None:
+        """Raise the error that makes the peer choose another daemon."""
+        state = self._state
+        if self._served > MAX_SERVED or not state.ready:
+            raise PlatformUnavailable("this daemon serves no more requests of peers")
+        if state.table.configuration.version < stated.version:
+            raise PlatformUnavailable("this daemon knows an older configuration")
+        if state.reach.reach(stated.service) is Reach.NONE:
+            raise EndpointRefused(
+                "this daemon reaches no endpoint of the service either",
+                reason=EndpointRefusal.UNREACHABLE,
+            )
+
+    def _exclude(self, exchange: PeerExchange, stated: RequestStatement) -> None:
+        domains_out = set(stated.domains_out) - self._state.domains_out
+        if not domains_out:
+            return
+        for tracked in self._state.registry.index.of_service(exchange.service.name):
+            if tracked.record.failure_domain in domains_out:
+                exchange.tried_ids.add(tracked.endpoint_id)
+
+    async def _answer_failure(
+        self, exchange: PeerExchange, error: CranberrywickError, at_fault_id: str
+    ) -> None:
+        caller = exchange.caller
+        if caller.answer_started:
+            # The ingress closes the connection without the end of the body.
+            return
+        if isinstance(error, EndpointFailed):
+            await error.answer.send_to(caller)
+            return
+        caller.statement = AnswerStatement(
+            exchange.endpoint_id, exchange.endpoint_born, error, at_fault_id
+        )
+        await caller.refuse()
+
+    def _limits(self) -> RequestLimits:
+        """Return the limits of callers' requests, with room for the statement."""
+        table = self._state.table
+        limits = table.configuration.limits if table else DEFAULT_LIMITS
+        more = limits.header_bytes + 2 * STATEMENT_HEADER_BYTES
+        return limits._replace(header_bytes=more)
+
+    def _record_end(
+        self, exchange: PeerExchange, stated: RequestStatement, outcome: str
+    ) -> None:
+        self._log.info(
+            "peer_request_ended",
+            request_id=exchange.meta.request_id,
+            peer=stated.daemon_id,
+            service=stated.service,
+            outcome=outcome,
+            endpoint=exchange.endpoint_id,
+            seconds=self._loop.time() - exchange.request.arrived,
+            forwarded_after=stated.elapsed,
+            version=exchange.version,
+            stated_version=stated.version,
+            endpoints_age=self._state.registry.age(self._loop.time()),
+        )
--- a/cranberrywick/gateway/peer_updates.py
+++ b/cranberrywick/gateway/peer_updates.py
@@ -30,6 +30,7 @@
 from cranberrywick.routing.load import FleetLoad
 from cranberrywick.routing.members import Heartbeat, Members, heartbeat_seconds
 from cranberrywick.routing.model import GatewaySettings
+from cranberrywick.routing.reachability import ReachStatement
 from cranberrywick.routing.relays import (
     FLUSH_SECONDS,
     JOB_UPDATE_SECONDS,
@@ -56,7 +57,8 @@
 
     ``leaving`` is set for a daemon that accepts no callers. The other fields are the
     store's revision and the digest of its operators' view, and the seconds since that
-    view was known to be the newest; ``store`` is what is known of the store.
+    view was known to be the newest; ``store`` is what is known of the store and
+    ``reach`` which endpoints are reached.
     """
 
     leaving: bool
@@ -64,6 +66,7 @@
     operator_digest: int
     operator_age: float
     store: StoreKnowledge
+    reach: ReachStatement = ReachStatement()
 
 
 class PeerUpdateListener(Protocol):
@@ -169,12 +172,12 @@
         """Schedule a heartbeat within `JOB_UPDATE_SECONDS`, after a new job."""
         self._send_heartbeat_within(JOB_UPDATE_SECONDS)
 
-    def slowdown_changed(self) -> None:
-        """Schedule a heartbeat, as soon as for a new job, for a changed slowdown."""
-        self._send_heartbeat_within(JOB_UPDATE_SECONDS)
+    def observation_changed(self) -> None:
+        """Schedule a heartbeat, as soon as for a new job, for what was observed.
 
-    def limit_changed(self) -> None:
-        """Schedule a heartbeat, as soon as for a new job, for a changed rate limit."""
+        That is a changed slowdown or rate limit, or a service that became unreachable
+        or reachable.
+        """
         self._send_heartbeat_within(JOB_UPDATE_SECONDS)
 
     def announce_draining(self, notice: DrainNotice) -> bool:
@@ -268,6 +271,7 @@
             limits=self.limits.reports(now),
             drain_notices=self.drain_notices.recent(now),
             store=daemon_status.store,
+            reach=daemon_status.reach,
         )
 
     def _send_heartbeat_within(self, seconds: float) -> None:
--- a/cranberrywick/gateway/permitted_placements.py
+++ b/cranberrywick/gateway/permitted_placements.py
@@ -96,7 +96,7 @@
             due_at=due_at,
             gap_seconds=exchange.route.gap_target_seconds,
             failure_domain=self._failure_domain,
-            tried_ids=frozenset(exchange.tried_ids),
+            tried_ids=frozenset(exchange.tried_ids | exchange.unreachable_ids),
             answering_ids=exchange.answering_ids,
             longest_wait=longest_permit_wait(exchange.deadline - self._loop.time()),
         )
--- a/cranberrywick/gateway/reservations.py
+++ b/cranberrywick/gateway/reservations.py
@@ -13,6 +13,7 @@
 from typing import NamedTuple
 
 from cranberrywick.errors import CranberrywickError, EndpointRefused
+from cranberrywick.gateway.endpoint_reach import EndpointReach
 from cranberrywick.gateway.upstream import EndpointAnswer, EndpointConnection
 from cranberrywick.logs import EventLog
 from cranberrywick.model import EndpointRefusal
@@ -33,6 +34,8 @@
 # Timeout of an order, in seconds. Endpoints answer orders at once, so waiting longer
 # would not help.
 ORDER_TIMEOUT_SECONDS = 0.5
+# Longest time for its connection, in seconds: more than one that is lost once needs.
+CONNECT_TIMEOUT_SECONDS = 0.4
 # When a release is repeated if an order got no answer, in seconds after the first
 # release. Endpoints were seen to execute such an order up to 12 seconds later.
 REPEAT_RELEASE_SECONDS = (0.3, 1.5, 3.0, 6.0, 9.0, 12.0)
@@ -52,9 +55,11 @@
 
     ``wanted`` lists the endpoints with their address and the tokens to reserve.
     ``free_seconds`` is the longest time until memory must be free after its last use.
-    ``on_answer`` is called with an endpoint's id and its answer to an order.
+    ``on_answer`` is called with an endpoint's id and its answer to an order; ``reach``
+    records which endpoints accept connections.
 
-    >>> held = Reservations([(endpoint_id, address, tokens)], 4.0, on_answer, log)
+    >>> wanted = [(endpoint_id, address, tokens)]
+    >>> held = Reservations(wanted, 4.0, on_answer, reach, log)
     >>> await held.acquire()
     >>> held.release()
     """
@@ -64,11 +69,13 @@
         wanted: Sequence[tuple[str, str, int]],
         free_seconds: float,
         on_answer: Callable[[str, EndpointAnswer], None],
+        reach: EndpointReach,
         log: EventLog,
     ):
         self._loop = asyncio.get_running_loop()
         self._log = log
         self._on_answer = on_answer
+        self._reach = reach
         self._hold_seconds = HOLD_SHARE * free_seconds
         name = secrets.token_hex(6)
         self.held = [
@@ -76,6 +83,7 @@
             for index, (endpoint_id, address, tokens) in enumerate(wanted)
         ]
         self._unanswered_ids: set[str] = set()
+        self._unreachable_ids: set[str] = set()
         self._renewals: asyncio.Task | None = None
 
     async def acquire(self) -> None:
@@ -89,9 +97,12 @@
         reserved = await asyncio.gather(*(self._reserve(each) for each in self.held))
         for reservation, ok in zip(self.held, reserved, strict=True):
             if not ok:
+                is_reached = reservation.endpoint_id not in self._unreachable_ids
                 raise EndpointRefused(
                     f"no memory at helper {reservation.endpoint_id}",
-                    reason=EndpointRefusal.FULL,
+                    reason=EndpointRefusal.FULL
+                    if is_reached
+                    else EndpointRefusal.UNREACHABLE,
                     at_fault=reservation.address,
                 )
         self._renewals = self._loop.create_task(self._renew())
@@ -140,7 +151,7 @@
         try:
             async with asyncio.timeout(ORDER_TIMEOUT_SECONDS):
                 async with EndpointConnection(reservation.address) as connection:
-                    await connection.open(ORDER_TIMEOUT_SECONDS)
+                    await self._open(connection, reservation.endpoint_id)
                     await connection.send(b"POST", ORDER_TARGET, headers, body)
                     answer = await connection.read_head()
         except (CranberrywickError, TimeoutError) as error:
@@ -154,6 +165,16 @@
         self._on_answer(reservation.endpoint_id, answer)
         return answer.status
 
+    async def _open(self, connection: EndpointConnection, endpoint_id: str) -> None:
+        try:
+            await connection.open(CONNECT_TIMEOUT_SECONDS)
+        except EndpointRefused as error:
+            self._unreachable_ids.add(endpoint_id)
+            self._reach.failed(endpoint_id, error)
+            raise
+        self._unreachable_ids.discard(endpoint_id)
+        self._reach.connected(endpoint_id)
+
 
 # The tasks of releases, which outlive their request. The event loop keeps only weak
 # references to tasks, so without this set they could be garbage collected.
--- a/cranberrywick/gateway/state.py
+++ b/cranberrywick/gateway/state.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Set
 from math import inf
 
 from cranberrywick.gateway.endpoint_reach import EndpointReach
@@ -87,7 +87,13 @@
         self.usable_endpoints = UsableEndpoints(
             self._endpoints.registry, self._operator, settings.bounds, log
         )
-        self.reach = EndpointReach(self._endpoints.registry, metrics, log)
+        self.reach = EndpointReach(
+            self._endpoints.registry,
+            settings.forwarding_port,
+            self.peer_updates.observation_changed,
+            metrics,
+            log,
+        )
         self._returns = StoreReturns(
             self._history,
             self._operator,
@@ -165,6 +171,11 @@
         """The routes of the configuration in force; None before the first one."""
         return self._operator.table
 
+    @property
+    def domains_out(self) -> Set[str]:
+        """The failure domains that operators have taken out."""
+        return self._operator.domains_out
+
     @property
     def ready(self) -> bool:
         """Whether this daemon can serve requests."""
@@ -193,6 +204,7 @@
             operator_digest=self._operator.digest,
             operator_age=self._operator.age(now),
             store=self._returns.knowledge_sample(now),
+            reach=self.reach.statement,
         )
 
     def store_knowledge(self, now: float) -> StoreKnowledge:
--- a/cranberrywick/gateway/waiting.py
+++ b/cranberrywick/gateway/waiting.py
@@ -152,9 +152,7 @@
                 return None
             raise Overloaded(
                 "no endpoints that could hold the request are known",
-                retry_after=self._outages.retry_seconds(
-                    service, self._state.store_is_unavailable, now
-                ),
+                retry_after=self.outage_retry_seconds(service),
             )
         self._outages.ended(service)
         placement = self._placer.place(demand, usable, now, last_resort)
@@ -181,6 +179,12 @@
             retry_after=self._backoff_returns.retry_seconds(wait),
         )
 
+    def outage_retry_seconds(self, service: str) -> float:
+        """Return after how many seconds a caller may return to a lost service."""
+        return self._outages.retry_seconds(
+            service, self._state.store_is_unavailable, self._loop.time()
+        )
+
     def backoff_retry_seconds(self, service: str) -> float:
         """Return after how many seconds a refused caller of a service may return.
 
--- a/cranberrywick/metrics.py
+++ b/cranberrywick/metrics.py
@@ -146,6 +146,9 @@
         self._endpoint_connections = counter(
             "endpoint_connections", description="Connections to endpoints, by outcome."
         )
+        self._forwarded_requests = counter(
+            "forwarded_requests", description="Requests forwarded to peers, by outcome."
+        )
         self._store_epochs = counter(
             "store_epoch_changes", description="New epochs of the store."
         )
@@ -242,6 +245,10 @@
         """Count an answer header that has no effect; called once for each name."""
         self._unread_headers.add(1, {"header": name})
 
+    def request_forwarded(self, outcome: str) -> None:
+        """Count a request that was forwarded to a peer, by how that ended."""
+        self._forwarded_requests.add(1, {"outcome": outcome})
+
     def endpoint_connected(self, outcome: str) -> None:
         """Count a connection to an endpoint; ``outcome`` is "accepted" or "failed"."""
         self._endpoint_connections.add(1, {"outcome": outcome})
--- a/cranberrywick/platform/headers.py
+++ b/cranberrywick/platform/headers.py
@@ -16,6 +16,7 @@
     "SetHeaders",
     "decode_request",
     "decode_response",
+    "end_to_end_headers",
     "endpoint_headers",
     "failure_headers",
 ]
@@ -202,15 +203,22 @@
     )
 
 
+def end_to_end_headers(
+    raw: Iterable[tuple[bytes, bytes]],
+) -> list[tuple[bytes, bytes]]:
+    """Return the headers that concern more than one connection, without the length."""
+    dropped = HOP_BY_HOP | _named_by_connection(raw) | {b"content-length"}
+    return [(name, value) for name, value in raw if name.lower() not in dropped]
+
+
 def endpoint_headers(
     raw: Iterable[tuple[bytes, bytes]], own: SetHeaders
 ) -> list[tuple[bytes, bytes]]:
     """Return the headers for an endpoint: the caller's without its key, and ``own``."""
-    dropped = _SET_BY_GATEWAY | HOP_BY_HOP | _named_by_connection(raw)
     forwarded = [
         (name, value)
-        for name, value in raw
-        if name.lower() not in dropped and name.lower() != b"content-length"
+        for name, value in end_to_end_headers(raw)
+        if name.lower() not in _SET_BY_GATEWAY
     ]
     milliseconds = max(1, int(own.remaining_seconds * 1000))
     forwarded.append((b"Cranberrywick-Deadline-Ms", str(milliseconds).encode()))
--- a/cranberrywick/routing/health.py
+++ b/cranberrywick/routing/health.py
@@ -80,6 +80,10 @@
         state = self._states_by_id.get(endpoint_id)
         return state.share(now) if state else 0.0
 
+    def forget(self, endpoint_id: str) -> None:
+        """Remove the state of an endpoint."""
+        self._states_by_id.pop(endpoint_id, None)
+
     def keep_only(self, endpoint_ids: Set[str]) -> None:
         """Remove the state of all endpoints but these."""
         for endpoint_id in self._states_by_id.keys() - endpoint_ids:
--- a/cranberrywick/routing/members.py
+++ b/cranberrywick/routing/members.py
@@ -11,6 +11,7 @@
 from cranberrywick.routing.drain_notices import DrainNotice
 from cranberrywick.routing.endpoint_limits import LimitReport
 from cranberrywick.routing.load import Job
+from cranberrywick.routing.reachability import ReachStatement
 from cranberrywick.routing.relays import needs_relays
 from cranberrywick.routing.slowdown import EndpointSlowdown
 from cranberrywick.routing.store_knowledge import StoreKnowledge
@@ -55,8 +56,8 @@
     operators' settings that it holds, and ``operator_age`` is how many seconds ago that
     was the newest. ``jobs`` are its requests at endpoints, ``slow_engines`` the engines
     that its streams show to be slower than declared, ``limits`` its reports of
-    endpoints' rate limits, ``drain_notices`` what endpoints have announced to it, and
-    ``store`` what it knows of the store.
+    endpoints' rate limits, ``drain_notices`` what endpoints have announced to it,
+    ``store`` what it knows of the store, and ``reach`` which endpoints it reaches.
     """
 
     @property
@@ -79,6 +80,7 @@
     limits: Sequence[LimitReport] = ()
     drain_notices: Sequence[DrainNotice] = ()
     store: StoreKnowledge = StoreKnowledge()
+    reach: ReachStatement = ReachStatement()
 
     @property
     def operator_position(self) -> StorePosition:
--- a/cranberrywick/routing/model.py
+++ b/cranberrywick/routing/model.py
@@ -203,6 +203,12 @@
     seeds: tuple[str, ...]
     bounds: BoundsSettings
 
+    @property
+    def forwarding_port(self) -> int:
+        """The port for requests that peers forward; 0 if there are too few ports."""
+        first, last = self.internal_ports
+        return first + 1 if first + 1 < last else 0
+
 
 class EndpointDelta(NamedTuple):
     """The difference between two snapshots of the endpoints."""
--- a/cranberrywick/routing/registry.py
+++ b/cranberrywick/routing/registry.py
@@ -81,6 +81,14 @@
             announced_at = notice.announced_at
             self._replace(tracked._replace(drain_announced_at=announced_at), tracked)
 
+    def draining_ids(self, service: str) -> set[str]:
+        """Return the endpoints of a service that are draining."""
+        return {e.endpoint_id for e in self.index.of_service(service) if e.is_draining}
+
+    def departed_ids(self, since: float) -> set[str]:
+        """Return the endpoints whose records were removed after a moment."""
+        return self._retained.departed_ids(since)
+
     def request_backoff(
         self, endpoint_id: str, born: int, seconds: float, now: float
     ) -> float:
--- a/cranberrywick/routing/store_knowledge.py
+++ b/cranberrywick/routing/store_knowledge.py
@@ -172,6 +172,14 @@
                 break
             del self._departed_at_by_start[start]
 
+    def departed_ids(self, since: float) -> set[str]:
+        """Return the endpoints whose records were removed after a moment."""
+        return {
+            endpoint_id
+            for (endpoint_id, _), at in self._departed_at_by_start.items()
+            if at > since
+        }
+
     def appeared(self, endpoint_id: str, born: int) -> None:
         """Record that the store shows an endpoint's record, in the same epoch."""
         self._departed_at_by_start.pop((endpoint_id, born), None)
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -292,6 +292,22 @@
             each.close()
 
 
+def free_port_range(length: int) -> list[int]:
+    """Return successive ports that are free on every loopback address."""
+    while True:
+        (first,) = free_ports(1)
+        sockets = [socket.socket() for _ in range(length)]
+        try:
+            for offset, each in enumerate(sockets):
+                each.bind(("0.0.0.0", first + offset))
+            return [first + offset for offset in range(length)]
+        except (OSError, OverflowError):
+            continue
+        finally:
+            for each in sockets:
+                each.close()
+
+
 _PORTS: list[int] = []
 _SUBNETS = count(1)
 
@@ -299,8 +315,9 @@
 def gateway_settings(name: str, ip: str, store: str) -> dict:
     """Return a settings file as the platform writes it."""
     if not _PORTS:
-        _PORTS.extend(free_ports(6))
-    front, ready, directory, control, low, high = _PORTS
+        _PORTS.extend(free_ports(4))
+        _PORTS.extend(free_port_range(3))
+    front, ready, directory, control, low, _, high = _PORTS
     return {
         "nodeName": name,
         "role": "gateway",
--- a/tests/limited_fleet.py
+++ b/tests/limited_fleet.py
@@ -200,7 +200,7 @@
         await asyncio.sleep(ANSWER_SECONDS)
         rate = endpoint.answer(self._loop.time())
         if peer_updates.limits.observe(endpoint.endpoint_id, rate, self._loop.time()):
-            peer_updates.limit_changed()
+            peer_updates.observation_changed()
 
     def check_limits(self) -> None:
         """Assert that no endpoint got more than its limit allows."""
--- a/tests/test_fleet_messages.py
+++ b/tests/test_fleet_messages.py
@@ -34,6 +34,7 @@
 from cranberrywick.routing.load import Job
 from cranberrywick.routing.members import Heartbeat
 from cranberrywick.routing.model import EndpointRecord, EndpointView
+from cranberrywick.routing.reachability import ReachStatement
 from cranberrywick.routing.slowdown import EndpointSlowdown
 from cranberrywick.routing.store_knowledge import (
     RetainedDomain,
@@ -71,6 +72,7 @@
                 RetainedEndpoint("i-cold", 8, -inf, 12.5),
             ),
         ),
+        reach=ReachStatement(7341, ("desk",), ("pool",)),
     )
 
 
@@ -141,7 +143,8 @@
     (received,) = message.heartbeats
     assert received.received_at == pytest.approx(109.5)
     expected = heartbeat()
-    assert received.heartbeat[:-5] == expected[:-5]
+    assert received.heartbeat[:-6] == expected[:-6]
+    assert received.heartbeat.reach == expected.reach
     there, here = received.heartbeat.store, expected.store
     assert there[:3] == here[:3]
     assert there.domains == (RetainedDomain("fd-b", 125.0, 109.0),)
--- a/tests/test_gateway_attempt.py
+++ b/tests/test_gateway_attempt.py
@@ -113,7 +113,10 @@
             lambda endpoint_id, as_last_resort: True,
             callbacks,
             ConnectTimeout(),
-            SimpleNamespace(failed=lambda endpoint_id, error: None),
+            SimpleNamespace(
+                failed=lambda endpoint_id, error: None,
+                connected=lambda endpoint_id: None,
+            ),
             4.0,
             EventLog(),
         ).run()
--- a/tests/test_reach_logs.py
+++ b/tests/test_reach_logs.py
@@ -12,20 +12,20 @@
         fleet.cut(whole, "refuse", ["desk-1"])
         for _ in range(12):
             fleet.call(whole, "GET", "/reads/1")
-        assert "event=service_unreachable" not in whole.log
+        assert "event=service_reach_changed" not in whole.log
         fleet.cut(cut, "refuse")
         for _ in range(6):
             fleet.call(cut, "GET", "/reads/1")
-        wait_for(lambda: "event=service_unreachable" in cut.log, "the line")
-        line = next(x for x in cut.log.splitlines() if "service_unreachable" in x)
+        wait_for(lambda: "reach=none before=" in cut.log, "the line")
+        line = next(x for x in cut.log.splitlines() if "reach=none" in x)
         assert "service=desk" in line
         assert "known=3" in line
-        assert "desk-1" in line and "ConnectionRefused" in line
+        assert "unreached=3" in line and "ConnectionRefused" in line
         fleet.restore(cut)
         wait_for(
             lambda: (
                 fleet.call(cut, "GET", "/reads/1").status == 200
-                and "event=service_reachable" in cut.log
+                and "reach=full before=poor" in cut.log
             ),
             "the line at the end",
         )
--- a/tests/test_store_knowledge.py
+++ b/tests/test_store_knowledge.py
@@ -396,7 +396,7 @@
     row[4] = [[*endpoint, {"new": 1}] for endpoint in row[4]]
     rows = unpack_knowledge(encode([[*row, "new", [1]], row[:1], []]), now=10.0)
     assert rows.error == ""
-    assert rows.knowledge_by_position == {
+    assert rows.values_by_position == {
         0: STATEMENT,
         1: StoreKnowledge(3),
         2: StoreKnowledge(),
@@ -407,7 +407,7 @@
 def test_a_row_that_cannot_be_read_is_dropped_alone(bad):
     (row,) = decode(pack_knowledge([STATEMENT], now=10.0))
     rows = unpack_knowledge(encode([row, bad, row]), now=10.0)
-    assert rows.knowledge_by_position == {0: STATEMENT, 2: STATEMENT}
+    assert rows.values_by_position == {0: STATEMENT, 2: STATEMENT}
     assert rows.error
 
 
