Count the time of a forwarded request from its head

A daemon that is frozen between the head and the end of a request that it forwards would have had the peer run it with the time that was left at the head: the peer added that to the moment at which it had read the whole request. Found by reading; no caller saw it. The statement belongs to the moment of the head, which the peer knows.

--- a/cranberrywick/gateway/peer_requests.py
+++ b/cranberrywick/gateway/peer_requests.py
@@ -124,14 +124,15 @@
             self._invalid.warning("peer_message_invalid", error=error)
             await connection.answer(400, [], b"")
             return
-        now = self._loop.time()
+        # The statement was made when the head was sent.
+        stated_at = request.arrived
         request = request._replace(
-            headers=headers, raw_headers=raw_headers, arrived=now - stated.elapsed
+            headers=headers, raw_headers=raw_headers, arrived=stated_at - stated.elapsed
         )
         exchange = PeerExchange(
             request, PeerCaller(connection), decode_request(headers)
         )
-        exchange.deadline = now + stated.remaining - TIMEOUT_MARGIN_SECONDS
+        exchange.deadline = stated_at + stated.remaining - TIMEOUT_MARGIN_SECONDS
         exchange.last_event_id = stated.last_event_id
         exchange.weights_version = stated.weights_version
         exchange.sent_ids.update(stated.sent_ids)
