Send a request past a dead endpoint directly, and keep draining ones out of the reach

A request whose first endpoint accepts no connection went to a peer at once. Mostly that endpoint has died; the peer does not know that, and among three it often chooses the same one. It is now forwarded after a second one, or once its service is not fully reached.

Endpoints that drain may be gone before their records and said nothing of the links, but counted as not reached. A connection in the background that failed because this daemon was busy itself counts no more, an endpoint that accepts again is forgotten as not reached also while its service is, and a service served through a peer ends the outage that the times to come back are estimated from.

--- a/cranberrywick/gateway/endpoint_reach.py
+++ b/cranberrywick/gateway/endpoint_reach.py
@@ -13,6 +13,7 @@
 from cranberrywick.gateway.lazy_metrics import LazyMetrics
 from cranberrywick.gateway.upstream import EndpointConnection
 from cranberrywick.logs import EventLog
+from cranberrywick.routing.connect_timeout import is_own_delay
 from cranberrywick.routing.reachability import (
     EndpointReachability,
     Reach,
@@ -80,7 +81,7 @@
         """Record that an endpoint accepted a connection."""
         self._metrics.endpoint_connected("accepted")
         service = self._service(endpoint_id)
-        if service is None or not self._reachability.is_suspected(service):
+        if service is None or not self._reachability.unreached_ids(service):
             return
         before = self.reach(service)
         known_ids = self._known_ids(service)
@@ -164,11 +165,13 @@
             self._reachability.refresh(service, frozenset())
             self._log_change(service, before, "", frozenset())
             return False
+        started = self._loop.time()
         try:
             async with EndpointConnection(tracked.record.address) as connection:
                 await connection.open(PROBE_TIMEOUT_SECONDS)
         except EndpointRefused as error:
-            self.failed(tracked.endpoint_id, error)
+            if not is_own_delay(self._loop.time() - started, PROBE_TIMEOUT_SECONDS):
+                self.failed(tracked.endpoint_id, error)
             return False
         self.connected(tracked.endpoint_id)
         return True
@@ -179,7 +182,7 @@
         After a failure that is one that has not failed, which tells a lost link from
         endpoints that died; after a connection that was accepted it is one that has.
         """
-        tracked_endpoints = list(self._registry.index.of_service(service))
+        tracked_endpoints = self._known(service)
         unreached_ids = self._reachability.unreached_ids(service)
         has_failed = self._reachability.has_failed(service)
         wanted = [
@@ -190,9 +193,16 @@
         choices = wanted or tracked_endpoints
         return self._rng.choice(choices) if choices else None
 
-    def _known_ids(self, service: str) -> Set[str]:
+    def _known(self, service: str) -> list[TrackedEndpoint]:
+        """Return a service's endpoints without those that drain.
+
+        One that drains may be gone before its record is.
+        """
         endpoints = self._registry.index.of_service(service)
-        return {tracked.endpoint_id for tracked in endpoints}
+        return [tracked for tracked in endpoints if not tracked.is_draining]
+
+    def _known_ids(self, service: str) -> Set[str]:
+        return {tracked.endpoint_id for tracked in self._known(service)}
 
     def _service(self, endpoint_id: str) -> str | None:
         tracked = self._registry.tracked_by_id.get(endpoint_id)
--- a/cranberrywick/gateway/exchange.py
+++ b/cranberrywick/gateway/exchange.py
@@ -97,6 +97,8 @@
     def record_forwarded(self, now: float) -> None:
         """Record that the request is being forwarded to a peer."""
         self.sent_at = now
+        if self.placed_at is None:
+            self.placed_at = now
         self.endpoint_id = ""
         self.in_flight = True
 
--- a/cranberrywick/gateway/peer_attempts.py
+++ b/cranberrywick/gateway/peer_attempts.py
@@ -43,6 +43,10 @@
 
 __all__ = ["PeerAttempts"]
 
+# How many endpoints accept no connection for one request before it is forwarded
+# although its service counts as reached. The first one has mostly died, and a peer,
+# which doesn't know that, may choose it too.
+MIN_UNREACHABLE_ENDPOINTS = 2
 # Largest number of peers that could not serve a request before it is given up.
 MAX_FAILED_PEERS = 4
 # How long endpoints that are gone stay excluded for a peer, in seconds. It reads of
@@ -81,7 +85,8 @@
         """
         service = exchange.service.name
         reach = self._state.reach.reach(service)
-        if reach is Reach.FULL and not exchange.unreachable_ids:
+        failed = len(exchange.unreachable_ids)
+        if reach is Reach.FULL and failed < MIN_UNREACHABLE_ENDPOINTS:
             return None
         peer = None
         if len(exchange.failed_peer_ids) < MAX_FAILED_PEERS:
@@ -218,6 +223,7 @@
             lambda endpoint_id, seconds: None,
         )
         await AnswerForwarding(exchange, callbacks).forward(connection, answer)
+        self._waiting.outage_ended(exchange.service.name)
         return None
 
     def _stated_failure(
--- a/cranberrywick/gateway/waiting.py
+++ b/cranberrywick/gateway/waiting.py
@@ -179,6 +179,10 @@
             retry_after=self._backoff_returns.retry_seconds(wait),
         )
 
+    def outage_ended(self, service: str) -> None:
+        """Record that a service was reached."""
+        self._outages.ended(service)
+
     def outage_retry_seconds(self, service: str) -> float:
         """Return after how many seconds a caller may return to a lost service."""
         return self._outages.retry_seconds(
