Soak: cut gateways from endpoints, and tell by address which one sent

One gateway, two or all of them lose their links to the endpoints of one service or of both for up to five seconds, while the other faults go on. A request may now reach an endpoint from another gateway than the one that was called, so gateways connect from their own addresses and endpoints record these: a backoff counts for the gateway that was refused, draining for both the one that was called and the one that sent.

--- a/cranberrywick/standin/platform/endpoint.py
+++ b/cranberrywick/standin/platform/endpoint.py
@@ -44,21 +44,27 @@
 
 
 class Arrival(NamedTuple):
-    """A request that an endpoint received, at a time of the loop's clock."""
+    """A request that an endpoint received, at a time of the loop's clock.
+
+    ``source`` is the IP address that it came from.
+    """
 
     request_id: str
     at: float
+    source: str = ""
 
 
 class Backoff(NamedTuple):
     """A refusal that named a time in which the endpoint wants no requests.
 
-    ``value`` is the header's, ``at`` the time of the refusal on the loop's clock.
+    ``value`` is the header's, ``at`` the time of the refusal on the loop's clock, and
+    ``source`` the IP address that the request came from.
     """
 
     request_id: str
     at: float
     value: str
+    source: str = ""
 
 
 class EndpointStandIn:
@@ -161,12 +167,13 @@
             return
         request_id = headers.get("cranberrywick-request-id", "")
         now = asyncio.get_running_loop().time()
-        self.arrivals.append(Arrival(request_id, now))
+        source = writer.get_extra_info("peername")[0]
+        self.arrivals.append(Arrival(request_id, now, source))
         if self.retry_afters:
             retry_after = self.retry_afters.pop(0)
             await asyncio.sleep(self.work_seconds)
             now = asyncio.get_running_loop().time()
-            self.backoffs.append(Backoff(request_id, now, retry_after))
+            self.backoffs.append(Backoff(request_id, now, retry_after, source))
             own = [("Cranberrywick-Not-Executed", "1")]
             own += [("Retry-After", retry_after), *self._state_headers()]
             writer.write(_encode_response(http, 503, own, b""))
--- a/tests/cut_fleet.py
+++ b/tests/cut_fleet.py
@@ -20,9 +20,14 @@
 class CutFleet(Fleet):
     """A fleet whose gateways can be cut from endpoints one by one.
 
-    ``program_root`` is the tree whose package the gateways run, this one by default.
+    Gateways connect to endpoints from their own addresses.
     """
 
+    @property
+    def names_by_ip(self) -> dict[str, str]:
+        """The names of the gateways by the addresses that they connect from."""
+        return {gateway.settings["ip"]: gateway.name for gateway in self.gateways}
+
     def start_process(self, settings: Path, log: Path) -> subprocess.Popen:
         return subprocess.Popen(
             [sys.executable, str(ROOT / "tests" / "cut_gateway.py"), "gateway"],
@@ -45,7 +50,7 @@
     ) -> None:
         """Cut a gateway from endpoints, by default from all of them."""
         wanted = self.endpoints if endpoint_ids is None else endpoint_ids
-        addresses = [self.endpoints[each].address for each in wanted]
+        addresses = [self.addresses_by_id[each] for each in wanted]
         self._write_cut(gateway, {"mode": mode, "addresses": addresses})
 
     def restore(self, gateway: Gateway) -> None:
--- a/tests/cut_gateway.py
+++ b/tests/cut_gateway.py
@@ -17,6 +17,7 @@
 from cranberrywick.gateway import upstream
 
 CUT_PATH = Path(os.environ["CUT_FILE"])
+OWN_IP = json.loads(Path(os.environ["CRANBERRYWICK_CONFIG"]).read_text())["ip"]
 POLL_SECONDS = 0.01
 
 _open_connection = asyncio.open_connection
@@ -63,7 +64,9 @@
         if cut["mode"] != "hang":
             raise ConnectionRefusedError(address)
         await asyncio.Event().wait()
-    reader, writer = await _open_connection(host, port)
+    # From the gateway's own address, by which endpoints tell gateways apart.
+    local_address = (OWN_IP, 0)
+    reader, writer = await _open_connection(host, port, local_addr=local_address)
     transports = _transports_by_address.setdefault(address, set())
     transports.difference_update([each for each in transports if each.is_closing()])
     transports.add(writer.transport)
--- a/tests/endpoint_promises.py
+++ b/tests/endpoint_promises.py
@@ -8,12 +8,17 @@
 from collections.abc import Iterable, Mapping, Sequence
 from concurrent.futures import ThreadPoolExecutor
 from math import inf
+from types import MappingProxyType
 from typing import NamedTuple
 
 from gateway_fleet import PROMPT_HEADERS, Answer, Fleet, Gateway
 
 from cranberrywick.platform.headers import decode_response
-from cranberrywick.standin.platform.endpoint import EndpointStandIn
+from cranberrywick.standin.platform.endpoint import (
+    Arrival,
+    Backoff,
+    EndpointStandIn,
+)
 
 # Time after an answer that announced draining within which its endpoint may get the
 # requests that callers send, in seconds; that of `gateway_settings`.
@@ -22,6 +27,7 @@
 UNDER_WAY_SECONDS = 0.5
 # Number of requests that an endpoint may get from one daemon within a backoff.
 MOST_IN_BACKOFF = 2
+NO_NAMES: Mapping[str, str] = MappingProxyType({})
 
 
 class TimedCall(NamedTuple):
@@ -94,28 +100,34 @@
     begun_at: float = -inf,
     ended_at: float = inf,
     disturbances: Sequence[Disturbance] = (),
+    names_by_ip: Mapping[str, str] = NO_NAMES,
 ) -> int:
     """Count requests that reached a draining endpoint after its bound.
 
     The bound runs, for each daemon, from the first answer that it passed on and that
-    announced draining, to the moment at which the caller sent the request. A daemon
-    that was disturbed has to be told again. The endpoint announced draining from
-    ``begun_at`` to ``ended_at``.
+    announced draining, to the moment at which the caller sent the request. It holds for
+    the daemon that the caller called and for the peer that sent the request on, by
+    ``names_by_ip``. A daemon that was disturbed has to be told again. The endpoint
+    announced draining from ``begun_at`` to ``ended_at``.
     """
     calls = sorted(calls, key=lambda call: call.answered_at)
+    senders_by_request: dict[str, set[str]] = defaultdict(set)
+    for arrival in endpoint.arrivals:
+        if begun_at <= arrival.at < ended_at:
+            sender = names_by_ip.get(arrival.source, "")
+            senders_by_request[arrival.request_id].add(sender)
     told_at_by_gateway: dict[str, list[float]] = defaultdict(list)
     for call in calls:
         if _announces(call, endpoint) and begun_at <= call.answered_at < ended_at:
-            told_at_by_gateway[call.gateway].append(call.answered_at)
-    arrived_ids = {
-        a.request_id for a in endpoint.arrivals if begun_at <= a.at < ended_at
-    }
+            for name in {call.gateway, *senders_by_request[call.request_id]}:
+                told_at_by_gateway[name].append(call.answered_at)
     return sum(
-        call.request_id in arrived_ids
+        bool(senders_by_request[call.request_id])
         and any(
             told_at + DRAIN_SECONDS < call.sent_at
-            and not _is_disturbed(disturbances, call.gateway, told_at, call.sent_at)
-            for told_at in told_at_by_gateway[call.gateway]
+            and not _is_disturbed(disturbances, name, told_at, call.sent_at)
+            for name in {call.gateway, *senders_by_request[call.request_id]}
+            for told_at in told_at_by_gateway[name]
         )
         for call in calls
     )
@@ -126,15 +138,22 @@
     gateways_by_request: Mapping[str, str],
     restarted_at: Sequence[float] = (),
     disturbances: Sequence[Disturbance] = (),
+    names_by_ip: Mapping[str, str] = NO_NAMES,
 ) -> int:
     """Return the most requests that an endpoint got from one daemon in a backoff.
 
     Those after a restart of the endpoint don't count, nor those after a disturbance of
-    the daemon or of the endpoint's link.
+    the daemon or of the endpoint's link. ``names_by_ip`` are the daemons by the
+    addresses that they send from; without one, it is the daemon that was called.
     """
+
+    def sender(message: Arrival | Backoff) -> str | None:
+        called = gateways_by_request.get(message.request_id)
+        return names_by_ip.get(message.source, called)
+
     most = 0
     for backoff in endpoint.backoffs:
-        gateway = gateways_by_request.get(backoff.request_id)
+        gateway = sender(backoff)
         if gateway is None:
             continue  # It was none of the callers' requests.
         begin = backoff.at + UNDER_WAY_SECONDS
@@ -144,7 +163,7 @@
             arrival
             for arrival in endpoint.arrivals
             if begin <= arrival.at < end
-            and gateways_by_request.get(arrival.request_id) == gateway
+            and sender(arrival) == gateway
             and not any(
                 _is_disturbed(disturbances, name, backoff.at, arrival.at)
                 for name in (gateway, endpoint.endpoint_id)
--- a/tests/fault_proxy.py
+++ b/tests/fault_proxy.py
@@ -32,8 +32,11 @@
 
     async def _serve(self, reader, writer) -> None:
         host, _, port = self._target.rpartition(":")
+        source = writer.get_extra_info("peername")[0]
         try:
-            upstream, onward = await asyncio.open_connection(host, int(port))
+            upstream, onward = await asyncio.open_connection(
+                host, int(port), local_addr=(source, 0)
+            )
         except OSError:
             writer.transport.abort()
             return
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -126,6 +126,8 @@
         self.store: StoreStandIn = self.on_loop(StoreStandIn)
         self.await_on_loop(self.store.start())
         self.endpoints: dict[str, EndpointStandIn] = {}
+        # As registered: an endpoint's own address, or that of a proxy before it.
+        self.addresses_by_id: dict[str, str] = {}
         self.gateways: list[Gateway] = []
         self._ids = count(1)
         self._subnet = next(_SUBNETS)
@@ -170,6 +172,7 @@
             "born": 1,
             **fields,
         }
+        self.addresses_by_id[endpoint_id] = record["address"]
         self.on_loop(self.store.put_json, f"servers/{endpoint_id}", record)
 
     def configure(self, fields: dict) -> None:
@@ -434,9 +437,11 @@
 
 
 @contextmanager
-def running_gateways(path: Path, gateways: int = 1) -> Iterator[Fleet]:
+def running_gateways(
+    path: Path, gateways: int = 1, fleet_type: type["Fleet"] = Fleet
+) -> Iterator[Fleet]:
     """Run a configured fleet of two endpoints of each service and ``gateways``."""
-    fleet = Fleet(path)
+    fleet = fleet_type(path)
     try:
         fleet.configure(configuration())
         for number in (1, 2):
--- a/tests/gateway_soak.py
+++ b/tests/gateway_soak.py
@@ -6,7 +6,8 @@
 a proxy in front of each endpoint. Callers send requests continuously while faults
 follow one another and overlap: processes are killed, stopped, paused and restarted;
 connections are delayed, blocked in one or both directions, or reset; the store refuses
-gateways or comes back from an older copy; endpoints fail, name rate limits, announce
+gateways or comes back from an older copy; gateways lose their links to all endpoints,
+one, some or all of them; endpoints fail, name rate limits, announce
 draining and start again, or ask for time; operators change the configuration. The
 answers that callers received are compared with what the endpoints received and ran:
 
@@ -32,11 +33,12 @@
 from pathlib import Path
 
 import click
+from cut_fleet import MODES, CutFleet
 from endpoint_promises import Disturbance, TimedCall
 from fault_proxy import Proxy
 from gateway_fleet import (
     PROMPT_HEADERS,
-    Fleet,
+    Gateway,
     configuration,
     running_gateways,
     wait_for,
@@ -63,6 +65,10 @@
 # Share of the faults after which the store comes back from an older copy, and the
 # longest time until what it lost is written again, in seconds.
 RETURN_SHARE = 0.12
+# Share of the faults after which gateways lose their links to endpoints, and for how
+# long at most, in seconds.
+CUT_SHARE = 0.2
+LONGEST_CUT_SECONDS = 5.0
 LONGEST_FORGOTTEN_SECONDS = 2.0
 # How long an endpoint announces draining before it starts again, in seconds.
 LONGEST_DRAIN_SECONDS = 6.0
@@ -75,12 +81,13 @@
 class Soak:
     """The run of one seed."""
 
-    def __init__(self, fleet: Fleet, seed: int):
+    def __init__(self, fleet: CutFleet, seed: int):
         self.fleet = fleet
         self.rng = random.Random(seed)
         # Apart from the faults', so that a seed's faults stay the same.
         self._statement_rng = random.Random(f"statements {seed}")
         self._return_rng = random.Random(f"returns {seed}")
+        self._cut_rng = random.Random(f"cuts {seed}")
         self._store = SoakStore(fleet, self._return_rng)
         self.record = SoakRecord()
         self.proxies: dict[str, Proxy] = {}
@@ -131,6 +138,7 @@
             self._cause_fault()
             self._make_statement()
             self._return_store()
+            self._cut_gateways()
         self._undo_due(float("inf"))
         self._stopping.set()
         for caller in callers:
@@ -220,6 +228,25 @@
         lasts = rng.uniform(0.0, LONGEST_FORGOTTEN_SECONDS)
         self._undo.append((time.monotonic() + lasts, write_again))
 
+    def _cut_gateways(self) -> None:
+        """Cut one gateway, some or all from the endpoints of a service, or from all."""
+        rng = self._cut_rng
+        if rng.random() >= CUT_SHARE:
+            return
+        number = rng.choice((1, 1, 2, len(self.fleet.gateways)))
+        mode = rng.choice(MODES)
+        services = rng.choice((("desk", "engine"), ("desk", "engine"), ("desk",)))
+        endpoint_ids = [e for e in self.fleet.endpoints if e.startswith(services)]
+        lasts_until = time.monotonic() + rng.uniform(0.3, LONGEST_CUT_SECONDS)
+        self.faults.append(f"cut {mode}")
+        for gateway in rng.sample(self.fleet.gateways, number):
+            self.fleet.cut(gateway, mode, endpoint_ids)
+
+            def restore(gateway: Gateway = gateway) -> None:
+                self.fleet.restore(gateway)
+
+            self._undo.append((lasts_until, restore))
+
     def _undo_later(self, undo: Callable[[], None]) -> None:
         lasts = self.rng.uniform(0.3, LONGEST_FAULT_SECONDS)
         self._undo.append((time.monotonic() + lasts, undo))
@@ -370,7 +397,7 @@
 def run_seed(seed: int, seconds: float, gateways: int = 3) -> tuple[Soak, list[str]]:
     """Run one seed; return the run and the guarantees that were broken."""
     path = Path(tempfile.mkdtemp(prefix="soak-"))
-    with running_gateways(path, gateways=gateways) as fleet:
+    with running_gateways(path, gateways, CutFleet) as fleet:
         soak = Soak(fleet, seed)
         soak.prepare()
         soak.run(seconds)
--- a/tests/soak_promises.py
+++ b/tests/soak_promises.py
@@ -3,6 +3,7 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
+from cut_fleet import CutFleet
 from endpoint_promises import (
     MOST_IN_BACKOFF,
     Disturbance,
@@ -49,7 +50,7 @@
         self.recorded_drains: list[RecordedDrain] = []
         self.disturbances: list[Disturbance] = []
 
-    def broken_promises(self, fleet: Fleet) -> list[str]:
+    def broken_promises(self, fleet: CutFleet) -> list[str]:
         """Return a line for each guarantee that was broken."""
         lines = [_excess(fleet, limit) for limit in self.limits]
         lines += [self._late_at_draining(fleet, drain) for drain in self.drains]
@@ -57,11 +58,16 @@
         lines += [self._in_backoff(fleet, each) for each in fleet.endpoints]
         return [line for line in lines if line] + _broken_calls(fleet, self.calls)
 
-    def _late_at_draining(self, fleet: Fleet, drain: Drain) -> str:
+    def _late_at_draining(self, fleet: CutFleet, drain: Drain) -> str:
         """Return a line about late requests at a draining endpoint, else empty."""
         endpoint = fleet.endpoints[drain.endpoint_id]
         late = late_at_draining(
-            endpoint, self.calls, drain.begun_at, drain.ended_at, self.disturbances
+            endpoint,
+            self.calls,
+            drain.begun_at,
+            drain.ended_at,
+            self.disturbances,
+            fleet.names_by_ip,
         )
         return f"{drain.endpoint_id}: {late} requests while draining" if late else ""
 
@@ -70,7 +76,7 @@
         late = late_at_recorded_drain(fleet, self.calls, drain, self.disturbances)
         return f"{drain.endpoint_id}: {late} requests while it drained" if late else ""
 
-    def _in_backoff(self, fleet: Fleet, endpoint_id: str) -> str:
+    def _in_backoff(self, fleet: CutFleet, endpoint_id: str) -> str:
         """Return a line about requests in an endpoint's backoff, else empty."""
         gateways_by_request = {call.request_id: call.gateway for call in self.calls}
         restarted_at = [
@@ -83,6 +89,7 @@
             gateways_by_request,
             restarted_at,
             self.disturbances,
+            fleet.names_by_ip,
         )
         return f"{endpoint_id}: {most} in a backoff" if most > MOST_IN_BACKOFF else ""
 
--- a/tests/soak_store.py
+++ b/tests/soak_store.py
@@ -5,8 +5,10 @@
 """
 
 import random
+from collections import defaultdict
 from typing import NamedTuple
 
+from cut_fleet import CutFleet
 from endpoint_promises import DRAIN_SECONDS, Disturbance, TimedCall
 from gateway_fleet import Fleet
 
@@ -89,26 +91,26 @@
 
 
 def late_at_recorded_drain(
-    fleet: Fleet,
+    fleet: CutFleet,
     calls: list[TimedCall],
     drain: RecordedDrain,
     disturbances: list[Disturbance],
 ) -> int:
     """Count requests that reached an endpoint after the bound of its recorded drain.
 
-    Gateways that were disturbed, or whose store was, within `CONTACT_SECONDS` before
-    the request don't count.
+    Those that a gateway took or sent on that was disturbed, or whose store was, within
+    `CONTACT_SECONDS` before the request don't count.
     """
-    arrived_ids = {
-        arrival.request_id
-        for arrival in fleet.endpoints[drain.endpoint_id].arrivals
-        if arrival.at < drain.ended_at
-    }
+    names_by_request: dict[str, set[str]] = defaultdict(set)
+    for arrival in fleet.endpoints[drain.endpoint_id].arrivals:
+        if arrival.at < drain.ended_at:
+            sender = fleet.names_by_ip.get(arrival.source, "")
+            names_by_request[arrival.request_id] |= {sender, "store"}
     return sum(
-        call.request_id in arrived_ids
+        call.request_id in names_by_request
         and drain.begun_at + DRAIN_SECONDS < call.sent_at < drain.ended_at
         and not any(
-            each.name in (call.gateway, "store")
+            each.name in {call.gateway, *names_by_request[call.request_id]}
             and each.begun_at < call.sent_at
             and call.sent_at - CONTACT_SECONDS < each.ended_at
             for each in disturbances
