Test that former addresses are kept after a return of the store

All tests passed with that safeguard of the registration taken out. This one fails without it: a daemon whose list of members comes back empty keeps the addresses that it knew until a lease has passed.

--- a/tests/test_registration.py
+++ b/tests/test_registration.py
@@ -1,7 +1,10 @@
 """A daemon's registration in the store, which may lose it and give its lease again."""
 
+import asyncio
+import random
 import signal
 import time
+from types import SimpleNamespace
 
 import pytest
 from gateway_fleet import Fleet, running_gateways, wait_for
@@ -12,9 +15,14 @@
     wait_registered,
 )
 
+from cranberrywick.bench.virtual_time import run_in_virtual_time
 from cranberrywick.external.key_value import LeaseLapsed
+from cranberrywick.gateway.registration import LEASE_SECONDS, Registration
+from cranberrywick.gateway.store_reader import Registered
+from cranberrywick.gateway.ticker import Ticker
 from cranberrywick.logs import EventLog
 from cranberrywick.platform.store import PlatformStore
+from cranberrywick.routing.store_position import StorePosition
 
 
 @pytest.fixture
@@ -110,3 +118,50 @@
         go_back(fleet, fleet.on_loop(fleet.store.copy))
         stopped.process.wait()
         assert name not in fleet.store.keys(MEMBERS_PREFIX)
+
+
+def test_former_addresses_are_kept_after_a_return_until_all_have_registered_again():
+    """Guards against daemons that are sent nothing while the list of members is empty.
+
+    The copy holds no registration. A daemon that has just started and sends to nobody
+    else would not be heard by the others until they have registered again.
+    """
+    kept_by_time = {}
+
+    async def main():
+        loop = asyncio.get_running_loop()
+        members = SimpleNamespace(count=lambda now: 1)
+        peer_updates = SimpleNamespace(
+            registered_addresses={"e2": "10.0.0.2:1"},
+            has_received_all=False,
+            peer_address="10.0.0.1:1",
+            members=members,
+        )
+
+        def set_registered_addresses(addresses_by_id):
+            peer_updates.registered_addresses = addresses_by_id
+
+        peer_updates.set_registered_addresses = set_registered_addresses
+        store = SimpleNamespace(
+            register=lambda *arguments: Registered(1, StorePosition(1, 1)),
+            keep=lambda registered: None,
+            read_members=dict,
+        )
+        calls = SimpleNamespace(
+            make=lambda reader, call, handle: handle(call(), loop.time())
+        )
+        registration = Registration(
+            "e1", store, calls, peer_updates, random.Random(1), EventLog()
+        )
+        ticker = Ticker(EventLog())
+        registration.start(ticker)
+        registration.store_returned(1)
+        for seconds in (3.0, LEASE_SECONDS - 4.0, 60.0):
+            await asyncio.sleep(seconds)
+            kept_by_time[loop.time()] = peer_updates.registered_addresses
+        ticker.stop()
+
+    run_in_virtual_time(main())
+    during, late, after = kept_by_time.values()
+    assert during == late == {"e2": "10.0.0.2:1"}
+    assert after == {}
