Test limits, memory, keys, attempts and a silent store on the way through a peer

A rate limit holds as a sum while two of three gateways forward; memory reserved by a peer is released at the end of a prompt and when its caller leaves; a revoked key is refused; attempts are counted once; forwarding needs no store.

--- a/tests/test_cut_promises.py
+++ b/tests/test_cut_promises.py
@@ -10,7 +10,14 @@
 
 import pytest
 from cut_fleet import MODES, running_cut_fleet
-from gateway_fleet import KEY, PROMPT_HEADERS, read_answer, request_bytes, wait_for
+from gateway_fleet import (
+    KEY,
+    PROMPT_HEADERS,
+    configuration,
+    read_answer,
+    request_bytes,
+    wait_for,
+)
 from test_cut_from_endpoints import call_all, served
 
 # Time within which endpoints stop work whose caller has gone.
@@ -436,3 +443,103 @@
                 assert read_answer(connection).status in (0, 400)
         assert fleet.runs("foreign") == 0
         assert fleet.call(gateway, "GET", "/reads/1").status == 200
+
+
+def test_a_rate_limit_holds_as_a_sum_for_forwarded_requests(tmp_path):
+    """Guards against a limit that cut gateways and their peers each use in full."""
+    rate, window = 2.0, 4.0
+    with running_cut_fleet(tmp_path) as fleet:
+        for gateway in fleet.gateways[:2]:
+            make_unreached(fleet, gateway)
+        for endpoint in fleet.endpoints.values():
+            endpoint.rate_limit = rate
+        until = time.monotonic() + 9.0
+        with ThreadPoolExecutor(3) as callers:
+
+            def call_until_the_end(gateway):
+                while time.monotonic() < until:
+                    fleet.call(gateway, "GET", "/reads/1")
+
+            list(callers.map(call_until_the_end, fleet.gateways))
+        for number in (1, 2, 3):
+            endpoint = fleet.endpoints[f"desk-{number}"]
+            binding = endpoint.limit_named_at + 3.0
+            times = [at for at in endpoint.arrived_at if at >= binding]
+            most = max(sum(t <= at < t + window for at in times) for t in times)
+            assert most <= 1.5 * rate * window + 5
+            assert len(times) >= 0.5 * rate * (fleet.loop.time() - binding)
+
+
+def test_memory_that_a_peer_reserves_is_released(tmp_path):
+    """Guards against memory that stays reserved at helpers of a forwarded prompt."""
+    with running_cut_fleet(tmp_path) as fleet:
+        cut = fleet.gateways[0]
+        make_unreached(fleet, cut)
+        headers = {**PROMPT_HEADERS, "Cranberrywick-Token-Count": "400000,1000"}
+
+        def reserved():
+            endpoints = fleet.endpoints.values()
+            return sum(fleet.on_loop(lambda e=e: e.reserved) for e in endpoints)
+
+        answer = fleet.call(cut, "POST", "/prompts/1", b"p", headers, "long")
+        assert answer.status == 200 and answer.whole
+        assert any(
+            "/" in head[2].get("cranberrywick-helpers", "")
+            for endpoint in fleet.endpoints.values()
+            for head in endpoint.heads
+        )
+        wait_for(lambda: reserved() == 0, "the memory to be free")
+        for endpoint in fleet.endpoints.values():
+            endpoint.work_seconds = 5.0
+        with fleet.connect(cut) as connection:
+            connection.sendall(
+                request_bytes("POST", "/prompts/1", b"p", headers, fleet.new_id())
+            )
+            wait_for(lambda: reserved() > 0, "memory to be reserved")
+        left_at = time.monotonic()
+        wait_for(lambda: reserved() == 0, "the memory to be free")
+        assert time.monotonic() - left_at < 1.5
+
+
+@pytest.mark.parametrize("store_mode", ["silent", "busy", "reset"])
+def test_the_store_is_silent_while_a_gateway_is_cut(tmp_path, store_mode):
+    """Guards against forwarding that needs the store."""
+    with running_cut_fleet(tmp_path) as fleet:
+        cut = fleet.gateways[0]
+        for name in list(fleet.store.modes_by_listener):
+            fleet.store.modes_by_listener[name] = store_mode
+        time.sleep(1.0)
+        fleet.cut(cut, "hang")
+        answers = call_all(fleet, cut)
+        assert len(served(answers)) >= len(answers) - 2
+
+
+def test_a_revoked_key_is_refused_on_the_way_through_a_peer(tmp_path):
+    """Guards against a key that is valid at the peer after it was revoked."""
+    with running_cut_fleet(tmp_path) as fleet:
+        cut = fleet.gateways[0]
+        make_unreached(fleet, cut)
+        tenants = [{"name": "kask", "apiKeys": ["another"], "priority": 1}]
+        fleet.configure(configuration(7, tenants=tenants))
+        wait_for(lambda: "version=7" in cut.log, "the configuration")
+        assert fleet.call(cut, "GET", "/reads/1", request_id="revoked").status == 401
+        headers = {"Authorization": "Token another"}
+        assert fleet.call(cut, "GET", "/reads/1", b"", headers).status == 200
+        assert fleet.runs("revoked") == 0
+
+
+def test_a_request_goes_to_as_many_endpoints_as_its_route_allows(tmp_path):
+    """Guards against attempts that are counted anew at each peer."""
+    with running_cut_fleet(tmp_path, desks=4) as fleet:
+        cut = fleet.gateways[0]
+        make_unreached(fleet, cut)
+        for endpoint in fleet.endpoints.values():
+            endpoint.behaviour = "failing"
+        for _ in range(10):
+            request_id = fleet.new_id()
+            answer = fleet.call(cut, "GET", "/reads/1", request_id=request_id)
+            assert answer.status == 500
+            assert fleet.runs(request_id) <= 2
+            request_id = fleet.new_id()
+            answer = fleet.call(cut, "POST", "/books/1", request_id=request_id)
+            assert answer.status == 500 and fleet.runs(request_id) == 1
