--- a/cranberrywick/gateway/attempt.py
+++ b/cranberrywick/gateway/attempt.py
@@ -147,33 +147,26 @@
 
     async def _open(self, connection: EndpointConnection) -> None:
         """Connect; try again if the first try timed out while this daemon was busy."""
+        endpoint_id = self._placement.endpoint_id
         started = self._loop.time()
-        remaining = self._exchange.deadline - started
-        allowed = min(self._connect_timeout.seconds, remaining)
-        try:
-            await connection.open(allowed)
-        except EndpointRefused as error:
-            waited = self._loop.time() - started
-            if waited >= allowed:
-                self._connect_timeout.timed_out()
-            if not is_own_delay(waited, allowed):
+        for is_last in (False, True):
+            tried_at = self._loop.time()
+            remaining = self._exchange.deadline - tried_at
+            allowed = min(self._connect_timeout.seconds, remaining)
+            try:
+                await connection.open(allowed)
+                break
+            except EndpointRefused as error:
+                waited = self._loop.time() - tried_at
+                if waited >= allowed and not is_last:
+                    self._connect_timeout.timed_out()
+                if is_own_delay(waited, allowed) and not is_last:
+                    continue
                 if not is_late(waited, allowed):
-                    self._reach.failed(self._placement.endpoint_id, error)
+                    self._reach.failed(endpoint_id, error)
                 raise
-            await self._open_again(connection)
         self._connect_timeout.answered(self._loop.time() - started)
-        self._reach.connected(self._placement.endpoint_id)
-
-    async def _open_again(self, connection: EndpointConnection) -> None:
-        started = self._loop.time()
-        remaining = self._exchange.deadline - started
-        allowed = min(self._connect_timeout.seconds, remaining)
-        try:
-            await connection.open(allowed)
-        except EndpointRefused as error:
-            if not is_late(self._loop.time() - started, allowed):
-                self._reach.failed(self._placement.endpoint_id, error)
-            raise
+        self._reach.connected(endpoint_id)
 
     async def _send(
         self, connection: EndpointConnection, reservations: Reservations
