Give a peer time to answer, and use the only one left although it has just failed

On a machine with twice as many busy processes as cores the last gateway that reached the endpoints took longer than 50 ms to answer the head of a forwarded request.

The time for that answer was the one for connections, which the peer's kernel accepts. It is now 0.3 s, and a daemon that reaches nothing uses a peer that has just failed rather than none.

--- a/cranberrywick/gateway/peer_attempts.py
+++ b/cranberrywick/gateway/peer_attempts.py
@@ -47,6 +47,9 @@
 # although its service counts as reached. The first one has mostly died, and a peer,
 # which doesn't know that, may choose it too.
 MIN_UNREACHABLE_ENDPOINTS = 2
+# Longest time until a peer answers the head of a request, in seconds. Unlike a
+# connection, which its kernel accepts, the answer waits for what the peer is doing.
+OFFER_SECONDS = 0.3
 # Largest number of peers that could not serve a request before it is given up.
 MAX_FAILED_PEERS = 4
 # How long endpoints that are gone stay excluded for a peer, in seconds. It reads of
@@ -178,8 +181,9 @@
         statement = encode_request_statement(self._statement(exchange))
         headers = end_to_end_headers(request.raw_headers)
         headers.append((STATEMENT_HEADER, statement))
+        remaining = exchange.deadline - self._loop.time()
         await connection.offer(
-            request.method, request.target, headers, self._connect_timeout.seconds
+            request.method, request.target, headers, min(OFFER_SECONDS, remaining)
         )
 
     def _statement(self, exchange: Exchange) -> RequestStatement:
--- a/cranberrywick/routing/forwarding_peers.py
+++ b/cranberrywick/routing/forwarding_peers.py
@@ -3,7 +3,7 @@
 Load pattern: most daemons of a failure domain, or nearly all of the fleet, lose their
 links to the endpoints at once. Their requests are spread evenly over the daemons that
 still have theirs; a daemon that was just found unable to serve them is not asked again
-by each further request.
+by each further request, unless it is the only one left.
 """
 
 import random
@@ -54,10 +54,12 @@
             and service not in beat.reach.unreached_services
             and beat.store.configuration_version >= version
             and beat.daemon_id not in excluded_ids
-            and not self._is_unused(beat.daemon_id, service, now)
         ]
         well = [e for e in able if service not in e.reach.poorly_reached_services]
-        choices = well if well or reach is not Reach.NONE else able
+        choices = [e for e in well if not self._is_unused(e.daemon_id, service, now)]
+        if not choices and reach is Reach.NONE:
+            # A peer that has just failed is better than none.
+            choices = well or able
         return self._rng.choice(choices) if choices else None
 
     def failed(self, daemon_id: str, now: float) -> None:
--- a/tests/test_forwarding_at_size.py
+++ b/tests/test_forwarding_at_size.py
@@ -148,15 +148,29 @@
     peers.failed("d1", 10.0)
     peers.unreachable("d2", "desk", 10.0)
 
-    def chosen(service, now):
-        picks = (
-            peers.choose(beats, service, Reach.NONE, 0, set(), now) for _ in range(40)
-        )
+    def chosen(service, now, reach=Reach.POOR):
+        picks = (peers.choose(beats, service, reach, 0, set(), now) for _ in range(40))
         return {pick.daemon_id if pick else "" for pick in picks}
 
-    assert chosen("pool", 10.5) == {"d2"}
+    assert chosen("pool", 10.5) == chosen("pool", 10.5, Reach.NONE) == {"d2"}
     assert chosen("desk", 10.5) == {""}
     assert chosen("desk", 11.5) == {"d1", "d2"}
+
+
+def test_the_only_peer_left_is_used_although_it_has_just_failed():
+    """Guards against a second of refusals for one timeout at the last peer."""
+    peers = ForwardingPeers(random.Random(1))
+    beats = [Daemon("d1", random.Random(1)).heartbeat()]
+    peers.failed("d1", 10.0)
+    assert peers.choose(beats, "pool", Reach.POOR, 0, set(), 10.1) is None
+    assert peers.choose(beats, "pool", Reach.NONE, 0, set(), 10.1) is beats[0]
+    assert peers.choose(beats, "pool", Reach.NONE, 0, {"d1"}, 10.1) is None
+
+
+def test_a_peer_is_not_used_that_knows_an_older_configuration_or_has_failed():
+    """Guards against requests that go back in time, or twice to the same peer."""
+    peers = ForwardingPeers(random.Random(1))
+    beats = [Daemon(name, random.Random(1)).heartbeat() for name in ("d1", "d2")]
     assert peers.choose(beats, "pool", Reach.NONE, 1, set(), 12.0) is None
     assert peers.choose(beats, "pool", Reach.NONE, 0, {"d1", "d2"}, 12.0) is None
 
