--- a/tests/test_cut_from_endpoints.py
+++ b/tests/test_cut_from_endpoints.py
@@ -1,45 +1,14 @@
 """Gateways that lost their links to endpoints, while peers still reach these."""
 
-import time
-from concurrent.futures import ThreadPoolExecutor
-
 import pytest
 from cut_fleet import MODES, running_cut_fleet
-from gateway_fleet import PROMPT_HEADERS, wait_for
+from cut_scenes import CALLS, call_all, served
+from gateway_fleet import wait_for
 
-CALLS = 40
 # Share of the first tries that a cut gateway has to serve.
 SERVED_SHARE = 2 / 3
 
 
-def call_all(fleet, gateway, number=CALLS):
-    """Send calls of all three kinds to a gateway; return their answers by request id.
-
-    Each is sent once, as a first try.
-    """
-
-    def call(index):
-        request_id = f"{gateway.name}-{index}-{time.monotonic_ns()}"
-        if index % 4 == 3:
-            answer = fleet.call(
-                gateway, "POST", "/prompts/1", b"{}", PROMPT_HEADERS, request_id
-            )
-        elif index % 4 == 2:
-            answer = fleet.call(
-                gateway, "POST", "/books/1", b"b", request_id=request_id
-            )
-        else:
-            answer = fleet.call(gateway, "GET", "/reads/1", request_id=request_id)
-        return request_id, answer
-
-    with ThreadPoolExecutor(8) as pool:
-        return dict(pool.map(call, range(number)))
-
-
-def served(answers):
-    return [a for a in answers.values() if a.status == 200 and a.whole]
-
-
 def assert_served(fleet, gateway):
     """Check that a gateway serves its callers, and runs no request twice."""
     answers = call_all(fleet, gateway)
