--- a/cranberrywick/gateway/app.py
+++ b/cranberrywick/gateway/app.py
@@ -5,6 +5,7 @@
 import random
 import signal
 
+from cranberrywick.gateway.contention import Contention
 from cranberrywick.gateway.direct_attempts import DirectAttempts
 from cranberrywick.gateway.forwarder import Forwarder
 from cranberrywick.gateway.ingress import CallerConnection, HttpRequest, Ingress
@@ -66,11 +67,18 @@
             peer_updates.limits.wait_seconds,
         )
         self._health = health
-        self._waiting = WaitingRequests(self.state, placer)
+        contention = Contention(
+            lambda: self.state.table,
+            peer_updates.demand,
+            peer_updates.observation_changed,
+            self._metrics,
+            log,
+        )
+        self._waiting = WaitingRequests(self.state, placer, contention)
         self.state.changed = self._waiting.schedule_placing
         self.state.reach.regained = health.forget
         direct = DirectAttempts(
-            settings, self.state, self._waiting, health, self._metrics, log
+            settings, self.state, self._waiting, health, contention, self._metrics, log
         )
         forwarder = Forwarder(
             settings, self.state, self._waiting, direct, self._metrics, log
--- a/cranberrywick/gateway/direct_attempts.py
+++ b/cranberrywick/gateway/direct_attempts.py
@@ -11,6 +11,7 @@
 )
 from cranberrywick.gateway.answer_forwarding import AnswerCallbacks
 from cranberrywick.gateway.attempt import Attempt
+from cranberrywick.gateway.contention import Contention
 from cranberrywick.gateway.exchange import Exchange
 from cranberrywick.gateway.lazy_metrics import LazyMetrics
 from cranberrywick.gateway.observations import EndpointObservations
@@ -50,6 +51,7 @@
         state: FleetState,
         waiting: WaitingRequests,
         health: EndpointHealth,
+        contention: Contention,
         metrics: LazyMetrics,
         log: EventLog,
     ):
@@ -57,6 +59,7 @@
         self._state = state
         self._waiting = waiting
         self._health = health
+        self._contention = contention
         self._log = log
         self._loop = asyncio.get_running_loop()
         self._connect_timeout = ConnectTimeout()
@@ -78,8 +81,10 @@
             self._state.load.drop(exchange.key)
             return self._record_failure(placement, error)
         self.observations.record_call_end(exchange)
+        now = self._loop.time()
+        self._contention.request_held(exchange.service.name, now - exchange.sent_at)
         if exchange.status < 500:
-            self._health.succeeded(placement.endpoint_id, self._loop.time())
+            self._health.succeeded(placement.endpoint_id, now)
         return None
 
     def time_out(self, exchange: Exchange) -> TimedOut:
--- a/cranberrywick/gateway/peer_updates.py
+++ b/cranberrywick/gateway/peer_updates.py
@@ -26,6 +26,7 @@
 from cranberrywick.gateway.ticker import Ticker
 from cranberrywick.logs import EventLog, id_lists
 from cranberrywick.routing.drain_notices import DrainNotice, DrainNotices
+from cranberrywick.routing.fleet_demand import FleetDemand
 from cranberrywick.routing.fleet_limits import FleetLimits
 from cranberrywick.routing.load import FleetLoad
 from cranberrywick.routing.members import Heartbeat, Members, heartbeat_seconds
@@ -120,6 +121,7 @@
         contact = settings.bounds.contact_seconds
         self.members = Members(settings.daemon_id, contact)
         self.load = FleetLoad()
+        self.demand = FleetDemand()
         self.slowdowns = EndpointSlowdowns()
         self.drain_notices = DrainNotices()
         self.limits = FleetLimits(
@@ -351,6 +353,7 @@
         if is_unknown:
             self._new_ids.append(daemon_id)
         self.load.receive(daemon_id, heartbeat.jobs, received_at)
+        self.demand.receive(daemon_id, heartbeat.demand, received_at)
         self.slowdowns.receive(heartbeat.slow_engines, received_at)
         self._receive_limits(heartbeat)
         self._receive_drain_notices(heartbeat)
@@ -386,3 +389,4 @@
         if self.members.was_paused:
             self._recipients.relays.discount_pause(now)
         self.load.evict_silent(now)
+        self.demand.evict_silent(now)
--- a/cranberrywick/gateway/permitted_placements.py
+++ b/cranberrywick/gateway/permitted_placements.py
@@ -99,6 +99,7 @@
             tried_ids=frozenset(exchange.tried_ids | exchange.unreachable_ids),
             answering_ids=exchange.answering_ids,
             longest_wait=longest_permit_wait(exchange.deadline - self._loop.time()),
+            organisation=exchange.organisation.name if exchange.organisation else "",
         )
         return await self._waiting.place(
             demand, exchange.priority, due_at, exchange.deadline
--- a/cranberrywick/gateway/waiting.py
+++ b/cranberrywick/gateway/waiting.py
@@ -7,9 +7,9 @@
 import random
 from functools import partial
 from math import inf
-from typing import NamedTuple
 
 from cranberrywick.errors import Overloaded
+from cranberrywick.gateway.contention import Contention, Waiter
 from cranberrywick.gateway.state import FleetState
 from cranberrywick.routing.demand import (
     Demand,
@@ -37,14 +37,9 @@
 # Least time for serving a request, in seconds. A request without a placement this
 # close to its deadline is refused, while its caller can still receive the refusal.
 MIN_SERVICE_SECONDS = 0.05
-
-
-class _Waiter(NamedTuple):
-    demand: Demand
-    priority: int
-    due_at: float
-    deadline: float
-    placement_future: asyncio.Future
+# Interval at which a deferred request is tried again, in seconds. Each try costs a
+# placement; shorter waits than this are of no use to requests with targets of seconds.
+DEFERRED_RETRY_SECONDS = 0.1
 
 
 class WaitingRequests:
@@ -54,18 +49,21 @@
     time, then the moment at which their answer should begin.
     """
 
-    def __init__(self, state: FleetState, placer: Placer):
+    def __init__(self, state: FleetState, placer: Placer, contention: Contention):
         self._state = state
         self._placer = placer
+        self._contention = contention
         self._loop = asyncio.get_running_loop()
         self._outages = ServiceOutages(random.Random())
         self._returns = LimitedReturns(random.Random())
         self._backoff_returns = BackoffReturns(random.Random())
-        self._waiters: list[_Waiter] = []
+        self._waiters: list[Waiter] = []
+        # Requests that leave the room to more urgent ones: their next retries.
+        self._deferred_by_id: dict[str, asyncio.TimerHandle] = {}
         self._scheduled: asyncio.Handle | None = None
 
     def __len__(self) -> int:
-        return len(self._waiters)
+        return len(self._waiters) + len(self._deferred_by_id)
 
     async def place(
         self, demand: Demand, priority: int, due_at: float, deadline: float
@@ -77,23 +75,23 @@
         service could hold the request, when their rate limits or their backoffs leave
         no room for too long, and as soon as no answer can begin before the deadline.
         """
-        placement = None
-        if not self._waiters:
-            placement = self._try_placing(demand)
-        if placement is not None:
-            return placement
-        placement_future = self._loop.create_future()
-        waiter = _Waiter(demand, priority, due_at, deadline, placement_future)
-        self._waiters.append(waiter)
-        self.schedule_placing()
+        now = self._loop.time()
+        future = self._loop.create_future()
+        waiter = Waiter(demand, priority, now, due_at, deadline, future)
+        self._contention.request_arrived(waiter, now)
+        if self._waiters:
+            self._append(waiter)
+        else:
+            self._try_placing(waiter)
+        if future.done():
+            return future.result()
         try:
-            return await waiter.placement_future
+            return await future
         finally:
-            # The waiter is still in the list if this task was cancelled. If that
+            # The waiter is still known here if this task was cancelled. If that
             # happened just after the request was placed, its jobs are in the load
             # already; the caller of this method always drops them.
-            if waiter in self._waiters:
-                self._waiters.remove(waiter)
+            self._remove(waiter)
 
     def schedule_placing(self) -> None:
         """Try to place the waiting requests soon.
@@ -107,46 +105,91 @@
     def _place_waiting(self) -> None:
         self._scheduled = None
         now = self._loop.time()
-        self._waiters.sort(key=lambda w: order_key(w.priority, w.due_at, now))
+        rank = self._contention.effective_rank
+        self._waiters.sort(key=lambda w: order_key(rank(w, now), w.due_at, now))
         for waiter in list(self._waiters):
-            if waiter.placement_future.done():
-                self._waiters.remove(waiter)
-                continue
-            self._try_waiter(waiter)
+            self._retry(waiter)
         if self._waiters:
             self._scheduled = self._loop.call_later(
                 RETRY_INTERVAL_SECONDS, self._place_waiting
             )
 
-    def _try_waiter(self, waiter: _Waiter) -> None:
+    def _append(self, waiter: Waiter) -> None:
+        """Let a request wait for room, unless it does already."""
+        if waiter in self._waiters:
+            return
+        self._waiters.append(waiter)
+        self._contention.waiting_began(waiter)
+        self.schedule_placing()
+
+    def _defer(self, waiter: Waiter) -> None:
+        """Try a request again later that leaves its room to more urgent ones."""
+        self._remove(waiter)
+        self._deferred_by_id[waiter.demand.request_id] = self._loop.call_later(
+            DEFERRED_RETRY_SECONDS, self._retry_deferred, waiter
+        )
+
+    def _retry_deferred(self, waiter: Waiter) -> None:
+        if self._waiters:
+            self._remove(waiter)
+            self._append(waiter)
+        else:
+            self._retry(waiter)
+
+    def _retry(self, waiter: Waiter) -> None:
+        """Try to place a request that waited; end its wait if it can't be placed."""
+        if waiter.placement_future.done():
+            self._remove(waiter)
+            return
         try:
-            placement = self._try_placing(waiter.demand)
-            if placement is None:
-                self._refuse_hopeless(waiter)
+            self._try_placing(waiter)
         except Overloaded as error:
-            self._waiters.remove(waiter)
+            self._remove(waiter)
             waiter.placement_future.set_exception(error)
-            return
-        if placement is not None:
+
+    def _remove(self, waiter: Waiter) -> None:
+        """Remove a request that waits or is deferred, if it is known here."""
+        if waiter in self._waiters:
             self._waiters.remove(waiter)
+            self._contention.waiting_ended(waiter)
+        timer = self._deferred_by_id.pop(waiter.demand.request_id, None)
+        if timer is not None:
+            timer.cancel()
+
+    def _try_placing(self, waiter: Waiter) -> None:
+        """Place a request, or let it wait; raises `Overloaded` for one that can't be.
+
+        A placement becomes the result of its future and is recorded in the load.
+        """
+        now = self._loop.time()
+        placement = self._find_placement(waiter.demand, now)
+        if placement is None:
+            self._refuse_hopeless(waiter)
+            self._contention.check_servable(waiter, now)
+            self._append(waiter)
+        elif self._contention.may_start(waiter, placement, now):
+            self._remove(waiter)
+            self._state.load.put(waiter.demand.request_id, placement.jobs)
+            self._state.peer_updates.job_added()
             waiter.placement_future.set_result(placement)
+        else:
+            self._defer(waiter)
 
-    def _refuse_hopeless(self, waiter: _Waiter) -> None:
+    def _refuse_hopeless(self, waiter: Waiter) -> None:
         """Raise `Overloaded` for a request that can no longer meet its deadline."""
         left = waiter.deadline - self._loop.time()
         if left >= max(min_first_event_seconds(waiter.demand), MIN_SERVICE_SECONDS):
             return
         raise Overloaded("no place is free in time")
 
-    def _try_placing(self, demand: Demand) -> Placement | None:
-        """Return a placement, recorded in the load; None if the request must wait.
+    def _find_placement(self, demand: Demand, now: float) -> Placement | None:
+        """Return a placement, or None if the request must wait.
 
         Raises `Overloaded` for a request that can't be placed in time.
         """
         service = demand.service.name
         usable = self._state.usable_endpoints.ready(service)
         last_resort = partial(self._state.usable_endpoints.last_resort, service)
-        now = self._loop.time()
         if not fits_fleet(demand, usable) and not fits_fleet(demand, last_resort()):
             if self._may_wait_for_backoff(demand, usable, now):
                 return None
@@ -158,9 +201,6 @@
         placement = self._placer.place(demand, usable, now, last_resort)
         if placement is None:
             self._refuse_limited(demand, usable, now)
-            return None
-        self._state.load.put(demand.request_id, placement.jobs)
-        self._state.peer_updates.job_added()
         return placement
 
     def _may_wait_for_backoff(
--- a/cranberrywick/platform/settings.py
+++ b/cranberrywick/platform/settings.py
@@ -8,12 +8,15 @@
 
 from cranberrywick.errors import InvalidConfiguration, InvalidSettings
 from cranberrywick.platform.fields import mapping, number, string, strings
-from cranberrywick.routing.model import BoundsSettings, GatewaySettings
+from cranberrywick.routing.model import BoundsSettings, GatewaySettings, VmLimits
 
 __all__ = ["SETTINGS_VARIABLE", "decode_settings", "load_settings"]
 
 # The environment variable that holds the file's path.
 SETTINGS_VARIABLE = "CRANBERRYWICK_CONFIG"
+# The entry of ``contracts`` by which a deployment says that callers and endpoints may
+# read slowly.
+PRESSURE_CONTRACT = "pressure"
 
 
 def load_settings(path: str | None = None) -> GatewaySettings:
@@ -57,9 +60,18 @@
         store_address=string(mapping(fields, "platform"), "address"),
         seeds=strings(fields, "seeds"),
         bounds=_decode_bounds(mapping(fields, "bounds")),
+        pressure=PRESSURE_CONTRACT in strings(fields, "contracts"),
+        vm_limits=_decode_limits(mapping(fields, "limits")),
     )
 
 
+def _decode_limits(limits: Mapping[str, Any]) -> VmLimits:
+    # The file gives the share of one core, and how many times as fast a core is.
+    cores = number(limits, "cpuShare", 0) * number(limits, "cores", 1)
+    megabytes = number(limits, "memoryMb", 0)
+    return VmLimits(cores, int(megabytes * 1e6), number(limits, "linkMbps", 0))
+
+
 def _decode_bounds(bounds: Mapping[str, Any]) -> BoundsSettings:
     return BoundsSettings(
         contact_seconds=number(bounds, "contactMs", 3000) / 1000,
--- a/cranberrywick/routing/demand.py
+++ b/cranberrywick/routing/demand.py
@@ -32,6 +32,7 @@
     failed the request. Only those in ``answering_ids`` may answer it, though others may
     help; None allows all. It waits up to ``longest_wait`` seconds for the permit that
     an endpoint with a rate limit requires, or for the end of a backoff.
+    ``organisation`` is the name of the one that sent it, empty if there is none.
     """
 
     request_id: str
@@ -44,6 +45,7 @@
     tried_ids: frozenset[str] = frozenset()
     answering_ids: frozenset[str] | None = None
     longest_wait: float = 0.0
+    organisation: str = ""
 
 
 def may_answer(demand: Demand, endpoint_id: str) -> bool:
--- a/cranberrywick/routing/members.py
+++ b/cranberrywick/routing/members.py
@@ -10,6 +10,7 @@
 
 from cranberrywick.routing.drain_notices import DrainNotice
 from cranberrywick.routing.endpoint_limits import LimitReport
+from cranberrywick.routing.fleet_demand import DemandStatement
 from cranberrywick.routing.load import Job
 from cranberrywick.routing.reachability import ReachStatement
 from cranberrywick.routing.relays import needs_relays
@@ -57,7 +58,8 @@
     was the newest. ``jobs`` are its requests at endpoints, ``slow_engines`` the engines
     that its streams show to be slower than declared, ``limits`` its reports of
     endpoints' rate limits, ``drain_notices`` what endpoints have announced to it,
-    ``store`` what it knows of the store, and ``reach`` which endpoints it reaches.
+    ``store`` what it knows of the store, ``reach`` which endpoints it reaches, and
+    ``demand`` its requests for contended services and what its VM can bear.
     """
 
     @property
@@ -81,6 +83,7 @@
     drain_notices: Sequence[DrainNotice] = ()
     store: StoreKnowledge = StoreKnowledge()
     reach: ReachStatement = ReachStatement()
+    demand: DemandStatement = DemandStatement()
 
     @property
     def operator_position(self) -> StorePosition:
--- a/cranberrywick/routing/model.py
+++ b/cranberrywick/routing/model.py
@@ -26,6 +26,7 @@
     "Route",
     "RouteKind",
     "Service",
+    "VmLimits",
 ]
 
 
@@ -183,12 +184,25 @@
     evacuate_seconds: float
 
 
+class VmLimits(NamedTuple):
+    """What a daemon's VM has: processor cores, memory in bytes, and its link.
+
+    A value of zero is unknown.
+    """
+
+    cores: float = 0.0
+    memory_bytes: int = 0
+    link_mbps: float = 0.0
+
+
 class GatewaySettings(NamedTuple):
     """Settings of one daemon, read at its start.
 
     ``entry_address`` accepts callers, ``directory_address`` answers with the addresses
     that callers may connect to, and ``ready_address`` answers health checks; each may
-    be empty.
+    be empty. ``pressure`` says that the deployment asks daemons to protect themselves
+    from what they are given: callers and endpoints may read slowly, and VMs differ in
+    what they can bear.
     """
 
     daemon_id: str
@@ -202,6 +216,8 @@
     store_address: str
     seeds: tuple[str, ...]
     bounds: BoundsSettings
+    pressure: bool = False
+    vm_limits: VmLimits = VmLimits()
 
     @property
     def forwarding_port(self) -> int:
--- a/cranberrywick/routing/table.py
+++ b/cranberrywick/routing/table.py
@@ -1,6 +1,7 @@
 """Look-up of a request's route and of the organisation that its key belongs to."""
 
 import random
+from collections import defaultdict
 from collections.abc import Iterable
 
 from cranberrywick.errors import NotFound, Unauthorised
@@ -22,6 +23,7 @@
         for route in configuration.routes:
             by_prefix = self._routes_by_prefix_by_host.setdefault(route.host, {})
             by_prefix[route.prefix] = route
+        self._contended = _contended_services(configuration)
 
     def match(self, host: str, path: str) -> Route:
         """Return the route with the longest prefix; raises `NotFound`.
@@ -59,6 +61,26 @@
             return organisation.priority
         return route.priority
 
+    def is_contended(self, service_name: str) -> bool:
+        """Whether requests of several priorities compete for a service's engines.
+
+        It has engines, and routes of two or more priorities lead to it.
+        """
+        return service_name in self._contended
+
+
+def _contended_services(configuration: GatewayConfiguration) -> frozenset[str]:
+    priorities_by_service: dict[str, set[int]] = defaultdict(set)
+    for route in configuration.routes:
+        for service_name, weight in route.weights_by_service:
+            if weight > 0:
+                priorities_by_service[service_name].add(route.priority)
+    return frozenset(
+        service.name
+        for service in configuration.services_by_name.values()
+        if service.engine is not None and len(priorities_by_service[service.name]) > 1
+    )
+
 
 def _host_name(host: str) -> str:
     name = host.lower()
--- a/tests/test_fleet_messages.py
+++ b/tests/test_fleet_messages.py
@@ -143,7 +143,7 @@
     (received,) = message.heartbeats
     assert received.received_at == pytest.approx(109.5)
     expected = heartbeat()
-    assert received.heartbeat[:-6] == expected[:-6]
+    assert received.heartbeat[:-7] == expected[:-7]
     assert received.heartbeat.reach == expected.reach
     there, here = received.heartbeat.store, expected.store
     assert there[:3] == here[:3]
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -11,10 +11,13 @@
 from cranberrywick.bench.prompt_engines import PROFILE
 from cranberrywick.bench.virtual_time import run_in_virtual_time
 from cranberrywick.errors import Overloaded
+from cranberrywick.gateway.contention import Contention
+from cranberrywick.gateway.lazy_metrics import LazyMetrics
 from cranberrywick.gateway.usable_endpoints import UsableEndpoints
 from cranberrywick.gateway.waiting import WaitingRequests
 from cranberrywick.logs import EventLog
 from cranberrywick.routing.demand import Demand, min_first_event_seconds
+from cranberrywick.routing.fleet_demand import FleetDemand
 from cranberrywick.routing.load import FleetLoad
 from cranberrywick.routing.model import (
     EndpointRecord,
@@ -71,7 +74,11 @@
     """Return how many seconds a request waited, and whether it was placed."""
     loop = asyncio.get_running_loop()
     started = loop.time()
-    waiting = WaitingRequests(state(), PlacerFullUntil(started + free_after))
+    contention = Contention(
+        lambda: None, FleetDemand(), lambda: None, LazyMetrics("e1"), EventLog()
+    )
+    placer = PlacerFullUntil(started + free_after)
+    waiting = WaitingRequests(state(), placer, contention)
     try:
         deadline = started + deadline_after
         await waiting.place(demand(prompt_tokens), 1, started, deadline)
