--- a/cranberrywick/gateway/operator_tracker.py
+++ b/cranberrywick/gateway/operator_tracker.py
@@ -214,7 +214,16 @@
                 source=source,
             )
             return True
-        self.table = RouteTable(configuration)
+        table = RouteTable(configuration)
+        contended = self.table.contended_services if self.table else frozenset()
+        if table.contended_services != contended:
+            self._log.info(
+                "contended_services_changed",
+                services=",".join(sorted(table.contended_services)),
+                before=",".join(sorted(contended)),
+                version=configuration.version,
+            )
+        self.table = table
         self.document_in_force = view.document
         self._log.info(
             "configuration_applied",
--- a/cranberrywick/routing/table.py
+++ b/cranberrywick/routing/table.py
@@ -23,7 +23,7 @@
         for route in configuration.routes:
             by_prefix = self._routes_by_prefix_by_host.setdefault(route.host, {})
             by_prefix[route.prefix] = route
-        self._contended = _contended_services(configuration)
+        self.contended_services = _contended_services(configuration)
 
     def match(self, host: str, path: str) -> Route:
         """Return the route with the longest prefix; raises `NotFound`.
@@ -66,7 +66,7 @@
 
         It has engines, and routes of two or more priorities lead to it.
         """
-        return service_name in self._contended
+        return service_name in self.contended_services
 
 
 def _contended_services(configuration: GatewayConfiguration) -> frozenset[str]:
