--- a/cranberrywick/gateway/app.py
+++ b/cranberrywick/gateway/app.py
@@ -14,8 +14,13 @@
 from cranberrywick.gateway.state import FleetState
 from cranberrywick.gateway.ticker import Ticker
 from cranberrywick.gateway.waiting import WaitingRequests
+from cranberrywick.gateway.weighted_directory import WeightedDirectory
 from cranberrywick.logs import EventLog
-from cranberrywick.platform.directory import DIRECTORY_PATH, encode_directory
+from cranberrywick.platform.directory import (
+    DIRECTORY_PATH,
+    decode_failure_domain,
+    encode_directory,
+)
 from cranberrywick.platform.documents import decode_configuration
 from cranberrywick.platform.settings import load_settings
 from cranberrywick.platform.store import PlatformStore
@@ -90,6 +95,11 @@
             (settings.ready_address, Ingress(self._answer_ready)),
             (settings.metrics_address, Ingress(self._answer_metrics)),
         ]
+        self._weighted_directory: WeightedDirectory | None = None
+        if settings.pressure:
+            self._weighted_directory = WeightedDirectory(
+                settings, peer_updates, self._ticker, self._rng, log
+            )
         self._stopping = asyncio.Event()
 
     def _request_limits(self):
@@ -125,6 +135,8 @@
             ip, port = self._settings.ip, self._settings.forwarding_port
             await self._peer_ingress.start(f"{ip}:{port}")
         self._ticker.every(FORGET_SECONDS, self._forget_gone)
+        if self._weighted_directory is not None:
+            self._weighted_directory.start()
         self._log.info("gateway_started", address=self._settings.entry_address)
 
     def _forget_gone(self) -> None:
@@ -179,15 +191,24 @@
         if path != DIRECTORY_PATH:
             await caller.answer(404, [], b"")
             return
+        body = encode_directory(self._choose_addresses(request, caller), ANSWER_SECONDS)
+        await caller.answer(200, [(b"Content-Type", b"application/json")], body)
+
+    def _choose_addresses(
+        self, request: HttpRequest, caller: CallerConnection
+    ) -> list[str]:
+        if self._weighted_directory is not None:
+            domain = decode_failure_domain(request.target)
+            return self._weighted_directory.addresses(
+                caller.caller_ip, domain, not self.state.ready
+            )
         now = asyncio.get_running_loop().time()
-        addresses = choose_addresses(
+        return choose_addresses(
             self.state.members.serving(now),
             self._settings.entry_address,
             not self.state.ready,
             self._rng,
         )
-        body = encode_directory(addresses, ANSWER_SECONDS)
-        await caller.answer(200, [(b"Content-Type", b"application/json")], body)
 
     async def _answer_ready(
         self, request: HttpRequest, caller: CallerConnection
--- a/cranberrywick/gateway/ingress.py
+++ b/cranberrywick/gateway/ingress.py
@@ -192,6 +192,12 @@
         """Whether the caller has closed the connection."""
         return self._closed
 
+    @property
+    def caller_ip(self) -> str:
+        """The address that the caller connected from, empty if it is not known."""
+        peer = self._transport.get_extra_info("peername") if self._transport else None
+        return peer[0] if peer else ""
+
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Start the idle timer of a new connection; called by asyncio."""
         self._transport = transport
--- a/cranberrywick/gateway/peer_updates.py
+++ b/cranberrywick/gateway/peer_updates.py
@@ -26,7 +26,7 @@
 from cranberrywick.gateway.ticker import Ticker
 from cranberrywick.logs import EventLog, id_lists
 from cranberrywick.routing.drain_notices import DrainNotice, DrainNotices
-from cranberrywick.routing.fleet_demand import FleetDemand
+from cranberrywick.routing.fleet_demand import FleetDemand, VmCapacity
 from cranberrywick.routing.fleet_limits import FleetLimits
 from cranberrywick.routing.load import FleetLoad
 from cranberrywick.routing.members import Heartbeat, Members, heartbeat_seconds
@@ -122,6 +122,8 @@
         self.members = Members(settings.daemon_id, contact)
         self.load = FleetLoad()
         self.demand = FleetDemand()
+        # Returns what heartbeats state of this VM; unknown unless the daemon sets it.
+        self.vm_capacity: Callable[[], VmCapacity] = VmCapacity
         self.slowdowns = EndpointSlowdowns()
         self.drain_notices = DrainNotices()
         self.limits = FleetLimits(
