--- a/tests/test_weighted_directory.py
+++ b/tests/test_weighted_directory.py
@@ -9,7 +9,8 @@
 import random
 from types import SimpleNamespace
 
-from gateway_fleet import gateway_settings
+import gateway_fleet
+from gateway_fleet import gateway_settings, running_gateways, wait_for
 from test_routing import heartbeat
 
 from cranberrywick.bench.virtual_time import run_in_virtual_time
@@ -137,6 +138,22 @@
     assert capacity == LARGE
 
 
+def test_gateways_that_run_name_each_other_until_one_dies(tmp_path, monkeypatch):
+    """Guards against a directory that fails, or names the dead, in a real process."""
+
+    def with_pressure(*arguments):
+        return gateway_settings(*arguments) | {"contracts": ["pressure"]}
+
+    monkeypatch.setattr(gateway_fleet, "gateway_settings", with_pressure)
+    with running_gateways(tmp_path, gateways=2) as fleet:
+        first, second = fleet.gateways
+        both = {first.front, second.front}
+        wait_for(lambda: {*fleet.addresses(first)} == both, "both addresses")
+        second.process.kill()
+        wait_for(lambda: fleet.addresses(first) == [first.front], "one address")
+        assert "timer_failed" not in first.log
+
+
 def test_a_caller_is_known_by_the_address_that_it_connects_from():
     async def main():
         found = []
