Defer requests that would take capacity from more urgent ones

A deferred request that was due for a retry while others waited counted as waiting for that moment, and stayed in the deferred ones after it had begun to wait; both are corrected. It is tried at the end of its longest deferral at the latest.

--- a/cranberrywick/gateway/contention.py
+++ b/cranberrywick/gateway/contention.py
@@ -6,11 +6,11 @@
 gives them the fleet's state, and logs and counts what they decide.
 """
 
-import asyncio
 from collections.abc import Callable
-from typing import NamedTuple
 
+from cranberrywick.gateway.deferrals import DeferralEnd, Deferrals
 from cranberrywick.gateway.lazy_metrics import LazyMetrics
+from cranberrywick.gateway.waiter import Waiter
 from cranberrywick.logs import EventLog
 from cranberrywick.routing.demand import Demand
 from cranberrywick.routing.engine_model import prefill_time
@@ -21,22 +21,6 @@
 __all__ = ["Contention", "Waiter"]
 
 
-class Waiter(NamedTuple):
-    """A request that has no placement yet; moments are of the event loop's clock."""
-
-    demand: Demand
-    priority: int
-    arrived_at: float
-    due_at: float
-    deadline: float
-    placement_future: asyncio.Future
-
-    @property
-    def service(self) -> str:
-        """The name of the service that the request is for."""
-        return self.demand.service.name
-
-
 class Contention:
     """Decides about requests for contended services, by the demand of the fleet.
 
@@ -57,6 +41,7 @@
         self._waiting_changed = waiting_changed
         self._metrics = metrics
         self._log = log
+        self._deferrals = Deferrals(fleet_demand, metrics, log)
 
     def applies_to(self, service: str) -> bool:
         """Whether a service is contended by the configuration in force."""
@@ -99,7 +84,20 @@
 
     def may_start(self, waiter: Waiter, placement: Placement, now: float) -> bool:
         """Whether a request is sent now, or leaves the room to more urgent ones."""
-        return True
+        table = self._table()
+        if table is None or not table.is_contended(waiter.service):
+            self._deferrals.end(waiter, DeferralEnd.NOT_CONTENDED, now)
+            return True
+        rank = self.effective_rank(waiter, now)
+        targets_by_rank = table.targets_by_rank(waiter.service)
+        return self._deferrals.may_start(waiter, rank, placement, targets_by_rank, now)
+
+    def request_left(self, waiter: Waiter, now: float) -> None:
+        """Record that a request has its placement, or was refused or cancelled."""
+        future = waiter.placement_future
+        refused = future.done() and not future.cancelled() and future.exception()
+        reason = DeferralEnd.REFUSED if refused else DeferralEnd.CANCELLED
+        self._deferrals.end(waiter, reason, now)
 
     def check_servable(self, waiter: Waiter, now: float) -> None:
         """Raise `Overloaded` if a request without a placement can't be served."""
--- a/cranberrywick/gateway/lazy_metrics.py
+++ b/cranberrywick/gateway/lazy_metrics.py
@@ -93,6 +93,14 @@
         """Record a request that needed a permit, and its wait for that, in seconds."""
         self._record(methodcaller("permit_asked", class_name, granted, seconds))
 
+    def request_deferred(self, service: str, reason: str) -> None:
+        """Count a request that leaves its room to more urgent ones."""
+        self._record(methodcaller("request_deferred", service, reason))
+
+    def deferral_ended(self, service: str, reason: str, seconds: float) -> None:
+        """Record for how many seconds a request was deferred, by how that ended."""
+        self._record(methodcaller("deferral_ended", service, reason, seconds))
+
     async def render(self) -> Rendered:
         """Return all metrics as text, after loading the library if necessary."""
         metrics = await self._start_loading()
--- a/cranberrywick/gateway/permitted_placements.py
+++ b/cranberrywick/gateway/permitted_placements.py
@@ -100,6 +100,7 @@
             answering_ids=exchange.answering_ids,
             longest_wait=longest_permit_wait(exchange.deadline - self._loop.time()),
             organisation=exchange.organisation.name if exchange.organisation else "",
+            logged_id=exchange.meta.request_id,
         )
         return await self._waiting.place(
             demand, exchange.priority, due_at, exchange.deadline
--- a/cranberrywick/gateway/waiting.py
+++ b/cranberrywick/gateway/waiting.py
@@ -9,8 +9,10 @@
 from math import inf
 
 from cranberrywick.errors import Overloaded
-from cranberrywick.gateway.contention import Contention, Waiter
+from cranberrywick.gateway.contention import Contention
+from cranberrywick.gateway.deferrals import retry_seconds
 from cranberrywick.gateway.state import FleetState
+from cranberrywick.gateway.waiter import Waiter
 from cranberrywick.routing.demand import (
     Demand,
     fits_fleet,
@@ -37,9 +39,6 @@
 # Least time for serving a request, in seconds. A request without a placement this
 # close to its deadline is refused, while its caller can still receive the refusal.
 MIN_SERVICE_SECONDS = 0.05
-# Interval at which a deferred request is tried again, in seconds. Each try costs a
-# placement; shorter waits than this are of no use to requests with targets of seconds.
-DEFERRED_RETRY_SECONDS = 0.1
 
 
 class WaitingRequests:
@@ -57,13 +56,16 @@
         self._outages = ServiceOutages(random.Random())
         self._returns = LimitedReturns(random.Random())
         self._backoff_returns = BackoffReturns(random.Random())
-        self._waiters: list[Waiter] = []
-        # Requests that leave the room to more urgent ones: their next retries.
-        self._deferred_by_id: dict[str, asyncio.TimerHandle] = {}
+        self._waiters_by_id: dict[str, Waiter] = {}
+        # The retries of deferred requests, which leave the room to more urgent ones.
+        self._timers_by_id: dict[str, asyncio.TimerHandle] = {}
+        # Deferred requests whose retry is due; they are tried with those that wait.
+        self._due_by_id: dict[str, Waiter] = {}
         self._scheduled: asyncio.Handle | None = None
 
     def __len__(self) -> int:
-        return len(self._waiters) + len(self._deferred_by_id)
+        deferred = len(self._timers_by_id) + len(self._due_by_id)
+        return len(self._waiters_by_id) + deferred
 
     async def place(
         self, demand: Demand, priority: int, due_at: float, deadline: float
@@ -79,7 +81,7 @@
         future = self._loop.create_future()
         waiter = Waiter(demand, priority, now, due_at, deadline, future)
         self._contention.request_arrived(waiter, now)
-        if self._waiters:
+        if self._waiters_by_id:
             self._append(waiter)
         else:
             self._try_placing(waiter)
@@ -92,6 +94,7 @@
             # happened just after the request was placed, its jobs are in the load
             # already; the caller of this method always drops them.
             self._remove(waiter)
+            self._contention.request_left(waiter, self._loop.time())
 
     def schedule_placing(self) -> None:
         """Try to place the waiting requests soon.
@@ -99,40 +102,50 @@
         They are tried in the next iteration of the event loop, or with the retry that
         is already scheduled, after at most `RETRY_INTERVAL_SECONDS`.
         """
-        if self._waiters and self._scheduled is None:
+        if self._waiters_by_id and self._scheduled is None:
             self._scheduled = self._loop.call_soon(self._place_waiting)
 
     def _place_waiting(self) -> None:
         self._scheduled = None
         now = self._loop.time()
         rank = self._contention.effective_rank
-        self._waiters.sort(key=lambda w: order_key(rank(w, now), w.due_at, now))
-        for waiter in list(self._waiters):
+        waiters = [*self._waiters_by_id.values(), *self._due_by_id.values()]
+        waiters.sort(key=lambda w: order_key(rank(w, now), w.due_at, now))
+        for waiter in waiters:
             self._retry(waiter)
-        if self._waiters:
+        # A deferred request that has just begun to wait may have scheduled the next
+        # tries already.
+        if self._waiters_by_id and self._scheduled is None:
             self._scheduled = self._loop.call_later(
                 RETRY_INTERVAL_SECONDS, self._place_waiting
             )
 
     def _append(self, waiter: Waiter) -> None:
         """Let a request wait for room, unless it does already."""
-        if waiter in self._waiters:
+        request_id = waiter.demand.request_id
+        if request_id in self._waiters_by_id:
             return
-        self._waiters.append(waiter)
+        self._due_by_id.pop(request_id, None)
+        self._waiters_by_id[request_id] = waiter
         self._contention.waiting_began(waiter)
         self.schedule_placing()
 
-    def _defer(self, waiter: Waiter) -> None:
+    def _defer(self, waiter: Waiter, placement: Placement, now: float) -> None:
         """Try a request again later that leaves its room to more urgent ones."""
-        self._remove(waiter)
-        self._deferred_by_id[waiter.demand.request_id] = self._loop.call_later(
-            DEFERRED_RETRY_SECONDS, self._retry_deferred, waiter
+        self._timers_by_id[waiter.demand.request_id] = self._loop.call_later(
+            retry_seconds(waiter, placement, now), self._retry_deferred, waiter
         )
 
     def _retry_deferred(self, waiter: Waiter) -> None:
-        if self._waiters:
-            self._remove(waiter)
-            self._append(waiter)
+        """Try a deferred request again, in its turn if other requests wait.
+
+        It doesn't count as waiting until no placement is found for it: peers would
+        defer requests of their own because of it.
+        """
+        del self._timers_by_id[waiter.demand.request_id]
+        if self._waiters_by_id:
+            self._due_by_id[waiter.demand.request_id] = waiter
+            self.schedule_placing()
         else:
             self._retry(waiter)
 
@@ -149,10 +162,11 @@
 
     def _remove(self, waiter: Waiter) -> None:
         """Remove a request that waits or is deferred, if it is known here."""
-        if waiter in self._waiters:
-            self._waiters.remove(waiter)
+        request_id = waiter.demand.request_id
+        if self._waiters_by_id.pop(request_id, None) is not None:
             self._contention.waiting_ended(waiter)
-        timer = self._deferred_by_id.pop(waiter.demand.request_id, None)
+        self._due_by_id.pop(request_id, None)
+        timer = self._timers_by_id.pop(request_id, None)
         if timer is not None:
             timer.cancel()
 
@@ -167,13 +181,16 @@
             self._refuse_hopeless(waiter)
             self._contention.check_servable(waiter, now)
             self._append(waiter)
-        elif self._contention.may_start(waiter, placement, now):
-            self._remove(waiter)
+            return
+        # With a placement it doesn't wait for room any more, and must not count as one
+        # of those that it might be deferred for.
+        self._remove(waiter)
+        if self._contention.may_start(waiter, placement, now):
             self._state.load.put(waiter.demand.request_id, placement.jobs)
             self._state.peer_updates.job_added()
             waiter.placement_future.set_result(placement)
         else:
-            self._defer(waiter)
+            self._defer(waiter, placement, now)
 
     def _refuse_hopeless(self, waiter: Waiter) -> None:
         """Raise `Overloaded` for a request that can no longer meet its deadline."""
--- a/cranberrywick/metrics.py
+++ b/cranberrywick/metrics.py
@@ -155,6 +155,9 @@
         self._ignored_readings = counter(
             "store_readings_ignored", description="Readings without effect, as older."
         )
+        self._deferred_requests = counter(
+            "deferred_requests", description="Requests deferred, by reason."
+        )
 
     def _create_histograms(self) -> None:
         self._completion = self._histogram(
@@ -177,6 +180,11 @@
             "Time that a request waited for a permit of a rate-limited endpoint.",
             QUEUE_WAIT_BOUNDS_SECONDS,
         )
+        self._deferrals = self._histogram(
+            "deferral",
+            "Time for which a request left its room to more urgent ones.",
+            QUEUE_WAIT_BOUNDS_SECONDS,
+        )
         self._platform_calls = self._histogram(
             "platform_call",
             "Calls to the platform's services.",
@@ -266,6 +274,14 @@
         outcome = "granted" if granted else "refused"
         self._permit_wait.record(seconds, {"class": class_name, "outcome": outcome})
 
+    def request_deferred(self, service: str, reason: str) -> None:
+        """Count a request that leaves its room to more urgent ones."""
+        self._deferred_requests.add(1, {"service": service, "reason": reason})
+
+    def deferral_ended(self, service: str, reason: str, seconds: float) -> None:
+        """Record the time for which a request was deferred, by how that ended."""
+        self._deferrals.record(seconds, {"service": service, "reason": reason})
+
     def gaps_counted(self, class_name: str, gaps: TokenGaps) -> None:
         """Add the gaps of one stream to the counts of its class."""
         with self._gaps_lock:
--- a/cranberrywick/routing/demand.py
+++ b/cranberrywick/routing/demand.py
@@ -33,6 +33,7 @@
     help; None allows all. It waits up to ``longest_wait`` seconds for the permit that
     an endpoint with a rate limit requires, or for the end of a backoff.
     ``organisation`` is the name of the one that sent it, empty if there is none.
+    ``request_id`` is unique in the daemon, ``logged_id`` the id in the caller's header.
     """
 
     request_id: str
@@ -46,6 +47,7 @@
     answering_ids: frozenset[str] | None = None
     longest_wait: float = 0.0
     organisation: str = ""
+    logged_id: str = ""
 
 
 def may_answer(demand: Demand, endpoint_id: str) -> bool:
--- a/cranberrywick/routing/fleet_demand.py
+++ b/cranberrywick/routing/fleet_demand.py
@@ -184,6 +184,9 @@
 class FleetDemand:
     """The demand for each contended service: this daemon's and its peers'.
 
+    ``received_at`` is when the last statement of a peer was received, minus infinity
+    before the first.
+
     >>> demand = FleetDemand()
     >>> demand.record_arrival("drafting", 0, "school", 0.03, now=10.0)
     >>> demand.arrivals_per_second("drafting", up_to_rank=0, now=10.0)
@@ -194,6 +197,7 @@
         self._own_by_service: dict[str, _OwnDemand] = defaultdict(_OwnDemand)
         self._peers_by_service: dict[str, _PeerDemand] = defaultdict(_PeerDemand)
         self._stated_by_daemon: dict[str, tuple[float, DemandStatement]] = {}
+        self.received_at = float("-inf")
 
     # This daemon's own demand
 
@@ -230,6 +234,7 @@
 
     def receive(self, daemon_id: str, statement: DemandStatement, now: float) -> None:
         """Replace what a peer states."""
+        self.received_at = now
         _, before = self._stated_by_daemon.get(daemon_id, (now, DemandStatement()))
         self._stated_by_daemon[daemon_id] = (now, statement)
         if before.services == statement.services:
--- a/cranberrywick/routing/part_choice.py
+++ b/cranberrywick/routing/part_choice.py
@@ -7,7 +7,7 @@
 there, or waits for engines that no other request needs.
 """
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from math import log
 from operator import attrgetter
 from typing import NamedTuple
@@ -108,6 +108,13 @@
         is_too_long = engine.forecast.exceeds_gap(self.gap_seconds, self.joint)
         return price + engine.answer_price + self.value * is_too_long
 
+    def interference(self, engines: Iterable[Engine]) -> float:
+        """Return the price of the lateness that a part at each engine causes there."""
+        return sum(
+            engine.forecast.interference(self.part_seconds, self.joint)
+            for engine in engines
+        )
+
     def time_price(self, seconds: float) -> float:
         """Return the price of a first event after a number of seconds."""
         share = seconds / self.target_seconds
--- a/cranberrywick/routing/placement.py
+++ b/cranberrywick/routing/placement.py
@@ -15,7 +15,7 @@
 
 import random
 from collections.abc import Callable
-from math import ceil
+from math import ceil, inf
 from typing import NamedTuple
 
 from cranberrywick.routing.candidates import (
@@ -85,7 +85,10 @@
     ``last_resort`` says that each endpoint is draining or in a failure domain taken
     out, and is used only since the sample holds no endpoint outside a cooldown. If the
     answering endpoint has a rate limit, the request should wait for its permit up to
-    ``longest_wait`` seconds.
+    ``longest_wait`` seconds. ``interference`` is the price of the lateness that the
+    request causes to others, in units of the loss when a short one is late.
+    ``free_slots`` estimates how many slots are free in the whole pool, before the
+    request takes one; infinite for a request without a prompt.
     """
 
     endpoint_id: str
@@ -94,6 +97,8 @@
     jobs: tuple[Job, ...]
     last_resort: bool = False
     longest_wait: float = 0.0
+    interference: float = 0.0
+    free_slots: float = inf
 
 
 def _no_endpoints() -> EndpointPool:
@@ -153,7 +158,12 @@
         free = self._candidates.with_free_slot(demand.service, sampled, now)
         # If all of them are in a cooldown, an endpoint that has just failed is better
         # than none.
-        return self._place(demand, without_cooldown(free) or free, now)
+        placement = self._place(demand, without_cooldown(free) or free, now)
+        if placement is None or len(sampled) == len(usable):
+            return placement
+        return placement._replace(
+            free_slots=placement.free_slots * len(usable) / len(sampled)
+        )
 
     def _place(
         self, demand: Demand, candidates: list[Candidate], now: float
@@ -230,7 +240,11 @@
         _, work, split = best
         order = weighted_random(IN_FLIGHT_PRICE * value * self._in_flight(now))
         choice = choose(work, engines, split, order)
-        return _placement(demand, prompt, choice, holders, value, now)
+        placement = _placement(demand, prompt, choice, holders, value, now)
+        return placement._replace(
+            interference=work.interference(choice.engines),
+            free_slots=sum(engine.free_slots for engine in engines),
+        )
 
     def _in_flight(self, now: float) -> float:
         """Return how many placements of other daemons are not known here yet."""
--- a/cranberrywick/routing/table.py
+++ b/cranberrywick/routing/table.py
@@ -2,7 +2,7 @@
 
 import random
 from collections import defaultdict
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from cranberrywick.errors import NotFound, Unauthorised
 from cranberrywick.routing.model import GatewayConfiguration, Organisation, Route
@@ -23,7 +23,7 @@
         for route in configuration.routes:
             by_prefix = self._routes_by_prefix_by_host.setdefault(route.host, {})
             by_prefix[route.prefix] = route
-        self._contended = _contended_services(configuration)
+        self._targets_by_rank_by_service = _contended_targets(configuration)
 
     def match(self, host: str, path: str) -> Route:
         """Return the route with the longest prefix; raises `NotFound`.
@@ -66,20 +66,34 @@
 
         It has engines, and routes of two or more priorities lead to it.
         """
-        return service_name in self._contended
+        return service_name in self._targets_by_rank_by_service
 
+    def targets_by_rank(self, service_name: str) -> Mapping[int, float]:
+        """Return the target, in seconds, of each priority of a contended service.
 
-def _contended_services(configuration: GatewayConfiguration) -> frozenset[str]:
-    priorities_by_service: dict[str, set[int]] = defaultdict(set)
+        Of several routes with the same priority the shortest target counts: the
+        requests of the others can wait for a slot without being late. A priority that
+        only organisations have is not among them.
+        """
+        return self._targets_by_rank_by_service[service_name]
+
+
+def _contended_targets(
+    configuration: GatewayConfiguration,
+) -> dict[str, dict[int, float]]:
+    """Return the shortest target of each priority, by contended service."""
+    targets_by_service: dict[str, dict[int, float]] = defaultdict(dict)
     for route in configuration.routes:
         for service_name, weight in route.weights_by_service:
             if weight > 0:
-                priorities_by_service[service_name].add(route.priority)
-    return frozenset(
-        service.name
+                targets = targets_by_service[service_name]
+                before = targets.get(route.priority, route.target_seconds)
+                targets[route.priority] = min(before, route.target_seconds)
+    return {
+        service.name: targets_by_service[service.name]
         for service in configuration.services_by_name.values()
-        if service.engine is not None and len(priorities_by_service[service.name]) > 1
-    )
+        if service.engine is not None and len(targets_by_service[service.name]) > 1
+    }
 
 
 def _host_name(host: str) -> str:
