--- a/cranberrywick/routing/deferral.py
+++ b/cranberrywick/routing/deferral.py
@@ -32,6 +32,9 @@
 # and delivery vary; without it a request that is deferred until its slack is used up
 # is late about half of the time.
 MARGIN_SHARE = 0.1
+# Shortest deferral, in seconds. A timer may fire a rounding error before its moment; a
+# request would be tried again and again until that has passed.
+MIN_DEFERRAL_SECONDS = 0.001
 # Least price at which a placement makes other requests late, in units of the loss when
 # a short request is late. Below it are only the prices of delays within the target.
 LATENESS_PRICE = 1.0
@@ -97,13 +100,13 @@
     each = situation
     if each.most_urgent_rank is None or each.rank <= each.most_urgent_rank:
         return StartReason.MOST_URGENT
-    if each.waited_seconds >= MAX_DEFERRED_SHARE * each.target_seconds:
-        return StartReason.LONGEST_DEFERRAL
     left = deferral_left(
         each.target_seconds, each.first_event_seconds, each.waited_seconds
     )
-    if left <= 0:
-        return StartReason.NO_SLACK
+    if left < MIN_DEFERRAL_SECONDS:
+        longest = MAX_DEFERRED_SHARE * each.target_seconds
+        is_longest = each.waited_seconds > longest - MIN_DEFERRAL_SECONDS
+        return StartReason.LONGEST_DEFERRAL if is_longest else StartReason.NO_SLACK
     if each.urgent_waiting > 0:
         return DeferReason.URGENT_WAITING
     if each.interference >= LATENESS_PRICE:
