--- a/tests/contended_fleet.py
+++ b/tests/contended_fleet.py
@@ -53,18 +53,18 @@
     return 1.8 if kind == "short" and LONG_UNTIL <= at < SHORT_UNTIL else 1.0
 
 
-def table(ranks=(0, 1, 2)):
+def table(ranks=(0, 1, 2), service="pool"):
     routes = [
         SimpleNamespace(
             host="h",
             prefix=f"/{kind.name}/",
-            weights_by_service=(("pool", 1.0),),
+            weights_by_service=((service, 1.0),),
             priority=rank,
             target_seconds=kind.target_seconds,
         )
         for kind, rank in zip(KINDS, ranks, strict=True)
     ]
-    services_by_name = {"pool": Service("pool", 0.0, 0.0, ENGINE)}
+    services_by_name = {service: Service(service, 0.0, 0.0, ENGINE)}
     return RouteTable(SimpleNamespace(routes=routes, services_by_name=services_by_name))
 
 
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -7,6 +7,7 @@
 from types import SimpleNamespace
 
 import pytest
+from contended_fleet import Records, table
 
 from cranberrywick.bench.prompt_engines import PROFILE
 from cranberrywick.bench.virtual_time import run_in_virtual_time
@@ -14,10 +15,16 @@
 from cranberrywick.gateway.contention import Contention
 from cranberrywick.gateway.lazy_metrics import LazyMetrics
 from cranberrywick.gateway.usable_endpoints import UsableEndpoints
-from cranberrywick.gateway.waiting import WaitingRequests
+from cranberrywick.gateway.waiting import RETRY_INTERVAL_SECONDS, WaitingRequests
 from cranberrywick.logs import EventLog
 from cranberrywick.routing.demand import Demand, min_first_event_seconds
-from cranberrywick.routing.fleet_demand import FleetDemand
+from cranberrywick.routing.endpoint_index import EndpointPool
+from cranberrywick.routing.fleet_demand import (
+    DemandStatement,
+    FleetDemand,
+    RankDemand,
+    ServiceDemand,
+)
 from cranberrywick.routing.load import FleetLoad
 from cranberrywick.routing.model import (
     EndpointRecord,
@@ -70,6 +77,63 @@
     )
 
 
+class Deferring:
+    """Waiting requests of a contended service, while a peer states an urgent one.
+
+    The placer always finds room until ``full_at``; a request of rank 1 has a target of
+    1.533 s, and so is deferred for up to 0.46 s.
+    """
+
+    LONGEST_SECONDS = 0.3 * 1.533
+
+    def __init__(self, full_at=float("inf"), states_urgent=True):
+        self.loop = asyncio.get_running_loop()
+        self.started = self.loop.time()
+        self.table = table((0, 1, 2), "drafting")
+        self.fleet_demand = FleetDemand()
+        if states_urgent:
+            stated = ServiceDemand("drafting", (RankDemand(0, 1, 1.0),))
+            statement = DemandStatement(services=(stated,))
+            self.fleet_demand.receive("d2", statement, 0.0)
+        self.records = Records()
+        self.changes = 0
+        self.contention = Contention(
+            *(lambda: self.table, self.fleet_demand, self._count_change),
+            *(self.records, self.records),
+        )
+        self.full_at = full_at
+        self.state = state()
+        self.waiting = WaitingRequests(self.state, self, self.contention)
+
+    def _count_change(self):
+        self.changes += 1
+
+    def place(self, demand, usable, now, last_resort):
+        is_full = now >= self.full_at or demand.request_id == "stuck"
+        return None if is_full else Placement("e1", (), 0.0, ())
+
+    def start(self, priority=1, request_id="r", deadline_after=10.0):
+        started = self.loop.time()
+        target = 1.533 if priority else 0.271
+        request = demand(45_000)._replace(
+            request_id=request_id, target_seconds=target, logged_id=request_id
+        )
+        return self.loop.create_task(
+            self.waiting.place(
+                request, priority, started + target, started + deadline_after
+            )
+        )
+
+    def ended(self):
+        return [line["reason"] for line in self.records.of("deferral_ended")]
+
+    @property
+    def is_clean(self):
+        """Whether nothing is left of the requests that have ended."""
+        timers = [t for t in self.loop._scheduled if not t.cancelled()]
+        return not len(self.waiting) and not timers
+
+
 async def place(free_after, deadline_after, prompt_tokens=200_000):
     """Return how many seconds a request waited, and whether it was placed."""
     loop = asyncio.get_running_loop()
@@ -109,3 +173,132 @@
     waited, is_placed = run_in_virtual_time(place(0.1, 5.0, prompt_tokens))
     assert is_placed
     assert 0.1 <= waited < 0.2
+
+
+@pytest.mark.parametrize("others", [[], ["stuck"]], ids=["alone", "others-wait"])
+def test_a_deferred_request_starts_at_its_longest_deferral(others):
+    """Guards against starvation by a daemon that states urgent requests for ever."""
+
+    async def main():
+        deferring = Deferring()
+        stuck = [deferring.start(2, request_id=name) for name in others]
+        await asyncio.sleep(0.01)
+        changes = deferring.changes
+        started = deferring.loop.time()
+        await deferring.start()
+        waited = deferring.loop.time() - started
+        # A retry that is due takes its turn with the requests that wait.
+        assert waited <= deferring.LONGEST_SECONDS + RETRY_INTERVAL_SECONDS + 0.001
+        assert len(deferring.records.of("request_deferred")) == 1
+        assert deferring.ended() == ["longest_deferral"]
+        # Behind others it waits for its first try; deferred, it doesn't count.
+        assert deferring.changes - changes == 2 * len(others)
+        for task in stuck:
+            task.cancel()
+        await asyncio.gather(*stuck, return_exceptions=True)
+        await asyncio.sleep(RETRY_INTERVAL_SECONDS)
+        assert deferring.is_clean
+
+    run_in_virtual_time(main())
+
+
+def test_urgent_requests_and_those_of_other_services_are_never_deferred():
+    """Guards against deferrals where nothing more urgent can be meant."""
+
+    async def main():
+        deferring = Deferring()
+        await deferring.start(priority=0)
+        deferring.table = table((1, 1, 1), "drafting")
+        await deferring.start()
+        assert deferring.loop.time() == deferring.started
+        assert not deferring.records.lines
+
+    run_in_virtual_time(main())
+
+
+def test_a_cancelled_request_leaves_nothing_behind():
+    """Guards against timers and lists that keep requests whose callers are gone.
+
+    That is also what a daemon does with them that stops.
+    """
+
+    async def main():
+        deferring = Deferring()
+        task = deferring.start()
+        await asyncio.sleep(0.15)
+        assert len(deferring.waiting) == 1
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        assert deferring.ended() == ["cancelled"]
+        assert deferring.is_clean
+
+    run_in_virtual_time(main())
+
+
+def test_a_deferred_request_that_finds_no_room_waits_and_is_refused_in_time():
+    """Guards against requests that are lost between deferral and wait."""
+
+    async def main():
+        deferring = Deferring(full_at=0.05)
+        task = deferring.start(deadline_after=2.0)
+        await asyncio.sleep(0.2)
+        assert len(deferring.waiting) == 1
+        assert deferring.fleet_demand.waiting("drafting", 1) == 2
+        with pytest.raises(Overloaded):
+            await task
+        assert deferring.loop.time() < 2.0
+        assert deferring.fleet_demand.waiting("drafting", 1) == 1
+        assert deferring.ended() == ["refused"]
+        await asyncio.sleep(RETRY_INTERVAL_SECONDS)
+        assert deferring.is_clean
+
+    run_in_virtual_time(main())
+
+
+def test_a_deferred_request_is_refused_once_its_endpoints_have_left():
+    """Guards against callers that wait for a service that is gone."""
+
+    async def main():
+        deferring = Deferring()
+        task = deferring.start()
+        await asyncio.sleep(0.01)
+        pool = deferring.state.usable_endpoints
+        pool.ready = pool.last_resort = lambda service: EndpointPool([])
+        pool.backing_off = pool.ready
+        with pytest.raises(Overloaded):
+            await task
+        assert deferring.loop.time() <= 0.1 + 0.001
+        assert deferring.is_clean
+
+    run_in_virtual_time(main())
+
+
+def test_a_configuration_without_ranks_ends_deferrals():
+    """Guards against requests deferred by rules that are no longer in force."""
+
+    async def main():
+        deferring = Deferring()
+        task = deferring.start()
+        await asyncio.sleep(0.01)
+        deferring.table = table((1, 1, 1), "drafting")
+        await task
+        assert deferring.loop.time() <= 0.1 + 0.001
+        assert deferring.ended() == ["not_contended"]
+        assert deferring.is_clean
+
+    run_in_virtual_time(main())
+
+
+def test_a_request_is_not_deferred_for_itself():
+    """Guards against one that ranks below what it declares and sees itself wait."""
+
+    async def main():
+        deferring = Deferring(states_urgent=False)
+        deferring.contention.effective_rank = lambda waiter, now: waiter.priority + 1
+        stuck = deferring.start(2, request_id="stuck")
+        await asyncio.sleep(0.01)
+        await deferring.start(priority=0)
+        assert not deferring.records.of("request_deferred")
+        stuck.cancel()
+
+    run_in_virtual_time(main())
