--- a/cranberrywick/gateway/operator_tracker.py
+++ b/cranberrywick/gateway/operator_tracker.py
@@ -215,7 +215,7 @@
             )
             return True
         table = RouteTable(configuration)
-        contended = self.table.contended_services if self.table else frozenset()
+        contended = self.table.contended_services if self.table else set()
         if table.contended_services != contended:
             self._log.info(
                 "contended_services_changed",
