--- a/cranberrywick/gateway/answer_forwarding.py
+++ b/cranberrywick/gateway/answer_forwarding.py
@@ -109,8 +109,7 @@
 
         An answer that breaks off can then still be replaced by another endpoint's.
         """
-        parts = [part async for part in connection.body()]
-        whole = WholeAnswer(answer, b"".join(parts))
+        whole = WholeAnswer(answer, await self._read_whole(connection))
         exchange = self._exchange
         if exchange.caller.answer_started:
             raise AnswerLost(f"status {answer.status} in place of more events")
@@ -118,6 +117,14 @@
             raise EndpointFailed(f"status {answer.status}", whole)
         await whole.send_to(exchange.caller)
 
+    async def _read_whole(self, connection: EndpointConnection) -> bytes:
+        """Return the body of an answer, which is counted while it is held."""
+        body = bytearray()
+        async for part in connection.body():
+            body += part
+            self._exchange.caller.buffers.hold_answer(len(body))
+        return bytes(body)
+
     async def _forward_stream(
         self,
         connection: EndpointConnection,
--- a/cranberrywick/gateway/app.py
+++ b/cranberrywick/gateway/app.py
@@ -5,6 +5,7 @@
 import random
 import signal
 
+from cranberrywick.gateway.buffer_budget import buffer_budget
 from cranberrywick.gateway.contention import Contention
 from cranberrywick.gateway.direct_attempts import DirectAttempts
 from cranberrywick.gateway.forwarder import Forwarder
@@ -83,12 +84,16 @@
         forwarder = Forwarder(
             settings, self.state, self._waiting, direct, self._metrics, log
         )
-        self._ingress = Ingress(forwarder, self._request_limits)
-        self._peer_ingress = PeerRequests(self.state, direct, log).ingress
+        budget = buffer_budget(settings, self._metrics, log)
+        self._ingress = Ingress(forwarder, self._request_limits, budget)
+        self._peer_ingress = PeerRequests(self.state, direct, budget, log).ingress
         self._internal_ingresses = [
-            (settings.directory_address, Ingress(self._answer_directory)),
-            (settings.ready_address, Ingress(self._answer_ready)),
-            (settings.metrics_address, Ingress(self._answer_metrics)),
+            (address, Ingress(handler, budget=budget))
+            for address, handler in (
+                (settings.directory_address, self._answer_directory),
+                (settings.ready_address, self._answer_ready),
+                (settings.metrics_address, self._answer_metrics),
+            )
         ]
         self._stopping = asyncio.Event()
 
--- /dev/null
+++ b/cranberrywick/gateway/http_request.py
@@ -0,0 +1,36 @@
+"""Requests of callers, as the ingress passes them to its handler."""
+
+from typing import NamedTuple
+
+import h11
+
+__all__ = ["HttpRequest", "head_bytes"]
+
+
+class HttpRequest(NamedTuple):
+    """One request of a caller, its body fully received.
+
+    ``target`` is the request target as the caller encoded it. ``headers`` have lower
+    case names, ``raw_headers`` the caller's spelling. ``arrived`` is the event loop's
+    time, in seconds, when the head was complete.
+    """
+
+    method: bytes
+    target: bytes
+    headers: list[tuple[bytes, bytes]]
+    raw_headers: list[tuple[bytes, bytes]]
+    body: bytes
+    arrived: float
+
+    def header(self, name: bytes) -> bytes | None:
+        """Return the value of the first header with a lower case name, or None."""
+        for key, value in self.headers:
+            if key == name:
+                return value
+        return None
+
+
+def head_bytes(head: h11.Request) -> int:
+    """Return about how many bytes the method, the target and the headers have."""
+    lines = sum(len(name) + len(value) + 4 for name, value in head.headers)
+    return len(head.method) + len(head.target) + lines
--- a/cranberrywick/gateway/ingress.py
+++ b/cranberrywick/gateway/ingress.py
@@ -7,31 +7,26 @@
 """
 
 import asyncio
-import contextlib
-import socket
-from collections.abc import Awaitable, Callable
-from typing import NamedTuple
+from collections.abc import Awaitable, Callable, Iterable
 
 import h11
 
+from cranberrywick.gateway.buffer_budget import (
+    NO_BUDGET,
+    BodyRefusal,
+    BufferBudget,
+    Unbudgeted,
+)
+from cranberrywick.gateway.http_request import HttpRequest, head_bytes
+from cranberrywick.gateway.tcp_options import abort_with_reset, enable_keepalive
 from cranberrywick.routing.model import RequestLimits
 
-__all__ = ["CallerConnection", "HttpRequest", "Ingress", "enable_keepalive"]
+__all__ = ["CallerConnection", "HttpRequest", "Ingress"]
 
 # In force until the first configuration has been read.
 DEFAULT_LIMITS = RequestLimits(
     header_bytes=16384, body_bytes=4194304, header_seconds=3.0, idle_seconds=15.0
 )
-# TCP keepalive: the kernel probes a connection after one second without traffic and
-# closes it after two unanswered probes, one second apart. This finds a peer that
-# disappeared without a reset. It takes longer than any pause of a working link and
-# less than a caller waits for the next event of a stream.
-KEEPALIVE_IDLE_SECONDS = 1
-KEEPALIVE_INTERVAL_SECONDS = 1
-KEEPALIVE_PROBES = 2
-# TCP_USER_TIMEOUT, in milliseconds: the kernel closes a connection whose peer has not
-# acknowledged sent bytes for this time.
-USER_TIMEOUT_MS = 3000
 # Length of the listening socket's queue of connections to accept: callers may connect
 # in a burst.
 BACKLOG = 512
@@ -39,60 +34,21 @@
 # read, in seconds. Closed at once with bytes unread, the kernel would send a reset,
 # which may discard the answer before the caller has read it.
 LINGER_SECONDS = 0.5
-
-
-class HttpRequest(NamedTuple):
-    """One request of a caller, its body fully received.
-
-    ``target`` is the request target as the caller encoded it. ``headers`` have lower
-    case names, ``raw_headers`` the caller's spelling. ``arrived`` is the event loop's
-    time, in seconds, when the head was complete.
-    """
-
-    method: bytes
-    target: bytes
-    headers: list[tuple[bytes, bytes]]
-    raw_headers: list[tuple[bytes, bytes]]
-    body: bytes
-    arrived: float
-
-    def header(self, name: bytes) -> bytes | None:
-        """Return the value of the first header with a lower case name, or None."""
-        for key, value in self.headers:
-            if key == name:
-                return value
-        return None
-
-
-def _head_bytes(head: h11.Request) -> int:
-    """Return about how many bytes the method, the target and the headers have."""
-    lines = sum(len(name) + len(value) + 4 for name, value in head.headers)
-    return len(head.method) + len(head.target) + lines
+# The same after a refusal for lack of memory, in seconds: many callers read the answer
+# only after they have sent their body, 4 MB of which take 3.4 s at 10 Mbit/s.
+BODY_LINGER_SECONDS = 5.0
 
 
 Handler = Callable[[HttpRequest, "CallerConnection"], Awaitable[None]]
 
 
-def enable_keepalive(transport: asyncio.BaseTransport) -> None:
-    """Enable TCP keepalive, so that a connection cut without a reset is closed."""
-    sock: socket.socket | None = transport.get_extra_info("socket")
-    if sock is None:
-        return
-    tcp = socket.IPPROTO_TCP
-    with contextlib.suppress(OSError):  # The peer may have closed the connection.
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-        sock.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS)
-        sock.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS)
-        sock.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-        sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
-
-
 class Ingress:
     """Listens on one address and calls ``handle`` with each request.
 
     ``limits`` is called whenever a limit is checked, so that a new configuration
     applies to open connections too, except for the parser's bound on the head, which
     is set when a connection is made. Without limits from it, the defaults apply.
+    ``budget`` limits the bytes that are held for the connections.
 
     >>> ingress = Ingress(handle)
     >>> await ingress.start("127.0.0.1:0")
@@ -104,7 +60,9 @@
         self,
         handle: Handler,
         limits: Callable[[], RequestLimits | None] = lambda: None,
+        budget: BufferBudget | Unbudgeted = NO_BUDGET,
     ):
+        self.budget = budget
         self._handle = handle
         self._limits = limits
         self._server: asyncio.Server | None = None
@@ -157,8 +115,9 @@
 class CallerConnection(asyncio.Protocol):
     """One connection of a caller, and the answer to its current request.
 
-    ``answer_started`` says whether the head of that answer has been sent. The methods
-    that send raise `ConnectionError` if the caller has closed the connection.
+    ``answer_started`` says whether the head of that answer has been sent, ``buffers``
+    counts what is held for the connection. The methods that send raise
+    `ConnectionError` if the connection is closed.
     """
 
     def __init__(self, ingress: Ingress, handle: Handler):
@@ -171,7 +130,7 @@
             h11.SERVER, max_incomplete_event_size=limits.header_bytes
         )
         self._request: h11.Request | None = None
-        self._body: list[bytes] = []
+        self._body = bytearray()
         self._body_bytes = 0
         self._head_received_at = 0.0
         self._task: asyncio.Task | None = None
@@ -181,6 +140,7 @@
         self._closed = False
         self._refused = False
         self.answer_started = False
+        self.buffers = NO_BUDGET
 
     @property
     def busy(self) -> bool:
@@ -196,12 +156,14 @@
         """Start the idle timer of a new connection; called by asyncio."""
         self._transport = transport
         enable_keepalive(transport)
+        self.buffers = self._ingress.budget.connection(transport, self._cut)
         self._ingress.connections.add(self)
         self._set_timer(self._ingress.limits.idle_seconds, self.close_if_idle)
 
     def connection_lost(self, error: Exception | None) -> None:
         """Cancel the request that is being served; called by asyncio."""
         self._closed = True
+        self.buffers.closed()
         self._ingress.connections.discard(self)
         self._clear_timer()
         self._can_write.set()
@@ -225,12 +187,17 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse what the caller sent; called by asyncio."""
+        if self._refused:
+            return
+        if self._task is not None and not self.buffers.admits_early_bytes(len(data)):
+            self._abort()
+            return
         try:
             self._http.receive_data(data)
         except h11.RemoteProtocolError:
             self._abort()
             return
-        if self._task is None and not self._refused:
+        if self._task is None:
             if self._request is None:
                 limits = self._ingress.limits
                 self._set_timer(limits.header_seconds, self._head_timed_out)
@@ -250,17 +217,24 @@
                 self._handle_event(event)
         except h11.RemoteProtocolError as error:
             self._refuse(error.error_status_hint)
+        except ConnectionResetError:
+            self._abort()  # It was cut for memory while 100 (Continue) was sent.
 
     def _handle_event(self, event: h11.Event) -> None:
         if isinstance(event, h11.Request):
-            if _head_bytes(event) > self._ingress.limits.header_bytes:
+            if head_bytes(event) > self._ingress.limits.header_bytes:
                 # h11 applies its own bound to incomplete heads only.
                 self._refuse(431)
                 return
+            limits = self._ingress.limits
+            refusal = self.buffers.refusal_of_head(event.headers, limits.body_bytes)
+            if refusal is not None:
+                self._refuse_body(refusal)
+                return
             self._request = event
             self._head_received_at = self._loop.time()
-            self._body, self._body_bytes = [], 0
-            self._set_timer(self._ingress.limits.idle_seconds, self._body_timed_out)
+            self._body, self._body_bytes = bytearray(), 0
+            self._set_timer(limits.idle_seconds, self._body_timed_out)
             if self._http.they_are_waiting_for_100_continue:
                 self._send(h11.InformationalResponse(status_code=100, headers=[]))
         elif isinstance(event, h11.Data):
@@ -268,7 +242,11 @@
             if self._body_bytes > self._ingress.limits.body_bytes:
                 self._refuse(413)
                 return
-            self._body.append(bytes(event.data))
+            refusal = self.buffers.refusal_of_body(self._body_bytes)
+            if refusal is not None:
+                self._refuse_body(refusal)
+                return
+            self._body += event.data
         elif isinstance(event, h11.EndOfMessage):
             self._clear_timer()
             self._start_task()
@@ -283,11 +261,12 @@
             target=bytes(head.target),
             headers=[(bytes(n), bytes(v)) for n, v in head.headers],
             raw_headers=[(bytes(n), bytes(v)) for n, v in head.headers.raw_items()],
-            body=b"".join(self._body),
+            body=bytes(self._body),
             arrived=self._head_received_at,
         )
-        self._body = []
+        self._body = bytearray()
         self.answer_started = False
+        self.buffers.request_begins(len(self._http.trailing_data[0]))
         self._task = self._loop.create_task(self._serve(request))
 
     async def _serve(self, request: HttpRequest) -> None:
@@ -296,6 +275,7 @@
         finally:
             self._task = None
             self._request = None
+            self.buffers.request_ended()
             if not self._closed:
                 self._finish()
 
@@ -320,6 +300,7 @@
         if self._ingress.draining:
             headers = [*headers, (b"Connection", b"close")]
         self.answer_started = True
+        self.buffers.answer_begins()
         head = h11.Response(status_code=status, headers=headers, reason=reason)
         self._send(head)
         await self._can_write.wait()
@@ -351,21 +332,40 @@
         except h11.LocalProtocolError as error:
             raise ConnectionResetError(str(error)) from error
         if data:
+            self.buffers.record_unread()
             self._transport.write(data)
+            self.buffers.written()
+            if self._closed:
+                raise ConnectionResetError("the connection has been cut")
+
+    def _refuse_body(self, refusal: BodyRefusal) -> None:
+        """Answer a request whose body would take too much memory."""
+        self._refuse(503, refusal.headers, refusal.body, BODY_LINGER_SECONDS)
 
-    def _refuse(self, status: int) -> None:
-        """Answer a request that can't be read, and close after `LINGER_SECONDS`."""
+    def _refuse(
+        self,
+        status: int,
+        headers: Iterable[tuple[bytes, bytes]] = (),
+        body: bytes = b"",
+        linger: float = LINGER_SECONDS,
+    ) -> None:
+        """Answer a request that can't be read; close after ``linger`` seconds."""
         self._refused = True
         self._clear_timer()
+        self._body = bytearray()
+        length = (b"Content-Length", str(len(body)).encode())
+        headers = [*headers, length, (b"Connection", b"close")]
         try:
-            headers = [(b"Content-Length", b"0"), (b"Connection", b"close")]
             self._send(h11.Response(status_code=status, headers=headers))
+            if body:
+                self._send(h11.Data(data=body))
             self._send(h11.EndOfMessage())
         except ConnectionResetError:
             self._abort()
             return
         self._request = None
-        self._set_timer(LINGER_SECONDS, self._abort)
+        self.buffers.request_ended()
+        self._set_timer(linger, self._abort)
 
     def _head_timed_out(self) -> None:
         self._refuse(408)
@@ -377,6 +377,11 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def _cut(self) -> None:
+        """Close at once, so that a started answer does not look complete."""
+        self._closed = True
+        abort_with_reset(self._transport)
+
     def _set_timer(self, seconds: float, callback: Callable[[], None]) -> None:
         self._clear_timer()
         self._timer = self._loop.call_later(seconds, callback)
--- a/cranberrywick/gateway/lazy_metrics.py
+++ b/cranberrywick/gateway/lazy_metrics.py
@@ -93,6 +93,21 @@
         """Record a request that needed a permit, and its wait for that, in seconds."""
         self._record(methodcaller("permit_asked", class_name, granted, seconds))
 
+    def cut_for_memory(self, peer: str) -> None:
+        """Count a connection that was cut; ``peer`` is "caller" or "endpoint"."""
+        self._record(methodcaller("cut_for_memory", peer))
+
+    def body_refused_for_memory(self) -> None:
+        """Count a request whose body was refused for lack of memory."""
+        self._record(methodcaller("body_refused_for_memory"))
+
+    def observe_held_bytes(self, read: Callable[[], dict[str, float]]) -> None:
+        """Publish the bytes held for connections; ``read`` returns them."""
+        description = "Bytes held for callers and endpoints."
+        self._record(
+            methodcaller("observe_gauge", "held_bytes", description, "kind", read)
+        )
+
     async def render(self) -> Rendered:
         """Return all metrics as text, after loading the library if necessary."""
         metrics = await self._start_loading()
--- a/cranberrywick/gateway/peer_attempts.py
+++ b/cranberrywick/gateway/peer_attempts.py
@@ -141,7 +141,8 @@
         self, exchange: Exchange, peer: Heartbeat
     ) -> AttemptFailure | None:
         host = peer.peer_address.rpartition(":")[0]
-        async with PeerConnection(f"{host}:{peer.reach.port}") as connection:
+        address, buffers = f"{host}:{peer.reach.port}", exchange.caller.buffers
+        async with PeerConnection(address, buffers) as connection:
             try:
                 await self._offer(connection, exchange)
             except EndpointRefused as error:
--- a/cranberrywick/gateway/peer_connection.py
+++ b/cranberrywick/gateway/peer_connection.py
@@ -42,7 +42,7 @@
             (b"Expect", b"100-continue"),
         ]
         request = h11.Request(method=method, target=target, headers=headers + framing)
-        self._writer.write(self._http.send(request))
+        self._write(self._http.send(request))
         try:
             async with asyncio.timeout(timeout):
                 event = await self._next_event()
@@ -55,7 +55,7 @@
         """Send the rest of the request, after which the peer may execute it."""
         data = self._http.send(h11.Data(data=body)) if body else b""
         self.sent = True
-        self._writer.write(data + self._http.send(h11.EndOfMessage()))
+        self._write(data + self._http.send(h11.EndOfMessage()))
 
 
 def _refused(message: str) -> EndpointRefused:
--- a/cranberrywick/gateway/peer_requests.py
+++ b/cranberrywick/gateway/peer_requests.py
@@ -15,6 +15,11 @@
     PeerMessageInvalid,
     PlatformUnavailable,
 )
+from cranberrywick.gateway.buffer_budget import (
+    BufferBudget,
+    ConnectionBuffers,
+    Unbudgeted,
+)
 from cranberrywick.gateway.direct_attempts import DirectAttempts
 from cranberrywick.gateway.exchange import Exchange
 from cranberrywick.gateway.forwarded_statements import (
@@ -65,6 +70,11 @@
         """Whether the head of the answer has been sent."""
         return self._connection.answer_started
 
+    @property
+    def buffers(self) -> ConnectionBuffers | Unbudgeted:
+        """What is held for the peer's connection."""
+        return self._connection.buffers
+
     async def send_head(
         self, status: int, reason: bytes, headers: list[tuple[bytes, bytes]]
     ) -> None:
@@ -99,7 +109,13 @@
 class PeerRequests:
     """Serves the requests of peers: the handler that their ingress calls."""
 
-    def __init__(self, state: FleetState, direct: DirectAttempts, log: EventLog):
+    def __init__(
+        self,
+        state: FleetState,
+        direct: DirectAttempts,
+        budget: BufferBudget | Unbudgeted,
+        log: EventLog,
+    ):
         self._state = state
         self._direct = direct
         self._log = log
@@ -107,7 +123,7 @@
         self._rng = random.Random()
         self._invalid = ThrottledLog(log, self._loop.time)
         self._served = 0
-        self.ingress = Ingress(self, self._limits)
+        self.ingress = Ingress(self, self._limits, budget)
 
     async def __call__(
         self, request: HttpRequest, connection: CallerConnection
--- a/cranberrywick/gateway/upstream.py
+++ b/cranberrywick/gateway/upstream.py
@@ -14,7 +14,8 @@
 import h11
 
 from cranberrywick.errors import AmbiguousSend, AnswerLost, EndpointRefused
-from cranberrywick.gateway.ingress import enable_keepalive
+from cranberrywick.gateway.buffer_budget import NO_BUDGET, ConnectionBuffers, Unbudgeted
+from cranberrywick.gateway.tcp_options import enable_keepalive
 from cranberrywick.model import EndpointRefusal
 
 __all__ = ["EndpointAnswer", "EndpointConnection"]
@@ -51,6 +52,9 @@
 class EndpointConnection:
     """The connection of one attempt to the endpoint at ``ip:port``.
 
+    ``caller_buffers`` are those of the caller's connection; what the endpoint has not
+    read counts against the same budget.
+
     >>> async with EndpointConnection("10.0.0.9:8080") as connection:
     ...     await connection.open(timeout=0.3)
     ...     await connection.send(b"GET", b"/x", headers, b"")
@@ -59,7 +63,13 @@
     ...         ...
     """
 
-    def __init__(self, address: str):
+    def __init__(
+        self,
+        address: str,
+        caller_buffers: ConnectionBuffers | Unbudgeted = NO_BUDGET,
+    ):
+        self._caller_buffers = caller_buffers
+        self._buffers: ConnectionBuffers | Unbudgeted = NO_BUDGET
         self._host, _, port = address.rpartition(":")
         self._port = int(port)
         self._http = h11.Connection(
@@ -82,6 +92,7 @@
         if self._writer is not None:
             self._writer.transport.abort()
             self._writer = None
+        self._buffers.closed()
 
     async def open(self, timeout: float) -> None:
         """Connect within ``timeout`` seconds.
@@ -99,7 +110,9 @@
                 f"no connection: {type(error).__name__}",
                 reason=EndpointRefusal.UNREACHABLE,
             ) from error
-        enable_keepalive(self._writer.transport)
+        transport = self._writer.transport
+        enable_keepalive(transport)
+        self._buffers = self._caller_buffers.endpoint_connection(transport)
 
     async def send(
         self,
@@ -122,7 +135,11 @@
         data += self._http.send(h11.EndOfMessage())
         # After the first byte the endpoint may be able to run the request.
         self.sent = True
+        self._write(data)
+
+    def _write(self, data: bytes) -> None:
         self._writer.write(data)
+        self._buffers.written()
 
     async def read_head(self) -> EndpointAnswer:
         """Return the head of the answer.
--- a/cranberrywick/metrics.py
+++ b/cranberrywick/metrics.py
@@ -155,6 +155,12 @@
         self._ignored_readings = counter(
             "store_readings_ignored", description="Readings without effect, as older."
         )
+        self._memory_cuts = counter(
+            "memory_cuts", description="Connections cut for lack of memory, by peer."
+        )
+        self._refused_bodies = counter(
+            "refused_bodies", description="Bodies refused for lack of memory."
+        )
 
     def _create_histograms(self) -> None:
         self._completion = self._histogram(
@@ -266,6 +272,14 @@
         outcome = "granted" if granted else "refused"
         self._permit_wait.record(seconds, {"class": class_name, "outcome": outcome})
 
+    def cut_for_memory(self, peer: str) -> None:
+        """Count a connection that was cut; ``peer`` is "caller" or "endpoint"."""
+        self._memory_cuts.add(1, {"peer": peer})
+
+    def body_refused_for_memory(self) -> None:
+        """Count a request whose body was refused for lack of memory."""
+        self._refused_bodies.add(1)
+
     def gaps_counted(self, class_name: str, gaps: TokenGaps) -> None:
         """Add the gaps of one stream to the counts of its class."""
         with self._gaps_lock:
--- a/tests/test_gateway_attempt.py
+++ b/tests/test_gateway_attempt.py
@@ -11,6 +11,7 @@
 
 from cranberrywick.errors import EndpointRefused
 from cranberrywick.gateway.attempt import AnswerCallbacks, Attempt
+from cranberrywick.gateway.buffer_budget import NO_BUDGET
 from cranberrywick.gateway.endpoint_tracker import EndpointTracker
 from cranberrywick.gateway.exchange import AnswerSource, Exchange
 from cranberrywick.gateway.ingress import HttpRequest
@@ -98,7 +99,7 @@
         }
         meta = decode_request([(REQUEST_ID, b"r")])
         request = HttpRequest(b"POST", b"/x", [], [], b"", arrived=0.0)
-        exchange = Exchange(request, None, meta)
+        exchange = Exchange(request, SimpleNamespace(buffers=NO_BUDGET), meta)
         exchange.route = SimpleNamespace(name="prompts")
         placement = Placement("e1", (Part("e2", reserved_tokens=100),), 0.1, ())
         callbacks = AnswerCallbacks(
--- a/tests/test_keepalive.py
+++ b/tests/test_keepalive.py
@@ -1,6 +1,6 @@
 """How long the connections of callers and endpoints may be silent."""
 
-from cranberrywick.gateway.ingress import (
+from cranberrywick.gateway.tcp_options import (
     KEEPALIVE_IDLE_SECONDS,
     KEEPALIVE_INTERVAL_SECONDS,
     KEEPALIVE_PROBES,
