--- a/cranberrywick/gateway/answer_forwarding.py
+++ b/cranberrywick/gateway/answer_forwarding.py
@@ -34,7 +34,7 @@
         headers.append((b"Content-Length", str(len(self.body)).encode()))
         await caller.send_head(self.head.status, self.head.reason, headers)
         if self.body:
-            await caller.send_body(self.body)
+            await caller.send_whole_body(self.body)
         caller.end()
 
 
--- a/cranberrywick/gateway/buffer_budget.py
+++ b/cranberrywick/gateway/buffer_budget.py
@@ -56,7 +56,8 @@
 class Unbudgeted:
     """Counts and limits nothing: the budget, and the buffers of each connection."""
 
-    request_id = ""
+    counts_unread = False
+    unread = 0
 
     def connection(
         self, transport: asyncio.Transport, cut: Callable[[], None]
@@ -207,6 +208,8 @@
 class ConnectionBuffers:
     """What is held for one connection; ``request_id`` is its last request's."""
 
+    counts_unread = True
+
     def __init__(
         self,
         budget: BufferBudget,
--- a/cranberrywick/gateway/ingress.py
+++ b/cranberrywick/gateway/ingress.py
@@ -144,8 +144,8 @@
 
     @property
     def busy(self) -> bool:
-        """Whether a request is being served on this connection."""
-        return self._task is not None
+        """Whether a request is being served, or an answer has counted unread bytes."""
+        return self._task is not None or self.buffers.unread > 0
 
     @property
     def gone(self) -> bool:
@@ -200,7 +200,7 @@
         if self._task is None:
             if self._request is None:
                 limits = self._ingress.limits
-                self._set_timer(limits.header_seconds, self._head_timed_out)
+                self._set_timer(limits.header_seconds, self._timed_out)
             self._read_events()
 
     def close_if_idle(self) -> None:
@@ -234,7 +234,7 @@
             self._request = event
             self._head_received_at = self._loop.time()
             self._body, self._body_bytes = bytearray(), 0
-            self._set_timer(limits.idle_seconds, self._body_timed_out)
+            self._set_timer(limits.idle_seconds, self._timed_out)
             if self._http.they_are_waiting_for_100_continue:
                 self._send(h11.InformationalResponse(status_code=100, headers=[]))
         elif isinstance(event, h11.Data):
@@ -310,6 +310,16 @@
         self._send(h11.Data(data=data))
         await self._can_write.wait()
 
+    async def send_whole_body(self, data: bytes) -> None:
+        """Send the only part of a body.
+
+        Returns at once if unread bytes are counted: while it waits, the request would
+        keep its slot at the endpoint.
+        """
+        self._send(h11.Data(data=data))
+        if not self.buffers.counts_unread:
+            await self._can_write.wait()
+
     def end(self) -> None:
         """Send the end of the body, which marks the answer as complete."""
         self._send(h11.EndOfMessage())
@@ -367,10 +377,7 @@
         self.buffers.request_ended()
         self._set_timer(linger, self._abort)
 
-    def _head_timed_out(self) -> None:
-        self._refuse(408)
-
-    def _body_timed_out(self) -> None:
+    def _timed_out(self) -> None:
         self._refuse(408)
 
     def _abort(self) -> None:
--- a/cranberrywick/gateway/peer_requests.py
+++ b/cranberrywick/gateway/peer_requests.py
@@ -87,6 +87,10 @@
         """Send a part of the body."""
         await self._connection.send_body(data)
 
+    async def send_whole_body(self, data: bytes) -> None:
+        """Send the only part of a body."""
+        await self._connection.send_whole_body(data)
+
     def end(self) -> None:
         """Send the end of the body, which marks the answer as complete."""
         self._connection.end()
--- a/cranberrywick/standin/platform/endpoint.py
+++ b/cranberrywick/standin/platform/endpoint.py
@@ -77,10 +77,13 @@
     loop's clock. ``arrivals`` has the ids, too. While ``draining`` is set, each answer
     says so. The next requests are refused, one with each of the ``retry_afters`` as
     value of the header; ``backoffs`` has these refusals. ``extra_headers`` are added to
-    each answer. ``runs`` counts runs by request id, ``heads`` has the
-    method, target, headers and body of each run, ``at_work`` the request ids in
-    progress and ``tickets`` the reservations of memory by id. ``by_address`` has all
-    endpoints of the process, so that an engine can check its helpers' tickets.
+    each answer. A request's header ``X-Padding`` adds so many bytes to its answer, or
+    to each event. ``read_pause_seconds`` is the pause before each read of a request. A
+    stream that stays unread for ``unread_seconds`` is cut off and counted in
+    ``cut_off``. ``runs`` counts runs by request id, ``heads`` has the method, target,
+    headers and body of each run, ``at_work`` the request ids in progress and
+    ``tickets`` the reservations of memory by id. ``by_address`` has all endpoints of
+    the process, so that an engine can check its helpers' tickets.
     """
 
     by_address: dict[str, "EndpointStandIn"] = {}
@@ -106,6 +109,9 @@
         self.retry_afters: list[str] = []
         self.backoffs: list[Backoff] = []
         self.extra_headers: list[tuple[str, str]] = []
+        self.read_pause_seconds = 0.0
+        self.unread_seconds: float | None = None
+        self.cut_off = 0
         self.runs: Counter[str] = Counter()
         self.heads: list[tuple[bytes, bytes, dict[str, str], bytes]] = []
         self.at_work: set[str] = set()
@@ -144,7 +150,7 @@
     ) -> None:
         http = h11.Connection(h11.SERVER)
         try:
-            head, body = await _read_request(http, reader)
+            head, body = await self._read_request(http, reader)
             if head is not None:
                 await self._answer(head, body, http, reader, writer)
                 await writer.drain()
@@ -253,10 +259,11 @@
         if "cranberrywick-token-count" in headers and self.behaviour != "failing":
             await self._stream(http, headers, own, writer)
         else:
-            self._call(http, own, request_id, writer)
+            self._call(http, own, headers, writer)
 
-    def _call(self, http, own, request_id: str, writer) -> None:
-        body = f"answer to {request_id}".encode()
+    def _call(self, http, own, headers, writer) -> None:
+        request_id = headers.get("cranberrywick-request-id", "")
+        body = f"answer to {request_id}".encode() + _padding(headers)
         if self.behaviour == "noise":
             writer.write(b"\x00\x01 no answer at all\r\n\r\n")
         elif self.behaviour == "short":
@@ -279,7 +286,8 @@
         stream = [*own, ("Content-Type", "text/event-stream")]
         writer.write(http.send(h11.Response(status_code=200, headers=stream)))
         for number in range(start + 1, self.events + 1):
-            event = f"id: {number}\ndata: piece {number}\n\n".encode()
+            event = f"id: {number}\ndata: piece {number}".encode()
+            event += _padding(headers) + b"\n\n"
             if number > EVENTS_BEFORE_CUT and self.behaviour in ("cut", "silent"):
                 half = event[: len(event) // 2]
                 writer.write(http.send(h11.Data(data=half)))
@@ -287,26 +295,44 @@
                     await asyncio.sleep(3600)
                 return
             writer.write(http.send(h11.Data(data=event)))
+            await self._await_reader(writer)
             await asyncio.sleep(self.event_seconds)
         writer.write(http.send(h11.EndOfMessage()))
 
-
-async def _read_request(
-    http: h11.Connection, reader: asyncio.StreamReader
-) -> tuple[h11.Request | None, bytes]:
-    head, body = None, b""
-    while True:
-        event = http.next_event()
-        if event is h11.NEED_DATA:
-            http.receive_data(await reader.read(READ_BYTES))
-        elif isinstance(event, h11.Request):
-            head = event
-        elif isinstance(event, h11.Data):
-            body += bytes(event.data)
-        elif isinstance(event, h11.EndOfMessage):
-            return head, body
-        else:
-            return None, b""
+    async def _await_reader(self, writer: asyncio.StreamWriter) -> None:
+        if self.unread_seconds is None:
+            return
+        # Without a buffer of its own, the stand-in sees what stays unread.
+        writer.transport.set_write_buffer_limits(high=0)
+        try:
+            async with asyncio.timeout(self.unread_seconds):
+                await writer.drain()
+        except TimeoutError as error:
+            self.cut_off += 1
+            writer.transport.abort()
+            raise ConnectionResetError("the stream stayed unread") from error
+
+    async def _read_request(
+        self, http: h11.Connection, reader: asyncio.StreamReader
+    ) -> tuple[h11.Request | None, bytes]:
+        head, body = None, bytearray()
+        while True:
+            event = http.next_event()
+            if event is h11.NEED_DATA:
+                await asyncio.sleep(self.read_pause_seconds)
+                http.receive_data(await reader.read(READ_BYTES))
+            elif isinstance(event, h11.Request):
+                head = event
+            elif isinstance(event, h11.Data):
+                body += event.data
+            elif isinstance(event, h11.EndOfMessage):
+                return head, bytes(body)
+            else:
+                return None, b""
+
+
+def _padding(headers: dict[str, str]) -> bytes:
+    return b"." * int(headers.get("x-padding", "0"))
 
 
 async def _run_unless_closed(reader: asyncio.StreamReader, work) -> None:
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -98,6 +98,12 @@
     def directory(self) -> str:
         return self.settings["listen"]["directory"]
 
+    @property
+    def metrics(self) -> str:
+        """The gateway's metrics, as text."""
+        address = f"{self.settings['ip']}:{self.settings['internalPorts'][1]}"
+        return urllib3.request("GET", f"http://{address}/metrics").data.decode()
+
     @property
     def log(self) -> str:
         return self.log_path.read_text()
@@ -116,7 +122,12 @@
 
 
 class Fleet:
-    """The running fleet: the store, the endpoints and the gateways."""
+    """The running fleet: the store, the endpoints and the gateways.
+
+    ``settings`` are added to those of each gateway.
+    """
+
+    settings: dict = {}
 
     def __init__(self, path: Path):
         self.path = path
@@ -188,7 +199,7 @@
         """
         door = self.await_on_loop(self.store.add_listener(name))
         self.store.modes_by_listener[name] = store_mode
-        settings = gateway_settings(name, self._ip(name), door)
+        settings = gateway_settings(name, self._ip(name), door) | self.settings
         settings["seeds"] = [g.settings["listen"]["control"] for g in self.gateways]
         path = self.path / f"{name}.json"
         path.write_text(json.dumps(settings))
@@ -254,10 +265,18 @@
             connection.settimeout(timeout)
             return read_answer(connection)
 
-    def connect(self, gateway: Gateway) -> socket.socket:
-        """Open a connection to the address of a gateway for callers."""
+    def connect(self, gateway: Gateway, receive_bytes: int = 0) -> socket.socket:
+        """Open a connection to the address of a gateway for callers.
+
+        ``receive_bytes`` is the size of the caller's receive buffer, if set.
+        """
         host, _, port = gateway.front.rpartition(":")
-        return socket.create_connection((host, int(port)), WAIT_SECONDS)
+        connection = socket.socket()
+        if receive_bytes:
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes)
+        connection.settimeout(WAIT_SECONDS)
+        connection.connect((host, int(port)))
+        return connection
 
     def runs(self, request_id: str) -> int:
         """Return how many times endpoints ran a request."""
