--- a/cranberrywick/routing/buffer_budget.py
+++ b/cranberrywick/routing/buffer_budget.py
@@ -30,6 +30,10 @@
 CHECK_SHARE = 1 / 64
 # A connection with unread bytes counts as slow after this time, in seconds.
 SLOW_SECONDS = 1.0
+# Weight of the unread bytes of other connections when they are compared. Just after a
+# write a quick caller has as many unread bytes as a slow one with an answer of equal
+# length, or some more.
+QUICK_WEIGHT = 0.5
 
 
 class BufferLimits(NamedTuple):
@@ -148,19 +152,25 @@
 
         Above the shared bytes these are connections with more unread bytes than their
         own part. Above the budget they are also slow connections with fewer, and at
-        last those for which the most is kept. Among slow connections the one with the
-        most unread bytes comes first, among equals the one with bytes unread for the
-        longest time.
+        last those for which the most is kept. The one with the most unread bytes comes
+        first, among equals the one with bytes unread for the longest time; the bytes of
+        connections that are not slow count less.
         """
         if self._held <= self.limits.shared or self._grown <= self._check_step:
             return []
         self._grown = 0
         self.refresh()
-        shared, budget, part = self.limits.shared, self.limits.budget, self.limits.part
-        taken = self._take(shared, _by_unread, lambda each: each.unread > part)
         slow_since = now - SLOW_SECONDS
+
+        def by_unread(entry: tuple[str, Holding]) -> tuple[float, float]:
+            since = entry[1].unread_since
+            weight = 1.0 if since <= slow_since else QUICK_WEIGHT
+            return -weight * entry[1].unread, since
+
+        shared, budget, part = self.limits.shared, self.limits.budget, self.limits.part
+        taken = self._take(shared, by_unread, lambda each: each.unread > part)
         taken += self._take(
-            budget, _by_unread, lambda each: each.unread_since <= slow_since
+            budget, by_unread, lambda each: each.unread_since <= slow_since
         )
         taken += self._take(budget, _by_held, lambda each: each.held > part)
         return taken
@@ -192,9 +202,5 @@
         self._grown += max(0, holding.held - before.held)
 
 
-def _by_unread(entry: tuple[str, Holding]) -> tuple[float, float]:
-    return -entry[1].unread, entry[1].unread_since
-
-
 def _by_held(entry: tuple[str, Holding]) -> tuple[float, float]:
     return -entry[1].held, entry[1].unread_since
--- a/tests/test_buffer_budget.py
+++ b/tests/test_buffer_budget.py
@@ -72,6 +72,18 @@
     assert connections.write("fourth", 1000, 6.0) == ["first"]
 
 
+def test_a_quick_caller_is_not_closed_in_place_of_a_slow_one():
+    """Guards against cutting the caller whose answer has just been written.
+
+    Of a slow caller's answer of equal length some bytes have been sent since.
+    """
+    connections = Connections()
+    for name in ("slow", "other"):
+        connections.write(name, 1000, 0.0)
+    assert connections.write("quick", 1100, SLOW_SECONDS) == ["slow"]
+    assert connections.write("much", 2100, SLOW_SECONDS + 0.5) == ["much"]
+
+
 def test_bytes_that_have_been_read_count_no_more():
     """Guards against cutting callers for bytes that they have read since the write."""
     connections = Connections()
--- /dev/null
+++ b/tests/test_buffer_connections.py
@@ -0,0 +1,223 @@
+"""Connections of callers under a budget of held bytes, by real sockets.
+
+Guards against bodies that are read although there is no room, against cut answers that
+look complete, and against bytes that stay counted.
+"""
+
+import asyncio
+import io
+import socket
+from contextlib import asynccontextmanager
+
+import pytest
+
+from cranberrywick.gateway.buffer_budget import (
+    NO_BUDGET,
+    UNREAD_BOUND_BYTES,
+    BufferBudget,
+    buffer_budget,
+)
+from cranberrywick.gateway.ingress import Ingress
+from cranberrywick.gateway.lazy_metrics import LazyMetrics
+from cranberrywick.logs import EventLog, make_handler
+from cranberrywick.platform.settings import decode_settings
+from cranberrywick.routing.buffer_budget import SLOW_SECONDS, BufferLimits
+
+LIMITS = BufferLimits(budget=4_000_000, shared=3_000_000, part=50_000)
+ANSWER = bytes(2_000_000)
+SETTINGS = {
+    "nodeName": "e1",
+    "ip": "127.0.0.1",
+    "zone": "a",
+    "internalPorts": [1, 2],
+    "platform": {"address": "127.0.0.1:1"},
+}
+
+
+class Server:
+    """An ingress that answers each request with `ANSWER` as soon as it is allowed."""
+
+    def __init__(self, budget):
+        self.budget = budget
+        self.bodies = []
+        self.may_answer = asyncio.Event()
+        self.ingress = Ingress(self._handle, budget=budget)
+
+    async def _handle(self, request, caller):
+        self.bodies.append(len(request.body))
+        await self.may_answer.wait()
+        await caller.send_head(200, b"", [])
+        await caller.send_whole_body(ANSWER)
+        caller.end()
+
+    async def open(self, head, body=b"", is_slow=True):
+        """Connect, a slow caller with a small receive buffer, and send a request."""
+        connection = socket.socket()
+        if is_slow:
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        connection.setblocking(False)
+        host, _, port = self.ingress.address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(connection, (host, int(port)))
+        await loop.sock_sendall(connection, head + b"\r\n\r\n" + body)
+        return connection
+
+    async def until_held(self, condition):
+        async with asyncio.timeout(10):
+            while True:
+                self.budget.ledger.refresh()
+                if condition(self.budget.ledger.held):
+                    return
+                await asyncio.sleep(0.01)
+
+
+@asynccontextmanager
+async def running_server():
+    """Run a server under a budget; check at the end that nothing is held."""
+    budget = BufferBudget(LIMITS, LazyMetrics("e1"), EventLog())
+    server = Server(budget)
+    await server.ingress.start("127.0.0.1:0")
+    yield server
+    server.may_answer.set()
+    for connection in list(server.ingress.connections):
+        connection._abort()
+    await server.until_held(lambda held: held == 0)
+    assert not budget.ledger.holders and not budget._connections_by_id
+    server.ingress.close()
+
+
+async def receive(connection, size=float("inf")):
+    """Receive at least ``size`` bytes, or until the end; raises `ConnectionResetError`."""
+    loop, data = asyncio.get_running_loop(), b""
+    async with asyncio.timeout(10):
+        while len(data) < size:
+            part = await loop.sock_recv(connection, 65536)
+            if not part:
+                break
+            data += part
+    return data
+
+
+def request(method="POST", version="1.1", **fields):
+    lines = [f"{name.replace('_', '-')}: {value}" for name, value in fields.items()]
+    lines = [f"{method} /x HTTP/{version}", "Host: h", *lines]
+    return "\r\n".join(lines).encode()
+
+
+def run_with_log(main):
+    text = io.StringIO()
+    with make_handler("info", text).applicationbound():
+        asyncio.run(main())
+    return text.getvalue()
+
+
+@pytest.mark.parametrize(
+    ("fields", "sent"),
+    [
+        ({"Content_Length": 2_000_000}, b""),
+        ({"Content_Length": 2_000_000, "Expect": "100-continue"}, b""),
+        ({"Transfer_Encoding": "chunked"}, b"1e8480\r\n" + bytes(1_200_000)),
+    ],
+)
+def test_a_body_without_room_is_refused(fields, sent):
+    """Guards against bodies that are read in vain, and against lost room.
+
+    Without a declared length the refusal comes as soon as the body is too long.
+    """
+
+    async def main():
+        async with running_server() as server:
+            first = await server.open(request(Content_Length=2_000_000))
+            await server.until_held(lambda held: held == 2_000_000)
+            fields["Cranberrywick_Request_Id"] = "r-1"
+            refused = await server.open(request(**fields), sent)
+            answer = await receive(refused, 200)
+            assert answer.startswith(b"HTTP/1.1 503") and b"Retry-After: 0." in answer
+            small = await server.open(request(Content_Length=40_000), bytes(40_000))
+            await server.until_held(lambda held: held == 2_040_000)
+            first.close()
+            await server.until_held(lambda held: held == 40_000)
+            again = await server.open(request(**fields), sent)
+            await server.until_held(lambda held: held > 1_000_000)
+            assert server.bodies == [40_000]
+            for connection in (refused, small, again):
+                connection.close()
+
+    log = run_with_log(main)
+    assert log.count("event=body_refused_for_memory") == 1 and "request_id=r-1" in log
+
+
+@pytest.mark.parametrize("version", ["1.0", "1.1"])
+def test_a_cut_answer_does_not_look_complete(version):
+    """Guards against callers that take the part of an answer for all of it.
+
+    With HTTP/1.0 only a reset tells a cut answer from one that has ended.
+    """
+
+    async def main():
+        async with running_server() as server:
+            server.may_answer.set()
+            head = request("GET", version, Cranberrywick_Request_Id="r-1")
+            slow = await server.open(head)
+            await server.until_held(lambda held: held > 1_500_000)
+            await asyncio.sleep(SLOW_SECONDS)
+            other = await server.open(request("GET"), is_slow=False)
+            with pytest.raises(ConnectionResetError):
+                await receive(slow)
+            assert len(await receive(other, len(ANSWER))) >= len(ANSWER)
+            slow.close()
+            other.close()
+
+    log = run_with_log(main)
+    (line,) = [each for each in log.splitlines() if "caller_cut_for_memory" in each]
+    assert "request_id=r-1" in line and "budget=4000000" in line
+
+
+def test_bytes_that_follow_a_request_count():
+    """Guards against callers who send more while their request is being served."""
+
+    async def main():
+        async with running_server() as server:
+            loop = asyncio.get_running_loop()
+            caller = await server.open(request("GET"))
+            await server.until_held(lambda held: len(server.bodies) == 1)
+            await loop.sock_sendall(caller, bytes(500_000))
+            await server.until_held(lambda held: held == 500_000)
+            with pytest.raises(ConnectionError):
+                async with asyncio.timeout(10):
+                    await loop.sock_sendall(caller, bytes(20_000_000))
+            caller.close()
+
+    run_with_log(main)
+
+
+@pytest.mark.parametrize(
+    ("fields", "is_on"),
+    [
+        ({}, False),
+        ({"contracts": ["pressure"]}, False),
+        ({"limits": {"memoryMb": 200}}, False),
+        ({"contracts": ["pressure"], "limits": {"memoryMb": 200}}, True),
+    ],
+)
+def test_the_budget_is_on_only_where_it_is_asked_for(fields, is_on):
+    """Guards against changed buffers in deployments that did not ask for the budget."""
+
+    async def main():
+        settings = decode_settings({**SETTINGS, **fields})
+        budget = buffer_budget(settings, LazyMetrics("e1"), EventLog())
+        server = Server(budget)
+        await server.ingress.start("127.0.0.1:0")
+        caller = await server.open(request("GET"))
+        async with asyncio.timeout(10):
+            while not server.bodies:
+                await asyncio.sleep(0.01)
+        (connection,) = server.ingress.connections
+        low, high = connection._transport.get_write_buffer_limits()
+        assert (budget is not NO_BUDGET) is is_on
+        assert high == (UNREAD_BOUND_BYTES if is_on else 65536)
+        assert low == high // 4
+        caller.close()
+        server.ingress.close()
+
+    run_with_log(main)
