--- a/cranberrywick/gateway/buffer_budget.py
+++ b/cranberrywick/gateway/buffer_budget.py
@@ -137,6 +137,11 @@
         self._connections_by_id[connection_id] = buffers
         return buffers
 
+    @property
+    def connections(self) -> int:
+        """How many connections are open."""
+        return len(self._connections_by_id)
+
     def keep(self, connection_id: str, kept: int) -> None:
         """Count what is kept for an open connection; close others if necessary."""
         if connection_id in self._connections_by_id:
--- a/tests/test_buffer_connections.py
+++ b/tests/test_buffer_connections.py
@@ -81,13 +81,13 @@
     server.may_answer.set()
     for connection in list(server.ingress.connections):
         connection._abort()
-    await server.until_held(lambda held: held == 0)
-    assert not budget.ledger.holders and not budget._connections_by_id
+    await server.until_held(lambda held: not budget.connections and held == 0)
+    assert not budget.ledger.holders
     server.ingress.close()
 
 
 async def receive(connection, size=float("inf")):
-    """Receive at least ``size`` bytes, or until the end; raises `ConnectionResetError`."""
+    """Receive at least ``size`` bytes, or until the end."""
     loop, data = asyncio.get_running_loop(), b""
     async with asyncio.timeout(10):
         while len(data) < size:
