--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -104,6 +104,16 @@
         address = f"{self.settings['ip']}:{self.settings['internalPorts'][1]}"
         return urllib3.request("GET", f"http://{address}/metrics").data.decode()
 
+    @property
+    def held_bytes(self) -> float:
+        """What the gateway holds for its connections, by its metrics."""
+        (line,) = [
+            each
+            for each in self.metrics.splitlines()
+            if each.startswith("cranberrywick_held_bytes{")
+        ]
+        return float(line.rpartition(" ")[2])
+
     @property
     def log(self) -> str:
         return self.log_path.read_text()
--- a/tests/gateway_soak.py
+++ b/tests/gateway_soak.py
@@ -8,8 +8,9 @@
 connections are delayed, blocked in one or both directions, or reset; the store refuses
 gateways or comes back from an older copy; gateways lose their links to all endpoints,
 one, some or all of them; endpoints fail, name rate limits, announce
-draining and start again, or ask for time; operators change the configuration. The
-answers that callers received are compared with what the endpoints received and ran:
+draining and start again, or ask for time; operators change the configuration. Some
+callers ask for long answers and pause before they read them. The answers that callers
+received are compared with what the endpoints received and ran:
 
 - a request that must not run twice ran at most once;
 - a request that was refused as not run has not run, and does not run later;
@@ -20,7 +21,8 @@
   than the bound to gateways that have passed the announcement on;
 - an endpoint whose record says that it is draining gets no requests later than the
   bound from gateways that are undisturbed, also if the store has forgotten it;
-- an endpoint that asks a gateway for a time without requests gets two at most in it.
+- an endpoint that asks a gateway for a time without requests gets two at most in it;
+- once all callers have left, no gateway holds bytes for them.
 """
 
 import random
@@ -38,8 +40,11 @@
 from fault_proxy import Proxy
 from gateway_fleet import (
     PROMPT_HEADERS,
+    Answer,
     Gateway,
     configuration,
+    read_answer,
+    request_bytes,
     running_gateways,
     wait_for,
 )
@@ -47,6 +52,13 @@
 from soak_store import RecordedDrain, SoakStore
 
 CALLERS = 6
+# Share of the requests whose caller pauses before it reads, how long at most, in
+# seconds, and by how many bytes the answer or each of its events is longer. The
+# caller's receive buffer is small, so that the gateway holds the answer meanwhile.
+SLOW_SHARE = 0.2
+LONGEST_READ_PAUSE_SECONDS = 3.5
+SLOW_PADDING_BYTES = 20_000
+SLOW_BUFFER_BYTES = 4096
 # About the mean interval between two faults, in seconds.
 FAULT_GAP_SECONDS = 0.5
 # Longest duration of a fault, in seconds; rate limits last for `LIMIT_SECONDS`.
@@ -78,6 +90,12 @@
 BEHAVIOURS = ("failing", "full", "reset", "hang", "twice", "other", "short", "cut")
 
 
+class SoakFleet(CutFleet):
+    """A fleet whose gateways limit what they hold for slow callers."""
+
+    settings = {"contracts": ["pressure"], "limits": {"memoryMb": 200}}
+
+
 class Soak:
     """The run of one seed."""
 
@@ -146,6 +164,7 @@
         deadline = time.monotonic() + RECOVERY_SECONDS
         for number, gateway in enumerate(list(self.fleet.gateways)):
             wait_for(lambda n=number: self._serves_again(n), f"{gateway.name} to serve")
+            wait_for(lambda g=gateway: g.held_bytes == 0, f"{gateway.name} to be empty")
         assert time.monotonic() < deadline, "it took too long to serve again"
 
     def check(self) -> list[str]:
@@ -164,9 +183,10 @@
             gateway = rng.choice(self.fleet.gateways)
             method = "GET" if kind == "reads" else "POST"
             try:
-                answer = self.fleet.call(
-                    gateway, method, target, b"", headers, request_id, 6.0
-                )
+                pause = None
+                if rng.random() < SLOW_SHARE:
+                    pause = rng.uniform(0.0, LONGEST_READ_PAUSE_SECONDS)
+                answer = self._call(gateway, method, target, headers, request_id, pause)
             except (OSError, ValueError, IndexError):
                 answer = None  # No connection, or it ended within the head.
             answered_at = self.fleet.loop.time()
@@ -177,6 +197,29 @@
             )
             time.sleep(rng.uniform(0.0, 0.05))
 
+    def _call(
+        self,
+        gateway: Gateway,
+        method: str,
+        target: str,
+        headers: dict[str, str],
+        request_id: str,
+        pause: float | None,
+    ) -> Answer:
+        """Send a request and return the answer, read after ``pause`` seconds if set."""
+        if pause is None:
+            return self.fleet.call(
+                gateway, method, target, b"", headers, request_id, 6.0
+            )
+        headers["X-Padding"] = str(SLOW_PADDING_BYTES)
+        with self.fleet.connect(gateway, SLOW_BUFFER_BYTES) as connection:
+            connection.sendall(request_bytes(method, target, b"", headers, request_id))
+            time.sleep(pause)
+            connection.settimeout(6.0)
+            answer = read_answer(connection)
+        # No other part of an answer has a dot.
+        return answer._replace(body=answer.body.replace(b".", b""))
+
     def _serves_again(self, number: int) -> bool:
         # A gateway that got SIGTERM may end only now, after the last fault.
         self._restart_dead()
@@ -397,7 +440,7 @@
 def run_seed(seed: int, seconds: float, gateways: int = 3) -> tuple[Soak, list[str]]:
     """Run one seed; return the run and the guarantees that were broken."""
     path = Path(tempfile.mkdtemp(prefix="soak-"))
-    with running_gateways(path, gateways, CutFleet) as fleet:
+    with running_gateways(path, gateways, SoakFleet) as fleet:
         soak = Soak(fleet, seed)
         soak.prepare()
         soak.run(seconds)
--- a/tests/test_buffers_fleet.py
+++ b/tests/test_buffers_fleet.py
@@ -48,20 +48,11 @@
         fleet.configure(configuration(version=2, limits=limits))
         (gateway,) = fleet.gateways
         wait_for(lambda: "version=2" in gateway.log, "the limit of bodies")
-        assert held_bytes(gateway) == 0
+        assert gateway.held_bytes == 0
         yield fleet
         assert gateway.process.poll() is None
         assert peak_bytes(gateway) < MEMORY_BYTES
-        wait_for(lambda: held_bytes(gateway) == 0, "nothing to be held")
-
-
-def held_bytes(gateway):
-    (line,) = [
-        each
-        for each in gateway.metrics.splitlines()
-        if each.startswith("cranberrywick_held_bytes{")
-    ]
-    return float(line.rpartition(" ")[2])
+        wait_for(lambda: gateway.held_bytes == 0, "nothing to be held")
 
 
 def peak_bytes(gateway):
@@ -110,7 +101,7 @@
                 ("/books/1", {}),
                 ("/prompts/1", PROMPT_HEADERS),
             )
-            assert held_bytes(gateway) <= BUDGET * (1 + CHECK_SHARE)
+            assert gateway.held_bytes <= BUDGET * (1 + CHECK_SHARE)
             assert len(answers) < 10 * QUICK_CALLS
         assert {(answer.status, answer.whole) for answer in answers} == {(200, True)}
         assert "memory_cuts_total" in gateway.metrics
@@ -152,7 +143,7 @@
 
         with ThreadPoolExecutor(30) as pool:
             large = [pool.submit(send_large, number) for number in range(30)]
-            wait_for(lambda: held_bytes(gateway) > BUDGET / 2, "bodies to be held")
+            wait_for(lambda: gateway.held_bytes > BUDGET / 2, "bodies to be held")
             answers = quick_answers(fleet, ("/prompts/1", PROMPT_HEADERS))
             assert {(answer.status, answer.whole) for answer in answers} == {
                 (200, True)
@@ -171,6 +162,6 @@
         headers = {"X-Padding": str(SLOW_ANSWER_BYTES)}
         for _ in range(3):
             connection = send_without_reading(fleet, "/books/1", headers, bytes(1000))
-            wait_for(lambda: held_bytes(gateway) > 1_000_000, "the answer to be held")
+            wait_for(lambda: gateway.held_bytes > 1_000_000, "the answer to be held")
             connection.close()
-            wait_for(lambda: held_bytes(gateway) == 0, "the bytes to be given back")
+            wait_for(lambda: gateway.held_bytes == 0, "the bytes to be given back")
