--- a/cranberrywick/routing/buffer_budget.py
+++ b/cranberrywick/routing/buffer_budget.py
@@ -133,6 +133,8 @@
     def record_unread(self, connection_id: str, unread: int, now: float) -> None:
         """Record how many bytes a connection has not read."""
         holding = self._holdings_by_id.get(connection_id, _NOTHING)
+        if not unread and not holding.unread:
+            return
         since = min(holding.unread_since, now) if unread else float("inf")
         self._set(connection_id, Holding(holding.kept, unread, since))
 
