--- a/cranberrywick/gateway/ingress.py
+++ b/cranberrywick/gateway/ingress.py
@@ -313,8 +313,8 @@
     async def send_whole_body(self, data: bytes) -> None:
         """Send the only part of a body.
 
-        Returns at once if unread bytes are counted: while it waits, the request would
-        keep its slot at the endpoint.
+        Returns at once if unread bytes are counted: while it waits, the call would
+        count at its endpoint, which has answered already.
         """
         self._send(h11.Data(data=data))
         if not self.buffers.counts_unread:
