--- a/cranberrywick/gateway/lazy_metrics.py
+++ b/cranberrywick/gateway/lazy_metrics.py
@@ -101,6 +101,21 @@
         """Record for how many seconds a request was deferred, by how that ended."""
         self._record(methodcaller("deferral_ended", service, reason, seconds))
 
+    def cut_for_memory(self, peer: str) -> None:
+        """Count a connection that was cut; ``peer`` is "caller" or "endpoint"."""
+        self._record(methodcaller("cut_for_memory", peer))
+
+    def body_refused_for_memory(self) -> None:
+        """Count a request whose body was refused for lack of memory."""
+        self._record(methodcaller("body_refused_for_memory"))
+
+    def observe_held_bytes(self, read: Callable[[], dict[str, float]]) -> None:
+        """Publish the bytes held for connections; ``read`` returns them."""
+        description = "Bytes held for callers and endpoints."
+        self._record(
+            methodcaller("observe_gauge", "held_bytes", description, "kind", read)
+        )
+
     async def render(self) -> Rendered:
         """Return all metrics as text, after loading the library if necessary."""
         metrics = await self._start_loading()
