--- a/cranberrywick/gateway/app.py
+++ b/cranberrywick/gateway/app.py
@@ -73,6 +73,9 @@
             peer_updates.observation_changed,
             self._metrics,
             log,
+            self.state.slots_in_use,
+            self.state.members.count,
+            self._rng,
         )
         self._waiting = WaitingRequests(self.state, placer, contention)
         self.state.changed = self._waiting.schedule_placing
--- a/cranberrywick/gateway/contention.py
+++ b/cranberrywick/gateway/contention.py
@@ -7,12 +7,21 @@
 """
 
 import asyncio
+import random
 from collections.abc import Callable
+from functools import partial
 from typing import NamedTuple
 
+from cranberrywick.errors import Overloaded
 from cranberrywick.gateway.lazy_metrics import LazyMetrics
 from cranberrywick.logs import EventLog
-from cranberrywick.routing.demand import Demand
+from cranberrywick.routing.admission_forecast import (
+    SlotForecast,
+    SlotReturns,
+    forecast_slot,
+    is_unservable,
+)
+from cranberrywick.routing.demand import Demand, min_first_event_seconds
 from cranberrywick.routing.engine_model import prefill_time
 from cranberrywick.routing.fleet_demand import FleetDemand
 from cranberrywick.routing.placement import Placement
@@ -20,6 +29,14 @@
 
 __all__ = ["Contention", "Waiter"]
 
+# Latest time after its arrival at which a request is refused for a forecast, in
+# seconds. Callers are promised that such a refusal is immediate; one that comes later
+# would also be for a request that has waited longer than those which it competes with.
+MAX_REFUSAL_SECONDS = 0.05
+# Shortest wait that is logged and compared with its forecast, in seconds: a shorter one
+# may be the interval between two tries.
+MIN_RECORDED_WAIT_SECONDS = 0.05
+
 
 class Waiter(NamedTuple):
     """A request that has no placement yet; moments are of the event loop's clock."""
@@ -37,11 +54,21 @@
         return self.demand.service.name
 
 
+def _unknown_slots(service: str, now: float) -> int:
+    return 0
+
+
+def _one_daemon(now: float) -> int:
+    return 1
+
+
 class Contention:
     """Decides about requests for contended services, by the demand of the fleet.
 
     ``table`` returns the routes in force. ``waiting_changed`` is called when a request
     begins or ceases to wait for a slot, so that peers are sent the new number.
+    ``slots_in_use`` returns how many slots of a service the fleet uses, 0 if that is
+    unknown, and ``count_daemons`` the number of daemons. ``rng`` spreads retry times.
     """
 
     def __init__(
@@ -51,12 +78,22 @@
         waiting_changed: Callable[[], None],
         metrics: LazyMetrics,
         log: EventLog,
+        slots_in_use: Callable[[str, float], int] = _unknown_slots,
+        count_daemons: Callable[[float], int] = _one_daemon,
+        rng: random.Random | None = None,
     ):
         self._table = table
         self._fleet_demand = fleet_demand
         self._waiting_changed = waiting_changed
         self._metrics = metrics
         self._log = log
+        self._slots_in_use = slots_in_use
+        self._count_daemons = count_daemons
+        self._slot_returns = SlotReturns(rng or random.Random())
+        # Futures of the requests that are counted as waiting, and of those that have
+        # been judged by a forecast.
+        self._counted: set[asyncio.Future] = set()
+        self._judged: set[asyncio.Future] = set()
 
     def applies_to(self, service: str) -> bool:
         """Whether a service is contended by the configuration in force."""
@@ -82,10 +119,12 @@
 
     def waiting_began(self, waiter: Waiter) -> None:
         """Record that a request waits for a slot."""
+        self._counted.add(waiter.placement_future)
         self._record_waiting(waiter, 1)
 
     def waiting_ended(self, waiter: Waiter) -> None:
         """Record that a request that waited for a slot doesn't any more."""
+        self._counted.discard(waiter.placement_future)
         self._record_waiting(waiter, -1)
 
     def _record_waiting(self, waiter: Waiter, change: int) -> None:
@@ -102,7 +141,84 @@
         return True
 
     def check_servable(self, waiter: Waiter, now: float) -> None:
-        """Raise `Overloaded` if a request without a placement can't be served."""
+        """Raise `Overloaded` if a request without a placement can't be served.
+
+        A request is judged once, when it first finds no slot, by the rank that its
+        route declares: one above its organisation's share is not refused for that.
+        """
+        future = waiter.placement_future
+        if future in self._judged or not self.applies_to(waiter.service):
+            return
+        forecast = self._forecast_slot(waiter, now)
+        if forecast is None:
+            return
+        left = waiter.deadline - now
+        least = min_first_event_seconds(waiter.demand)
+        is_new = now - waiter.arrived_at <= MAX_REFUSAL_SECONDS
+        if is_new and is_unservable(forecast, left, least):
+            raise self._refusal(waiter, forecast, now)
+        self._judged.add(future)
+        future.add_done_callback(partial(self._record_wait, waiter, forecast, now))
+
+    def _forecast_slot(self, waiter: Waiter, now: float) -> SlotForecast | None:
+        """Return when a request should get a slot; None without a measured rate."""
+        waiting = self._fleet_demand.waiting(waiter.service, waiter.priority)
+        is_counted = waiter.placement_future in self._counted
+        return forecast_slot(
+            max(0, waiting - is_counted),
+            self._slots_in_use(waiter.service, now),
+            self._fleet_demand.mean_held_seconds(waiter.service),
+        )
+
+    def _refusal(
+        self, waiter: Waiter, forecast: SlotForecast, now: float
+    ) -> Overloaded:
+        """Return the error for a request that is refused early; log and count it."""
+        left = waiter.deadline - now
+        retry_after = self._slot_returns.retry_seconds(
+            waiter.service, forecast, self._count_daemons(now), left, now
+        )
+        self._metrics.refused_early(waiter.service)
+        self._log.info(
+            "refused_early",
+            request_id=waiter.demand.request_id,
+            service=waiter.service,
+            rank=waiter.priority,
+            forecast=forecast.seconds,
+            waiting=forecast.ahead,
+            slots_per_second=forecast.slots_per_second,
+            seconds_left=left,
+            retry_after=retry_after,
+        )
+        return Overloaded("no slot is free in time", retry_after=retry_after)
+
+    def _record_wait(
+        self,
+        waiter: Waiter,
+        forecast: SlotForecast,
+        forecast_at: float,
+        future: asyncio.Future,
+    ) -> None:
+        """Compare the wait of a request with its first forecast, if it was placed."""
+        self._judged.discard(future)
+        if future.cancelled() or future.exception() is not None:
+            return
+        now = future.get_loop().time()
+        waited = now - waiter.arrived_at
+        if waited < MIN_RECORDED_WAIT_SECONDS:
+            return
+        error = now - forecast_at - forecast.seconds
+        self._metrics.slot_forecast_error(waiter.service, error)
+        self._log.info(
+            "waited_for_slot",
+            request_id=waiter.demand.request_id,
+            service=waiter.service,
+            rank=waiter.priority,
+            waited=waited,
+            forecast=forecast.seconds,
+            waiting=forecast.ahead,
+            slots_per_second=forecast.slots_per_second,
+        )
 
 
 def _engine_seconds(demand: Demand) -> float:
--- a/cranberrywick/gateway/lazy_metrics.py
+++ b/cranberrywick/gateway/lazy_metrics.py
@@ -93,6 +93,14 @@
         """Record a request that needed a permit, and its wait for that, in seconds."""
         self._record(methodcaller("permit_asked", class_name, granted, seconds))
 
+    def refused_early(self, service: str) -> None:
+        """Count a request that was refused since its forecast was far too late."""
+        self._record(methodcaller("refused_early", service))
+
+    def slot_forecast_error(self, service: str, seconds: float) -> None:
+        """Record by how many seconds a wait for a slot exceeded its forecast."""
+        self._record(methodcaller("slot_forecast_error", service, seconds))
+
     async def render(self) -> Rendered:
         """Return all metrics as text, after loading the library if necessary."""
         metrics = await self._start_loading()
--- a/cranberrywick/gateway/state.py
+++ b/cranberrywick/gateway/state.py
@@ -161,6 +161,10 @@
         """The jobs that the daemons of the fleet have at each endpoint."""
         return self.peer_updates.load
 
+    def slots_in_use(self, service: str, now: float) -> int:
+        """Return how many slots of a service the fleet uses, as far as known."""
+        return self.load.slots_in_use(service, self.registry.service_of, now)
+
     @property
     def registry(self) -> EndpointRegistry:
         """The endpoints that are tracked."""
--- a/cranberrywick/metrics.py
+++ b/cranberrywick/metrics.py
@@ -152,6 +152,9 @@
         self._store_epochs = counter(
             "store_epoch_changes", description="New epochs of the store."
         )
+        self._early_refusals = counter(
+            "early_refusals", description="Requests refused for a forecast, by service."
+        )
         self._ignored_readings = counter(
             "store_readings_ignored", description="Readings without effect, as older."
         )
@@ -177,6 +180,11 @@
             "Time that a request waited for a permit of a rate-limited endpoint.",
             QUEUE_WAIT_BOUNDS_SECONDS,
         )
+        self._slot_forecast_error = self._histogram(
+            "slot_forecast_error",
+            "Difference of a wait for a slot from its forecast, by its direction.",
+            QUEUE_WAIT_BOUNDS_SECONDS,
+        )
         self._platform_calls = self._histogram(
             "platform_call",
             "Calls to the platform's services.",
@@ -266,6 +274,19 @@
         outcome = "granted" if granted else "refused"
         self._permit_wait.record(seconds, {"class": class_name, "outcome": outcome})
 
+    def refused_early(self, service: str) -> None:
+        """Count a request that was refused since its forecast was far too late."""
+        self._early_refusals.add(1, {"service": service})
+
+    def slot_forecast_error(self, service: str, seconds: float) -> None:
+        """Record by how many seconds a wait for a slot exceeded its forecast.
+
+        A histogram holds no negative values, so a label has the sign.
+        """
+        direction = "longer" if seconds > 0 else "shorter"
+        labels = {"service": service, "direction": direction}
+        self._slot_forecast_error.record(abs(seconds), labels)
+
     def gaps_counted(self, class_name: str, gaps: TokenGaps) -> None:
         """Add the gaps of one stream to the counts of its class."""
         with self._gaps_lock:
--- a/cranberrywick/routing/load.py
+++ b/cranberrywick/routing/load.py
@@ -7,8 +7,8 @@
 request runs for a second or more.
 """
 
-from collections import defaultdict
-from collections.abc import Iterable, Mapping, Sequence
+from collections import Counter, defaultdict
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import NamedTuple
 
 __all__ = ["FleetLoad", "Job"]
@@ -16,7 +16,7 @@
 # For how many seconds the jobs of a silent daemon still count: if it is dead, its
 # requests at the endpoints end within about this time.
 OWNER_SILENCE_SECONDS = 3.0
-# For how many seconds the count of the last second's placements is cached.
+# For how many seconds the counts of placements and of slots in use are cached.
 COUNT_CACHE_SECONDS = 0.1
 
 
@@ -60,6 +60,8 @@
         self._jobs_by_endpoint: dict[str, list[Job]] | None = None
         self._counted_at = float("-inf")
         self._placed = 0
+        self._slots_counted_at = float("-inf")
+        self._slots_by_service: Counter[str | None] = Counter()
 
     def put(self, request_id: str, jobs: Sequence[Job]) -> None:
         """Replace the jobs of one of this daemon's requests."""
@@ -110,6 +112,23 @@
             )
         return self._placed
 
+    def slots_in_use(
+        self, service: str, service_of: Callable[[str], str | None], now: float
+    ) -> int:
+        """Return how many slots of a service the fleet uses, as far as known.
+
+        Each request counts once, whatever helpers it has. ``service_of`` returns the
+        service of an endpoint by its id, None if the endpoint is unknown. The count is
+        cached, and may be `COUNT_CACHE_SECONDS` old.
+        """
+        if not 0 <= now - self._slots_counted_at < COUNT_CACHE_SECONDS:
+            self._slots_counted_at = now
+            self._slots_by_service.clear()
+            for endpoint_id, jobs in self._indexed().items():
+                slots = sum(not job.helper for job in jobs)
+                self._slots_by_service[service_of(endpoint_id)] += slots
+        return self._slots_by_service[service]
+
     def at(self, endpoint_id: str) -> Sequence[Job]:
         """Return the jobs at an endpoint."""
         return self._indexed().get(endpoint_id, ())
