--- a/cranberrywick/gateway/state.py
+++ b/cranberrywick/gateway/state.py
@@ -161,6 +161,11 @@
         """The jobs that the daemons of the fleet have at each endpoint."""
         return self.peer_updates.load
 
+    def slots_in_use(self, service: str, now: float) -> int:
+        """Return how many slots of a service the fleet uses, as far as known."""
+        endpoints = self.usable_endpoints.ready(service)
+        return self.load.slots_in_use(service, endpoints, self._rng, now)
+
     @property
     def registry(self) -> EndpointRegistry:
         """The endpoints that are tracked."""
