--- a/cranberrywick/bench/request_path.py
+++ b/cranberrywick/bench/request_path.py
@@ -3,8 +3,9 @@
     python -m cranberrywick.bench.request_path
 
 prints milliseconds of processor time for placing each kind of prompt and a plain call,
-for one endpoint's change received from a peer, for all endpoints received at a start
-and for the log line of a request. Nothing here uses a network.
+for the decision whether a placed prompt is deferred, for one endpoint's change received
+from a peer, for all endpoints received at a start and for the log line of a request.
+Nothing here uses a network.
 """
 
 import io
@@ -16,9 +17,18 @@
 import click
 
 from cranberrywick.bench.prompt_engines import KINDS, PROFILE
+from cranberrywick.gateway.deferrals import Deferrals
 from cranberrywick.gateway.endpoint_tracker import EndpointTracker
+from cranberrywick.gateway.lazy_metrics import LazyMetrics
+from cranberrywick.gateway.waiter import Waiter
 from cranberrywick.logs import EventLog, make_handler
 from cranberrywick.routing.demand import Demand, fits_fleet
+from cranberrywick.routing.fleet_demand import (
+    DemandStatement,
+    FleetDemand,
+    RankDemand,
+    ServiceDemand,
+)
 from cranberrywick.routing.health import EndpointHealth
 from cranberrywick.routing.load import FleetLoad, Job
 from cranberrywick.routing.model import (
@@ -28,7 +38,7 @@
     PromptSize,
     Service,
 )
-from cranberrywick.routing.placement import Placer
+from cranberrywick.routing.placement import Placement, Placer
 from cranberrywick.routing.relays import update_delay_seconds
 from cranberrywick.routing.slowdown import EndpointSlowdowns
 
@@ -133,11 +143,34 @@
     figures["placement, plain call"] = _mean_milliseconds(
         lambda: place(CALLS, None, 0.3), times
     )
+    figures["a deferral's decision"] = _decision(fleet, times)
     figures["one endpoint's change"] = _changes(tracker, view, times)
     figures["a request's log line"] = _log_line(times)
     return figures
 
 
+def _decision(fleet: Fleet, times: int) -> float:
+    """Return milliseconds to decide that a prompt of the least urgent rank starts.
+
+    Every daemon states its demand of each rank.
+    """
+    targets_by_rank = {rank: kind.target_seconds for rank, kind in enumerate(KINDS)}
+    demand = FleetDemand()
+    stated = tuple(RankDemand(rank, 0, 0.1) for rank in targets_by_rank)
+    services = (ServiceDemand(ENGINES.name, stated),)
+    for number in range(fleet.daemons):
+        demand.receive(f"d{number}", DemandStatement(services=services), NOW)
+    deferrals = Deferrals(demand, LazyMetrics("d1"), EventLog(daemon="d1"))
+    rank, target = max(targets_by_rank.items())
+    request = Demand("r", ENGINES, None, target, NOW + target, 1.0, "fd-a")
+    waiter = Waiter(request, rank, NOW, NOW + target, NOW + 10.0, None)
+    placement = Placement("e1", (), 0.1, ())
+    return _mean_milliseconds(
+        lambda: deferrals.may_start(waiter, rank, placement, targets_by_rank, NOW),
+        times,
+    )
+
+
 def _changes(tracker: EndpointTracker, view: EndpointView, times: int) -> float:
     """Return milliseconds to apply a peer's snapshot in which one endpoint changed.
 
