--- a/cranberrywick/gateway/http_request.py
+++ b/cranberrywick/gateway/http_request.py
@@ -4,7 +4,14 @@
 
 import h11
 
-__all__ = ["HttpRequest", "head_bytes"]
+from cranberrywick.routing.model import RequestLimits
+
+__all__ = ["DEFAULT_LIMITS", "HttpRequest", "head_bytes"]
+
+# In force until the first configuration has been read.
+DEFAULT_LIMITS = RequestLimits(
+    header_bytes=16384, body_bytes=4194304, header_seconds=3.0, idle_seconds=15.0
+)
 
 
 class HttpRequest(NamedTuple):
--- a/cranberrywick/gateway/ingress.py
+++ b/cranberrywick/gateway/ingress.py
@@ -17,16 +17,12 @@
     BufferBudget,
     Unbudgeted,
 )
-from cranberrywick.gateway.http_request import HttpRequest, head_bytes
+from cranberrywick.gateway.http_request import DEFAULT_LIMITS, HttpRequest, head_bytes
 from cranberrywick.gateway.tcp_options import abort_with_reset, enable_keepalive
 from cranberrywick.routing.model import RequestLimits
 
 __all__ = ["CallerConnection", "HttpRequest", "Ingress"]
 
-# In force until the first configuration has been read.
-DEFAULT_LIMITS = RequestLimits(
-    header_bytes=16384, body_bytes=4194304, header_seconds=3.0, idle_seconds=15.0
-)
 # Length of the listening socket's queue of connections to accept: callers may connect
 # in a burst.
 BACKLOG = 512
--- a/cranberrywick/gateway/peer_requests.py
+++ b/cranberrywick/gateway/peer_requests.py
@@ -31,12 +31,8 @@
     encode_answer_statement,
     take_statement,
 )
-from cranberrywick.gateway.ingress import (
-    DEFAULT_LIMITS,
-    CallerConnection,
-    HttpRequest,
-    Ingress,
-)
+from cranberrywick.gateway.http_request import DEFAULT_LIMITS, HttpRequest
+from cranberrywick.gateway.ingress import CallerConnection, Ingress
 from cranberrywick.gateway.request_routing import TIMEOUT_MARGIN_SECONDS, route_request
 from cranberrywick.gateway.state import FleetState
 from cranberrywick.gateway.throttled_log import ThrottledLog
