Exchange of demand: what daemons state, and rows beside heartbeats

A relay that replaces a heartbeat it has not forwarded yet keeps the demand of the older one.

Messages without demand are written as the struct MessageWithoutDemand, since the new field would take up a word in every message.

--- a/cranberrywick/gateway/fleet.capnp
+++ b/cranberrywick/gateway/fleet.capnp
@@ -70,8 +70,9 @@
 }
 
 # The fields heartbeats and batch hold rows; see cranberrywick.gateway.heartbeat_rows.
-# The fields knowledge and reach have a row for each of them; see
-# cranberrywick.gateway.knowledge_rows and cranberrywick.gateway.reach_rows.
+# The fields knowledge, reach and demand have a row for each of them; see
+# cranberrywick.gateway.knowledge_rows, cranberrywick.gateway.reach_rows and
+# cranberrywick.gateway.demand_rows.
 struct Message {
   scope @4 :Scope;
   union {
@@ -86,6 +87,26 @@
   }
   knowledge @9 :Data;
   reach @10 :Data;
+  demand @11 :Data;
+}
+
+# A Message without the field demand, with the same numbers otherwise. A message whose
+# demand is empty is written as this one, since an unused field would take up space in
+# each of them; it is read as a Message.
+struct MessageWithoutDemand {
+  scope @4 :Scope;
+  union {
+    heartbeats @0 :Data;
+    endpoints @1 :EndpointReading;
+    operatorWanted @2 :Void;
+    operator @3 :OperatorReading;
+    batch @5 :Data;
+    endpointsWanted @6 :Void;
+    permitRequest @7 :PermitRequest;
+    permitResponse @8 :PermitResponse;
+  }
+  knowledge @9 :Data;
+  reach @10 :Data;
 }
 
 # What a daemon states about a request that it forwards to a peer. The peer may send it
--- a/cranberrywick/gateway/heartbeat_rows.py
+++ b/cranberrywick/gateway/heartbeat_rows.py
@@ -18,6 +18,7 @@
 
 from cranberrywick.routing.drain_notices import DrainNotice
 from cranberrywick.routing.endpoint_limits import LimitReport
+from cranberrywick.routing.fleet_demand import DemandStatement
 from cranberrywick.routing.load import Job
 from cranberrywick.routing.members import Heartbeat
 from cranberrywick.routing.reachability import ReachStatement
@@ -125,6 +126,7 @@
 
 _NOTHING = StoreKnowledge()
 _NO_REACH = ReachStatement()
+_NO_DEMAND = DemandStatement()
 _ENCODER = Encoder()
 _DECODER = Decoder(_BatchRow)
 
@@ -152,13 +154,14 @@
     now: float,
     knowledge_by_position: Mapping[int, StoreKnowledge] = MappingProxyType({}),
     reach_by_position: Mapping[int, ReachStatement] = MappingProxyType({}),
+    demand_by_position: Mapping[int, DemandStatement] = MappingProxyType({}),
 ) -> HeartbeatBatch:
     """Return the heartbeats in these bytes.
 
     ``now`` is the current time of the receiver's clock. ``knowledge_by_position`` has
     what the heartbeats state about the store, ``reach_by_position`` what they state
-    about reached endpoints. Raises ValueError for bytes that are not rows of the
-    declared types and bounds.
+    about reached endpoints, ``demand_by_position`` what they state about demand.
+    Raises ValueError for bytes that are not rows of the declared types and bounds.
     """
     relay_id, relay_domain, rows = _DECODER.decode(data)
     heartbeats = tuple(
@@ -167,6 +170,7 @@
             now,
             knowledge_by_position.get(position, _NOTHING),
             reach_by_position.get(position, _NO_REACH),
+            demand_by_position.get(position, _NO_DEMAND),
         )
         for position, row in enumerate(rows)
     )
@@ -214,7 +218,11 @@
 
 
 def _relayed_heartbeat(
-    row: _HeartbeatRow, now: float, store: StoreKnowledge, reach: ReachStatement
+    row: _HeartbeatRow,
+    now: float,
+    store: StoreKnowledge,
+    reach: ReachStatement,
+    demand: DemandStatement,
 ) -> RelayedHeartbeat:
     age_ms, *fields, operator_age_ms, jobs, slow_engines, limits, drains = row
     heartbeat = Heartbeat(
@@ -226,6 +234,7 @@
         _drain_notices(drains, now),
         store,
         reach,
+        demand,
     )
     return RelayedHeartbeat(now - age_ms / 1000, heartbeat)
 
--- a/cranberrywick/gateway/messages.py
+++ b/cranberrywick/gateway/messages.py
@@ -12,6 +12,7 @@
 import capnp
 
 from cranberrywick.errors import PeerMessageInvalid
+from cranberrywick.gateway.demand_rows import pack_demand, unpack_demand
 from cranberrywick.gateway.endpoint_snapshot import EndpointSnapshot
 from cranberrywick.gateway.heartbeat_rows import (
     HeartbeatBatch,
@@ -164,7 +165,8 @@
         body = {"endpointsWanted": None}
     else:
         body = {"operatorWanted": None}
-    return pack(SCHEMA.Message.new_message(scope=scope.value, **body))
+    kind = SCHEMA.Message if "demand" in body else SCHEMA.MessageWithoutDemand
+    return pack(kind.new_message(scope=scope.value, **body))
 
 
 def decode_message(
@@ -199,7 +201,8 @@
     if which in ("heartbeats", "batch"):
         knowledge = unpack_knowledge(bytes(message.knowledge), now)
         reach = unpack_reach(bytes(message.reach))
-        for rows in (knowledge, reach):
+        demand = unpack_demand(bytes(message.demand))
+        for rows in (knowledge, reach, demand):
             if rows.error:
                 row_dropped(rows.error)
         batch = unpack_heartbeats(
@@ -207,6 +210,7 @@
             now,
             knowledge.values_by_position,
             reach.values_by_position,
+            demand.values_by_position,
         )
         if which == "batch":
             return batch
@@ -228,11 +232,13 @@
 
 
 def _write_heartbeats(field: str, batch: HeartbeatBatch, now: float) -> dict[str, Any]:
-    statements = [relayed.heartbeat.store for relayed in batch.heartbeats]
+    beats = [relayed.heartbeat for relayed in batch.heartbeats]
+    demand = pack_demand(each.demand for each in beats)
     return {
         field: pack_heartbeats(batch, now),
-        "knowledge": pack_knowledge(statements, now),
-        "reach": pack_reach(each.heartbeat.reach for each in batch.heartbeats),
+        "knowledge": pack_knowledge([each.store for each in beats], now),
+        "reach": pack_reach(each.reach for each in beats),
+        **({"demand": demand} if demand else {}),
     }
 
 
--- a/cranberrywick/gateway/peer_updates.py
+++ b/cranberrywick/gateway/peer_updates.py
@@ -26,7 +26,7 @@
 from cranberrywick.gateway.ticker import Ticker
 from cranberrywick.logs import EventLog, id_lists
 from cranberrywick.routing.drain_notices import DrainNotice, DrainNotices
-from cranberrywick.routing.fleet_demand import FleetDemand
+from cranberrywick.routing.fleet_demand import FleetDemand, VmCapacity
 from cranberrywick.routing.fleet_limits import FleetLimits
 from cranberrywick.routing.load import FleetLoad
 from cranberrywick.routing.members import Heartbeat, Members, heartbeat_seconds
@@ -122,6 +122,8 @@
         self.members = Members(settings.daemon_id, contact)
         self.load = FleetLoad()
         self.demand = FleetDemand()
+        # Returns what the VM can bear; nothing is stated unless this is replaced.
+        self.vm_capacity: Callable[[], VmCapacity] = VmCapacity
         self.slowdowns = EndpointSlowdowns()
         self.drain_notices = DrainNotices()
         self.limits = FleetLimits(
@@ -206,7 +208,8 @@
         now = self._loop.time()
         self._schedule_heartbeat()
         self._sequence += 1
-        heartbeat = self._heartbeat(now)
+        demand = self.demand.statement(self.vm_capacity(), now)
+        heartbeat = self._heartbeat(now)._replace(demand=demand)
         recipients = self._recipients
         if not recipients.has_relays:
             self.link.send(heartbeat, recipients.peers(), recipients.direct_scope)
--- a/cranberrywick/gateway/relaying.py
+++ b/cranberrywick/gateway/relaying.py
@@ -7,6 +7,7 @@
 from cranberrywick.gateway.heartbeat_rows import HeartbeatBatch, RelayedHeartbeat
 from cranberrywick.gateway.messages import Scope
 from cranberrywick.gateway.recipients import Recipients
+from cranberrywick.routing.fleet_demand import DemandStatement
 from cranberrywick.routing.model import GatewaySettings
 from cranberrywick.routing.relays import FLUSH_SECONDS
 
@@ -36,11 +37,10 @@
 
     def forward(self, relayed: RelayedHeartbeat, scope: Scope) -> None:
         """Collect a heartbeat to forward, to the daemons that ``scope`` names."""
-        daemon_id = relayed.heartbeat.daemon_id
         if scope is not Scope.NOBODY:
-            self._for_domain[daemon_id] = relayed
+            _replace(self._for_domain, relayed)
         if scope is Scope.FLEET:
-            self._for_others[daemon_id] = relayed
+            _replace(self._for_others, relayed)
         if scope is not Scope.NOBODY and self._flush is None:
             self._flush = self._loop.call_later(FLUSH_SECONDS, self.flush)
 
@@ -81,3 +81,13 @@
                 self._settings.daemon_id, self._settings.failure_domain, part
             )
             self._send(batch, addresses, scope)
+
+
+def _replace(by_id: dict[str, RelayedHeartbeat], relayed: RelayedHeartbeat) -> None:
+    """Replace a daemon's heartbeat; keep its demand if the new one states none."""
+    heartbeat = relayed.heartbeat
+    before = by_id.get(heartbeat.daemon_id)
+    if before is not None and heartbeat.demand == DemandStatement():
+        demand = before.heartbeat.demand
+        relayed = relayed._replace(heartbeat=heartbeat._replace(demand=demand))
+    by_id[heartbeat.daemon_id] = relayed
--- a/tests/test_fleet_messages.py
+++ b/tests/test_fleet_messages.py
@@ -30,6 +30,13 @@
 from cranberrywick.gateway.schema import SCHEMA, pack
 from cranberrywick.routing.drain_notices import DrainNotice
 from cranberrywick.routing.endpoint_limits import LimitReport
+from cranberrywick.routing.fleet_demand import (
+    DemandStatement,
+    OrganisationUsage,
+    RankDemand,
+    ServiceDemand,
+    VmCapacity,
+)
 from cranberrywick.routing.fleet_limits import Permit, PermitTerms
 from cranberrywick.routing.load import Job
 from cranberrywick.routing.members import Heartbeat
@@ -227,8 +234,17 @@
 
 
 TERMS = PermitTerms(2.0, 0.75, 0.5)
+DEMAND = DemandStatement(
+    VmCapacity(0.5, 10.0, 0.01),
+    (
+        ServiceDemand(
+            "drafting", (RankDemand(0, 2, 0.5),), (OrganisationUsage("o", 0.3),), 0.7
+        ),
+    ),
+)
 VALID = [
     encode_message(heartbeat(), 10.0),
+    encode_message(heartbeat()._replace(demand=DEMAND), 10.0),
     encode_message(
         HeartbeatBatch("a", "b", (RelayedHeartbeat(9.0, heartbeat()),)), 10.0
     ),
