--- a/cranberrywick/gateway/contention.py
+++ b/cranberrywick/gateway/contention.py
@@ -10,10 +10,12 @@
 import random
 from collections.abc import Callable
 from functools import partial
+from math import inf
 
 from cranberrywick.errors import Overloaded
 from cranberrywick.gateway.deferrals import DeferralEnd, Deferrals
 from cranberrywick.gateway.lazy_metrics import LazyMetrics
+from cranberrywick.gateway.share_log import ShareLog
 from cranberrywick.gateway.waiter import Waiter
 from cranberrywick.logs import EventLog
 from cranberrywick.routing.admission_forecast import (
@@ -25,6 +27,7 @@
 from cranberrywick.routing.demand import Demand, min_first_event_seconds
 from cranberrywick.routing.engine_model import prefill_time
 from cranberrywick.routing.fleet_demand import FleetDemand
+from cranberrywick.routing.organisation_shares import OrganisationShares
 from cranberrywick.routing.placement import Placement
 from cranberrywick.routing.table import RouteTable
 
@@ -80,6 +83,8 @@
         # been judged by a forecast.
         self._counted: set[asyncio.Future] = set()
         self._judged: set[asyncio.Future] = set()
+        self._shares = OrganisationShares(fleet_demand)
+        self._share_log = ShareLog(metrics, log)
 
     def applies_to(self, service: str) -> bool:
         """Whether a service is contended by the configuration in force."""
@@ -119,7 +124,19 @@
             self._waiting_changed()
 
     def effective_rank(self, waiter: Waiter, now: float) -> int:
-        """Return the rank by which a request is ordered; 0 is the most urgent."""
+        """Return the rank by which a request is ordered; 0 is the most urgent.
+
+        Those of an organisation above its share rank one below what they declare, while
+        requests wait in the fleet.
+        """
+        service = waiter.service
+        if not self.applies_to(service):
+            return waiter.priority
+        shares = self._shares.shares(service, now)
+        self._share_log.record(service, shares, now)
+        is_above = waiter.demand.organisation in shares.above
+        if is_above and self._fleet_demand.waiting(service, inf):
+            return waiter.priority + 1
         return waiter.priority
 
     def may_start(self, waiter: Waiter, placement: Placement, now: float) -> bool:
--- a/cranberrywick/gateway/ingress.py
+++ b/cranberrywick/gateway/ingress.py
@@ -34,7 +34,6 @@
 # only after they have sent their body, 4 MB of which take 3.4 s at 10 Mbit/s.
 BODY_LINGER_SECONDS = 5.0
 
-
 Handler = Callable[[HttpRequest, "CallerConnection"], Awaitable[None]]
 
 
--- a/cranberrywick/gateway/lazy_metrics.py
+++ b/cranberrywick/gateway/lazy_metrics.py
@@ -124,6 +124,10 @@
         """Record by how many seconds a wait for a slot exceeded its forecast."""
         self._record(methodcaller("slot_forecast_error", service, seconds))
 
+    def organisation_over_share(self, service: str) -> None:
+        """Count an organisation that is newly above its share of a service."""
+        self._record(methodcaller("organisation_over_share", service))
+
     async def render(self) -> Rendered:
         """Return all metrics as text, after loading the library if necessary."""
         metrics = await self._start_loading()
--- a/cranberrywick/gateway/peer_updates.py
+++ b/cranberrywick/gateway/peer_updates.py
@@ -122,7 +122,7 @@
         self.members = Members(settings.daemon_id, contact)
         self.load = FleetLoad()
         self.demand = FleetDemand()
-        # Returns what heartbeats state of this VM; unknown unless the daemon sets it.
+        # Returns what the VM can bear; nothing is stated unless this is replaced.
         self.vm_capacity: Callable[[], VmCapacity] = VmCapacity
         self.slowdowns = EndpointSlowdowns()
         self.drain_notices = DrainNotices()
@@ -208,7 +208,8 @@
         now = self._loop.time()
         self._schedule_heartbeat()
         self._sequence += 1
-        heartbeat = self._heartbeat(now)
+        demand = self.demand.statement(self.vm_capacity(), now)
+        heartbeat = self._heartbeat(now)._replace(demand=demand)
         recipients = self._recipients
         if not recipients.has_relays:
             self.link.send(heartbeat, recipients.peers(), recipients.direct_scope)
--- a/cranberrywick/metrics.py
+++ b/cranberrywick/metrics.py
@@ -168,6 +168,11 @@
             "refused_bodies", description="Bodies refused for lack of memory."
         )
 
+        self._over_share = counter(
+            "organisations_over_share",
+            description="Times that an organisation was newly above its share.",
+        )
+
     def _create_histograms(self) -> None:
         self._completion = self._histogram(
             "completion",
@@ -317,6 +322,10 @@
         labels = {"service": service, "direction": direction}
         self._slot_forecast_error.record(abs(seconds), labels)
 
+    def organisation_over_share(self, service: str) -> None:
+        """Count an organisation that is newly above its share of a service."""
+        self._over_share.add(1, {"service": service})
+
     def gaps_counted(self, class_name: str, gaps: TokenGaps) -> None:
         """Add the gaps of one stream to the counts of its class."""
         with self._gaps_lock:
