Fair shares of organisations at contended services

While requests wait in the fleet, those of an organisation that asks for clearly more engine time than its max-min fair share rank one below what they declare. fair_level moves to cranberrywick/fair_level.py, which both cores import.

A relay adds an older demand only to a heartbeat of the same start of a daemon.

--- a/cranberrywick/decisions/hot_organisations.py
+++ b/cranberrywick/decisions/hot_organisations.py
@@ -22,10 +22,11 @@
 it gained (docs/design/scheduling.md).
 """
 
-from collections.abc import Iterable
 from math import exp
 
-__all__ = ["HotOrganisations", "fair_level"]
+from cranberrywick.fair_level import fair_level
+
+__all__ = ["HotOrganisations"]
 
 # Time constant of the decaying sums, in seconds.
 WINDOW_SECONDS = 10.0
@@ -35,22 +36,6 @@
 MIN_DEMAND_SECONDS = 1e-4
 
 
-def fair_level(demands: Iterable[float], capacity: float) -> float:
-    """Return the max-min fair share of ``capacity``, or infinity if all demands fit.
-
-    >>> fair_level([1.0, 2.0, 20.0], capacity=10.0)
-    7.0
-    """
-    ordered = sorted(demands)
-    remaining = capacity
-    for index, demand in enumerate(ordered):
-        share = remaining / (len(ordered) - index)
-        if demand >= share:
-            return share
-        remaining -= demand
-    return float("inf")
-
-
 class HotOrganisations:
     """The organisations whose demand exceeds their fair share of the served work.
 
--- a/cranberrywick/gateway/contention.py
+++ b/cranberrywick/gateway/contention.py
@@ -8,13 +8,16 @@
 
 import asyncio
 from collections.abc import Callable
+from math import inf
 from typing import NamedTuple
 
 from cranberrywick.gateway.lazy_metrics import LazyMetrics
+from cranberrywick.gateway.share_log import ShareLog
 from cranberrywick.logs import EventLog
 from cranberrywick.routing.demand import Demand
 from cranberrywick.routing.engine_model import prefill_time
 from cranberrywick.routing.fleet_demand import FleetDemand
+from cranberrywick.routing.organisation_shares import OrganisationShares
 from cranberrywick.routing.placement import Placement
 from cranberrywick.routing.table import RouteTable
 
@@ -57,6 +60,8 @@
         self._waiting_changed = waiting_changed
         self._metrics = metrics
         self._log = log
+        self._shares = OrganisationShares(fleet_demand)
+        self._share_log = ShareLog(metrics, log)
 
     def applies_to(self, service: str) -> bool:
         """Whether a service is contended by the configuration in force."""
@@ -94,7 +99,19 @@
             self._waiting_changed()
 
     def effective_rank(self, waiter: Waiter, now: float) -> int:
-        """Return the rank by which a request is ordered; 0 is the most urgent."""
+        """Return the rank by which a request is ordered; 0 is the most urgent.
+
+        Those of an organisation above its share rank one below what they declare, while
+        requests wait in the fleet.
+        """
+        service = waiter.service
+        if not self.applies_to(service):
+            return waiter.priority
+        shares = self._shares.shares(service, now)
+        self._share_log.record(service, shares, now)
+        is_above = waiter.demand.organisation in shares.above
+        if is_above and self._fleet_demand.waiting(service, inf):
+            return waiter.priority + 1
         return waiter.priority
 
     def may_start(self, waiter: Waiter, placement: Placement, now: float) -> bool:
--- a/cranberrywick/gateway/lazy_metrics.py
+++ b/cranberrywick/gateway/lazy_metrics.py
@@ -93,6 +93,10 @@
         """Record a request that needed a permit, and its wait for that, in seconds."""
         self._record(methodcaller("permit_asked", class_name, granted, seconds))
 
+    def organisation_over_share(self, service: str) -> None:
+        """Count an organisation that is newly above its share of a service."""
+        self._record(methodcaller("organisation_over_share", service))
+
     async def render(self) -> Rendered:
         """Return all metrics as text, after loading the library if necessary."""
         metrics = await self._start_loading()
--- a/cranberrywick/gateway/relaying.py
+++ b/cranberrywick/gateway/relaying.py
@@ -88,6 +88,7 @@
     heartbeat = relayed.heartbeat
     before = by_id.get(heartbeat.daemon_id)
     if before is not None and heartbeat.demand == DemandStatement():
-        demand = before.heartbeat.demand
+        same_start = before.heartbeat.incarnation == heartbeat.incarnation
+        demand = before.heartbeat.demand if same_start else DemandStatement()
         relayed = relayed._replace(heartbeat=heartbeat._replace(demand=demand))
     by_id[heartbeat.daemon_id] = relayed
--- a/cranberrywick/metrics.py
+++ b/cranberrywick/metrics.py
@@ -156,6 +156,11 @@
             "store_readings_ignored", description="Readings without effect, as older."
         )
 
+        self._over_share = counter(
+            "organisations_over_share",
+            description="Times that an organisation was newly above its share.",
+        )
+
     def _create_histograms(self) -> None:
         self._completion = self._histogram(
             "completion",
@@ -266,6 +271,10 @@
         outcome = "granted" if granted else "refused"
         self._permit_wait.record(seconds, {"class": class_name, "outcome": outcome})
 
+    def organisation_over_share(self, service: str) -> None:
+        """Count an organisation that is newly above its share of a service."""
+        self._over_share.add(1, {"service": service})
+
     def gaps_counted(self, class_name: str, gaps: TokenGaps) -> None:
         """Add the gaps of one stream to the counts of its class."""
         with self._gaps_lock:
--- a/cranberrywick/routing/fleet_demand.py
+++ b/cranberrywick/routing/fleet_demand.py
@@ -27,6 +27,7 @@
 from cranberrywick.routing.load import OWNER_SILENCE_SECONDS
 
 __all__ = [
+    "USAGE_WINDOW_SECONDS",
     "DemandStatement",
     "FleetDemand",
     "OrganisationUsage",
@@ -59,8 +60,8 @@
 # are not stated.
 FORGET_RANK_SECONDS = 60.0
 # Interval at which a daemon states its demand again, in seconds, if the number of its
-# waiting requests has not changed. With every heartbeat, statements would be a third of
-# its bytes.
+# waiting requests has not changed. With every heartbeat, the daemons of a simulated
+# fleet of 88 received 66 % more bytes.
 RESTATE_SECONDS = 1.5
 # A statement expires this many seconds after it was made, also if heartbeats without
 # one still arrive: those of an earlier build that was started in the daemon's place, or
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -43,7 +43,9 @@
     metrics.platform_call("get", "ok", 0.004)
     metrics.queue_wait("grants", 0.2)
     metrics.output_tokens("grants", 40)
+    metrics.organisation_over_share("drafting")
     values = samples(metrics)
+    assert values["organisations_over_share_total", ("service", "drafting")] == 1
     labels = ("class", "grants"), ("outcome", "overloaded")
     assert values["requests_total", *labels] == 1
     labels = ("class", "grants"), ("reason", "cannot_meet_target")
