--- a/cranberrywick/gateway/contention.py
+++ b/cranberrywick/gateway/contention.py
@@ -92,9 +92,9 @@
         return table is not None and table.is_contended(service)
 
     def request_arrived(self, waiter: Waiter, now: float) -> None:
-        """Record a request that asks for a placement."""
-        if self.applies_to(waiter.service):
-            demand = waiter.demand
+        """Record a request that asks for its first placement."""
+        demand = waiter.demand
+        if self.applies_to(waiter.service) and not demand.is_retry:
             self._fleet_demand.record_arrival(
                 waiter.service,
                 waiter.priority,
@@ -140,14 +140,13 @@
         return waiter.priority
 
     def may_start(self, waiter: Waiter, placement: Placement, now: float) -> bool:
-        """Whether a request is sent now, or leaves the room to more urgent ones."""
+        """Whether a request is sent now; if not, it is deferred for more urgent ones."""
         table = self._table()
         if table is None or not table.is_contended(waiter.service):
             self._deferrals.end(waiter, DeferralEnd.NOT_CONTENDED, now)
             return True
-        rank = self.effective_rank(waiter, now)
         targets_by_rank = table.targets_by_rank(waiter.service)
-        return self._deferrals.may_start(waiter, rank, placement, targets_by_rank, now)
+        return self._deferrals.may_start(waiter, placement, targets_by_rank, now)
 
     def request_left(self, waiter: Waiter, now: float) -> None:
         """Record that a request has its placement, or was refused or cancelled."""
@@ -170,7 +169,8 @@
             return
         left = waiter.deadline - now
         least = min_first_event_seconds(waiter.demand)
-        is_new = now - waiter.arrived_at <= MAX_REFUSAL_SECONDS
+        waited = now - waiter.arrived_at
+        is_new = not waiter.demand.is_retry and waited <= MAX_REFUSAL_SECONDS
         if is_new and is_unservable(forecast, left, least):
             raise self._refusal(waiter, forecast, now)
         self._judged.add(future)
@@ -197,7 +197,7 @@
         self._metrics.refused_early(waiter.service)
         self._log.info(
             "refused_early",
-            request_id=waiter.demand.request_id,
+            request_id=waiter.demand.logged_id,
             service=waiter.service,
             rank=waiter.priority,
             forecast=forecast.seconds,
@@ -227,7 +227,7 @@
         self._metrics.slot_forecast_error(waiter.service, error)
         self._log.info(
             "waited_for_slot",
-            request_id=waiter.demand.request_id,
+            request_id=waiter.demand.logged_id,
             service=waiter.service,
             rank=waiter.priority,
             waited=waited,
--- a/cranberrywick/gateway/deferrals.py
+++ b/cranberrywick/gateway/deferrals.py
@@ -1,4 +1,4 @@
-"""The requests of this daemon that leave their room to more urgent ones.
+"""The requests of this daemon that are deferred for more urgent ones.
 
 `cranberrywick.routing.deferral` decides; this module gives it the demand of the fleet,
 and logs and counts each request that is deferred.
@@ -58,17 +58,17 @@
     def may_start(
         self,
         waiter: Waiter,
-        rank: int,
         placement: Placement,
         targets_by_rank: Mapping[int, float],
         now: float,
     ) -> bool:
         """Whether a request is started now; if not, its deferral is recorded.
 
-        ``rank`` is the rank by which it is ordered, ``targets_by_rank`` the targets of
-        the service's requests in seconds.
+        ``targets_by_rank`` are the targets of the service's requests in seconds. The
+        declared rank counts, also for an organisation above its share: demand is known
+        by declared rank, so that its requests would otherwise defer one another.
         """
-        situation = self._situation(waiter, rank, placement, targets_by_rank, now)
+        situation = self._situation(waiter, placement, targets_by_rank, now)
         reason = decide(situation)
         if isinstance(reason, DeferReason):
             self._begin(waiter, reason, situation, now)
@@ -76,7 +76,9 @@
         self.end(waiter, reason, now)
         return True
 
-    def end(self, waiter: Waiter, reason: StartReason | DeferralEnd, now: float):
+    def end(
+        self, waiter: Waiter, reason: StartReason | DeferralEnd, now: float
+    ) -> None:
         """Record that a request starts or leaves; nothing if it was not deferred."""
         deferral = self._deferrals_by_id.pop(waiter.demand.request_id, None)
         if deferral is None:
@@ -94,12 +96,11 @@
     def _situation(
         self,
         waiter: Waiter,
-        rank: int,
         placement: Placement,
         targets_by_rank: Mapping[int, float],
         now: float,
     ) -> Situation:
-        fleet, service = self._fleet_demand, waiter.service
+        fleet, service, rank = self._fleet_demand, waiter.service, waiter.priority
         arrivals = []
         more_urgent = 0.0
         for each in sorted(targets_by_rank):
--- a/cranberrywick/gateway/lazy_metrics.py
+++ b/cranberrywick/gateway/lazy_metrics.py
@@ -94,7 +94,7 @@
         self._record(methodcaller("permit_asked", class_name, granted, seconds))
 
     def request_deferred(self, service: str, reason: str) -> None:
-        """Count a request that leaves its room to more urgent ones."""
+        """Count a request that is deferred for more urgent ones."""
         self._record(methodcaller("request_deferred", service, reason))
 
     def deferral_ended(self, service: str, reason: str, seconds: float) -> None:
--- a/cranberrywick/gateway/peer_updates.py
+++ b/cranberrywick/gateway/peer_updates.py
@@ -179,8 +179,8 @@
     def observation_changed(self) -> None:
         """Schedule a heartbeat, as soon as for a new job, for what was observed.
 
-        That is a changed slowdown or rate limit, or a service that became unreachable
-        or reachable.
+        That is a changed slowdown, rate limit or number of requests that wait for a
+        contended service, or a service that became unreachable or reachable.
         """
         self._send_heartbeat_within(JOB_UPDATE_SECONDS)
 
--- a/cranberrywick/gateway/permitted_placements.py
+++ b/cranberrywick/gateway/permitted_placements.py
@@ -44,8 +44,10 @@
         Raises `Overloaded` after `MAX_PERMITS_REQUESTED` refused permits, and as
         `WaitingRequests.place` does.
         """
+        is_retry = exchange.sent_at is not None
         for _ in range(MAX_PERMITS_REQUESTED):
-            placement = await self._place(exchange)
+            placement = await self._place(exchange, is_retry)
+            is_retry = True
             requested_at = self._loop.time()
             admission = await self._state.peer_updates.permits.admit(
                 placement.endpoint_id, placement.longest_wait
@@ -86,7 +88,7 @@
             next_after=limits.wait_seconds(endpoint_id, now),
         )
 
-    async def _place(self, exchange: Exchange) -> Placement:
+    async def _place(self, exchange: Exchange, is_retry: bool) -> Placement:
         due_at = exchange.request.arrived + exchange.route.target_seconds
         demand = Demand(
             request_id=exchange.key,
@@ -100,6 +102,7 @@
             answering_ids=exchange.answering_ids,
             longest_wait=longest_permit_wait(exchange.deadline - self._loop.time()),
             organisation=exchange.organisation.name if exchange.organisation else "",
+            is_retry=is_retry,
             logged_id=exchange.meta.request_id,
         )
         return await self._waiting.place(
--- a/cranberrywick/gateway/state.py
+++ b/cranberrywick/gateway/state.py
@@ -162,7 +162,13 @@
         return self.peer_updates.load
 
     def slots_in_use(self, service: str, now: float) -> int:
-        """Return how many slots of a service the fleet uses, as far as known."""
+        """Return how many slots of a service the fleet uses; 0 if that is not known.
+
+        It is not known while endpoints are backing off: the slots of those come back
+        without a request that ends.
+        """
+        if self.usable_endpoints.backing_off(service):
+            return 0
         endpoints = self.usable_endpoints.ready(service)
         return self.load.slots_in_use(service, endpoints, self._rng, now)
 
--- a/cranberrywick/gateway/waiting.py
+++ b/cranberrywick/gateway/waiting.py
@@ -57,7 +57,7 @@
         self._returns = LimitedReturns(random.Random())
         self._backoff_returns = BackoffReturns(random.Random())
         self._waiters_by_id: dict[str, Waiter] = {}
-        # The retries of deferred requests, which leave the room to more urgent ones.
+        # The retries of deferred requests.
         self._timers_by_id: dict[str, asyncio.TimerHandle] = {}
         # Deferred requests whose retry is due; they are tried with those that wait.
         self._due_by_id: dict[str, Waiter] = {}
@@ -111,14 +111,16 @@
         rank = self._contention.effective_rank
         waiters = [*self._waiters_by_id.values(), *self._due_by_id.values()]
         waiters.sort(key=lambda w: order_key(rank(w, now), w.due_at, now))
+        # Set before the tries, so that a deferred request that begins to wait does not
+        # schedule another pass at once.
+        self._scheduled = self._loop.call_later(
+            RETRY_INTERVAL_SECONDS, self._place_waiting
+        )
         for waiter in waiters:
             self._retry(waiter)
-        # A deferred request that has just begun to wait may have scheduled the next
-        # tries already.
-        if self._waiters_by_id and self._scheduled is None:
-            self._scheduled = self._loop.call_later(
-                RETRY_INTERVAL_SECONDS, self._place_waiting
-            )
+        if not self._waiters_by_id:
+            self._scheduled.cancel()
+            self._scheduled = None
 
     def _append(self, waiter: Waiter) -> None:
         """Let a request wait for room, unless it does already."""
@@ -131,7 +133,7 @@
         self.schedule_placing()
 
     def _defer(self, waiter: Waiter, placement: Placement, now: float) -> None:
-        """Try a request again later that leaves its room to more urgent ones."""
+        """Try a request again later that is deferred for more urgent ones."""
         self._timers_by_id[waiter.demand.request_id] = self._loop.call_later(
             retry_seconds(waiter, placement, now), self._retry_deferred, waiter
         )
@@ -170,6 +172,10 @@
         if timer is not None:
             timer.cancel()
 
+    def _has_been_tried(self, waiter: Waiter) -> bool:
+        request_id = waiter.demand.request_id
+        return request_id in self._waiters_by_id or request_id in self._due_by_id
+
     def _try_placing(self, waiter: Waiter) -> None:
         """Place a request, or let it wait; raises `Overloaded` for one that can't be.
 
@@ -178,7 +184,9 @@
         now = self._loop.time()
         placement = self._find_placement(waiter.demand, now)
         if placement is None:
-            self._refuse_hopeless(waiter)
+            # The sample may have missed a free endpoint: a second try follows at once.
+            if self._has_been_tried(waiter):
+                self._refuse_hopeless(waiter)
             self._contention.check_servable(waiter, now)
             self._append(waiter)
             return
--- a/cranberrywick/metrics.py
+++ b/cranberrywick/metrics.py
@@ -196,7 +196,7 @@
         )
         self._deferrals = self._histogram(
             "deferral",
-            "Time for which a request left its room to more urgent ones.",
+            "Time for which a request was deferred for more urgent ones.",
             QUEUE_WAIT_BOUNDS_SECONDS,
         )
         self._slot_forecast_error = self._histogram(
@@ -294,7 +294,7 @@
         self._permit_wait.record(seconds, {"class": class_name, "outcome": outcome})
 
     def request_deferred(self, service: str, reason: str) -> None:
-        """Count a request that leaves its room to more urgent ones."""
+        """Count a request that is deferred for more urgent ones."""
         self._deferred_requests.add(1, {"service": service, "reason": reason})
 
     def deferral_ended(self, service: str, reason: str, seconds: float) -> None:
--- a/cranberrywick/platform/settings.py
+++ b/cranberrywick/platform/settings.py
@@ -48,6 +48,7 @@
     ports = fields.get("internalPorts")
     if not isinstance(ports, list) or len(ports) != 2:
         raise InvalidConfiguration("internalPorts is not a pair")
+    pressure = PRESSURE_CONTRACT in strings(fields, "contracts")
     return GatewaySettings(
         daemon_id=string(fields, "nodeName"),
         ip=string(fields, "ip"),
@@ -60,8 +61,8 @@
         store_address=string(mapping(fields, "platform"), "address"),
         seeds=strings(fields, "seeds"),
         bounds=_decode_bounds(mapping(fields, "bounds")),
-        pressure=PRESSURE_CONTRACT in strings(fields, "contracts"),
-        vm_limits=_decode_limits(mapping(fields, "limits")),
+        pressure=pressure,
+        vm_limits=_decode_limits(mapping(fields, "limits")) if pressure else VmLimits(),
     )
 
 
--- a/cranberrywick/routing/deferral.py
+++ b/cranberrywick/routing/deferral.py
@@ -1,4 +1,4 @@
-"""Whether a request starts now or leaves its room to more urgent ones.
+"""Whether a request starts now or is deferred for more urgent ones.
 
 Load pattern: requests of several ranks compete for the engines of one service. The
 least urgent ones come in a pack, each with seconds of slack, and the most urgent ones
--- a/cranberrywick/routing/demand.py
+++ b/cranberrywick/routing/demand.py
@@ -32,6 +32,7 @@
     failed the request. Only those in ``answering_ids`` may answer it, though others may
     help; None allows all. It waits up to ``longest_wait`` seconds for the permit that
     an endpoint with a rate limit requires, or for the end of a backoff.
+    ``is_retry`` says that it had a placement before.
     ``organisation`` is the name of the one that sent it, empty if there is none.
     ``request_id`` is unique in the daemon, ``logged_id`` the id in the caller's header.
     """
@@ -47,6 +48,7 @@
     answering_ids: frozenset[str] | None = None
     longest_wait: float = 0.0
     organisation: str = ""
+    is_retry: bool = False
     logged_id: str = ""
 
 
--- a/cranberrywick/routing/fleet_demand.py
+++ b/cranberrywick/routing/fleet_demand.py
@@ -218,6 +218,7 @@
         self._peers_by_service: dict[str, _PeerDemand] = {}
         self._stated_by_daemon: dict[str, _PeerStatement] = {}
         self._stated_at = float("-inf")
+        self._stated_services: list[str] = []
         self._is_changed = False
         self.received_at = float("-inf")
 
@@ -266,19 +267,23 @@
             return _NOTHING
         self._is_changed = False
         self._stated_at = now
-        return DemandStatement(capacity, self.services(now))
+        services = self.services(now)
+        # A statement without a service would leave the last one in force at the peers.
+        ended = [] if services else [ServiceDemand(s) for s in self._stated_services]
+        self._stated_services = [each.service for each in services]
+        return DemandStatement(capacity, services or tuple(ended))
 
     # The peers'
 
     def receive(self, daemon_id: str, statement: DemandStatement, now: float) -> None:
         """Replace what a peer states; an empty statement leaves it in force."""
-        self.received_at = now
         known = self._stated_by_daemon.get(daemon_id)
         if statement == _NOTHING:
             if known is not None:
                 heard = known._replace(received_at=now)
                 self._stated_by_daemon[daemon_id] = heard
             return
+        self.received_at = now
         self._stated_by_daemon[daemon_id] = _PeerStatement(statement, now, now)
         before = known.statement if known is not None else _NOTHING
         if before.services != statement.services:
--- a/tests/test_fleet_demand.py
+++ b/tests/test_fleet_demand.py
@@ -190,3 +190,15 @@
     assert len(service.usage) == MAX_STATED_ORGANISATIONS
     assert service.usage[0] == OrganisationUsage("o29", pytest.approx(2.9))
     assert demand.services(10.0 + 60.0) == ()
+
+
+def test_a_wait_that_has_ended_is_stated_although_nothing_else_is():
+    """Guards against peers that defer requests for one that waits no more."""
+    own, peer = FleetDemand(random.Random(1)), FleetDemand()
+    own.record_arrival("drafting", 0, "school", 0.03, 0.0)
+    own.waiting_changed("drafting", 0, 1)
+    peer.receive("d1", own.statement(VmCapacity(), 5.9), 5.9)
+    assert peer.waiting("drafting", 0) == 1
+    own.waiting_changed("drafting", 0, -1)
+    peer.receive("d1", own.statement(VmCapacity(), 6.0), 6.0)
+    assert peer.waiting("drafting", 0) == 0
