--- a/cranberrywick/gateway/contention.py
+++ b/cranberrywick/gateway/contention.py
@@ -140,7 +140,7 @@
         return waiter.priority
 
     def may_start(self, waiter: Waiter, placement: Placement, now: float) -> bool:
-        """Whether a request is sent now; if not, it is deferred for more urgent ones."""
+        """Whether a request is sent now and not deferred for more urgent ones."""
         table = self._table()
         if table is None or not table.is_contended(waiter.service):
             self._deferrals.end(waiter, DeferralEnd.NOT_CONTENDED, now)
