--- a/cranberrywick/gateway/buffer_budget.py
+++ b/cranberrywick/gateway/buffer_budget.py
@@ -65,7 +65,9 @@
         """Return the buffers of a caller's connection."""
         return self
 
-    def endpoint_connection(self, transport: asyncio.Transport) -> "Unbudgeted":
+    def endpoint_connection(
+        self, transport: asyncio.Transport, cut: Callable[[], None]
+    ) -> "Unbudgeted":
         """Return the buffers of the connection to the endpoint of a request."""
         return self
 
@@ -241,9 +243,11 @@
         """Bytes that were written to the connection and are not sent yet."""
         return self._transport.get_write_buffer_size()
 
-    def endpoint_connection(self, transport: asyncio.Transport) -> "ConnectionBuffers":
+    def endpoint_connection(
+        self, transport: asyncio.Transport, cut: Callable[[], None]
+    ) -> "ConnectionBuffers":
         """Return the buffers of the connection to the endpoint of a request."""
-        buffers = self._budget.connection(transport, transport.abort, "endpoint")
+        buffers = self._budget.connection(transport, cut, "endpoint")
         buffers.request_id = self.request_id
         return buffers
 
--- a/cranberrywick/gateway/upstream.py
+++ b/cranberrywick/gateway/upstream.py
@@ -94,6 +94,15 @@
             self._writer = None
         self._buffers.closed()
 
+    def _cut(self) -> None:
+        """Close at once, so that reading fails.
+
+        An aborted connection reads as closed by the endpoint, which is the end of an
+        answer that has neither a declared length nor chunks.
+        """
+        self._reader.set_exception(ConnectionAbortedError("cut for memory"))
+        self._writer.transport.abort()
+
     async def open(self, timeout: float) -> None:
         """Connect within ``timeout`` seconds.
 
@@ -112,7 +121,7 @@
             ) from error
         transport = self._writer.transport
         enable_keepalive(transport)
-        self._buffers = self._caller_buffers.endpoint_connection(transport)
+        self._buffers = self._caller_buffers.endpoint_connection(transport, self._cut)
 
     async def send(
         self,
--- a/tests/test_buffer_connections.py
+++ b/tests/test_buffer_connections.py
@@ -11,6 +11,7 @@
 
 import pytest
 
+from cranberrywick.errors import AmbiguousSend, AnswerLost
 from cranberrywick.gateway.buffer_budget import (
     NO_BUDGET,
     UNREAD_BOUND_BYTES,
@@ -19,6 +20,7 @@
 )
 from cranberrywick.gateway.ingress import Ingress
 from cranberrywick.gateway.lazy_metrics import LazyMetrics
+from cranberrywick.gateway.upstream import EndpointConnection
 from cranberrywick.logs import EventLog, make_handler
 from cranberrywick.platform.settings import decode_settings
 from cranberrywick.routing.buffer_budget import SLOW_SECONDS, BufferLimits
@@ -173,6 +175,50 @@
     assert "request_id=r-1" in line and "budget=4000000" in line
 
 
+@pytest.mark.parametrize(
+    ("sent", "error"),
+    [
+        (b"", AmbiguousSend),
+        (b"HTTP/1.1 200 OK\r\n\r\nthe first part", AnswerLost),
+    ],
+)
+def test_an_answer_of_a_cut_endpoint_does_not_look_complete(sent, error):
+    """Guards against taking a cut for the end of an answer delimited by close."""
+
+    async def main():
+        async def answer(reader, writer):
+            await reader.readline()
+            writer.write(sent)
+            await reader.read()
+            writer.close()
+
+        endpoint = await asyncio.start_server(answer, "127.0.0.1", 0)
+        host, port = endpoint.sockets[0].getsockname()
+        async with running_server() as server:
+            caller = await server.open(request("GET"))
+            await server.until_held(lambda held: server.bodies)
+            (caller_side,) = server.ingress.connections
+            buffers = caller_side.buffers
+            async with EndpointConnection(f"{host}:{port}", buffers) as connection:
+                await connection.open(timeout=5)
+                await connection.send(b"GET", b"/x", [(b"Host", b"h")], b"")
+                if sent:
+                    await connection.read_head()
+                    parts = connection.body()
+                    assert await anext(parts) == b"the first part"
+                    rest = anext(parts)
+                else:
+                    rest = connection.read_head()
+                asyncio.get_running_loop().call_later(0.1, connection._buffers.cut)
+                async with asyncio.timeout(10):
+                    with pytest.raises(error):
+                        await rest
+            caller.close()
+        endpoint.close()
+
+    run_with_log(main)
+
+
 def test_bytes_that_follow_a_request_count():
     """Guards against callers who send more while their request is being served."""
 
