--- a/cranberrywick/routing/buffer_budget.py
+++ b/cranberrywick/routing/buffer_budget.py
@@ -152,9 +152,10 @@
     def take_excess(self, now: float) -> list[tuple[str, Holding]]:
         """Remove and return the connections to close, in this order.
 
-        Above the shared bytes these are connections with more unread bytes than their
-        own part. Above the budget they are also slow connections with fewer, and at
-        last those for which the most is kept. The one with the most unread bytes comes
+        Above the shared bytes these are slow connections with more unread bytes than
+        their own part. Above the budget they are also those that are not slow, then
+        slow connections with fewer unread bytes, and at last those for which the most
+        is kept. The one with the most unread bytes comes
         first, among equals the one with bytes unread for the longest time; the bytes of
         connections that are not slow count less.
         """
@@ -170,7 +171,17 @@
             return -weight * entry[1].unread, since
 
         shared, budget, part = self.limits.shared, self.limits.budget, self.limits.part
-        taken = self._take(shared, by_unread, lambda each: each.unread > part)
+        # Just after a write to a quick endpoint, nearly the whole body is unread. Bodies
+        # are admitted up to the shared bytes, so it counts twice above them.
+        is_above_budget = self._held > budget
+        taken = self._take(
+            shared,
+            by_unread,
+            lambda each: (
+                each.unread > part
+                and (is_above_budget or each.unread_since <= slow_since)
+            ),
+        )
         taken += self._take(
             budget, by_unread, lambda each: each.unread_since <= slow_since
         )
