--- a/cranberrywick/gateway/buffer_budget.py
+++ b/cranberrywick/gateway/buffer_budget.py
@@ -167,10 +167,14 @@
         excess = self.ledger.take_excess(now)
         held = self.ledger.held + sum(holding.held for _, holding in excess)
         for connection_id, holding in excess:
-            # The connection is counted no more, also if it still writes something.
-            buffers = self._connections_by_id.pop(connection_id)
-            self._record_cut(buffers, holding, held, now)
-            buffers.cut()
+            self._cut(connection_id, holding, held, now)
+
+    def close(self, connection_id: str) -> None:
+        """Close a connection whose bytes don't fit, unless it is closed already."""
+        if connection_id in self._connections_by_id:
+            held = self.ledger.held
+            holding = self.ledger.remove(connection_id)
+            self._cut(connection_id, holding, held, self._loop.time())
 
     def refusal(self, request_id: str, wanted: int) -> BodyRefusal:
         """Return the answer to a request whose body exceeds the limits."""
@@ -187,6 +191,12 @@
         body = json.dumps({"error": error.body(request_id)}).encode()
         return BodyRefusal(failure_headers(request_id, seconds), body)
 
+    def _cut(self, connection_id: str, holding: Holding, held: int, now: float) -> None:
+        # The connection is counted no more, also if it still writes something.
+        buffers = self._connections_by_id.pop(connection_id)
+        self._record_cut(buffers, holding, held, now)
+        buffers.cut()
+
     def _record_cut(
         self, buffers: "ConnectionBuffers", holding: Holding, held: int, now: float
     ) -> None:
@@ -276,8 +286,12 @@
         return None
 
     def admits_early_bytes(self, more: int) -> bool:
-        """Count bytes that follow the current request; return whether they may stay."""
+        """Count bytes that follow the current request; return whether they may stay.
+
+        Otherwise the connection is closed as one that is cut for memory.
+        """
         if not self._budget.ledger.admits(self._id, self._kept + more):
+            self._budget.close(self._id)
             return False
         self._early += more
         self._keep()
--- a/cranberrywick/gateway/ingress.py
+++ b/cranberrywick/gateway/ingress.py
@@ -191,7 +191,6 @@
         if self._refused:
             return
         if self._task is not None and not self.buffers.admits_early_bytes(len(data)):
-            self._abort()
             return
         try:
             self._http.receive_data(data)
--- a/cranberrywick/routing/buffer_budget.py
+++ b/cranberrywick/routing/buffer_budget.py
@@ -138,9 +138,11 @@
         since = min(holding.unread_since, now) if unread else float("inf")
         self._set(connection_id, Holding(holding.kept, unread, since))
 
-    def remove(self, connection_id: str) -> None:
-        """Record that a connection is closed: nothing is held for it any more."""
+    def remove(self, connection_id: str) -> Holding:
+        """Record that a connection is closed; return what was held for it until now."""
+        holding = self._holdings_by_id.get(connection_id, _NOTHING)
         self._set(connection_id, _NOTHING)
+        return holding
 
     def refresh(self) -> None:
         """Count the unread bytes of all connections anew."""
--- a/tests/test_buffer_connections.py
+++ b/tests/test_buffer_connections.py
@@ -219,13 +219,17 @@
     run_with_log(main)
 
 
-def test_bytes_that_follow_a_request_count():
-    """Guards against callers who send more while their request is being served."""
+@pytest.mark.parametrize("version", ["1.0", "1.1"])
+def test_bytes_that_follow_a_request_count(version):
+    """Guards against callers who send more while their request is being served.
+
+    The connection is reset, since its answer may be delimited by close.
+    """
 
     async def main():
         async with running_server() as server:
             loop = asyncio.get_running_loop()
-            caller = await server.open(request("GET"))
+            caller = await server.open(request("GET", version))
             await server.until_held(lambda held: len(server.bodies) == 1)
             await loop.sock_sendall(caller, bytes(500_000))
             await server.until_held(lambda held: held == 500_000)
@@ -234,7 +238,9 @@
                     await loop.sock_sendall(caller, bytes(20_000_000))
             caller.close()
 
-    run_with_log(main)
+    log = run_with_log(main)
+    (line,) = [each for each in log.splitlines() if "caller_cut_for_memory" in each]
+    assert "peer=caller" in line
 
 
 @pytest.mark.parametrize(
