--- a/cranberrywick/gateway/answer_forwarding.py
+++ b/cranberrywick/gateway/answer_forwarding.py
@@ -109,8 +109,20 @@
 
         An answer that breaks off can then still be replaced by another endpoint's.
         """
-        whole = WholeAnswer(answer, await self._read_whole(connection))
         exchange = self._exchange
+        try:
+            await self._forward_read(connection, answer)
+        except EndpointFailed:
+            raise  # It retains the answer, which stays counted.
+        except BaseException:  # Also if the attempt is cancelled.
+            exchange.caller.buffers.hold_answer(0)
+            raise
+
+    async def _forward_read(
+        self, connection: EndpointConnection, answer: EndpointAnswer
+    ) -> None:
+        exchange = self._exchange
+        whole = WholeAnswer(answer, await self._read_whole(connection))
         if exchange.caller.answer_started:
             raise AnswerLost(f"status {answer.status} in place of more events")
         if answer.status >= 500 and exchange.route.idempotent:
