--- a/cranberrywick/gateway/buffer_budget.py
+++ b/cranberrywick/gateway/buffer_budget.py
@@ -15,6 +15,7 @@
 from cranberrywick.errors import Overloaded
 from cranberrywick.gateway.lazy_metrics import LazyMetrics
 from cranberrywick.gateway.tcp_options import (
+    USER_TIMEOUT_MS,
     limit_unsent_in_kernel,
     set_user_timeout,
 )
@@ -144,6 +145,10 @@
         """How many connections are open."""
         return len(self._connections_by_id)
 
+    def admits(self, connection_id: str, kept: int) -> bool:
+        """Return whether so many bytes of a request may be kept for a connection."""
+        return self.ledger.admits(connection_id, kept, self._loop.time())
+
     def keep(self, connection_id: str, kept: int) -> None:
         """Count what is kept for an open connection; close others if necessary."""
         if connection_id in self._connections_by_id:
@@ -245,6 +250,7 @@
         self._body = 0
         self._early = 0
         self._answer = 0
+        self._has_answer_timeout = False
         transport.set_write_buffer_limits(high=UNREAD_BOUND_BYTES)
         limit_unsent_in_kernel(transport)
 
@@ -270,6 +276,9 @@
         a declared length is counted as it is received.
         """
         self.request_id = decode_request(headers).request_id
+        if self._has_answer_timeout and not self.unread:
+            self._has_answer_timeout = False
+            set_user_timeout(self._transport, USER_TIMEOUT_MS)
         # The parser has checked that the header is a number.
         declared = int(dict(headers).get(b"content-length", b"0"))
         return self.refusal_of_body(min(declared, longest))
@@ -279,7 +288,7 @@
         more = received - self._body
         if more <= 0:
             return None
-        if not self._budget.ledger.admits(self._id, self._kept + more):
+        if not self._budget.admits(self._id, self._kept + more):
             return self._budget.refusal(self.request_id, received)
         self._body = received
         self._keep()
@@ -290,7 +299,7 @@
 
         Otherwise the connection is closed as one that is cut for memory.
         """
-        if not self._budget.ledger.admits(self._id, self._kept + more):
+        if not self._budget.admits(self._id, self._kept + more):
             self._budget.close(self._id)
             return False
         self._early += more
@@ -305,6 +314,7 @@
 
     def answer_begins(self) -> None:
         """Let the caller pause while it reads its answer."""
+        self._has_answer_timeout = True
         set_user_timeout(self._transport, ANSWER_USER_TIMEOUT_MS)
 
     def hold_answer(self, held: int) -> None:
--- a/cranberrywick/gateway/tcp_options.py
+++ b/cranberrywick/gateway/tcp_options.py
@@ -6,6 +6,7 @@
 import struct
 
 __all__ = [
+    "USER_TIMEOUT_MS",
     "abort_with_reset",
     "enable_keepalive",
     "limit_unsent_in_kernel",
@@ -21,7 +22,8 @@
 KEEPALIVE_PROBES = 2
 # TCP_USER_TIMEOUT, in milliseconds: the kernel closes a connection whose peer has not
 # acknowledged sent bytes for this time, or whose peer has had no room for more bytes
-# for this time.
+# for this time. Where held bytes have a budget, a caller's connection has a longer time
+# from the beginning of an answer until its next request begins with nothing unread.
 USER_TIMEOUT_MS = 3000
 # TCP_NOTSENT_LOWAT, in bytes: how many unsent bytes the kernel takes. Without it a
 # connection on loopback takes 2.5 MB, which the daemon's own count does not show.
--- a/cranberrywick/routing/buffer_budget.py
+++ b/cranberrywick/routing/buffer_budget.py
@@ -30,6 +30,10 @@
 CHECK_SHARE = 1 / 64
 # A connection with unread bytes counts as slow after this time, in seconds.
 SLOW_SECONDS = 1.0
+# Shortest time between two looks at all connections for bodies that seem not to fit, in
+# seconds. A look takes some 10 ms for 1,500 connections, and each refused body would
+# cause one.
+REFRESH_SECONDS = 0.05
 # Weight of the unread bytes of other connections when they are compared. Just after a
 # write a quick caller has as many unread bytes as a slow one with an answer of equal
 # length, or some more.
@@ -84,7 +88,7 @@
     limit.
 
     >>> ledger = BufferLedger(BufferLimits.of_memory(200_000_000), unread_by_id.get)
-    >>> ledger.admits("caller-1", 4_000_000)
+    >>> ledger.admits("caller-1", 4_000_000, now=10.0)
     True
     >>> ledger.keep("caller-1", 4_000_000)
     >>> ledger.take_excess(now=10.0)
@@ -99,6 +103,7 @@
         self._check_step = int(limits.shared * CHECK_SHARE)
         # Bytes that came to be held since connections were looked at.
         self._grown = 0
+        self._refreshed_at = float("-inf")
 
     @property
     def held(self) -> int:
@@ -110,10 +115,16 @@
         """For how many connections bytes are held."""
         return len(self._holdings_by_id)
 
-    def admits(self, connection_id: str, kept: int) -> bool:
-        """Return whether so many bytes of a request may be kept for a connection."""
+    def admits(self, connection_id: str, kept: int, now: float) -> bool:
+        """Return whether so many bytes of a request may be kept for a connection.
+
+        Shortly after all connections were looked at, the upper bound decides.
+        """
         if self._has_room(connection_id, kept):
             return True
+        if now - self._refreshed_at < REFRESH_SECONDS:
+            return False
+        self._refreshed_at = now
         self.refresh()
         return self._has_room(connection_id, kept)
 
@@ -139,7 +150,7 @@
         self._set(connection_id, Holding(holding.kept, unread, since))
 
     def remove(self, connection_id: str) -> Holding:
-        """Record that a connection is closed; return what was held for it until now."""
+        """Record that a connection is closed; return what was held for it."""
         holding = self._holdings_by_id.get(connection_id, _NOTHING)
         self._set(connection_id, _NOTHING)
         return holding
--- a/tests/test_buffer_budget.py
+++ b/tests/test_buffer_budget.py
@@ -12,6 +12,7 @@
 from cranberrywick.routing.buffer_budget import (
     CHECK_SHARE,
     PROCESS_BYTES,
+    REFRESH_SECONDS,
     SLOW_SECONDS,
     BufferLedger,
     BufferLimits,
@@ -92,7 +93,7 @@
     """
     connections = Connections(BufferLimits.of_memory(200_000_000))
     for number in range(52):
-        assert connections.ledger.admits(f"caller-{number}", 1_000_000)
+        assert connections.ledger.admits(f"caller-{number}", 1_000_000, 0.0)
         connections.ledger.keep(f"caller-{number}", 1_000_000)
         assert not connections.close_excess()
     assert not connections.write("endpoint", 900_000)
@@ -116,7 +117,7 @@
     assert connections.ledger.held == LIMITS.shared
     for number in range(40):
         quick = f"quick-{number}"
-        assert connections.ledger.admits(quick, LIMITS.part)
+        assert connections.ledger.admits(quick, LIMITS.part, 0.0)
         connections.ledger.keep(quick, LIMITS.part)
         assert quick not in connections.write(quick, 0, SLOW_SECONDS)
         connections.ledger.remove(quick)
@@ -134,10 +135,10 @@
 def test_bodies_are_refused_and_large_answers_closed_above_the_limits():
     connections = Connections()
     ledger = connections.ledger
-    assert ledger.admits("body", 3000) and not ledger.admits("body", 3001)
+    assert ledger.admits("body", 3000, 0.0) and not ledger.admits("body", 3001, 0.0)
     ledger.keep("body", 3000)
-    assert ledger.admits("body", 2000), "less than now always fits"
-    assert not ledger.admits("other", 101) and ledger.admits("other", 100)
+    assert ledger.admits("body", 2000, 0.0), "less than now always fits"
+    assert not ledger.admits("other", 101, 0.0) and ledger.admits("other", 100, 0.0)
     ledger.keep("answer", 1500)
     assert connections.close_excess() == ["body"]
 
@@ -146,7 +147,18 @@
     connections = Connections()
     connections.write("quick", 2900)
     connections.unread_by_id["quick"] = 0
-    assert connections.ledger.admits("body", 2900)
+    assert connections.ledger.admits("body", 2900, 0.0)
+
+
+def test_refused_bodies_do_not_look_at_all_connections_each():
+    """Guards against a cost of each refusal that grows with the connections."""
+    connections = Connections()
+    connections.write("slow", 2900)
+    for number in range(100):
+        assert not connections.ledger.admits(f"body-{number}", 2000, 0.0)
+    connections.unread_by_id["slow"] = 0
+    assert not connections.ledger.admits("body", 2000, REFRESH_SECONDS / 2)
+    assert connections.ledger.admits("body", 2000, REFRESH_SECONDS)
 
 
 def test_writes_do_not_look_at_all_connections():
@@ -217,7 +229,7 @@
 
     @rule(connection_id=ids, kept=st.integers(0, 2000))
     def receive_body(self, connection_id, kept):
-        if self.connections.ledger.admits(connection_id, kept):
+        if self.connections.ledger.admits(connection_id, kept, self.now):
             self.keep(connection_id, kept)
 
     @rule(connection_id=ids, kept=st.integers(0, 2000))
