--- a/cranberrywick/routing/buffer_budget.py
+++ b/cranberrywick/routing/buffer_budget.py
@@ -184,8 +184,8 @@
             return -weight * entry[1].unread, since
 
         shared, budget, part = self.limits.shared, self.limits.budget, self.limits.part
-        # Bodies are admitted up to the shared bytes, and just after the write to a quick
-        # endpoint nearly a whole body counts as unread, too.
+        # Bodies are admitted up to the shared bytes, and just after the write to a
+        # quick endpoint nearly a whole body counts as unread, too.
         is_above_budget = self._held > budget
         taken = self._take(
             shared,
