--- a/tests/test_store_knowledge.py
+++ b/tests/test_store_knowledge.py
@@ -53,6 +53,7 @@
     """Stands for a decoded configuration; only its version matters here."""
 
     routes = ()
+    services_by_name = {}
 
     def __init__(self, document):
         self.version = int(document)
