--- a/cranberrywick/standin/platform/endpoint.py
+++ b/cranberrywick/standin/platform/endpoint.py
@@ -55,6 +55,15 @@
     source: str = ""
 
 
+class SeenRequest(NamedTuple):
+    """A request as an endpoint received it; header names are in lower case."""
+
+    method: bytes
+    target: bytes
+    headers: dict[str, str]
+    body: bytes
+
+
 class Backoff(NamedTuple):
     """A refusal that named a time in which the endpoint wants no requests.
 
@@ -81,13 +90,14 @@
     each answer. A request's header ``X-Padding`` adds so many bytes to its answer, or
     to each event. ``read_pause_seconds`` is the pause before each read of a request. A
     stream that stays unread for ``unread_seconds`` is cut off and counted in
-    ``cut_off``. A prompt that has one of the ``crashing_segments`` before its last
-    crashes the endpoint ``before``, ``after`` or ``within`` its first event, as
-    ``crash_point`` says: it closes all its connections, stops listening and calls
-    ``crashed``. ``runs`` counts runs by request
-    id, ``heads`` has the method, target, headers and body of each run, ``at_work`` the
-    request ids in progress and
-    ``tickets`` the reservations of memory by id. ``by_address`` has all endpoints of
+    ``cut_off``. A prompt that has one of the ``crashing_segments`` before its last, and
+    any request for which ``crashes_under`` returns true, crashes the endpoint
+    ``before``, ``after`` or ``within`` its event number ``crash_event``, as
+    ``crash_point`` says, and a call before its answer, or within it: the endpoint
+    closes all its connections, stops listening and calls ``crashed``. ``runs`` counts
+    runs by request id, ``heads`` has the method, target, headers and body of each run,
+    ``at_work`` the request ids in progress and ``tickets`` the reservations of memory
+    by id. ``by_address`` has all endpoints of
     the process, so that an engine can check its helpers' tickets.
     """
 
@@ -118,7 +128,9 @@
         self.unread_seconds: float | None = None
         self.cut_off = 0
         self.crashing_segments: frozenset[str] = frozenset()
+        self.crashes_under: Callable[[SeenRequest], bool] = lambda request: False
         self.crash_point = "after"
+        self.crash_event = 1
         self.crashed: Callable[[EndpointStandIn], None] = lambda endpoint: None
         self.runs: Counter[str] = Counter()
         self.heads: list[tuple[bytes, bytes, dict[str, str], bytes]] = []
@@ -209,11 +221,12 @@
             own += self._state_headers()
             writer.write(_encode_response(http, 503, own, b""))
             return
-        self.heads.append((bytes(head.method), bytes(head.target), headers, body))
+        seen = SeenRequest(bytes(head.method), bytes(head.target), headers, body)
+        self.heads.append(tuple(seen))
         self.runs[request_id] += 1
         self.at_work.add(request_id)
         try:
-            await _run_unless_closed(reader, self._run(http, headers, writer))
+            await _run_unless_closed(reader, self._run(http, seen, writer))
         finally:
             self.at_work.discard(request_id)
 
@@ -260,7 +273,11 @@
                 return address
         return None
 
-    async def _run(self, http, headers, writer) -> None:
+    async def _run(self, http, seen: SeenRequest, writer) -> None:
+        headers = seen.headers
+        shared_ids = _shared_segments(headers)
+        crashes = bool(self.crashing_segments.intersection(shared_ids))
+        crashes = crashes or self.crashes_under(seen)
         await asyncio.sleep(self.work_seconds)
         if self.behaviour == "reset":
             writer.transport.abort()
@@ -276,10 +293,22 @@
             *self._state_headers(),
         ]
         if "cranberrywick-token-count" in headers and self.behaviour != "failing":
-            await self._stream(http, headers, own, writer)
+            await self._stream(http, headers, own, writer, crashes)
+        elif crashes:
+            await self._crash_within_call(own, writer)
         else:
             self._call(http, own, headers, writer)
 
+    async def _crash_within_call(self, own, writer) -> None:
+        if self.crash_point == "within":
+            lines = "".join(f"{n}: {v}\r\n" for n, v in own)
+            length = "" if self.behaviour == "unframed" else "Content-Length: 99\r\n"
+            writer.write(f"HTTP/1.1 200 OK\r\n{lines}{length}\r\nanswer".encode())
+            await writer.drain()
+            # Aborted connections drop what is unsent.
+            await asyncio.sleep(self.event_seconds)
+        self.crash()
+
     def _call(self, http, own, headers, writer) -> None:
         request_id = headers.get("cranberrywick-request-id", "")
         body = f"answer to {request_id}".encode() + _padding(headers)
@@ -300,10 +329,9 @@
             if self.behaviour == "twice":
                 writer.write(answer)
 
-    async def _stream(self, http, headers, own, writer) -> None:
+    async def _stream(self, http, headers, own, writer, crashes: bool) -> None:
         start = int(headers.get("last-event-id", "0"))
         stream = [*own, ("Content-Type", "text/event-stream")]
-        crashes = self.crashing_segments.intersection(_shared_segments(headers))
         if crashes and self.crash_point == "before":
             self.crash()
             return
@@ -320,12 +348,13 @@
                 if self.behaviour == "silent":
                     await asyncio.sleep(3600)
                 return
-            if crashes and self.crash_point == "within":
+            is_last = crashes and number >= start + self.crash_event
+            if is_last and self.crash_point == "within":
                 event = event[: len(event) // 2]
             writer.write(http.send(h11.Data(data=event)))
             await self._await_reader(writer)
             await asyncio.sleep(self.event_seconds)
-            if crashes:
+            if is_last:
                 self.crash()
                 return
         writer.write(http.send(h11.EndOfMessage()))
--- a/tests/crashing_fleet.py
+++ b/tests/crashing_fleet.py
@@ -20,6 +20,7 @@
 # Time until a crashed engine has started again, in seconds.
 RESTART_SECONDS = 1.0
 CRASHING_SEGMENT = "bad0"
+CRASHING_SEGMENTS = frozenset({CRASHING_SEGMENT, "bad1"})
 FIRST_SEGMENT = "f125"
 CRASHING_PAUSE_SECONDS = 0.3
 SOUND_PAUSE_SECONDS = 0.1
@@ -34,15 +35,28 @@
     request_id: str
 
 
+def service_of(endpoint: EndpointStandIn) -> str:
+    """Return the service of an endpoint, which its id begins with."""
+    return "desk" if endpoint.endpoint_id.startswith("desk") else "pool"
+
+
+def shared_segments(is_crashing: bool, number: int) -> list[str]:
+    """Return the segments of a prompt that others have, too."""
+    return [FIRST_SEGMENT, CRASHING_SEGMENT if is_crashing else f"50{number % 3}"]
+
+
 class CrashingFleet(Fleet):
-    """Counts what engines get while those crash that answer `CRASHING_SEGMENT`.
+    """Counts what engines get while those crash that answer `CRASHING_SEGMENTS`.
 
-    ``crashed_at`` has the times of the crashes, on the stand-ins' clock.
+    ``crashed_at`` has the times of the crashes, on the stand-ins' clock, and
+    ``shared_segments`` returns the shared segments of a prompt, given whether it is to
+    crash engines, and its number.
     """
 
     def __init__(self, path):
         super().__init__(path)
         self.crashed_at: list[float] = []
+        self.shared_segments = shared_segments
         self._rng = random.Random(1)
         self._numbers = count(1)
         self._starts = count(2)
@@ -53,7 +67,7 @@
             self.add_endpoint(f"engine-{number}", "pool")
         for engine in self.engines:
             engine.event_seconds = 0.03
-            engine.crashing_segments = frozenset({CRASHING_SEGMENT})
+            engine.crashing_segments = CRASHING_SEGMENTS
             engine.crashed = self._restart_later
 
     @property
@@ -87,8 +101,8 @@
     def send(self, gateway: Gateway, is_crashing: bool) -> Timed:
         """Send one request; no two have the same last segment."""
         number = next(self._numbers)
-        shared = CRASHING_SEGMENT if is_crashing else f"50{number % 3}"
-        prefix = f"{FIRST_SEGMENT}:40,{shared}:600,{number:x}e:3360"
+        segment_ids = [*self.shared_segments(is_crashing, number), f"{number:x}e"]
+        prefix = ",".join(f"{each}:600" for each in segment_ids)
         headers = {**PROMPT_HEADERS, "Cranberrywick-Prefix-Hash": prefix}
         request_id = f"{'crashing' if is_crashing else 'sound'}-{number}"
         sent_at = self.loop.time()
@@ -120,7 +134,7 @@
     async def _start_again(self, endpoint: EndpointStandIn) -> None:
         await endpoint.start()
         record = {
-            "service": "pool",
+            "service": service_of(endpoint),
             "address": endpoint.address,
             "zone": "a",
             "version": "v1",
