--- a/cranberrywick/gateway/crash_updates.py
+++ b/cranberrywick/gateway/crash_updates.py
@@ -11,9 +11,13 @@
     SegmentQuarantine,
 )
 from cranberrywick.routing.segment_crashes import SETTLE_SECONDS, SegmentCrashes
+from cranberrywick.routing.segment_judgement import Suspicion
 
 __all__ = ["CrashUpdates"]
 
+# Number of suspected segments that one line names.
+LOGGED_SUSPICIONS = 5
+
 
 class CrashUpdates:
     """Records what this daemon and its peers see of crashes, and logs what follows.
@@ -28,6 +32,7 @@
         self._loop = asyncio.get_running_loop()
         self._crashes = SegmentCrashes()
         self._logged_ids: set[str] = set()
+        self._logged_suspicions: list[Suspicion] = []
         self._settling: asyncio.TimerHandle | None = None
         self.changed: Callable[[], None] = lambda: None
 
@@ -39,6 +44,7 @@
         """Record a crash that this daemon has seen."""
         if self._crashes.add(crash, self._loop.time()):
             self._tell_peers()
+        self._log_suspicions("own")
         self._log_changes("own")
 
     def answered(self, segment_ids: Sequence[str]) -> None:
@@ -53,6 +59,8 @@
             return
         if self._crashes.receive(statement, self._loop.time()):
             self._tell_peers()
+        if statement.crashes:
+            self._log_suspicions(daemon_id)
         self._log_changes(daemon_id)
 
     def restore(self, segment_ids: Iterable[str]) -> None:
@@ -87,6 +95,21 @@
         adopted_ids = self._crashes.adopted_ids(self._loop.time())
         return {"own": len(self.concluded_by_id), "adopted": len(adopted_ids)}
 
+    def _log_suspicions(self, source: str) -> None:
+        found = self._crashes.suspicions()
+        if found == self._logged_suspicions:
+            return
+        self._logged_suspicions = found
+        self._log.info(
+            "crashes_counted",
+            source=source,
+            suspected=",".join(
+                f"{each.segment_id}:{each.separate}/{each.needed}"
+                for each in found[:LOGGED_SUSPICIONS]
+            ),
+            most_crashes=found[0].crashes if found else 0,
+        )
+
     def _settle(self) -> None:
         self._settling = None
         self._log_changes("own")
--- a/cranberrywick/gateway/exchange.py
+++ b/cranberrywick/gateway/exchange.py
@@ -14,6 +14,7 @@
     RouteKind,
     Service,
 )
+from cranberrywick.routing.request_traits import RequestTraits
 
 __all__ = ["AnswerSource", "Exchange"]
 
@@ -46,6 +47,7 @@
     they can't serve it, ``failed_peer_ids`` those that failed for another reason, as
     often as each did.
 
+    ``traits`` are what the request has in common with others.
     ``peer_id`` is the peer of the last attempt, empty if that was direct.
     ``endpoint_id`` is the endpoint that the request was last sent to, and
     ``endpoint_born`` identifies its start. ``in_flight`` says whether an endpoint or a
@@ -67,6 +69,9 @@
         self.request = request
         self.caller = caller
         self.meta = meta
+        self.traits = RequestTraits(
+            meta.segment_ids, request.method, self.host, request.target, request.body
+        )
         self.route: Route | None = None
         self.organisation: Organisation | None = None
         self.service: Service | None = None
@@ -162,6 +167,10 @@
         self.longest_gap = max(self.longest_gap, now - last)
         return now - last
 
+    def sent_for(self, now: float) -> float | None:
+        """Return for how long the last attempt has run; None before one."""
+        return None if self.sent_at is None else now - self.sent_at
+
     def answering_seconds(self, now: float) -> float | None:
         """Return for how long the last attempt has been answered; None before that."""
         return None if self.answer_began_at is None else now - self.answer_began_at
--- a/cranberrywick/gateway/forwarder.py
+++ b/cranberrywick/gateway/forwarder.py
@@ -142,7 +142,9 @@
             cooldown_seconds=failure.cooldown,
             events_for=exchange.answering_seconds(now),
             event_batches=exchange.event_batches,
+            sent_for=exchange.sent_for(now),
             segments=",".join(exchange.meta.segment_ids),
+            content=exchange.traits.content,
             endpoints_age=self._state.registry.age(now),
             next="stop: " + reason if reason else "another endpoint",
         )
--- a/cranberrywick/routing/segment_crashes.py
+++ b/cranberrywick/routing/segment_crashes.py
@@ -19,7 +19,7 @@
     SegmentAnswer,
     SegmentQuarantine,
 )
-from cranberrywick.routing.segment_judgement import judge
+from cranberrywick.routing.segment_judgement import Suspicion, judge, suspicions
 
 __all__ = ["SETTLE_SECONDS", "SegmentCrashes"]
 
@@ -199,6 +199,10 @@
             if self._is_in_force(quarantine, now)
         }
 
+    def suspicions(self) -> list[Suspicion]:
+        """Return what the known crashes count against, most crashes first."""
+        return suspicions(self._crashes_by_start.values(), self._answered_at)
+
     def is_unsettled(self, now: float) -> bool:
         """Whether there is a conclusion that has not held for long enough yet."""
         unsettled = now - SETTLE_SECONDS
--- a/cranberrywick/routing/segment_judgement.py
+++ b/cranberrywick/routing/segment_judgement.py
@@ -15,10 +15,11 @@
 
 from collections.abc import Callable, Iterable
 from math import inf
+from typing import NamedTuple
 
 from cranberrywick.routing.crash_statement import EndpointCrash, SegmentQuarantine
 
-__all__ = ["judge"]
+__all__ = ["Suspicion", "judge", "suspicions"]
 
 # Number of separate crashes after which a segment is quarantined, if no prompt with it
 # has been answered yet, and if one has: then since the last answer.
@@ -29,6 +30,40 @@
 COINCIDENCE_SECONDS = 0.1
 
 
+class Suspicion(NamedTuple):
+    """A segment at crashes since its last answer, and how many of them don't coincide.
+
+    A segment is quarantined for ``needed`` separate crashes.
+    """
+
+    segment_id: str
+    crashes: int
+    separate: int
+    needed: int
+
+
+def suspicions(
+    crashes: Iterable[EndpointCrash], answered_at: Callable[[str], float]
+) -> list[Suspicion]:
+    """Return the segments at crashes since their last answers, most crashes first.
+
+    >>> crashes = [EndpointCrash("e1", 1, 1.0, (("first", "bad"),))]
+    >>> suspicions(crashes, {"first": 2.0, "bad": 0.5}.__getitem__)
+    [Suspicion(segment_id='bad', crashes=1, separate=1, needed=6)]
+    """
+    times_by_id: dict[str, list[float]] = {}
+    for crash in sorted(crashes, key=lambda crash: crash.at):
+        for segment_id in crash.segment_ids:
+            if crash.at > answered_at(segment_id):
+                times_by_id.setdefault(segment_id, []).append(crash.at)
+    found = []
+    for segment_id, times in times_by_id.items():
+        is_answered = answered_at(segment_id) > -inf
+        needed = CRASHES_SINCE_ANSWER if is_answered else CRASHES_WITHOUT_ANSWER
+        found.append(Suspicion(segment_id, len(times), _separate(times), needed))
+    return sorted(found, key=lambda each: (-each.crashes, each.segment_id))
+
+
 def judge(
     crashes: Iterable[EndpointCrash], answered_at: Callable[[str], float]
 ) -> dict[str, SegmentQuarantine]:
