--- /dev/null
+++ b/tests/test_repeated_requests_fleet.py
@@ -0,0 +1,68 @@
+"""One request under which endpoints end, repeated under new ids, with processes.
+
+Guards against a fleet that sends it on until its endpoints are gone.
+"""
+
+import time
+
+import pytest
+from gateway_fleet import configuration, route, running_gateways
+from repeated_fleet import KINDS, RepeatedFleet
+
+CONTACT_SECONDS = 3.0
+# Number of ends after which the request must not be sent again, and how many of its
+# repeats may still arrive later than `CONTACT_SECONDS` after the last of them.
+ENDS = 3
+MAX_LATE_ARRIVALS = 3
+REPEATS = 8
+PAUSE_SECONDS = 0.2
+LOADED_SECONDS = 9.0
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_a_request_repeated_one_after_the_other_ends_three_endpoints(tmp_path, kind):
+    """Guards against a request that is sent on since its repeats have other ids."""
+    with running_gateways(tmp_path, gateways=3, fleet_type=RepeatedFleet) as fleet:
+        fleet.end_under(kind)
+        answers = []
+        for number in range(REPEATS):
+            answers.append(fleet.repeat(fleet.gateways[number % 3], kind).answer)
+            time.sleep(PAUSE_SECONDS)
+        assert len(fleet.crashed_at) <= ENDS
+        assert answers[-1].status == 503
+        assert float(answers[-1].headers["retry-after"]) > 60
+        sound = [fleet.send_sound(gateway, kind) for gateway in fleet.gateways]
+        assert {each.answer.status for each in sound} == {200}
+
+
+@pytest.mark.parametrize("kind", ["last segment", "session", "body"])
+def test_a_request_repeated_at_all_daemons_at_once_is_stopped(tmp_path, kind):
+    """Guards against repeats that go on while each daemon learns for itself."""
+    with running_gateways(tmp_path, gateways=3, fleet_type=RepeatedFleet) as fleet:
+        fleet.end_under(kind)
+        _, sound = fleet.repeat_at_once(kind, LOADED_SECONDS)
+        counts_since = fleet.crashed_at[ENDS - 1] + CONTACT_SECONDS
+        late_ids = fleet.late_arrivals(counts_since)
+        assert len(late_ids) <= MAX_LATE_ARRIVALS
+        late = [each.answer for each in sound if each.sent_at > counts_since]
+        served = [each for each in late if each.status == 200 and each.whole]
+        assert len(late) >= 20
+        assert len(served) >= 0.9 * len(late)
+
+
+@pytest.mark.parametrize("kind", ["last segment", "path"])
+def test_one_client_attempt_ends_three_endpoints(tmp_path, kind):
+    """Guards against a route of many attempts on which one request ends as many."""
+    with running_gateways(tmp_path, gateways=2, fleet_type=RepeatedFleet) as fleet:
+        fleet.end_under(kind)
+        routes = [
+            route("reads", "safe", "desk", maxAttempts=8),
+            *configuration()["routes"][1:2],
+            {**configuration()["routes"][2], "maxAttempts": 8},
+        ]
+        fleet.configure(configuration(version=2, routes=routes))
+        time.sleep(1.0)
+        answer = fleet.repeat(fleet.gateways[0], kind).answer
+        assert len(fleet.crashed_at) == ENDS
+        assert answer.status in (200, 502)
+        assert not (answer.status == 200 and answer.whole)
--- a/tests/test_segment_crashes_fleet.py
+++ b/tests/test_segment_crashes_fleet.py
@@ -6,7 +6,7 @@
 import signal
 
 import pytest
-from crashing_fleet import CRASHING_SEGMENT, CrashingFleet
+from crashing_fleet import CRASHING_SEGMENT, FIRST_SEGMENT, CrashingFleet
 from cut_fleet import CutFleet
 from gateway_fleet import running_gateways, wait_for
 
@@ -30,6 +30,14 @@
         self.late_arrivals = fleet.crashing_arrivals(self.counts_since)
 
 
+def assert_sound_prompts_are_served(outbreak: Outbreak) -> None:
+    since = outbreak.counts_since + CONTACT_SECONDS
+    sound = [a for a in outbreak.answers if not a.is_crashing and a.sent_at > since]
+    assert len(sound) >= 20
+    served = [each for each in sound if each.answer.status == 200 and each.answer.whole]
+    assert len(served) >= 0.9 * len(sound)
+
+
 @pytest.fixture(scope="module")
 def outbreak(tmp_path_factory):
     """Three daemons, eight engines, and ten crashing prompts a second."""
@@ -50,11 +58,7 @@
 
     They have the organisation and the first segment in common with those.
     """
-    since = outbreak.counts_since + CONTACT_SECONDS
-    sound = [a for a in outbreak.answers if not a.is_crashing and a.sent_at > since]
-    assert len(sound) >= 20
-    served = [each for each in sound if each.answer.status == 200 and each.answer.whole]
-    assert len(served) >= 0.9 * len(sound)
+    assert_sound_prompts_are_served(outbreak)
 
 
 def test_a_fleet_that_has_lost_all_daemons_keeps_to_the_quarantine(tmp_path):
@@ -112,6 +116,38 @@
         assert all(answer.status == 200 and answer.whole for answer in sound)
 
 
+# The shared segments of crashing and of sound prompts, by where the cause stands.
+SEGMENTS_BY_SCENE = {
+    "first": lambda is_crashing, number: [
+        "bad0" if is_crashing else FIRST_SEGMENT,
+        f"50{number % 3}",
+    ],
+    "two": lambda is_crashing, number: [
+        FIRST_SEGMENT,
+        f"bad{number % 2}" if is_crashing else f"50{number % 3}",
+    ],
+    "beside": lambda is_crashing, number: [
+        FIRST_SEGMENT,
+        *(["bad0"] if is_crashing else []),
+        "b0",
+    ],
+}
+
+
+@pytest.mark.parametrize("scene", SEGMENTS_BY_SCENE)
+def test_an_outbreak_from_the_first_request_on_is_stopped(tmp_path, scene):
+    """Guards against crashes that follow each other closely and count as one.
+
+    No segment was answered before, and the crashing prompts share one with sound ones.
+    """
+    with running_gateways(tmp_path, gateways=3, fleet_type=CrashingFleet) as fleet:
+        fleet.add_engines()
+        fleet.shared_segments = SEGMENTS_BY_SCENE[scene]
+        outbreak = Outbreak(fleet)
+        assert len(outbreak.late_arrivals) <= MAX_LATE_ARRIVALS
+        assert_sound_prompts_are_served(outbreak)
+
+
 class CutCrashingFleet(CrashingFleet, CutFleet):
     """Engines crash, and gateways can be cut from them."""
 
