Judge all that a request carries by what it met; try what is refused

What callers saw: 502 or a broken stream for a request that ended each endpoint it reached, sent on and on under new ids; sound callers found no endpoint left. Cause: crashes were counted against shared segments only, so that nothing was held against a repeated request, and two crashes within 0.1 s counted as one, so that a wave of resends was one observation. What was blamed wrongly stayed so, since nothing was sent that could have been answered.

Now a request has traits: segments, its last segment, a call's target, all its content; one judgement serves them all. Crashes count each if a request was sent after one and lost at the next, whatever the time between; endpoints that lose power together had been sent theirs before. Within one attempt of a caller the third end is the last. A few trials, in turn, can refute a conclusion.

A request answered for long is suspected by its content, no longer not at all.

--- a/cranberrywick/errors.py
+++ b/cranberrywick/errors.py
@@ -157,11 +157,11 @@
     executed = Executed.NO
 
 
-class PromptQuarantined(CranberrywickError):
-    """A segment of the prompt crashes the endpoints that answer it."""
+class RequestQuarantined(CranberrywickError):
+    """Endpoints crash under a trait of the request: a segment, or all that it holds."""
 
-    public_message = "endpoints have crashed under prompts like this one"
-    type = "prompt_quarantined"
+    public_message = "endpoints have crashed under requests like this one"
+    type = "request_quarantined"
     status = 503
     executed = Executed.NO
 
--- a/cranberrywick/gateway/attempt.py
+++ b/cranberrywick/gateway/attempt.py
@@ -115,8 +115,7 @@
                 exchange.in_flight = False
                 raise
             except (AmbiguousSend, AnswerLost):
-                exchange.in_flight = False
-                exchange.may_have_run = True
+                exchange.record_lost()
                 raise
         exchange.in_flight = False
 
--- a/cranberrywick/gateway/crash_updates.py
+++ b/cranberrywick/gateway/crash_updates.py
@@ -1,21 +1,22 @@
-"""What this daemon knows of crashes under prompts, logged as it changes."""
+"""What this daemon knows of crashes under requests, logged as it changes."""
 
 import asyncio
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping
 
 from cranberrywick.logs import EventLog, id_lists
 from cranberrywick.routing.crash_statement import (
     NOTHING_STATED,
     CrashStatement,
     EndpointCrash,
-    SegmentQuarantine,
+    Quarantine,
 )
-from cranberrywick.routing.segment_crashes import SETTLE_SECONDS, SegmentCrashes
-from cranberrywick.routing.segment_judgement import Suspicion
+from cranberrywick.routing.known_crashes import SETTLE_SECONDS, KnownCrashes
+from cranberrywick.routing.quarantine_trials import QuarantineTrials, Turn
+from cranberrywick.routing.request_traits import RequestTraits
 
 __all__ = ["CrashUpdates"]
 
-# Number of suspected segments that one line names.
+# Number of suspected traits that one line names.
 LOGGED_SUSPICIONS = 5
 
 
@@ -23,16 +24,27 @@
     """Records what this daemon and its peers see of crashes, and logs what follows.
 
     ``tell_peers`` is called when a heartbeat should soon state something new, and
-    ``changed`` when other segments are in quarantine than before.
+    ``changed`` when other traits are in quarantine than before. ``turn`` returns when
+    it is this daemon's turn to try a quarantined request, at a time of the loop's
+    clock.
     """
 
-    def __init__(self, tell_peers: Callable[[], None], log: EventLog):
+    def __init__(
+        self,
+        tell_peers: Callable[[], None],
+        turn: Callable[[float], Turn],
+        log: EventLog,
+    ):
         self._tell_peers = tell_peers
+        self._turn = turn
         self._log = log
         self._loop = asyncio.get_running_loop()
-        self._crashes = SegmentCrashes()
+        self._crashes = KnownCrashes()
+        self._trials = QuarantineTrials()
         self._logged_ids: set[str] = set()
-        self._logged_suspicions: list[Suspicion] = []
+        self._logged_trial_key = ""
+        # Changes of what is known that have been logged.
+        self._logged_changes = 0
         self._settling: asyncio.TimerHandle | None = None
         self.changed: Callable[[], None] = lambda: None
 
@@ -47,9 +59,12 @@
         self._log_suspicions("own")
         self._log_changes("own")
 
-    def answered(self, segment_ids: Sequence[str]) -> None:
-        """Record an answer which shows that its prompt crashes no endpoint."""
-        if self._crashes.answered(segment_ids, self._loop.time()):
+    def answered(self, traits: RequestTraits, is_whole: bool) -> None:
+        """Record an answer which shows that its request crashes no endpoint.
+
+        Until the answer ``is_whole``, it doesn't show that for the request's content.
+        """
+        if self._crashes.answered(traits, is_whole, self._loop.time()):
             self._tell_peers()
             self._log_changes("own")
 
@@ -59,22 +74,59 @@
             return
         if self._crashes.receive(statement, self._loop.time()):
             self._tell_peers()
-        if statement.crashes:
-            self._log_suspicions(daemon_id)
+        self._log_suspicions(daemon_id)
         self._log_changes(daemon_id)
 
-    def restore(self, segment_ids: Iterable[str]) -> None:
-        """Quarantine the segments that the store has on record."""
-        self._crashes.restore(segment_ids, self._loop.time())
+    def restore(self, trait_ids: Iterable[str]) -> None:
+        """Quarantine the traits that the store has on record."""
+        self._crashes.restore(trait_ids, self._loop.time())
         self._log_changes("store")
 
-    def find(self, segment_ids: Sequence[str]) -> SegmentQuarantine | None:
-        """Return the quarantine that a prompt with these segments falls under."""
-        return self._crashes.find(segment_ids, self._loop.time())
+    def find(
+        self, traits: RequestTraits, request_key: str, request_id: str = ""
+    ) -> Quarantine | None:
+        """Return the quarantine for which a request is not sent, None if it may be.
+
+        A few requests are sent although their trait is quarantined; see
+        `cranberrywick.routing.quarantine_trials`. ``request_key`` is unique in this
+        daemon, ``request_id`` the caller's.
+        """
+        now = self._loop.time()
+        found = self._crashes.find(traits, now)
+        if not found:
+            return None
+        turn = self._turn(now)
+        if not self._trials.admits(found, traits, request_key, now, turn):
+            return found[0]
+        if request_key != self._logged_trial_key:
+            self._logged_trial_key = request_key
+            self._log.warning(
+                "quarantine_trial",
+                request_id=request_id,
+                trait=found[0].trait_id,
+                crashes=found[0].crashes,
+                last_crash_age=now - found[0].last_crash_at,
+                trials=found[0].trials,
+            )
+        return None
+
+    def is_trial(self, request_key: str) -> bool:
+        """Whether a request was sent in spite of a quarantine."""
+        return self._trials.is_trial(request_key)
+
+    def lost(self, request_key: str) -> None:
+        """Record that a request was lost; it is not sent as a trial again."""
+        self._trials.lost(request_key, self._loop.time())
+
+    def ended(self, request_key: str) -> None:
+        """Record that a request has ended, which may have been a trial."""
+        self._trials.ended(request_key)
 
     def forget(self) -> None:
         """Remove what counts no longer."""
-        self._crashes.forget(self._loop.time())
+        now = self._loop.time()
+        self._crashes.forget(now)
+        self._trials.forget(now)
         self._log_changes("own")
 
     def statement(self) -> CrashStatement:
@@ -86,25 +138,25 @@
         return self._crashes.full_statement(self._loop.time())
 
     @property
-    def concluded_by_id(self) -> Mapping[str, SegmentQuarantine]:
-        """What this daemon concludes by itself, by the segments."""
+    def concluded_by_id(self) -> Mapping[str, Quarantine]:
+        """What this daemon concludes by itself, by the traits."""
         return self._crashes.judged_by_id(self._loop.time())
 
     def count(self) -> dict[str, float]:
-        """Return how many segments are in quarantine, by where that is known from."""
+        """Return how many traits are in quarantine, by where that is known from."""
         adopted_ids = self._crashes.adopted_ids(self._loop.time())
         return {"own": len(self.concluded_by_id), "adopted": len(adopted_ids)}
 
     def _log_suspicions(self, source: str) -> None:
-        found = self._crashes.suspicions()
-        if found == self._logged_suspicions:
+        if self._crashes.changes == self._logged_changes:
             return
-        self._logged_suspicions = found
+        self._logged_changes = self._crashes.changes
+        found = self._crashes.suspicions()
         self._log.info(
             "crashes_counted",
             source=source,
             suspected=",".join(
-                f"{each.segment_id}:{each.separate}/{each.needed}"
+                f"{each.trait_id}:{each.successive}/{each.needed}"
                 for each in found[:LOGGED_SUSPICIONS]
             ),
             most_crashes=found[0].crashes if found else 0,
@@ -122,16 +174,16 @@
         ids = judged_by_id.keys() | set(self._crashes.adopted_ids(now))
         if ids == self._logged_ids:
             return
-        for segment_id in sorted(ids - self._logged_ids):
-            quarantine = judged_by_id.get(segment_id)
+        for trait_id in sorted(ids - self._logged_ids):
+            quarantine = judged_by_id.get(trait_id)
             self._log.warning(
-                "segment_quarantined",
-                segment=segment_id,
+                "requests_quarantined",
+                trait=trait_id,
                 source=source,
                 crashes=quarantine.crashes if quarantine else None,
                 last_crash_age=now - quarantine.last_crash_at if quarantine else None,
             )
         for listed in id_lists(sorted(self._logged_ids - ids)):
-            self._log.warning("segments_released", segments=listed, source=source)
+            self._log.warning("requests_released", traits=listed, source=source)
         self._logged_ids = ids
         self.changed()
--- a/cranberrywick/gateway/direct_attempts.py
+++ b/cranberrywick/gateway/direct_attempts.py
@@ -7,7 +7,7 @@
     CranberrywickError,
     EndpointFailed,
     EndpointRefused,
-    PromptQuarantined,
+    RequestQuarantined,
     TimedOut,
 )
 from cranberrywick.gateway.answer_forwarding import AnswerCallbacks
@@ -74,13 +74,13 @@
     async def run(self, exchange: Exchange) -> AttemptFailure | None:
         """Make an attempt; return its failure, None if the answer was forwarded.
 
-        Raises the errors of `PermittedPlacements.take`, and `PromptQuarantined`.
+        Raises the errors of `PermittedPlacements.take`, and `RequestQuarantined`.
         """
         exchange.peer_id = ""
         placement = await self._placements.take(exchange)
         try:
             await self._attempt(exchange, placement)
-        except PromptQuarantined:
+        except RequestQuarantined:
             self._state.load.drop(exchange.key)
             raise
         except CranberrywickError as error:
@@ -88,6 +88,8 @@
             # Another attempt waits for the result, which may show that the request
             # must not be sent again.
             await self._crash_detection.check(exchange, error)
+            if not isinstance(error, EndpointRefused):
+                self._state.peer_updates.crashes.lost(exchange.key)
             return self._record_failure(placement, error)
         self._crash_detection.record_end(exchange)
         self.observations.record_call_end(exchange)
@@ -107,6 +109,7 @@
     def end(self, exchange: Exchange) -> None:
         """Remove a request that has ended from the load; let waiting ones proceed."""
         self._state.load.drop(exchange.key)
+        self._state.peer_updates.crashes.ended(exchange.key)
         self._state.peer_updates.job_ended()
         self._waiting.schedule_placing()
 
@@ -137,7 +140,9 @@
         )
 
         def may_send(endpoint_id: str, as_last_resort: bool) -> bool:
-            self._waiting.refuse_quarantined(exchange.meta.segment_ids)
+            self._waiting.refuse_quarantined(
+                exchange.traits, exchange.key, exchange.meta.request_id
+            )
             return self._state.usable_endpoints.may_send(endpoint_id, as_last_resort)
 
         await Attempt(
--- a/cranberrywick/gateway/exchange.py
+++ b/cranberrywick/gateway/exchange.py
@@ -41,13 +41,15 @@
     """One request, its caller and its attempts so far.
 
     ``key`` is unique in this process, which the request id of a caller need not be.
-    ``sent_ids`` are the endpoints that the request was sent to, ``tried_ids`` the
+    ``sent_ids`` are the endpoints that the request was sent to, ``lost_starts`` the
+    ids and the starts of those at which it was lost, ``tried_ids`` the
     endpoints that were at fault for a failed attempt, and ``unreachable_ids`` those
     that this daemon did not reach. ``unable_peer_ids`` are the peers that said that
     they can't serve it, ``failed_peer_ids`` those that failed for another reason, as
     often as each did.
 
-    ``traits`` are what the request has in common with others.
+    ``traits`` are what the request has in common with others, and ``refused_for`` says
+    for which one it was refused.
     ``peer_id`` is the peer of the last attempt, empty if that was direct.
     ``endpoint_id`` is the endpoint that the request was last sent to, and
     ``endpoint_born`` identifies its start. ``in_flight`` says whether an endpoint or a
@@ -80,6 +82,7 @@
         self.deadline = float("inf")
         self.tried_ids: set[str] = set()
         self.sent_ids: set[str] = set()
+        self.lost_starts: set[tuple[str, int]] = set()
         self.unreachable_ids: set[str] = set()
         self.unable_peer_ids: set[str] = set()
         self.failed_peer_ids: list[str] = []
@@ -102,6 +105,7 @@
         self.weights_version: str | None = None
         self.endpoint_id = ""
         self.endpoint_born = 0
+        self.refused_for = ""
         self.status = 0
 
     def record_sent(self, endpoint: EndpointRecord, now: float) -> None:
@@ -122,6 +126,12 @@
         self.endpoint_id = ""
         self.in_flight = True
 
+    def record_lost(self) -> None:
+        """Record that the last attempt was lost, and may have run."""
+        self.in_flight = False
+        self.may_have_run = True
+        self.lost_starts.add((self.endpoint_id, self.endpoint_born))
+
     def record_endpoint(self, endpoint_id: str, born: int) -> None:
         """Record the endpoint that has the request, and its start."""
         self.sent_ids.add(endpoint_id)
--- a/cranberrywick/gateway/forwarded_statements.py
+++ b/cranberrywick/gateway/forwarded_statements.py
@@ -20,7 +20,7 @@
     Overloaded,
     PeerMessageInvalid,
     PlatformUnavailable,
-    PromptQuarantined,
+    RequestQuarantined,
     TimedOut,
     Unauthorised,
 )
@@ -51,7 +51,7 @@
     NotFound,
     Overloaded,
     PlatformUnavailable,
-    PromptQuarantined,
+    RequestQuarantined,
     TimedOut,
     Unauthorised,
 )
--- a/cranberrywick/gateway/forwarder.py
+++ b/cranberrywick/gateway/forwarder.py
@@ -16,6 +16,7 @@
     EndpointFailed,
     EndpointRefused,
     Overloaded,
+    RequestQuarantined,
 )
 from cranberrywick.gateway.direct_attempts import AttemptFailure, DirectAttempts
 from cranberrywick.gateway.exchange import Exchange
@@ -35,6 +36,11 @@
 
 # Least time that must be left before the deadline for another attempt, in seconds.
 MIN_ATTEMPT_SECONDS = 0.05
+# Number of endpoints that crash under a request after which it isn't sent again.
+MAX_CRASHES = 3
+# How long a request that has met a crash is kept before its caller is answered, or
+# before it is sent again if a peer has met it, in seconds. All know of it by then.
+PEERS_TOLD_SECONDS = 0.03
 
 
 class Forwarder:
@@ -81,6 +87,8 @@
                 await self._serve(exchange)
             outcome = "completed"
         except CranberrywickError as error:
+            if isinstance(error, RequestQuarantined):
+                exchange.refused_for = error.message
             outcome = await self._answer_failure(exchange, error)
         except TimeoutError:
             error = self._direct.time_out(exchange)
@@ -106,7 +114,9 @@
     async def _serve(self, exchange: Exchange) -> None:
         """Make attempts until the answer of an endpoint has been forwarded."""
         while True:
-            self._waiting.refuse_quarantined(exchange.meta.segment_ids)
+            self._waiting.refuse_quarantined(
+                exchange.traits, exchange.key, exchange.meta.request_id
+            )
             peer = self._peer_attempts.choose(exchange)
             if peer is None:
                 failure = await self._direct.run(exchange)
@@ -114,7 +124,21 @@
                 failure = await self._peer_attempts.run(exchange, peer)
             if failure is None:
                 return
-            self._raise_unless_retried(exchange, failure)
+            try:
+                self._raise_unless_retried(exchange, failure)
+            except CranberrywickError:
+                if self._crashes_met(exchange):
+                    # Its caller may repeat it at once, at another daemon.
+                    await asyncio.sleep(PEERS_TOLD_SECONDS)
+                raise
+            if peer is not None and exchange.lost_starts:
+                # The peer knows of the crash already, this daemon soon.
+                await asyncio.sleep(PEERS_TOLD_SECONDS)
+
+    def _crashes_met(self, exchange: Exchange) -> int:
+        """Return how many endpoints are known to have crashed under a request."""
+        has_crashed = self._state.peer_updates.crashes.has_crashed
+        return sum(has_crashed(*start) for start in exchange.lost_starts)
 
     def _raise_unless_retried(
         self, exchange: Exchange, failure: AttemptFailure
@@ -159,6 +183,8 @@
             return "it may have run"
         if exchange.caller.answer_started and not exchange.is_stream:
             return "the answer has begun"
+        if self._crashes_met(exchange) >= MAX_CRASHES:
+            return "endpoints have crashed under it"
         if exchange.deadline - now < MIN_ATTEMPT_SECONDS:
             return "no time is left"
         if exchange.answering_ids is not None and not exchange.answering_ids:
@@ -227,6 +253,7 @@
             route=name,
             organisation=exchange.organisation.name if exchange.organisation else "",
             **self._priority_field(exchange),
+            **({"refused_for": exchange.refused_for} if exchange.refused_for else {}),
             outcome=outcome,
             status=exchange.status,
             endpoint=exchange.endpoint_id,
--- a/cranberrywick/gateway/lazy_metrics.py
+++ b/cranberrywick/gateway/lazy_metrics.py
@@ -90,7 +90,7 @@
         description = "Segments of prompts under which endpoints crash."
         self._record(
             methodcaller(
-                "observe_gauge", "quarantined_segments", description, "source", read
+                "observe_gauge", "quarantined_traits", description, "source", read
             )
         )
 
--- a/cranberrywick/gateway/peer_attempts.py
+++ b/cranberrywick/gateway/peer_attempts.py
@@ -157,7 +157,7 @@
                 if not exchange.endpoint_id:
                     # The peer may have sent it to an endpoint that is not known here.
                     exchange.sent_ids.add(f"peer {peer.daemon_id}")
-                exchange.may_have_run = True
+                exchange.record_lost()
                 endpoint_id = exchange.endpoint_id
                 failure = AttemptFailure(error, endpoint_id, endpoint_id)
             except CranberrywickError:
@@ -250,6 +250,8 @@
             service, now = exchange.service.name, self._loop.time()
             self._peers.unreachable(peer.daemon_id, service, now)
             return AttemptFailure(error)
+        if isinstance(error, AmbiguousSend | AnswerLost):
+            exchange.record_lost()
         if is_refusal or isinstance(error, AmbiguousSend | AnswerLost):
             return AttemptFailure(error, statement.endpoint_id, at_fault_id)
         raise error
--- a/cranberrywick/gateway/peer_updates.py
+++ b/cranberrywick/gateway/peer_updates.py
@@ -31,6 +31,7 @@
 from cranberrywick.routing.load import FleetLoad
 from cranberrywick.routing.members import Heartbeat, Members, heartbeat_seconds
 from cranberrywick.routing.model import GatewaySettings
+from cranberrywick.routing.quarantine_trials import Turn
 from cranberrywick.routing.relays import (
     FLUSH_SECONDS,
     JOB_UPDATE_SECONDS,
@@ -79,7 +80,7 @@
         self.vm_capacity: Callable[[], VmCapacity] = VmCapacity
         self.slowdowns = EndpointSlowdowns()
         self.drain_notices = DrainNotices()
-        self.crashes = CrashUpdates(self.observation_changed, log)
+        self.crashes = CrashUpdates(self.observation_changed, self._trial_turn, log)
         self.limits = FleetLimits(
             settings.daemon_id,
             self.members,
@@ -203,6 +204,9 @@
         """The age of peers' new jobs when they are recorded here, in seconds."""
         return update_delay_seconds(self._recipients.known_members)
 
+    def _trial_turn(self, now: float) -> Turn:
+        return Turn(self.members.rank(now), 1 + len(self.members.serving(now)))
+
     def _is_leaving(self) -> bool:
         return self._listener.daemon_status(self._loop.time()).leaving
 
--- a/cranberrywick/gateway/permitted_placements.py
+++ b/cranberrywick/gateway/permitted_placements.py
@@ -104,7 +104,7 @@
             organisation=exchange.organisation.name if exchange.organisation else "",
             is_retry=is_retry,
             logged_id=exchange.meta.request_id,
-            segment_ids=exchange.meta.segment_ids,
+            traits=exchange.traits,
         )
         return await self._waiting.place(
             demand, exchange.priority, due_at, exchange.deadline
--- a/cranberrywick/gateway/quarantine_records.py
+++ b/cranberrywick/gateway/quarantine_records.py
@@ -60,10 +60,10 @@
         self._next_read = self._loop.call_later(READ_RETRY_SECONDS, self._read)
         self._calls.make("operator", self._store.read_quarantines, self._record)
 
-    def _record(self, segment_ids: Set[str], requested_at: float) -> None:
+    def _record(self, trait_ids: Set[str], requested_at: float) -> None:
         self._next_read.cancel()
-        self._crashes.restore(segment_ids)
-        if segment_ids:
+        self._crashes.restore(trait_ids)
+        if trait_ids:
             self._next_read = self._loop.call_later(REREAD_SECONDS, self._read)
 
     def _schedule_write(self) -> None:
@@ -76,29 +76,29 @@
         now = self._loop.time()
         concluded_by_id = self._crashes.concluded_by_id
         ended_ids = self._written_until_by_id.keys() - concluded_by_id.keys()
-        for segment_id in sorted(ended_ids)[:1]:
-            remove = partial(self._store.remove_quarantine, segment_id)
-            self._calls.make("operator", remove, partial(self._removed, segment_id))
+        for trait_id in sorted(ended_ids)[:1]:
+            remove = partial(self._store.remove_quarantine, trait_id)
+            self._calls.make("operator", remove, partial(self._removed, trait_id))
         unwritten_ids = [
-            segment_id
-            for segment_id in sorted(concluded_by_id)
-            if self._written_until_by_id.get(segment_id, now) <= now
+            trait_id
+            for trait_id in sorted(concluded_by_id)
+            if self._written_until_by_id.get(trait_id, now) <= now
             and self._members.rank(now) < WRITERS
         ]
-        for segment_id in unwritten_ids[:1]:
-            ends_at = concluded_by_id[segment_id].ends_at
-            write = partial(self._store.write_quarantine, segment_id, ends_at - now)
-            written = partial(self._written, segment_id, ends_at)
+        for trait_id in unwritten_ids[:1]:
+            ends_at = concluded_by_id[trait_id].ends_at
+            write = partial(self._store.write_quarantine, trait_id, ends_at - now)
+            written = partial(self._written, trait_id, ends_at)
             self._calls.make("operator", write, written)
         if ended_ids or unwritten_ids:
             self._schedule_write()
 
     def _written(
-        self, segment_id: str, ends_at: float, answer: None, requested_at: float
+        self, trait_id: str, ends_at: float, answer: None, requested_at: float
     ) -> None:
-        self._written_until_by_id[segment_id] = ends_at
-        self._log.info("quarantine_recorded", segment=segment_id)
+        self._written_until_by_id[trait_id] = ends_at
+        self._log.info("quarantine_recorded", trait=trait_id)
 
-    def _removed(self, segment_id: str, answer: None, requested_at: float) -> None:
-        self._written_until_by_id.pop(segment_id, None)
-        self._log.info("quarantine_removed", segment=segment_id)
+    def _removed(self, trait_id: str, answer: None, requested_at: float) -> None:
+        self._written_until_by_id.pop(trait_id, None)
+        self._log.info("quarantine_removed", trait=trait_id)
--- a/cranberrywick/gateway/waiting.py
+++ b/cranberrywick/gateway/waiting.py
@@ -5,11 +5,10 @@
 
 import asyncio
 import random
-from collections.abc import Sequence
 from functools import partial
 from math import inf
 
-from cranberrywick.errors import Overloaded, PromptQuarantined
+from cranberrywick.errors import Overloaded, RequestQuarantined
 from cranberrywick.gateway.contention import Contention
 from cranberrywick.gateway.deferrals import retry_seconds
 from cranberrywick.gateway.state import FleetState
@@ -25,6 +24,7 @@
 from cranberrywick.routing.limited_choice import limited_seconds
 from cranberrywick.routing.placement import Placement, Placer
 from cranberrywick.routing.queue_order import order_key
+from cranberrywick.routing.request_traits import RequestTraits
 from cranberrywick.routing.retry_after import (
     BackoffReturns,
     LimitedReturns,
@@ -77,7 +77,7 @@
         times of the event loop. Raises `Overloaded` when no known endpoints of the
         service could hold the request, when their rate limits or their backoffs leave
         no room for too long, and as soon as no answer can begin before the deadline;
-        and `PromptQuarantined` as `refuse_quarantined` does.
+        and `RequestQuarantined` as `refuse_quarantined` does.
         """
         now = self._loop.time()
         future = self._loop.create_future()
@@ -160,7 +160,7 @@
             return
         try:
             self._try_placing(waiter)
-        except (Overloaded, PromptQuarantined) as error:
+        except (Overloaded, RequestQuarantined) as error:
             self._remove(waiter)
             waiter.placement_future.set_exception(error)
 
@@ -184,7 +184,8 @@
         A placement becomes the result of its future and is recorded in the load.
         """
         now = self._loop.time()
-        self.refuse_quarantined(waiter.demand.segment_ids)
+        demand = waiter.demand
+        self.refuse_quarantined(demand.traits, demand.request_id, demand.logged_id)
         placement = self._find_placement(waiter.demand, now)
         if placement is None:
             # The sample may have missed a free endpoint: a second try follows at once.
@@ -203,15 +204,21 @@
         else:
             self._defer(waiter, placement, now)
 
-    def refuse_quarantined(self, segment_ids: Sequence[str]) -> None:
-        """Raise `PromptQuarantined` if endpoints crash under one of these segments."""
-        if not segment_ids:
+    def refuse_quarantined(
+        self, traits: RequestTraits | None, request_key: str, request_id: str
+    ) -> None:
+        """Raise `RequestQuarantined` if endpoints crash under one of these traits.
+
+        ``request_key`` is unique in this daemon, ``request_id`` the caller's.
+        """
+        if traits is None:
             return
-        quarantine = self._state.peer_updates.crashes.find(segment_ids)
+        crashes = self._state.peer_updates.crashes
+        quarantine = crashes.find(traits, request_key, request_id)
         if quarantine is None:
             return
-        raise PromptQuarantined(
-            f"endpoints crash under segment {quarantine.segment_id}",
+        raise RequestQuarantined(
+            f"endpoints crash under {quarantine.trait_id}",
             retry_after=max(0.0, quarantine.ends_at - self._loop.time()),
         )
 
--- a/cranberrywick/routing/demand.py
+++ b/cranberrywick/routing/demand.py
@@ -7,6 +7,7 @@
 from cranberrywick.routing.endpoint_index import EndpointPool
 from cranberrywick.routing.engine_model import prefill_time
 from cranberrywick.routing.model import PromptSize, Service
+from cranberrywick.routing.request_traits import RequestTraits
 
 __all__ = [
     "PART_CHOICES",
@@ -35,7 +36,7 @@
     ``is_retry`` says that it had a placement before.
     ``organisation`` is the name of the one that sent it, empty if there is none.
     ``request_id`` is unique in the daemon, ``logged_id`` the id in the caller's header.
-    ``segment_ids`` are those of the prompt, in their order.
+    ``traits`` are what the request has in common with others.
     """
 
     request_id: str
@@ -51,7 +52,7 @@
     organisation: str = ""
     is_retry: bool = False
     logged_id: str = ""
-    segment_ids: tuple[str, ...] = ()
+    traits: RequestTraits | None = None
 
 
 def may_answer(demand: Demand, endpoint_id: str) -> bool:
--- a/cranberrywick/routing/request_traits.py
+++ b/cranberrywick/routing/request_traits.py
@@ -10,12 +10,14 @@
 from functools import cached_property
 from hashlib import blake2b
 
-__all__ = ["RequestTraits", "is_narrow", "request_head"]
+__all__ = ["RequestTraits", "is_narrow", "is_segment", "request_head"]
 
-# Prefixes of the traits that aren't shared segments.
+# Prefixes of the traits that aren't shared segments, and of segments whose id has the
+# character that ends a prefix.
 OWN_SEGMENT = "own/"
 TARGET = "target/"
 CONTENT = "content/"
+UNUSUAL_SEGMENT = "segment/"
 DIGEST_BYTES = 8
 
 
@@ -39,7 +41,7 @@
         target: bytes,
         body: bytes,
     ):
-        self.shared = segment_ids[:-1]
+        self.shared = tuple(map(_segment_trait, segment_ids[:-1]))
         self._own = tuple(OWN_SEGMENT + each for each in segment_ids[-1:])
         self._segment_ids = segment_ids
         self._method = method
@@ -86,10 +88,20 @@
     return None
 
 
+def is_segment(trait_id: str) -> bool:
+    """Whether a trait is a segment that many requests may share."""
+    return "/" not in trait_id or trait_id.startswith(UNUSUAL_SEGMENT)
+
+
 def is_narrow(trait_id: str) -> bool:
     """Whether a trait is that of one request or session, not shared by many."""
     return trait_id.startswith((OWN_SEGMENT, CONTENT))
 
 
+def _segment_trait(segment_id: str) -> str:
+    # A caller's id must not pass for another kind of trait.
+    return UNUSUAL_SEGMENT + segment_id if "/" in segment_id else segment_id
+
+
 def _digest(data: bytes) -> str:
     return blake2b(data, digest_size=DIGEST_BYTES).hexdigest()
--- a/tests/test_segment_outbreaks.py
+++ b/tests/test_segment_outbreaks.py
@@ -151,6 +151,93 @@
     check(run_outbreak(scenario, 9))
 
 
+REPEAT_ENDS = 3
+
+
+@pytest.mark.parametrize(("size", "engines"), SIZES)
+def test_a_repeated_request_is_stopped_in_a_fleet_of_any_size(size, engines):
+    """Guards against one request that ends engines wherever it is repeated."""
+
+    async def scenario(fleet):
+        fleet.crashing_segments = ["shared9"]
+        await known_organisations(fleet)
+        fleet.start_repeats(8.0, is_crashing=True)
+        await asyncio.sleep(2 * CONTACT_SECONDS)
+        fleet.counted_since = asyncio.get_running_loop().time()
+        await asyncio.sleep(4.0)
+
+    fleet = run_outbreak(scenario, size, engines)
+    assert fleet.late_arrivals(REPEAT_ENDS) <= MAX_LATE
+    assert not fleet.refused
+    assert fleet.served > 20
+
+
+@pytest.mark.parametrize("pause", [1.2, 100.0])
+def test_rare_repeats_end_three_engines(pause):
+    """Guards against a request that is forgotten before it is repeated."""
+
+    async def scenario(fleet):
+        prompt = fleet.prompt(is_crashing=True)
+        for number in range(6):
+            daemon = fleet.daemons[number % len(fleet.daemons)]
+            await fleet.call(daemon, prompt)
+            await asyncio.sleep(pause)
+
+    assert len(run_outbreak(scenario, 6).crashed_at) == REPEAT_ENDS
+
+
+def test_daemons_that_restart_or_are_cut_off_do_not_send_a_repeated_request():
+    """Guards against repeats sent by daemons that have not seen the ends."""
+
+    async def scenario(fleet):
+        await known_organisations(fleet)
+        fleet.start_repeats(4.0, is_crashing=True)
+        await asyncio.sleep(4.0)
+        for _ in range(4):
+            restarted, cut = fleet.rng.sample(fleet.daemons, 2)
+            fleet.start_task(fleet.cut(cut, fleet.rng.uniform(1.0, 20.0)))
+            await fleet.restart(restarted, 1.0)
+            await asyncio.sleep(6.0)
+
+    fleet = run_outbreak(scenario, 9)
+    assert fleet.late_arrivals(REPEAT_ENDS) <= MAX_LATE
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_engines_lost_under_requests_that_are_all_alike_quarantine_nothing(seed):
+    """Guards against a call of all callers blamed for crashes of another cause."""
+
+    async def scenario(fleet):
+        fleet.counted_since = asyncio.get_running_loop().time()
+        fleet.start_repeats(20.0, is_crashing=False)
+        for number in range(40):
+            await asyncio.sleep(fleet.rng.uniform(0.1, 0.6))
+            fleet.lose_engines(8 if number % 10 == 9 else 1)
+
+    fleet = run_outbreak(scenario, 6, seed=seed)
+    assert not fleet.refused
+    assert fleet.served > 100
+
+
+def test_a_call_of_all_callers_that_was_blamed_is_served_again():
+    """Guards against a service refused since all its endpoints ended in turn."""
+
+    async def scenario(fleet):
+        fleet.start_repeats(20.0, is_crashing=False)
+        loop = asyncio.get_running_loop()
+        # Each end follows the resends of the last one, before any answer has begun.
+        for _ in range(12):
+            await asyncio.sleep(0.05)
+            fleet.lose_engines(min(4, len(fleet.alive_engines)))
+        await asyncio.sleep(30.0)
+        fleet.counted_since = loop.time()
+        await asyncio.sleep(5.0)
+
+    fleet = run_outbreak(scenario, 6)
+    assert not fleet.refused
+    assert fleet.served > 50
+
+
 @pytest.mark.parametrize("seed", range(3))
 def test_random_outbreaks_are_stopped(seed):
     """Guards against what the other scenarios leave out; more seeds run by hand."""
