Endpoints that end by themselves under requests that are all alike: a test

Eight seconds of identical prompts, or calls, at three daemons, while one endpoint after the other ends and every fourth time half of them at once: nothing is quarantined. A peer's failure after which nothing has run no longer counts as a lost attempt, and the refusal of an earlier build is recognised.

--- a/cranberrywick/gateway/forwarded_statements.py
+++ b/cranberrywick/gateway/forwarded_statements.py
@@ -56,6 +56,8 @@
     Unauthorised,
 )
 _ERRORS_BY_TYPE: dict[str, type[CranberrywickError]] = {e.type: e for e in _ERRORS}
+# As daemons of an earlier build call it.
+_ERRORS_BY_TYPE["prompt_quarantined"] = RequestQuarantined
 
 Headers = list[tuple[bytes, bytes]]
 
--- a/cranberrywick/gateway/lazy_metrics.py
+++ b/cranberrywick/gateway/lazy_metrics.py
@@ -82,12 +82,12 @@
         self._record(methodcaller("endpoint_connected", outcome))
 
     def endpoint_crashed(self) -> None:
-        """Count a crash of an endpoint that answered a prompt."""
+        """Count a crash of an endpoint that answered a request."""
         self._record(methodcaller("endpoint_crashed"))
 
     def observe_quarantines(self, read: Callable[[], dict[str, float]]) -> None:
-        """Publish the number of quarantined segments; ``read`` returns it by source."""
-        description = "Segments of prompts under which endpoints crash."
+        """Publish the number of quarantined traits; ``read`` returns it by source."""
+        description = "Traits of requests under which endpoints crash."
         self._record(
             methodcaller(
                 "observe_gauge", "quarantined_traits", description, "source", read
--- a/cranberrywick/gateway/peer_attempts.py
+++ b/cranberrywick/gateway/peer_attempts.py
@@ -250,7 +250,7 @@
             service, now = exchange.service.name, self._loop.time()
             self._peers.unreachable(peer.daemon_id, service, now)
             return AttemptFailure(error)
-        if isinstance(error, AmbiguousSend | AnswerLost):
+        if error.executed is not Executed.NO:
             exchange.record_lost()
         if is_refusal or isinstance(error, AmbiguousSend | AnswerLost):
             return AttemptFailure(error, statement.endpoint_id, at_fault_id)
--- a/cranberrywick/gateway/store_reader.py
+++ b/cranberrywick/gateway/store_reader.py
@@ -49,12 +49,12 @@
         """Remove a registration, unless it was written again since."""
 
     def read_quarantines(self) -> frozenset[str]:
-        """Return the segments of prompts that are quarantined."""
+        """Return the traits of requests that are quarantined."""
 
-    def write_quarantine(self, segment_id: str, seconds: float) -> None:
+    def write_quarantine(self, trait_id: str, seconds: float) -> None:
         """Record a quarantine for so many seconds, unless it is on record."""
 
-    def remove_quarantine(self, segment_id: str) -> None:
+    def remove_quarantine(self, trait_id: str) -> None:
         """Remove the record of a quarantine."""
 
 
--- a/cranberrywick/metrics.py
+++ b/cranberrywick/metrics.py
@@ -150,7 +150,7 @@
             "forwarded_requests", description="Requests forwarded to peers, by outcome."
         )
         self._endpoint_crashes = counter(
-            "endpoint_crashes", description="Crashes of endpoints under prompts."
+            "endpoint_crashes", description="Crashes of endpoints under requests."
         )
         self._store_epochs = counter(
             "store_epoch_changes", description="New epochs of the store."
@@ -284,7 +284,7 @@
         self._endpoint_connections.add(1, {"outcome": outcome})
 
     def endpoint_crashed(self) -> None:
-        """Count a crash of an endpoint that answered a prompt."""
+        """Count a crash of an endpoint that answered a request."""
         self._endpoint_crashes.add(1)
 
     def store_epoch_changed(self) -> None:
--- a/cranberrywick/platform/store.py
+++ b/cranberrywick/platform/store.py
@@ -138,22 +138,22 @@
         self._call("POST", "/kv-txn", fields=fields, accepted=(200, 412))
 
     def read_quarantines(self) -> frozenset[str]:
-        """Return the segments that are quarantined; the answer may be stale."""
+        """Return the traits that are quarantined; the answer may be stale."""
         _, items = self._read_items(QUARANTINES_PREFIX, serializable=True)
         return frozenset(item["key"].removeprefix(QUARANTINES_PREFIX) for item in items)
 
-    def write_quarantine(self, segment_id: str, seconds: float) -> None:
+    def write_quarantine(self, trait_id: str, seconds: float) -> None:
         """Record a quarantine for so many seconds, unless it is on record already.
 
         Raises `LeaseLapsed` as `register` does.
         """
-        key = QUARANTINES_PREFIX + segment_id
+        key = QUARANTINES_PREFIX + trait_id
         ttl_seconds = min(max(seconds, MIN_LEASE_SECONDS), MAX_LEASE_SECONDS)
         self._write_under_lease(key, b"{}", ttl_seconds, ({"key": key, "revision": 0},))
 
-    def remove_quarantine(self, segment_id: str) -> None:
+    def remove_quarantine(self, trait_id: str) -> None:
         """Remove the record of a quarantine that has ended early."""
-        key = QUARANTINES_PREFIX + segment_id
+        key = QUARANTINES_PREFIX + trait_id
         fields = {"expected": [], "writes": [], "remove": [key]}
         self._call("POST", "/kv-txn", fields=fields)
 
--- a/tests/repeated_fleet.py
+++ b/tests/repeated_fleet.py
@@ -12,7 +12,7 @@
 from itertools import count
 from typing import NamedTuple
 
-from crashing_fleet import ENGINES, CrashingFleet
+from crashing_fleet import ENGINES, CrashingFleet, service_of
 from gateway_fleet import (
     PROMPT_HEADERS,
     WAIT_SECONDS,
@@ -87,6 +87,13 @@
         """The endpoints of both services."""
         return list(self.endpoints.values())
 
+    def lose_endpoints(self, service: str, number: int) -> None:
+        """End several endpoints of a service at the same moment, as without power."""
+        here = [each for each in self.all_endpoints if service_of(each) == service]
+        alive = [each for each in here if each.address in each.by_address]
+        for endpoint in self._rng.sample(alive, min(number, len(alive))):
+            self.loop.call_soon_threadsafe(endpoint.crash)
+
     def end_under(self, kind: str) -> None:
         """Add endpoints up to `ENGINES` of each service, all ending under a request."""
         content = crashing_content(kind)
--- a/tests/test_repeated_requests_fleet.py
+++ b/tests/test_repeated_requests_fleet.py
@@ -4,6 +4,7 @@
 """
 
 import time
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 from cut_fleet import CutFleet
@@ -106,6 +107,34 @@
         assert len(fleet.crashed_at) == ENDS
 
 
+@pytest.mark.parametrize(
+    ("kind", "service"), [("last segment", "pool"), ("body", "desk")]
+)
+def test_endpoints_that_end_by_themselves_get_no_request_refused(
+    tmp_path, kind, service
+):
+    """Guards against a call of all callers refused since endpoints end under it.
+
+    One after the other ends, then half of them at once, again and again.
+    """
+    with running_gateways(tmp_path, gateways=3, fleet_type=RepeatedFleet) as fleet:
+        fleet.end_under(kind)
+        for endpoint in fleet.all_endpoints:
+            endpoint.crashes_under = lambda request: False
+            endpoint.work_seconds = 0.03
+        with ThreadPoolExecutor(1) as background:
+            repeats = background.submit(fleet.repeat_at_once, kind, 8.0, 0.05)
+            for number in range(16):
+                time.sleep(0.45)
+                fleet.lose_endpoints(service, 4 if number % 4 == 3 else 1)
+            answers, _ = repeats.result()
+        assert len(fleet.crashed_at) >= 20
+        served = [each for each in answers if each.answer.status == 200]
+        assert len(served) > 100
+        for gateway in fleet.gateways:
+            assert "event=requests_quarantined" not in gateway.log
+
+
 class CutRepeatedFleet(RepeatedFleet, CutFleet):
     """Endpoints end, and gateways can be cut from them."""
 
