Rivals of a trait that was answered before must be nearly quarantined

An early trial tells a quarantined trait from others that explain the crashes. A segment that others had been answered with took part after two crashes, though it is quarantined after six.

--- a/cranberrywick/routing/crash_judgement.py
+++ b/cranberrywick/routing/crash_judgement.py
@@ -145,8 +145,11 @@
 
 
 def _least_explained(case: _Case) -> int:
-    """Return at how many crashes another trait must have been to explain them."""
-    return CRASHES_WITHOUT_ANSWER if is_narrow(case.trait_id) else 2
+    """Return at how many crashes another trait must have been to explain them.
+
+    A shared one may still be one crash short of its own quarantine.
+    """
+    return case.needed if is_narrow(case.trait_id) else case.needed - 1
 
 
 def may_be_sound(quarantine: Quarantine, trait_ids: Collection[str]) -> bool:
