--- a/tests/test_segment_outbreaks.py
+++ b/tests/test_segment_outbreaks.py
@@ -244,31 +244,62 @@
     check(run_random_outbreak(seed))
 
 
+@pytest.mark.parametrize("seed", range(2))
+def test_random_repeats_are_stopped(seed):
+    """Guards against what the scenarios of one request leave out; more run by hand."""
+    fleet = run_random_repeats(seed)
+    assert fleet.late_arrivals(REPEAT_ENDS) <= MAX_LATE
+    assert fleet.refused <= 0.05 * fleet.served
+    assert fleet.served > 20
+
+
 def run_random_outbreak(seed: int) -> OutbreakFleet:
     """Run an outbreak whose fleet, load and disturbances the seed decides."""
     rng = random.Random(seed)
 
     async def scenario(fleet):
-        fleet.network.loss = rng.choice((0.0, 0.05, 0.2))
-        fleet.organisations = rng.choice((3, 10, 24))
-        fleet.crashing_position = rng.choice((0, 1, 2, 9))
-        fleet.popular_segment = rng.choice(("", "popular"))
-        if rng.random() < 0.8:
-            await known_organisations(fleet)
-        fleet.start_task(disturb(fleet))
+        await prepare(fleet, rng)
         rates = rng.uniform(10.0, 40.0), rng.uniform(1.0, 10.0)
         await outbreak(fleet, *rates)
 
-    async def disturb(fleet):
-        while True:
-            await asyncio.sleep(rng.uniform(1.0, 5.0))
-            daemon = rng.choice(fleet.daemons)
-            kind = rng.choice(("restart", "cut", "engines"))
-            if kind == "engines":
-                fleet.lose_engines(rng.randint(1, 4))
-            elif kind == "cut":
-                fleet.start_task(fleet.cut(daemon, rng.uniform(0.5, 10.0)))
-            elif len(fleet.daemons) > 3:
-                await fleet.restart(daemon, rng.uniform(0.5, 2.0))
+    return run_outbreak(scenario, rng.choice((6, 9, 22)), seed=seed)
+
+
+def run_random_repeats(seed: int) -> OutbreakFleet:
+    """Repeat one request in a fleet, at rates and with disturbances of the seed."""
+    rng = random.Random(seed)
+
+    async def scenario(fleet):
+        await prepare(fleet, rng)
+        fleet.start_callers(rng.uniform(10.0, 40.0), 0.0)
+        fleet.start_repeats(rng.choice((0.5, 2.0, 10.0)), is_crashing=True)
+        await asyncio.sleep(2 * CONTACT_SECONDS)
+        fleet.counted_since = asyncio.get_running_loop().time()
+        await asyncio.sleep(20.0)
 
     return run_outbreak(scenario, rng.choice((6, 9, 22)), seed=seed)
+
+
+async def prepare(fleet: OutbreakFleet, rng: random.Random) -> None:
+    """Draw a network, the shape of prompts and disturbances."""
+    fleet.network.loss = rng.choice((0.0, 0.05, 0.2))
+    fleet.organisations = rng.choice((3, 10, 24))
+    fleet.crashing_position = rng.choice((0, 1, 2, 9))
+    fleet.popular_segment = rng.choice(("", "popular"))
+    if rng.random() < 0.8:
+        await known_organisations(fleet)
+    fleet.start_task(disturb(fleet, rng))
+
+
+async def disturb(fleet: OutbreakFleet, rng: random.Random) -> None:
+    """Restart daemons, cut them off and end engines, again and again."""
+    while True:
+        await asyncio.sleep(rng.uniform(1.0, 5.0))
+        daemon = rng.choice(fleet.daemons)
+        kind = rng.choice(("restart", "cut", "engines"))
+        if kind == "engines":
+            fleet.lose_engines(rng.randint(1, 4))
+        elif kind == "cut":
+            fleet.start_task(fleet.cut(daemon, rng.uniform(0.5, 10.0)))
+        elif len(fleet.daemons) > 3:
+            await fleet.restart(daemon, rng.uniform(0.5, 2.0))
