--- a/cranberrywick/routing/crash_judgement.py
+++ b/cranberrywick/routing/crash_judgement.py
@@ -22,6 +22,7 @@
 from typing import NamedTuple
 
 from cranberrywick.routing.crash_statement import (
+    ROUNDING_SECONDS,
     EndpointCrash,
     LostRequest,
     Quarantine,
@@ -30,7 +31,6 @@
 from cranberrywick.routing.request_traits import is_narrow
 
 __all__ = [
-    "ROUNDING_SECONDS",
     "Suspicion",
     "judge",
     "may_be_sound",
@@ -41,9 +41,6 @@
 # request with it has been answered yet, and if one has: then since the last answer.
 CRASHES_WITHOUT_ANSWER = 3
 CRASHES_SINCE_ANSWER = 6
-# Daemons state ages and durations in milliseconds, so that the moments that they know
-# of a crash differ by up to this, in seconds.
-ROUNDING_SECONDS = 0.002
 
 
 class Suspicion(NamedTuple):
--- a/cranberrywick/routing/crash_statement.py
+++ b/cranberrywick/routing/crash_statement.py
@@ -7,12 +7,14 @@
     "EVIDENCE_SECONDS",
     "NOTHING_STATED",
     "QUARANTINE_SECONDS",
+    "ROUNDING_SECONDS",
     "CrashStatement",
     "EndpointCrash",
     "LostRequest",
     "Quarantine",
     "Rival",
     "TraitAnswer",
+    "adds_to",
     "merge_lost",
 ]
 
@@ -22,6 +24,9 @@
 # How long a crash counts, in seconds. A trait that has left its quarantine returns to
 # it with the next crash as long as the former ones count.
 EVIDENCE_SECONDS = 3600.0
+# Daemons state ages and durations in milliseconds, so that the moments that they know
+# of a crash differ by up to this, in seconds.
+ROUNDING_SECONDS = 0.002
 # Bounds of what is kept of one crash: requests and their traits.
 MAX_LOST = 64
 MAX_TRAITS = 256
@@ -128,3 +133,24 @@
             known.is_trial or each.is_trial,
         )
     return tuple(merged_by_traits.values())
+
+
+def adds_to(known: Iterable[LostRequest], lost: Iterable[LostRequest]) -> bool:
+    """Whether requests that were lost at a crash say more than those that are known.
+
+    >>> known = [LostRequest(("a",), 1.0, alike=2)]
+    >>> adds_to(known, [LostRequest(("a",), 1.5)])
+    False
+    >>> adds_to(known, [LostRequest(("a",), 0.5)])
+    True
+    """
+    known_by_traits = {each.traits: each for each in known}
+    for each in lost:
+        before = known_by_traits.get(each.traits)
+        if before is None or each.alike > before.alike:
+            return True
+        if each.is_trial and not before.is_trial:
+            return True
+        if each.sent_for < before.sent_for - ROUNDING_SECONDS:
+            return True
+    return False
--- a/cranberrywick/routing/known_crashes.py
+++ b/cranberrywick/routing/known_crashes.py
@@ -12,7 +12,6 @@
 from typing import NamedTuple
 
 from cranberrywick.routing.crash_judgement import (
-    ROUNDING_SECONDS,
     Suspicion,
     judge,
     suspicions,
@@ -20,11 +19,12 @@
 from cranberrywick.routing.crash_statement import (
     EVIDENCE_SECONDS,
     NOTHING_STATED,
+    ROUNDING_SECONDS,
     CrashStatement,
     EndpointCrash,
-    LostRequest,
     Quarantine,
     TraitAnswer,
+    adds_to,
     merge_lost,
 )
 from cranberrywick.routing.request_traits import (
@@ -77,6 +77,7 @@
 class KnownCrashes:
     """The crashes and answers that are known here, and what follows from them.
 
+    >>> from cranberrywick.routing.crash_statement import LostRequest
     >>> crashes = KnownCrashes()
     >>> for at in (1.0, 2.0, 3.0):
     ...     lost = LostRequest(("first", "bad", f"own/{at}"), sent_for=0.1)
@@ -304,7 +305,7 @@
         if not is_earlier and all(each in known.lost for each in crash.lost):
             return False  # Stated again, as it is with each heartbeat.
         lost = merge_lost(known.lost + crash.lost)
-        if not is_earlier and not _adds(lost, known.lost):
+        if not is_earlier and not adds_to(known.lost, lost):
             return False
         self.changes += 1
         at = crash.at if is_earlier else known.at
@@ -385,18 +386,4 @@
         }
 
 
-def _adds(lost: Sequence[LostRequest], known: Sequence[LostRequest]) -> bool:
-    """Whether requests say more than those that were known."""
-    known_by_traits = {each.traits: each for each in known}
-    for each in lost:
-        before = known_by_traits.get(each.traits)
-        if before is None or each.alike > before.alike:
-            return True
-        if each.is_trial and not before.is_trial:
-            return True
-        if each.sent_for < before.sent_for - ROUNDING_SECONDS:
-            return True
-    return False
-
-
 _NEVER_STATED = _Stated(-inf, -inf)
--- a/cranberrywick/standin/platform/endpoint.py
+++ b/cranberrywick/standin/platform/endpoint.py
@@ -28,6 +28,12 @@
 
 import h11
 
+from cranberrywick.standin.platform.http import (
+    encode_response,
+    read_request,
+    run_unless_closed,
+)
+
 __all__ = ["BEHAVIOURS", "EndpointStandIn"]
 
 BEHAVIOURS = (
@@ -36,7 +42,6 @@
 )
 # Number of whole events before a stream is cut or falls silent.
 EVENTS_BEFORE_CUT = 3
-READ_BYTES = 65536
 
 
 class _Ticket(NamedTuple):
@@ -180,7 +185,9 @@
         http = h11.Connection(h11.SERVER)
         self._writers.add(writer)
         try:
-            head, body = await self._read_request(http, reader)
+            head, body = await read_request(
+                http, reader, lambda: self.read_pause_seconds
+            )
             if head is not None:
                 await self._answer(head, body, http, reader, writer)
                 await writer.drain()
@@ -194,13 +201,13 @@
         headers = {bytes(n).decode(): bytes(v).decode() for n, v in head.headers}
         if head.target == b"/order":
             status, body = self._order(json.loads(body))
-            answer = _encode_response(http, status, self._state_headers(), body)
+            answer = encode_response(http, status, self._state_headers(), body)
             writer.write(answer)
             return
         expected = headers.get("cranberrywick-expect-instance")
         if expected not in (None, self.endpoint_id):
             own = [("Cranberrywick-Instance-Id", self.endpoint_id)]
-            writer.write(_encode_response(http, 421, own, b""))
+            writer.write(encode_response(http, 421, own, b""))
             return
         request_id = headers.get("cranberrywick-request-id", "")
         now = asyncio.get_running_loop().time()
@@ -213,20 +220,20 @@
             self.backoffs.append(Backoff(request_id, now, retry_after, source))
             own = [("Cranberrywick-Not-Executed", "1")]
             own += [("Retry-After", retry_after), *self._state_headers()]
-            writer.write(_encode_response(http, 503, own, b""))
+            writer.write(encode_response(http, 503, own, b""))
             return
         at_fault = self._refusing_address(headers)
         if at_fault is not None:
             own = [("Cranberrywick-Not-Executed", "1"), ("At-Server", at_fault)]
             own += self._state_headers()
-            writer.write(_encode_response(http, 503, own, b""))
+            writer.write(encode_response(http, 503, own, b""))
             return
         seen = SeenRequest(bytes(head.method), bytes(head.target), headers, body)
         self.heads.append(tuple(seen))
         self.runs[request_id] += 1
         self.at_work.add(request_id)
         try:
-            await _run_unless_closed(reader, self._run(http, seen, writer))
+            await run_unless_closed(reader, self._run(http, seen, writer))
         finally:
             self.at_work.discard(request_id)
 
@@ -324,7 +331,7 @@
             writer.write(f"HTTP/1.1 200 OK\r\n{lines}\r\n".encode() + body)
         else:
             status = 500 if self.behaviour == "failing" else 200
-            answer = _encode_response(http, status, own, body)
+            answer = encode_response(http, status, own, body)
             writer.write(answer)
             if self.behaviour == "twice":
                 writer.write(answer)
@@ -372,24 +379,6 @@
             writer.transport.abort()
             raise ConnectionResetError("the stream stayed unread") from error
 
-    async def _read_request(
-        self, http: h11.Connection, reader: asyncio.StreamReader
-    ) -> tuple[h11.Request | None, bytes]:
-        head, body = None, bytearray()
-        while True:
-            event = http.next_event()
-            if event is h11.NEED_DATA:
-                await asyncio.sleep(self.read_pause_seconds)
-                http.receive_data(await reader.read(READ_BYTES))
-            elif isinstance(event, h11.Request):
-                head = event
-            elif isinstance(event, h11.Data):
-                body += event.data
-            elif isinstance(event, h11.EndOfMessage):
-                return head, bytes(body)
-            else:
-                return None, b""
-
 
 def _shared_segments(headers: dict[str, str]) -> list[str]:
     """Return the ids of all segments of a prompt but the last."""
@@ -399,27 +388,3 @@
 
 def _padding(headers: dict[str, str]) -> bytes:
     return b"." * int(headers.get("x-padding", "0"))
-
-
-async def _run_unless_closed(reader: asyncio.StreamReader, work) -> None:
-    """Await ``work``, but cancel it when the peer closes the connection first."""
-    task = asyncio.ensure_future(work)
-    closed = asyncio.ensure_future(reader.read(1))
-    try:
-        await asyncio.wait({task, closed}, return_when=asyncio.FIRST_COMPLETED)
-    finally:
-        if not task.done():
-            task.cancel()
-        closed.cancel()
-        await asyncio.gather(task, closed, return_exceptions=True)
-
-
-def _encode_response(
-    http: h11.Connection, status: int, headers: list[tuple[str, str]], body: bytes
-) -> bytes:
-    fields = [*headers, ("Content-Length", str(len(body)))]
-    if http.our_state is not h11.SEND_RESPONSE:
-        return b""
-    head = http.send(h11.Response(status_code=status, headers=fields))
-    data = http.send(h11.Data(data=body)) if body else b""
-    return head + data + http.send(h11.EndOfMessage())
