Stand-in: let its loop wait until the stop has woken it

The stop queues a task for the server's loop and then writes to a pipe to wake it; a loop that was awake ran the task at once and closed the pipe before the write. It now closes only after that. The daemons' own server ends its loop before it closes anything.

--- a/cranberrywick/standin/server.py
+++ b/cranberrywick/standin/server.py
@@ -198,6 +198,7 @@
         )
         self._stop_asked = False
         self._stopping = False
+        self._stop_pulled = threading.Event()
         self._thread = threading.Thread(
             target=self._run, name=f"standin-{self.address}", daemon=True
         )
@@ -240,6 +241,7 @@
         # when its 1-second poll ends, and the loop would close the trigger before it
         # is pulled, which fails.
         self._server.trigger.pull_trigger(self._set_stopping)
+        self._stop_pulled.set()
         self._thread.join(10.0)
 
     def _set_stopping(self) -> None:
@@ -248,6 +250,8 @@
     def _run(self) -> None:
         while not self._stopping:
             wasyncore.loop(timeout=1.0, map=self._server._map, count=1, use_poll=True)
+        # The loop may see the flag before the trigger has been written to.
+        self._stop_pulled.wait(10.0)
         self._server.task_dispatcher.shutdown(timeout=2.0)
         wasyncore.close_all(self._server._map, ignore_all=True)
 
