Derive the accused traits once, and whether a trial is new

Each answer looked its request up twice, among the suspects and among what was adopted; their union was built in two places. It is kept where both change. That a trial was logged followed from a field of its own, though the trials know it. No decision changes.

--- a/cranberrywick/gateway/crash_updates.py
+++ b/cranberrywick/gateway/crash_updates.py
@@ -42,7 +42,6 @@
         self._crashes = KnownCrashes()
         self._trials = QuarantineTrials()
         self._logged_ids: set[str] = set()
-        self._logged_trial_key = ""
         # Changes of what is known that have been logged.
         self._logged_changes = 0
         self._settling: asyncio.TimerHandle | None = None
@@ -95,11 +94,11 @@
         found = self._crashes.find(traits, now)
         if not found:
             return None
+        is_known = self._trials.is_trial(request_key)
         turn = self._turn(now)
         if not self._trials.admits(found, traits, request_key, now, turn):
             return found[0]
-        if request_key != self._logged_trial_key:
-            self._logged_trial_key = request_key
+        if not is_known:
             self._log.warning(
                 "quarantine_trial",
                 request_id=request_id,
--- a/cranberrywick/routing/known_crashes.py
+++ b/cranberrywick/routing/known_crashes.py
@@ -93,8 +93,10 @@
         self.changes = 0
         # When this daemon last added something to a crash.
         self._seen_at_by_start: dict[tuple[str, int], float] = {}
-        # The traits of all known crashes, and the heads of those that have one.
+        # The traits of all known crashes; these and the adopted ones; and the heads of
+        # those that have one.
         self._suspect_ids: set[str] = set()
+        self._accused_ids: set[str] = set()
         self._heads: set[str] = set()
         self._own_answers_by_id: OrderedDict[str, float] = OrderedDict()
         self._peer_answers_by_id: dict[str, float] = {}
@@ -127,8 +129,7 @@
         Returns whether the peers are to be told, since one of the traits was at a
         crash.
         """
-        accused_ids = traits.among(self._suspect_ids, self._heads)
-        accused_ids += traits.among(self._adopted_by_id, self._heads)
+        accused_ids = traits.among(self._accused_ids, self._heads)
         if not is_whole:
             accused_ids = [each for each in accused_ids if each != traits.content]
         for trait_id in (*traits.shared, *accused_ids):
@@ -256,9 +257,8 @@
             if now - crash.at > EVIDENCE_SECONDS:
                 self._remove(start)
         self._judge(now)
-        accused_ids = self._suspect_ids | self._adopted_by_id.keys()
         for known in (self._peer_answers_by_id, self._stated_by_id):
-            for trait_id in known.keys() - accused_ids:
+            for trait_id in known.keys() - self._accused_ids:
                 del known[trait_id]
 
     def _is_in_force(self, judged: Quarantine, now: float) -> bool:
@@ -377,8 +377,8 @@
             if adopted.until > now
             and self._answered_at(trait_id) <= adopted.quarantine.last_crash_at
         }
-        accused_ids = self._suspect_ids | self._adopted_by_id.keys()
-        self._heads = {request_head(each) for each in accused_ids} - {None}
+        self._accused_ids = self._suspect_ids | self._adopted_by_id.keys()
+        self._heads = {request_head(each) for each in self._accused_ids} - {None}
         judged_by_id = judge(crashes, self._answered_at)
         self._judged_by_id = judged_by_id
         self._judged_since_by_id = {
