Test: an answer right after another one, which the test before did not reach

Taking the mend out showed that its test passed without it: more than a second lay between the two answers. Now it is 0.75 s, and the test fails without the mend, as those of the earliest date of a crash and of the datagram do.

--- a/tests/test_known_crashes.py
+++ b/tests/test_known_crashes.py
@@ -57,13 +57,15 @@
 
 def test_an_answer_right_after_another_ends_a_quarantine():
     """Guards against a quarantine that outlives the answer of what was under way."""
-    crashes = KnownCrashes()
-    answer(crashes, BAD, 1.9)
-    for number in range(2, 8):
-        crashes.add(crash(number), now=float(number))
-    assert is_refused(crashes, 7.1)
-    answer(crashes, BAD, 7.2)
-    assert not is_refused(crashes, 7.2)
+    crashes = with_crashes(1)
+    assert answer(crashes, BAD, 1.9)
+    lost = (LostRequest(("first", "bad"), sent_for=0.05),)
+    for number in range(6):
+        at = 2.0 + number / 10
+        crashes.add(EndpointCrash(f"c{number}", 1, at, lost), now=at)
+    assert is_refused(crashes, 2.6)
+    assert answer(crashes, BAD, 2.65)
+    assert not is_refused(crashes, 2.65)
 
 
 def test_a_conclusion_on_one_request_is_in_force_at_once():
