--- a/cranberrywick/standin/platform/endpoint.py
+++ b/cranberrywick/standin/platform/endpoint.py
@@ -34,7 +34,7 @@
     run_unless_closed,
 )
 
-__all__ = ["BEHAVIOURS", "EndpointStandIn"]
+__all__ = ["BEHAVIOURS", "EndpointStandIn", "SeenRequest"]
 
 BEHAVIOURS = (
     *("well", "failing", "full", "reset", "hang", "twice", "other", "unframed"),
@@ -95,15 +95,14 @@
     each answer. A request's header ``X-Padding`` adds so many bytes to its answer, or
     to each event. ``read_pause_seconds`` is the pause before each read of a request. A
     stream that stays unread for ``unread_seconds`` is cut off and counted in
-    ``cut_off``. A prompt that has one of the ``crashing_segments`` before its last, and
-    any request for which ``crashes_under`` returns true, crashes the endpoint
+    ``cut_off``. A request for which ``crashes_under`` returns true crashes the endpoint
     ``before``, ``after`` or ``within`` its event number ``crash_event``, as
     ``crash_point`` says, and a call before its answer, or within it: the endpoint
     closes all its connections, stops listening and calls ``crashed``. ``runs`` counts
     runs by request id, ``heads`` has the method, target, headers and body of each run,
     ``at_work`` the request ids in progress and ``tickets`` the reservations of memory
-    by id. ``by_address`` has all endpoints of
-    the process, so that an engine can check its helpers' tickets.
+    by id. ``by_address`` has all endpoints of the process, so that an engine can check
+    its helpers' tickets.
     """
 
     by_address: dict[str, "EndpointStandIn"] = {}
@@ -132,7 +131,6 @@
         self.read_pause_seconds = 0.0
         self.unread_seconds: float | None = None
         self.cut_off = 0
-        self.crashing_segments: frozenset[str] = frozenset()
         self.crashes_under: Callable[[SeenRequest], bool] = lambda request: False
         self.crash_point = "after"
         self.crash_event = 1
@@ -282,9 +280,7 @@
 
     async def _run(self, http, seen: SeenRequest, writer) -> None:
         headers = seen.headers
-        shared_ids = _shared_segments(headers)
-        crashes = bool(self.crashing_segments.intersection(shared_ids))
-        crashes = crashes or self.crashes_under(seen)
+        crashes = self.crashes_under(seen)
         await asyncio.sleep(self.work_seconds)
         if self.behaviour == "reset":
             writer.transport.abort()
@@ -380,11 +376,5 @@
             raise ConnectionResetError("the stream stayed unread") from error
 
 
-def _shared_segments(headers: dict[str, str]) -> list[str]:
-    """Return the ids of all segments of a prompt but the last."""
-    entries = headers.get("cranberrywick-prefix-hash", "").split(",")
-    return [entry.partition(":")[0] for entry in entries[:-1]]
-
-
 def _padding(headers: dict[str, str]) -> bytes:
     return b"." * int(headers.get("x-padding", "0"))
--- a/tests/crashing_fleet.py
+++ b/tests/crashing_fleet.py
@@ -7,14 +7,14 @@
 
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Set
 from concurrent.futures import ThreadPoolExecutor
 from itertools import count
 from typing import NamedTuple
 
 from gateway_fleet import PROMPT_HEADERS, Answer, Fleet, Gateway
 
-from cranberrywick.standin.platform.endpoint import EndpointStandIn
+from cranberrywick.standin.platform.endpoint import EndpointStandIn, SeenRequest
 
 ENGINES = 8
 # Time until a crashed engine has started again, in seconds.
@@ -40,6 +40,17 @@
     return "desk" if endpoint.endpoint_id.startswith("desk") else "pool"
 
 
+def has_shared_segment(segment_ids: Set[str]) -> Callable[[SeenRequest], bool]:
+    """Return whether a prompt has one of these segments before its last."""
+
+    def has_one(request: SeenRequest) -> bool:
+        prefix = request.headers.get("cranberrywick-prefix-hash", "")
+        entries = prefix.split(",")[:-1]
+        return any(each.partition(":")[0] in segment_ids for each in entries)
+
+    return has_one
+
+
 def shared_segments(is_crashing: bool, number: int) -> list[str]:
     """Return the segments of a prompt that others have, too."""
     return [FIRST_SEGMENT, CRASHING_SEGMENT if is_crashing else f"50{number % 3}"]
@@ -67,7 +78,7 @@
             self.add_endpoint(f"engine-{number}", "pool")
         for engine in self.engines:
             engine.event_seconds = 0.03
-            engine.crashing_segments = CRASHING_SEGMENTS
+            engine.crashes_under = has_shared_segment(CRASHING_SEGMENTS)
             engine.crashed = self._restart_later
 
     @property
--- a/tests/test_answer_logs.py
+++ b/tests/test_answer_logs.py
@@ -3,6 +3,7 @@
 import re
 
 import urllib3
+from crashing_fleet import has_shared_segment
 from gateway_fleet import (
     KEY,
     PROMPT_HEADERS,
@@ -67,7 +68,8 @@
     with running_gateways(tmp_path) as fleet:
         (gateway,) = fleet.gateways
         for number in (1, 2):
-            fleet.endpoints[f"engine-{number}"].crashing_segments = frozenset({"b2"})
+            engine = fleet.endpoints[f"engine-{number}"]
+            engine.crashes_under = has_shared_segment({"b2"})
         headers = {**PROMPT_HEADERS, "Cranberrywick-Prefix-Hash": "a1:40,b2:60,c3:3900"}
         fleet.call(gateway, "POST", "/prompts/1", b"p", headers, request_id="lost")
         found = "event=attempt_failed .* request_id=lost .*"
