--- a/tests/test_segment_outbreaks.py
+++ b/tests/test_segment_outbreaks.py
@@ -28,6 +28,14 @@
     await asyncio.sleep(seconds)
 
 
+async def restart_and_cut_daemons(fleet):
+    for _ in range(4):
+        restarted, cut = fleet.rng.sample(fleet.daemons, 2)
+        fleet.start_task(fleet.cut(cut, fleet.rng.uniform(1.0, 20.0)))
+        await fleet.restart(restarted, 1.0)
+        await asyncio.sleep(6.0)
+
+
 async def known_organisations(fleet):
     fleet.start_callers(20.0, 0.0)
     await asyncio.sleep(CALM_SECONDS)
@@ -142,11 +150,7 @@
     async def scenario(fleet):
         await known_organisations(fleet)
         await outbreak(fleet, seconds=3.0)
-        for _ in range(4):
-            restarted, cut = fleet.rng.sample(fleet.daemons, 2)
-            fleet.start_task(fleet.cut(cut, fleet.rng.uniform(1.0, 20.0)))
-            await fleet.restart(restarted, 1.0)
-            await asyncio.sleep(6.0)
+        await restart_and_cut_daemons(fleet)
 
     check(run_outbreak(scenario, 9))
 
@@ -193,11 +197,7 @@
         await known_organisations(fleet)
         fleet.start_repeats(4.0, is_crashing=True)
         await asyncio.sleep(4.0)
-        for _ in range(4):
-            restarted, cut = fleet.rng.sample(fleet.daemons, 2)
-            fleet.start_task(fleet.cut(cut, fleet.rng.uniform(1.0, 20.0)))
-            await fleet.restart(restarted, 1.0)
-            await asyncio.sleep(6.0)
+        await restart_and_cut_daemons(fleet)
 
     fleet = run_outbreak(scenario, 9)
     assert fleet.late_arrivals(REPEAT_ENDS) <= MAX_LATE
