--- a/review/common/platform_standins.py
+++ b/review/common/platform_standins.py
@@ -45,8 +45,9 @@
 class Store:
     """The metadata store: keys and leases in memory, one address for each caller.
 
-    ``modes`` holds, for each caller's name, ``open`` or ``silent``: calls on a silent
-    address are neither executed nor answered.
+    ``modes`` holds, for each caller's name, ``open`` or ``silent``: calls that arrive
+    at a silent address are neither executed nor answered, then or later. ``called_at``
+    has the moment of the last call by its caller's name and its path with the query.
     """
 
     def __init__(self) -> None:
@@ -54,6 +55,7 @@
         self.items: dict[str, dict[str, Any]] = {}
         self.leases: dict[int, tuple[float, float]] = {}
         self.modes: dict[str, str] = {}
+        self.called_at: dict[tuple[str, str], float] = {}
         self._next_lease = 500
 
     async def listen(self, name: str, ip: str) -> str:
@@ -61,8 +63,9 @@
         self.modes[name] = "open"
 
         async def handle(request: Request, reader, writer) -> None:
-            while self.modes[name] == "silent":
-                await asyncio.sleep(0.05)
+            self.called_at[name, request.target] = request.at
+            if self.modes[name] == "silent":
+                await asyncio.Event().wait()
             self._expire()
             status, fields = self._serve(request)
             body = json.dumps(fields).encode()
@@ -166,8 +169,9 @@
 
     An engine admits requests in the order of their arrival while it has a slot and
     memory for them, reads their prompts one after another and writes one event for each
-    51 tokens. ``runs`` counts runs by request id, ``arrivals`` all requests. Each
-    request that arrives and each run and its end is passed to ``log``.
+    51 tokens. ``runs`` counts runs by request id, ``arrivals`` all requests, and
+    ``arrived_at`` has the moment of the last arrival. Each request that arrives and
+    each run and its end is passed to ``log``.
     """
 
     def __init__(
@@ -179,6 +183,7 @@
         self.work = work
         self.runs: dict[str, int] = {}
         self.arrivals: dict[str, int] = {}
+        self.arrived_at: dict[str, float] = {}
         self.answered: set[str] = set()
         self.server = Server(self._handle)
         self._log = log
@@ -229,6 +234,7 @@
             writer.write(encode_answer(400, [("Cranberrywick-Not-Executed", "1")], b""))
             return
         self.arrivals[request_id] = self.arrivals.get(request_id, 0) + 1
+        self.arrived_at[request_id] = request.at
         self._log(f"{self.name}: request {request_id} arrives")
         work = self._call if self.work is not None else self._prompt
         deadline = float(headers.get("cranberrywick-deadline-ms", "60000")) / 1000
