Logs: tell a caller that left from a daemon that ended

request_ended said outcome=caller_gone for each task that was cancelled, also by the end of the process.

--- a/cranberrywick/gateway/forwarder.py
+++ b/cranberrywick/gateway/forwarder.py
@@ -75,7 +75,7 @@
         """Serve a request until its answer has been sent.
 
         Failures become error answers. The task is cancelled when the caller closes
-        its connection.
+        its connection, and at the end of the process.
         """
         exchange = Exchange(request, caller, decode_request(request.headers))
         outcome = "internal_error"
@@ -96,7 +96,7 @@
         except ConnectionError:
             outcome = "caller_gone"
         except asyncio.CancelledError:
-            outcome = "caller_gone"
+            outcome = "caller_gone" if caller.gone else "daemon_stopped"
             raise
         finally:
             self._direct.end(exchange)
--- a/cranberrywick/gateway/peer_requests.py
+++ b/cranberrywick/gateway/peer_requests.py
@@ -130,7 +130,8 @@
     ) -> None:
         """Serve a request until its answer has been sent.
 
-        The task is cancelled when the peer closes the connection.
+        The task is cancelled when the peer closes the connection, and at the end of the
+        process.
         """
         value, raw_headers = take_statement(request.raw_headers)
         _, headers = take_statement(request.headers)
@@ -160,7 +161,7 @@
         except ConnectionError:
             outcome = "caller_gone"
         except asyncio.CancelledError:
-            outcome = "caller_gone"
+            outcome = "caller_gone" if connection.gone else "daemon_stopped"
             raise
         finally:
             self._served -= 1
