A stopping daemon refuses what it can't finish, and answers the rest by its end

Cause: the daemon served until its grace period was over and then returned.

Change: the stop has a window (routing/drain_window.py) that all parts know (gateway/drain.py). A waiting request is refused as soon as it can't be finished in it: memory that prompts being read hold past the last start, a queue that takes twice too long, or no time left for an answer as long as those of its route were. What has its turn is served as before; what would be cut isn't sent. Shortly before the end what is unanswered gets 503 if it was not sent, else 502. Retry-After is short and spread while another daemon serves, and after the restart if none does.

The first try kept all of them to the end; then at once, before it knew which peers stop too, so that it is decided 0.1 s after the signal.

--- a/cranberrywick/gateway/app.py
+++ b/cranberrywick/gateway/app.py
@@ -8,6 +8,7 @@
 from cranberrywick.gateway.buffer_budget import buffer_budget
 from cranberrywick.gateway.contention import Contention
 from cranberrywick.gateway.direct_attempts import DirectAttempts
+from cranberrywick.gateway.drain import Drain
 from cranberrywick.gateway.forwarder import Forwarder
 from cranberrywick.gateway.ingress import CallerConnection, HttpRequest, Ingress
 from cranberrywick.gateway.lazy_metrics import LazyMetrics
@@ -26,6 +27,7 @@
 from cranberrywick.platform.settings import load_settings
 from cranberrywick.platform.store import PlatformStore
 from cranberrywick.routing.directory import ANSWER_SECONDS, choose_addresses
+from cranberrywick.routing.drain_window import DrainWindow
 from cranberrywick.routing.health import EndpointHealth
 from cranberrywick.routing.model import GatewaySettings
 from cranberrywick.routing.placement import Placer
@@ -36,8 +38,6 @@
 # use an answer of the directory three times as long as it says, and some are just
 # connecting.
 LEAVE_SECONDS = 3 * ANSWER_SECONDS + 0.2
-# Part of the time allowed for a stop that is left for closing, in seconds.
-STOP_MARGIN_SECONDS = 0.4
 # Interval at which a stopping daemon checks whether requests are left, in seconds.
 IDLE_POLL_SECONDS = 0.02
 # Interval at which the health and rate limits of removed endpoints are dropped, in
@@ -84,18 +84,28 @@
             self.state.members.count,
             self._rng,
         )
-        self._waiting = WaitingRequests(self.state, placer, contention)
+        self._drain = Drain(self.state, log)
+        self._waiting = WaitingRequests(self.state, placer, contention, self._drain)
         self.state.changed = self._waiting.schedule_placing
         self.state.reach.regained = health.forget
         direct = DirectAttempts(
-            settings, self.state, self._waiting, health, contention, self._metrics, log
+            settings,
+            self.state,
+            self._waiting,
+            health,
+            contention,
+            self._drain,
+            self._metrics,
+            log,
         )
         forwarder = Forwarder(
-            settings, self.state, self._waiting, direct, self._metrics, log
+            settings, self.state, self._waiting, direct, self._drain, self._metrics, log
         )
         budget = buffer_budget(settings, self._metrics, log)
         self._ingress = Ingress(forwarder, self._request_limits, budget)
-        self._peer_ingress = PeerRequests(self.state, direct, budget, log).ingress
+        self._peer_ingress = PeerRequests(
+            self.state, direct, self._drain, budget, log
+        ).ingress
         self._internal_ingresses = [
             (address, Ingress(handler, budget=budget))
             for address, handler in (
@@ -127,7 +137,7 @@
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         await self.start()
         await self._stopping.wait()
-        await self._drain()
+        await self._stop()
 
     async def start(self) -> None:
         """Start to read the store and to listen on all configured addresses.
@@ -165,30 +175,45 @@
         """
         self._log.info("settings_reload_asked", effect="none")
 
-    async def _drain(self) -> None:
+    async def _stop(self) -> None:
         """Leave the directory, serve until no request is left, and close.
 
-        After the grace period the daemon closes although requests are left.
+        A request that can't be finished within the grace period is refused as soon as
+        that is known; the others are answered by its end, if only with an error.
         """
         loop = asyncio.get_running_loop()
         started = loop.time()
-        grace = self._settings.bounds.grace_seconds - STOP_MARGIN_SECONDS
-        self._log.info("drain_started", busy=self._busy, grace=grace)
+        window = DrainWindow.of_grace(started, self._settings.bounds.grace_seconds)
+        self._log.info(
+            "drain_started",
+            busy=self._busy,
+            waiting=len(self._waiting),
+            grace=window.close_at - started,
+        )
         self.state.leave()
         self._ingress.drain()
         self._peer_ingress.drain()
-        while loop.time() - started < grace:
-            waited = loop.time() - started
-            if waited >= LEAVE_SECONDS and not self._busy:
-                break
-            await asyncio.sleep(IDLE_POLL_SECONDS)
-        self._log.info("gateway_stopped", busy=self._busy)
+        self._drain.begin(window)
+        self._waiting.begin_drain()
+        await self._until_idle(started + LEAVE_SECONDS, window.answer_by)
+        unanswered = self._drain.unanswered
+        self._drain.end_unanswered()
+        await self._until_idle(started + LEAVE_SECONDS, window.close_at)
+        self._log.info("gateway_stopped", busy=self._busy, unanswered=unanswered)
         self._ingress.close()
         self._peer_ingress.close()
         self.state.reach.stop()
         self._ticker.stop()
         self.state.peer_updates.link.close()
 
+    async def _until_idle(self, earliest: float, latest: float) -> None:
+        """Wait until no request is left, from ``earliest`` to ``latest``."""
+        loop = asyncio.get_running_loop()
+        while loop.time() < latest:
+            if loop.time() >= earliest and not self._busy:
+                return
+            await asyncio.sleep(IDLE_POLL_SECONDS)
+
     @property
     def _busy(self) -> int:
         """How many requests of callers and of peers are being served."""
--- a/cranberrywick/gateway/direct_attempts.py
+++ b/cranberrywick/gateway/direct_attempts.py
@@ -14,6 +14,7 @@
 from cranberrywick.gateway.attempt import Attempt
 from cranberrywick.gateway.contention import Contention
 from cranberrywick.gateway.crash_detection import CrashDetection
+from cranberrywick.gateway.drain import Drain
 from cranberrywick.gateway.exchange import Exchange
 from cranberrywick.gateway.lazy_metrics import LazyMetrics
 from cranberrywick.gateway.observations import EndpointObservations
@@ -54,6 +55,7 @@
         waiting: WaitingRequests,
         health: EndpointHealth,
         contention: Contention,
+        drain: Drain,
         metrics: LazyMetrics,
         log: EventLog,
     ):
@@ -62,11 +64,12 @@
         self._waiting = waiting
         self._health = health
         self._contention = contention
+        self._drain = drain
         self._log = log
         self._loop = asyncio.get_running_loop()
         self._connect_timeout = ConnectTimeout()
         self._placements = PermittedPlacements(
-            settings.failure_domain, state, waiting, metrics, log
+            settings.failure_domain, state, waiting, drain, metrics, log
         )
         self.observations = EndpointObservations(state, metrics, log)
         self._crash_detection = CrashDetection(state, metrics, log)
@@ -95,12 +98,31 @@
         self.observations.record_call_end(exchange)
         now = self._loop.time()
         self._contention.request_held(exchange.service.name, now - exchange.sent_at)
+        self._record_times(exchange, now)
         if exchange.status < 500:
             self._health.succeeded(placement.endpoint_id, now)
         return None
 
-    def time_out(self, exchange: Exchange) -> TimedOut:
-        """Record that a request's time is over; return the error for its answer."""
+    def _record_times(self, exchange: Exchange, now: float) -> None:
+        """Record how long an answer took, for the requests of a stopping daemon."""
+        began_at = exchange.sent_at
+        if exchange.meta.prompt is not None and exchange.answer_began_at is not None:
+            began_at = exchange.answer_began_at
+        self._drain.times.record(
+            exchange.route.name,
+            exchange.service.name,
+            now - began_at,
+            now - exchange.sent_at,
+        )
+
+    def time_out(self, exchange: Exchange) -> CranberrywickError:
+        """Record that a request's time is over; return the error for its answer.
+
+        That is its own time, or that of this daemon if it is stopping.
+        """
+        stopped = self._drain.time_out(exchange)
+        if stopped is not None:
+            return stopped
         if exchange.in_flight:
             self.observations.record_call_end(exchange)
         executed = Executed.UNKNOWN if exchange.in_flight else Executed.NO
--- a/cranberrywick/gateway/forwarder.py
+++ b/cranberrywick/gateway/forwarder.py
@@ -19,6 +19,7 @@
     RequestQuarantined,
 )
 from cranberrywick.gateway.direct_attempts import AttemptFailure, DirectAttempts
+from cranberrywick.gateway.drain import Drain
 from cranberrywick.gateway.exchange import Exchange
 from cranberrywick.gateway.ingress import CallerConnection, HttpRequest
 from cranberrywick.gateway.lazy_metrics import LazyMetrics
@@ -52,14 +53,16 @@
         state: FleetState,
         waiting: WaitingRequests,
         direct: DirectAttempts,
+        drain: Drain,
         metrics: LazyMetrics,
         log: EventLog,
     ):
         self._state = state
         self._waiting = waiting
         self._direct = direct
+        self._drain = drain
         self._peer_attempts = PeerAttempts(
-            settings.daemon_id, state, waiting, direct, metrics, log
+            settings.daemon_id, state, waiting, direct, drain, metrics, log
         )
         self._metrics = metrics
         self._log = log
@@ -83,7 +86,7 @@
             allowed = exchange.meta.deadline_seconds or float("inf")
             await self._state.wait_for_start(request.arrived + allowed)
             self._route(exchange)
-            async with asyncio.timeout_at(exchange.deadline):
+            async with self._drain.deadline(exchange):
                 await self._serve(exchange)
             outcome = "completed"
         except CranberrywickError as error:
--- a/cranberrywick/gateway/peer_attempts.py
+++ b/cranberrywick/gateway/peer_attempts.py
@@ -20,6 +20,7 @@
 )
 from cranberrywick.gateway.answer_forwarding import AnswerCallbacks, AnswerForwarding
 from cranberrywick.gateway.direct_attempts import AttemptFailure, DirectAttempts
+from cranberrywick.gateway.drain import Drain
 from cranberrywick.gateway.exchange import AnswerSource, Exchange
 from cranberrywick.gateway.forwarded_statements import (
     STATEMENT_HEADER,
@@ -68,6 +69,7 @@
         state: FleetState,
         waiting: WaitingRequests,
         direct: DirectAttempts,
+        drain: Drain,
         metrics: LazyMetrics,
         log: EventLog,
     ):
@@ -75,6 +77,7 @@
         self._state = state
         self._waiting = waiting
         self._direct = direct
+        self._drain = drain
         self._metrics = metrics
         self._log = log
         self._loop = asyncio.get_running_loop()
--- a/cranberrywick/gateway/peer_requests.py
+++ b/cranberrywick/gateway/peer_requests.py
@@ -21,6 +21,7 @@
     Unbudgeted,
 )
 from cranberrywick.gateway.direct_attempts import DirectAttempts
+from cranberrywick.gateway.drain import Drain
 from cranberrywick.gateway.exchange import Exchange
 from cranberrywick.gateway.forwarded_statements import (
     STATEMENT_HEADER,
@@ -113,11 +114,13 @@
         self,
         state: FleetState,
         direct: DirectAttempts,
+        drain: Drain,
         budget: BufferBudget | Unbudgeted,
         log: EventLog,
     ):
         self._state = state
         self._direct = direct
+        self._drain = drain
         self._log = log
         self._loop = asyncio.get_running_loop()
         self._rng = random.Random()
@@ -175,7 +178,7 @@
             self._check_able(stated)
             route_request(exchange, self._state, self._rng, stated.service)
             self._exclude(exchange, stated)
-            async with asyncio.timeout_at(exchange.deadline):
+            async with self._drain.deadline(exchange):
                 failure = await self._direct.run(exchange)
             if failure is None:
                 return "completed"
--- a/cranberrywick/gateway/permitted_placements.py
+++ b/cranberrywick/gateway/permitted_placements.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from cranberrywick.errors import Overloaded
+from cranberrywick.gateway.drain import Drain
 from cranberrywick.gateway.exchange import Exchange
 from cranberrywick.gateway.lazy_metrics import LazyMetrics
 from cranberrywick.gateway.permits import Admission
@@ -28,12 +29,14 @@
         failure_domain: str,
         state: FleetState,
         waiting: WaitingRequests,
+        drain: Drain,
         metrics: LazyMetrics,
         log: EventLog,
     ):
         self._failure_domain = failure_domain
         self._state = state
         self._waiting = waiting
+        self._drain = drain
         self._metrics = metrics
         self._log = log
         self._loop = asyncio.get_running_loop()
@@ -90,6 +93,7 @@
 
     async def _place(self, exchange: Exchange, is_retry: bool) -> Placement:
         due_at = exchange.request.arrived + exchange.route.target_seconds
+        last_at = min(exchange.deadline, self._drain.answer_by)
         demand = Demand(
             request_id=exchange.key,
             service=exchange.service,
@@ -100,11 +104,12 @@
             failure_domain=self._failure_domain,
             tried_ids=frozenset(exchange.tried_ids | exchange.unreachable_ids),
             answering_ids=exchange.answering_ids,
-            longest_wait=longest_permit_wait(exchange.deadline - self._loop.time()),
+            longest_wait=longest_permit_wait(max(0.0, last_at - self._loop.time())),
             organisation=exchange.organisation.name if exchange.organisation else "",
             is_retry=is_retry,
             logged_id=exchange.meta.request_id,
             traits=exchange.traits,
+            answer_seconds=self._drain.times.usual(exchange.route.name),
         )
         return await self._waiting.place(
             demand, exchange.priority, due_at, exchange.deadline
--- a/cranberrywick/gateway/waiting.py
+++ b/cranberrywick/gateway/waiting.py
@@ -5,12 +5,14 @@
 
 import asyncio
 import random
+from collections import Counter
 from functools import partial
 from math import inf
 
-from cranberrywick.errors import Overloaded, RequestQuarantined
+from cranberrywick.errors import Draining, Overloaded, RequestQuarantined
 from cranberrywick.gateway.contention import Contention
 from cranberrywick.gateway.deferrals import retry_seconds
+from cranberrywick.gateway.drain import Drain
 from cranberrywick.gateway.state import FleetState
 from cranberrywick.gateway.waiter import Waiter
 from cranberrywick.routing.demand import (
@@ -40,6 +42,11 @@
 # Least time for serving a request, in seconds. A request without a placement this
 # close to its deadline is refused, while its caller can still receive the refusal.
 MIN_SERVICE_SECONDS = 0.05
+# Interval at which a stopping daemon checks whether waiting requests still get their
+# turn, in seconds.
+TURN_CHECK_SECONDS = 0.5
+# When it does so first, in seconds. By then it knows which peers are stopping, too.
+FIRST_TURN_CHECK_SECONDS = 0.1
 
 
 class WaitingRequests:
@@ -49,10 +56,17 @@
     time, then the moment at which their answer should begin.
     """
 
-    def __init__(self, state: FleetState, placer: Placer, contention: Contention):
+    def __init__(
+        self,
+        state: FleetState,
+        placer: Placer,
+        contention: Contention,
+        drain: Drain,
+    ):
         self._state = state
         self._placer = placer
         self._contention = contention
+        self._drain = drain
         self._loop = asyncio.get_running_loop()
         self._outages = ServiceOutages(random.Random())
         self._returns = LimitedReturns(random.Random())
@@ -77,7 +91,8 @@
         times of the event loop. Raises `Overloaded` when no known endpoints of the
         service could hold the request, when their rate limits or their backoffs leave
         no room for too long, and as soon as no answer can begin before the deadline;
-        and `RequestQuarantined` as `refuse_quarantined` does.
+        `Draining` as soon as it can't be finished before the daemon ends; and
+        `RequestQuarantined` as `refuse_quarantined` does.
         """
         now = self._loop.time()
         future = self._loop.create_future()
@@ -107,12 +122,37 @@
         if self._waiters_by_id and self._scheduled is None:
             self._scheduled = self._loop.call_soon(self._place_waiting)
 
-    def _place_waiting(self) -> None:
-        self._scheduled = None
+    def begin_drain(self) -> None:
+        """Refuse from now on the requests that get no turn before the daemon ends."""
+        self._loop.call_later(FIRST_TURN_CHECK_SECONDS, self._refuse_without_turn)
+
+    def _refuse_without_turn(self) -> None:
+        """Refuse what gets no turn, and check the rest again later.
+
+        More becomes known of the requests that are before them.
+        """
         now = self._loop.time()
+        ahead_by_service: Counter[str] = Counter()
+        for waiter in self._in_order(now):
+            try:
+                ahead = ahead_by_service[waiter.service]
+                self._drain.check_turn(waiter.demand, ahead, now)
+                ahead_by_service[waiter.service] += 1
+            except Draining as error:
+                self._refuse(waiter, error)
+        if now < self._drain.answer_by:
+            self._loop.call_later(TURN_CHECK_SECONDS, self._refuse_without_turn)
+
+    def _in_order(self, now: float) -> list[Waiter]:
+        """Return the requests that wait, the most urgent first."""
         rank = self._contention.effective_rank
         waiters = [*self._waiters_by_id.values(), *self._due_by_id.values()]
         waiters.sort(key=lambda w: order_key(rank(w, now), w.due_at, now))
+        return waiters
+
+    def _place_waiting(self) -> None:
+        self._scheduled = None
+        waiters = self._in_order(self._loop.time())
         # Set before the tries, so that a deferred request that begins to wait does not
         # schedule another pass at once.
         self._scheduled = self._loop.call_later(
@@ -160,8 +200,14 @@
             return
         try:
             self._try_placing(waiter)
-        except (Overloaded, RequestQuarantined) as error:
-            self._remove(waiter)
+        except (Draining, Overloaded, RequestQuarantined) as error:
+            self._refuse(waiter, error)
+
+    def _refuse(
+        self, waiter: Waiter, error: Draining | Overloaded | RequestQuarantined
+    ) -> None:
+        self._remove(waiter)
+        if not waiter.placement_future.done():
             waiter.placement_future.set_exception(error)
 
     def _remove(self, waiter: Waiter) -> None:
@@ -174,6 +220,9 @@
         if timer is not None:
             timer.cancel()
 
+    def _waiting_for(self, service: str) -> int:
+        return sum(waiter.service == service for waiter in self._waiters_by_id.values())
+
     def _has_been_tried(self, waiter: Waiter) -> bool:
         request_id = waiter.demand.request_id
         return request_id in self._waiters_by_id or request_id in self._due_by_id
@@ -191,9 +240,13 @@
             # The sample may have missed a free endpoint: a second try follows at once.
             if self._has_been_tried(waiter):
                 self._refuse_hopeless(waiter)
+            elif self._drain.is_active:
+                self._drain.check_turn(demand, self._waiting_for(waiter.service), now)
+            self._drain.check_wait(demand, now)
             self._contention.check_servable(waiter, now)
             self._append(waiter)
             return
+        self._drain.check_placement(demand, placement, now)
         # With a placement it doesn't wait for room any more, and must not count as one
         # of those that it might be deferred for.
         self._remove(waiter)
--- a/cranberrywick/routing/demand.py
+++ b/cranberrywick/routing/demand.py
@@ -33,6 +33,8 @@
     failed the request. Only those in ``answering_ids`` may answer it, though others may
     help; None allows all. It waits up to ``longest_wait`` seconds for the permit that
     an endpoint with a rate limit requires, or for the end of a backoff.
+    ``answer_seconds`` is how long answers of its route usually take: calls from the
+    send to their end, prompts from the first event.
     ``is_retry`` says that it had a placement before.
     ``organisation`` is the name of the one that sent it, empty if there is none.
     ``request_id`` is unique in the daemon, ``logged_id`` the id in the caller's header.
@@ -53,6 +55,7 @@
     is_retry: bool = False
     logged_id: str = ""
     traits: RequestTraits | None = None
+    answer_seconds: float = 0.0
 
 
 def may_answer(demand: Demand, endpoint_id: str) -> bool:
@@ -93,15 +96,16 @@
     return None
 
 
-def min_first_event_seconds(demand: Demand) -> float:
-    """Return the shortest time to the first event, in seconds, at idle endpoints.
+def min_first_event_seconds(demand: Demand, endpoints: int = PART_CHOICES[-1]) -> float:
+    """Return the shortest time to the first event, in seconds, at idle ``endpoints``.
 
     It is 0 for a request without a prompt.
     """
     engine = demand.service.engine
     if engine is None or demand.prompt is None:
         return 0.0
-    return prefill_time(engine, demand.prompt.prompt_tokens, PART_CHOICES[-1])
+    parts = max(1, min(endpoints, PART_CHOICES[-1]))
+    return prefill_time(engine, demand.prompt.prompt_tokens, parts)
 
 
 def _has_answering_endpoint(demand: Demand, usable: EndpointPool) -> bool:
--- a/cranberrywick/routing/retry_after.py
+++ b/cranberrywick/routing/retry_after.py
@@ -1,10 +1,10 @@
 """Retry-After times for callers that could not be served.
 
-Load pattern: a daemon starts, a service has no endpoints left, or the rate limits or
-backoffs of its endpoints leave no room for all requests, while many callers send them,
-each with one retry left. If a caller retries too early, its only retry gets the same
-refusal; if too late, its own timeout has passed. If all callers get the same time, they
-return at the same moment.
+Load pattern: a daemon starts or stops, a service has no endpoints left, or the rate
+limits or backoffs of its endpoints leave no room for all requests, while many callers
+send them, each with one retry left. If a caller retries too early, its only retry gets
+the same refusal; if too late, its own timeout has passed. If all callers get the same
+time, they return at the same moment.
 
 How long a service will have no endpoints is unknown. The estimate follows the rule that
 an outage of unknown length lasts on for as long as it has lasted already.
@@ -16,6 +16,7 @@
     "MIN_SECONDS_WITHOUT_STORE",
     "STARTING_SECONDS",
     "BackoffReturns",
+    "DrainReturns",
     "LimitedReturns",
     "ServiceOutages",
 ]
@@ -34,8 +35,18 @@
 # Largest random deviation from the estimated time, as a share of it. Where the earliest
 # possible time is known, the deviation is only to the later side.
 SPREAD = 0.25
-# Least span over which callers return after the end of a backoff, in seconds.
+# Least span over which callers return after the end of a backoff or from a daemon that
+# stops, in seconds.
 MIN_SPREAD_SECONDS = 0.25
+# Largest span over which callers return from a daemon that stops, in seconds.
+MAX_SPREAD_SECONDS = 2.0
+# Number of callers of one stopping daemon that return each second, if that takes no
+# longer than the largest span.
+RETURNS_PER_SECOND = 100
+# Earliest return of a caller to another daemon, in seconds.
+MIN_RETRY_SECONDS = 0.1
+# How long a daemon that has ended takes to start again, in seconds.
+RESTART_SECONDS = 1.0
 
 
 class ServiceOutages:
@@ -114,3 +125,30 @@
         retry_at = min(retry_at, now + MAX_SECONDS)
         self._next_retry_at_by_service[service] = retry_at + pause
         return (retry_at - now) * self._rng.uniform(1, 1 + SPREAD)
+
+
+class DrainReturns:
+    """Spreads the retries of callers that a stopping daemon has refused.
+
+    >>> returns = DrainReturns(random.Random())
+    >>> returns.retry_seconds(refused=10, others_serve=True, closes_in=6.0)
+    0.31
+    """
+
+    def __init__(self, rng: random.Random):
+        self._rng = rng
+
+    def retry_seconds(
+        self, refused: int, others_serve: bool, closes_in: float
+    ) -> float:
+        """Return after how many seconds a caller should retry.
+
+        ``refused`` is how many callers may be refused at the same time, and
+        ``closes_in`` the seconds until the daemon ends. While no other daemon serves,
+        callers return after that, when it may have started again.
+        """
+        spread = refused / RETURNS_PER_SECOND
+        spread = min(max(MIN_SPREAD_SECONDS, spread), MAX_SPREAD_SECONDS)
+        restarted_in = max(0.0, closes_in) + RESTART_SECONDS
+        earliest = MIN_RETRY_SECONDS if others_serve else restarted_in
+        return earliest + self._rng.uniform(0.0, spread)
--- a/tests/overloaded_fleet.py
+++ b/tests/overloaded_fleet.py
@@ -17,6 +17,7 @@
 from cranberrywick.bench.virtual_time import run_in_virtual_time
 from cranberrywick.errors import Overloaded
 from cranberrywick.gateway.contention import Contention
+from cranberrywick.gateway.drain import Drain
 from cranberrywick.gateway.lazy_metrics import LazyMetrics
 from cranberrywick.gateway.waiting import WaitingRequests
 from cranberrywick.routing.fleet_demand import DemandStatement, FleetDemand
@@ -88,7 +89,9 @@
         )
         fleet_state = state()
         fleet_state.load = SimpleNamespace(put=self._put)
-        self.waiting = WaitingRequests(fleet_state, self, self.contention)
+        self.waiting = WaitingRequests(
+            fleet_state, self, self.contention, Drain(fleet_state, log)
+        )
 
     def place(self, wanted, usable, now, last_resort):
         return Placement("e1", (), 0.0, ()) if self._fleet.free_slots > 0 else None
--- /dev/null
+++ b/tests/test_drain_window.py
@@ -0,0 +1,143 @@
+"""What a stopping daemon can still serve, as its decisions have it.
+
+Guards against requests that are held although their turn can't come, and against
+refusals of those whose turn may come.
+"""
+
+import random
+
+import pytest
+
+from cranberrywick.bench.prompt_engines import PROFILE
+from cranberrywick.routing.demand import Demand
+from cranberrywick.routing.drain_window import (
+    MAX_NAMES,
+    UNKNOWN_ANSWER_SECONDS,
+    AnswerTimes,
+    DrainWindow,
+    finish_seconds,
+    gets_no_turn,
+    seconds_until_room,
+)
+from cranberrywick.routing.endpoint_index import EndpointPool, TrackedEndpoint
+from cranberrywick.routing.engine_model import prefill_time
+from cranberrywick.routing.load import FleetLoad, Job
+from cranberrywick.routing.model import EndpointRecord, PromptSize, Service
+from cranberrywick.routing.retry_after import DrainReturns
+
+POOL = EndpointPool.of(
+    [
+        TrackedEndpoint(
+            EndpointRecord(f"e{n}", "pool", f"10.1.0.{n}:80", "fd-a", 2, False, 0.0, 1),
+            cold_until=0.0,
+        )
+        for n in (1, 2)
+    ]
+)
+CALLS = Service("pool", 0.0, 0.0, None)
+PROMPTS = Service("pool", 0.0, 0.0, PROFILE)
+
+
+def demand(service=CALLS, prompt=None):
+    return Demand("r", service, prompt, 0.3, 0.3, 0.25, "fd-a", answer_seconds=0.5)
+
+
+def calls(endpoint_id, number):
+    return [Job(endpoint_id, 0, 0.0, 0.0, 0.0) for _ in range(number)]
+
+
+def load_of(jobs):
+    load = FleetLoad()
+    for number, job in enumerate(jobs):
+        load.put(f"job-{number}", [job])
+    return load
+
+
+def turn(ahead, load, mean_held=1.0, last_start=6.0, request=None):
+    request = request or demand()
+    return not gets_no_turn(request, ahead, POOL, load, mean_held, last_start, 0.0)
+
+
+def test_the_window_ends_before_the_daemon_is_killed():
+    """Guards against answers that are written when the process has been killed."""
+    window = DrainWindow.of_grace(100.0, grace_seconds=8.0)
+    assert 100.0 < window.answer_by < window.close_at < 108.0
+    assert DrainWindow.of_grace(100.0, grace_seconds=0.1) == (100.0, 100.0)
+
+
+def test_a_call_that_is_far_behind_gets_no_turn():
+    """Guards against calls that wait until the end behind hundreds of others."""
+    full = load_of(calls("e1", 2) + calls("e2", 2))
+    # Four slots of one second: even at twice that rate 48 calls are begun in 6 s.
+    assert turn(ahead=46, load=full)
+    assert not turn(ahead=48, load=full)
+
+
+@pytest.mark.parametrize(
+    ("jobs", "mean_held"), [(calls("e1", 2), 1.0), (calls("e1", 2) * 2, 0.0)]
+)
+def test_a_wait_that_is_not_for_a_slot_or_of_unknown_length_goes_on(jobs, mean_held):
+    """Guards against a refusal by a forecast that doesn't apply."""
+    assert turn(ahead=1000, load=load_of(jobs), mean_held=mean_held)
+
+
+def test_nothing_is_begun_after_the_last_start():
+    """Guards against requests that are sent and then cut."""
+    assert not turn(ahead=0, load=FleetLoad(), last_start=0.0)
+
+
+def test_memory_is_not_free_before_a_prompt_has_been_read():
+    """Guards against prompts that are held behind one that is read until the end."""
+    memory = PROFILE.memory_tokens
+    long_seconds = prefill_time(PROFILE, memory - 1000)
+    taken = [Job(f"e{n}", memory - 1000, long_seconds, 0.0, 0.0) for n in (1, 2)]
+    request = demand(PROMPTS, PromptSize(60_000, 500))
+    load = load_of(taken)
+    assert seconds_until_room(request, POOL, load, 1.0) == pytest.approx(
+        long_seconds - 1.0
+    )
+    assert not turn(0, load, last_start=long_seconds - 0.1, request=request)
+    assert turn(0, load, last_start=long_seconds + 0.1, request=request)
+    # An answer may end at any moment, and other endpoints may have room.
+    decoding = [taken[0]._replace(decoding=True), taken[1]]
+    assert turn(0, load_of(decoding), last_start=0.1, request=request)
+    assert turn(0, load_of(taken[:1]), last_start=0.1, request=request)
+
+
+def test_a_prompt_for_two_engines_waits_for_both():
+    """Guards against a refusal, or a wait, by the first engine with room alone."""
+    memory = PROFILE.memory_tokens
+    jobs = [Job("e1", memory, 3.0, 0.0, 0.0), Job("e2", memory, 5.0, 0.0, 0.0)]
+    request = demand(PROMPTS, PromptSize(memory + 1000, 500))
+    assert seconds_until_room(request, POOL, load_of(jobs), 0.0) == pytest.approx(5.0)
+
+
+def test_answer_times_are_those_of_the_last_answers():
+    """Guards against estimates by an outlier, by old answers, or without a bound."""
+    times = AnswerTimes()
+    assert times.usual("lookup") == UNKNOWN_ANSWER_SECONDS
+    assert times.mean_held("desk") == 0.0
+    for seconds in [*[9.0] * 20, *[0.1] * 15, 4.0]:
+        times.record("lookup", "desk", seconds, seconds)
+    assert times.usual("lookup") == 0.1
+    assert times.mean_held("desk") == pytest.approx((15 * 0.1 + 4.0) / 16)
+    for number in range(MAX_NAMES):
+        times.record(f"route-{number}", "desk", 1.0, 1.0)
+    assert times.usual("lookup") == UNKNOWN_ANSWER_SECONDS
+    assert times.usual(f"route-{MAX_NAMES - 1}") == 1.0
+
+
+def test_a_request_needs_its_first_event_and_its_answer():
+    """Guards against prompts that are sent when only their first event is in time."""
+    assert finish_seconds(demand(), first_event_seconds=1.0) == pytest.approx(1.6)
+
+
+def test_refused_callers_are_spread_and_return_when_somebody_serves():
+    """Guards against callers that all return at once, or to nobody."""
+    returns = DrainReturns(random.Random(1))
+    few = [returns.retry_seconds(1, True, 5.0) for _ in range(100)]
+    many = [returns.retry_seconds(500, True, 5.0) for _ in range(100)]
+    alone = [returns.retry_seconds(1, False, 5.0) for _ in range(100)]
+    assert 0.1 <= min(few) < max(few) < 0.4
+    assert 0.1 <= min(many) < 0.3 < 1.8 < max(many) < 2.2
+    assert 6.0 <= min(alone)
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -13,6 +13,7 @@
 from cranberrywick.bench.virtual_time import run_in_virtual_time
 from cranberrywick.errors import Overloaded, RequestQuarantined
 from cranberrywick.gateway.contention import Contention
+from cranberrywick.gateway.drain import Drain
 from cranberrywick.gateway.lazy_metrics import LazyMetrics
 from cranberrywick.gateway.usable_endpoints import UsableEndpoints
 from cranberrywick.gateway.waiting import RETRY_INTERVAL_SECONDS, WaitingRequests
@@ -105,7 +106,9 @@
         )
         self.full_at = full_at
         self.state = state()
-        self.waiting = WaitingRequests(self.state, self, self.contention)
+        self.waiting = WaitingRequests(
+            self.state, self, self.contention, Drain(self.state, EventLog())
+        )
 
     def _count_change(self):
         self.changes += 1
@@ -151,7 +154,9 @@
     loop = asyncio.get_running_loop()
     started = loop.time()
     placer = PlacerFullUntil(started + free_after)
-    waiting = WaitingRequests(state(), placer, uncontended())
+    built = state()
+    drain = Drain(built, EventLog())
+    waiting = WaitingRequests(built, placer, uncontended(), drain)
     try:
         deadline = started + deadline_after
         await waiting.place(demand(prompt_tokens), 1, started, deadline)
@@ -352,7 +357,8 @@
         built = state()
         quarantine_later(built, after)
         placer = PlacerFullUntil(float("inf"))
-        waiting = WaitingRequests(built, placer, uncontended())
+        drain = Drain(built, EventLog())
+        waiting = WaitingRequests(built, placer, uncontended(), drain)
         request = demand(5_000)._replace(traits=BAD)
         loop = asyncio.get_running_loop()
         await waiting.place(request, 1, loop.time() + 0.3, loop.time() + 10.0)
