Forwarded requests that wait at a stopping peer go to another one

What callers saw: a daemon that reaches no endpoint forwards requests; when the peer that they wait in stops, it closed the connection without a word, which may mean that they ran. The caller of an unsafe call got 502, and nobody tried another peer.

The peer now states at its refusal that it is stopping and that the request has not run. That is a known failure on the wire, after which the request goes to another peer and no retry is counted. A daemon that stops tells its peers no more time than it has itself.

The statement's test fails without the type.

--- a/cranberrywick/gateway/forwarded_statements.py
+++ b/cranberrywick/gateway/forwarded_statements.py
@@ -15,6 +15,7 @@
     AmbiguousSend,
     AnswerLost,
     CranberrywickError,
+    Draining,
     EndpointRefused,
     NotFound,
     Overloaded,
@@ -47,6 +48,7 @@
 _ERRORS = (
     AmbiguousSend,
     AnswerLost,
+    Draining,
     EndpointRefused,
     NotFound,
     Overloaded,
--- a/cranberrywick/gateway/forwarder.py
+++ b/cranberrywick/gateway/forwarder.py
@@ -13,6 +13,7 @@
     AmbiguousSend,
     AnswerLost,
     CranberrywickError,
+    Draining,
     EndpointFailed,
     EndpointRefused,
     Overloaded,
@@ -301,4 +302,6 @@
     """
     if isinstance(error, EndpointRefused):
         return not error.is_unreachable
+    if isinstance(error, Draining):
+        return error.executed is not Executed.NO
     return isinstance(error, AmbiguousSend | AnswerLost | Overloaded)
--- a/cranberrywick/gateway/peer_attempts.py
+++ b/cranberrywick/gateway/peer_attempts.py
@@ -13,6 +13,7 @@
     AmbiguousSend,
     AnswerLost,
     CranberrywickError,
+    Draining,
     EndpointRefused,
     Overloaded,
     PeerMessageInvalid,
@@ -202,7 +203,7 @@
         return RequestStatement(
             self._daemon_id,
             now - exchange.request.arrived,
-            exchange.deadline - now,
+            min(exchange.deadline, self._drain.answer_by) - now,
             exchange.version,
             exchange.service.name,
             tuple(sorted(exchange.sent_ids)),
@@ -246,8 +247,11 @@
             # The endpoint is not at fault, and the peer may reach others.
             exchange.failed_peer_ids.append(peer.daemon_id)
             return AttemptFailure(error, statement.endpoint_id)
-        if isinstance(error, PlatformUnavailable) or (
-            is_refusal and error.is_unreachable
+        is_stopping = isinstance(error, Draining) and error.executed is Executed.NO
+        if (
+            isinstance(error, PlatformUnavailable)
+            or is_stopping
+            or (is_refusal and error.is_unreachable)
         ):
             exchange.unable_peer_ids.add(peer.daemon_id)
             service, now = exchange.service.name, self._loop.time()
@@ -255,7 +259,7 @@
             return AttemptFailure(error)
         if error.executed is not Executed.NO:
             exchange.record_lost()
-        if is_refusal or isinstance(error, AmbiguousSend | AnswerLost):
+        if is_refusal or isinstance(error, AmbiguousSend | AnswerLost | Draining):
             return AttemptFailure(error, statement.endpoint_id, at_fault_id)
         raise error
 
--- a/tests/stopping_fleet.py
+++ b/tests/stopping_fleet.py
@@ -130,6 +130,11 @@
     return re.findall(r"event=request_ended .*?outcome=(\S+)", gateway.log)
 
 
+def peer_outcomes(gateway: Gateway) -> list[str]:
+    """Return the outcomes of the requests that peers forwarded, as logged."""
+    return re.findall(r"event=peer_request_ended .*?outcome=(\S+)", gateway.log)
+
+
 @contextmanager
 def running_stopping_fleet(
     path: Path, gateways: int = 1, desks: int = 1, slots: int = 1
--- a/tests/test_forwarded_statements.py
+++ b/tests/test_forwarded_statements.py
@@ -8,6 +8,7 @@
 from cranberrywick.errors import (
     AmbiguousSend,
     AnswerLost,
+    Draining,
     EndpointRefused,
     Overloaded,
     PeerMessageInvalid,
@@ -49,7 +50,9 @@
 
 
 @pytest.mark.parametrize("executed", [Executed.NO, Executed.UNKNOWN])
-@pytest.mark.parametrize("kind", [AmbiguousSend, AnswerLost, Overloaded, TimedOut])
+@pytest.mark.parametrize(
+    "kind", [AmbiguousSend, AnswerLost, Draining, Overloaded, TimedOut]
+)
 def test_a_failure_arrives_with_whether_the_request_ran(kind, executed):
     """Guards against a repeated call, or a refusal of one that ran."""
     error = kind("why", retry_after=1.5, executed=executed)
--- a/tests/test_stop_fleet.py
+++ b/tests/test_stop_fleet.py
@@ -12,6 +12,7 @@
 from stopping_fleet import (
     GRACE_SECONDS,
     outcomes,
+    peer_outcomes,
     running_stopping_fleet,
     waiting_at_stop,
 )
@@ -166,3 +167,34 @@
         assert len(soon) >= 200
         times = {each.answer().headers["retry-after"] for each in soon}
         assert max(map(float, times)) - min(map(float, times)) > 1.0
+
+
+def test_requests_that_wait_at_a_stopping_peer_go_to_another(tmp_path):
+    """Guards against forwarded requests that are lost as the peer that has them stops.
+
+    The first gateway reaches no endpoint; the second one stops, and the third gets its
+    turn after that.
+    """
+    with running_stopping_fleet(tmp_path, gateways=3) as fleet:
+        first, second, third = fleet.gateways
+        fleet.cut(first, "refuse")
+        fleet.endpoints["desk-1"].work_seconds = 0.01
+
+        def is_cut():
+            assert fleet.call(first, "GET", "/reads/1").status == 200
+            return "reach=none" in first.log
+
+        wait_for(is_cut, "the first gateway to know that it is cut")
+        fleet.endpoints["desk-1"].work_seconds = 12.0
+        fleet.occupy(third)
+        fleet.endpoints["desk-1"].work_seconds = 0.01
+        callers = [fleet.send(first, "POST", f"/books/{n}") for n in range(12)]
+        fleet.wait_until_seen(first)
+        signalled_at = fleet.stop(second)
+        assert second.process.wait(GRACE_SECONDS) == 0
+        assert time.monotonic() - signalled_at < GRACE_SECONDS
+        assert [caller.answer().status for caller in callers] == [200] * 12
+        assert all(fleet.runs(caller.request_id) == 1 for caller in callers)
+        # Some of them waited at the gateway that has stopped.
+        assert waiting_at_stop(second) >= 1
+        assert peer_outcomes(second).count("draining") >= 1
