--- a/cranberrywick/gateway/answer_forwarding.py
+++ b/cranberrywick/gateway/answer_forwarding.py
@@ -5,9 +5,9 @@
 from typing import NamedTuple
 
 from cranberrywick.errors import AnswerLost, EndpointFailed, EndpointRefused
+from cranberrywick.gateway.caller_connection import CallerConnection
 from cranberrywick.gateway.events import EventSplitter
 from cranberrywick.gateway.exchange import AnswerSource, Exchange
-from cranberrywick.gateway.ingress import CallerConnection
 from cranberrywick.gateway.upstream import EndpointAnswer, EndpointConnection
 from cranberrywick.model import EndpointRefusal
 from cranberrywick.platform.headers import (
--- a/cranberrywick/gateway/app.py
+++ b/cranberrywick/gateway/app.py
@@ -6,11 +6,13 @@
 import signal
 
 from cranberrywick.gateway.buffer_budget import buffer_budget
+from cranberrywick.gateway.caller_connection import CallerConnection
 from cranberrywick.gateway.contention import Contention
 from cranberrywick.gateway.direct_attempts import DirectAttempts
 from cranberrywick.gateway.drain import Drain
 from cranberrywick.gateway.forwarder import Forwarder
-from cranberrywick.gateway.ingress import CallerConnection, HttpRequest, Ingress
+from cranberrywick.gateway.http_request import HttpRequest
+from cranberrywick.gateway.ingress import Ingress
 from cranberrywick.gateway.lazy_metrics import LazyMetrics
 from cranberrywick.gateway.peer_requests import PeerRequests
 from cranberrywick.gateway.state import FleetState
--- /dev/null
+++ b/cranberrywick/gateway/caller_connection.py
@@ -0,0 +1,324 @@
+"""The HTTP/1.1 server for callers: one protocol object for each connection.
+
+h11 parses and frames messages. A connection serves one request at a time; what the
+caller sends meanwhile stays in h11's buffer. When a caller closes its connection, the
+task that serves its request is cancelled, so that no endpoint works on an answer that
+nobody will read.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Iterable
+from typing import TYPE_CHECKING
+
+import h11
+
+from cranberrywick.gateway.buffer_budget import NO_BUDGET, BodyRefusal
+from cranberrywick.gateway.http_request import HttpRequest, head_bytes
+from cranberrywick.gateway.tcp_options import abort_with_reset, enable_keepalive
+
+if TYPE_CHECKING:
+    from cranberrywick.gateway.ingress import Ingress
+
+__all__ = ["CallerConnection", "Handler"]
+
+# How long a connection stays open after a request was refused before its body was
+# read, in seconds. Closed at once with bytes unread, the kernel would send a reset,
+# which may discard the answer before the caller has read it.
+LINGER_SECONDS = 0.5
+# The same after a refusal for lack of memory, in seconds: many callers read the answer
+# only after they have sent their body, 4 MB of which take 3.4 s at 10 Mbit/s.
+BODY_LINGER_SECONDS = 5.0
+
+Handler = Callable[[HttpRequest, "CallerConnection"], Awaitable[None]]
+
+
+class CallerConnection(asyncio.Protocol):
+    """One connection of a caller, and the answer to its current request.
+
+    ``answer_started`` says whether the head of that answer has been sent, ``buffers``
+    counts what is held for the connection. The methods that send raise
+    `ConnectionError` if the connection is closed.
+    """
+
+    def __init__(self, ingress: "Ingress", handle: Handler):
+        self._ingress = ingress
+        self._handle = handle
+        self._loop = asyncio.get_running_loop()
+        self._transport: asyncio.Transport | None = None
+        limits = ingress.limits
+        self._http = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=limits.header_bytes
+        )
+        self._request: h11.Request | None = None
+        self._body = bytearray()
+        self._body_bytes = 0
+        self._head_received_at = 0.0
+        self._task: asyncio.Task | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._can_write = asyncio.Event()
+        self._can_write.set()
+        self._closed = False
+        self._refused = False
+        self.answer_started = False
+        self.buffers = NO_BUDGET
+
+    @property
+    def busy(self) -> bool:
+        """Whether a request is being served, or an answer has counted unread bytes."""
+        return self._task is not None or self.buffers.unread > 0
+
+    @property
+    def gone(self) -> bool:
+        """Whether the caller has closed the connection."""
+        return self._closed
+
+    @property
+    def caller_ip(self) -> str:
+        """The address that the caller connected from, empty if it is not known."""
+        peer = self._transport.get_extra_info("peername") if self._transport else None
+        return peer[0] if peer else ""
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Start the idle timer of a new connection; called by asyncio."""
+        self._transport = transport
+        enable_keepalive(transport)
+        self.buffers = self._ingress.budget.connection(transport, self._cut)
+        self._ingress.connections.add(self)
+        self._set_timer(self._ingress.limits.idle_seconds, self.close_if_idle)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Cancel the request that is being served; called by asyncio."""
+        self._closed = True
+        self.buffers.closed()
+        self._ingress.connections.discard(self)
+        self._clear_timer()
+        self._can_write.set()
+        if self._task is not None:
+            self._task.cancel()
+
+    def eof_received(self) -> bool:
+        """Close the connection of a caller that has closed its sending side.
+
+        Called by asyncio. A half-closed connection counts as one that was closed.
+        """
+        return False
+
+    def pause_writing(self) -> None:
+        """Make sends wait: the caller reads too slowly. Called by asyncio."""
+        self._can_write.clear()
+
+    def resume_writing(self) -> None:
+        """Let sends go on: the caller reads again. Called by asyncio."""
+        self._can_write.set()
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what the caller sent; called by asyncio."""
+        if self._refused:
+            return
+        if self._task is not None and not self.buffers.admits_early_bytes(len(data)):
+            return
+        try:
+            self._http.receive_data(data)
+        except h11.RemoteProtocolError:
+            self._abort()
+            return
+        if self._task is None:
+            if self._request is None:
+                limits = self._ingress.limits
+                self._set_timer(limits.header_seconds, self._timed_out)
+            self._read_events()
+
+    def close_if_idle(self) -> None:
+        """Close the connection unless a request is being read or served."""
+        if self._task is None and self._request is None and self._transport:
+            self._transport.close()
+
+    def _read_events(self) -> None:
+        try:
+            while self._task is None and not self._closed and not self._refused:
+                event = self._http.next_event()
+                if event in (h11.NEED_DATA, h11.PAUSED):
+                    return
+                self._handle_event(event)
+        except h11.RemoteProtocolError as error:
+            self._refuse(error.error_status_hint)
+        except ConnectionResetError:
+            self._abort()  # It was cut for memory while 100 (Continue) was sent.
+
+    def _handle_event(self, event: h11.Event) -> None:
+        if isinstance(event, h11.Request):
+            if head_bytes(event) > self._ingress.limits.header_bytes:
+                # h11 applies its own bound to incomplete heads only.
+                self._refuse(431)
+                return
+            limits = self._ingress.limits
+            refusal = self.buffers.refusal_of_head(event.headers, limits.body_bytes)
+            if refusal is not None:
+                self._refuse_body(refusal)
+                return
+            self._request = event
+            self._head_received_at = self._loop.time()
+            self._body, self._body_bytes = bytearray(), 0
+            self._set_timer(limits.idle_seconds, self._timed_out)
+            if self._http.they_are_waiting_for_100_continue:
+                self._send(h11.InformationalResponse(status_code=100, headers=[]))
+        elif isinstance(event, h11.Data):
+            self._body_bytes += len(event.data)
+            if self._body_bytes > self._ingress.limits.body_bytes:
+                self._refuse(413)
+                return
+            refusal = self.buffers.refusal_of_body(self._body_bytes)
+            if refusal is not None:
+                self._refuse_body(refusal)
+                return
+            self._body += event.data
+        elif isinstance(event, h11.EndOfMessage):
+            self._clear_timer()
+            self._start_task()
+        elif isinstance(event, h11.ConnectionClosed):
+            self._transport.close()
+            self._closed = True
+
+    def _start_task(self) -> None:
+        head = self._request
+        request = HttpRequest(
+            method=bytes(head.method),
+            target=bytes(head.target),
+            headers=[(bytes(n), bytes(v)) for n, v in head.headers],
+            raw_headers=[(bytes(n), bytes(v)) for n, v in head.headers.raw_items()],
+            body=bytes(self._body),
+            arrived=self._head_received_at,
+        )
+        self._body = bytearray()
+        self.answer_started = False
+        self.buffers.request_begins(len(self._http.trailing_data[0]))
+        self._task = self._loop.create_task(self._serve(request))
+
+    async def _serve(self, request: HttpRequest) -> None:
+        try:
+            await self._handle(request, self)
+        finally:
+            self._task = None
+            self._request = None
+            self.buffers.request_ended()
+            if not self._closed:
+                self._finish()
+
+    def _finish(self) -> None:
+        """Prepare for the next request, or close after an incomplete exchange."""
+        if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
+            self._http.start_next_cycle()
+            self._set_timer(self._ingress.limits.idle_seconds, self.close_if_idle)
+            self._read_events()
+        else:
+            # The body's end has not been sent, so the caller sees that the answer is
+            # incomplete.
+            self._transport.close()
+
+    async def send_head(
+        self, status: int, reason: bytes, headers: list[tuple[bytes, bytes]]
+    ) -> None:
+        """Send the status line and the headers.
+
+        While draining, the headers say that the connection closes after this answer.
+        """
+        if self._ingress.draining:
+            headers = [*headers, (b"Connection", b"close")]
+        self.answer_started = True
+        self.buffers.answer_begins()
+        head = h11.Response(status_code=status, headers=headers, reason=reason)
+        self._send(head)
+        await self._can_write.wait()
+
+    async def send_body(self, data: bytes) -> None:
+        """Send a part of the body; return once the write buffer has room again."""
+        self._send(h11.Data(data=data))
+        await self._can_write.wait()
+
+    async def send_whole_body(self, data: bytes) -> None:
+        """Send the only part of a body.
+
+        Returns at once if unread bytes are counted: while it waits, the call would
+        count at its endpoint, which has answered already.
+        """
+        self._send(h11.Data(data=data))
+        if not self.buffers.counts_unread:
+            await self._can_write.wait()
+
+    def end(self) -> None:
+        """Send the end of the body, which marks the answer as complete."""
+        self._send(h11.EndOfMessage())
+
+    async def answer(
+        self, status: int, headers: list[tuple[bytes, bytes]], body: bytes
+    ) -> None:
+        """Send a complete answer that the gateway itself makes."""
+        length = (b"Content-Length", str(len(body)).encode())
+        await self.send_head(status, b"", [*headers, length])
+        if body:
+            self._send(h11.Data(data=body))
+        self.end()
+
+    def _send(self, event: h11.Event) -> None:
+        if self._closed or self._transport is None:
+            raise ConnectionResetError("the caller has closed the connection")
+        try:
+            data = self._http.send(event)
+        except h11.LocalProtocolError as error:
+            raise ConnectionResetError(str(error)) from error
+        if data:
+            self.buffers.record_unread()
+            self._transport.write(data)
+            self.buffers.written()
+            if self._closed:
+                raise ConnectionResetError("the connection has been cut")
+
+    def _refuse_body(self, refusal: BodyRefusal) -> None:
+        """Answer a request whose body would take too much memory."""
+        self._refuse(503, refusal.headers, refusal.body, BODY_LINGER_SECONDS)
+
+    def _refuse(
+        self,
+        status: int,
+        headers: Iterable[tuple[bytes, bytes]] = (),
+        body: bytes = b"",
+        linger: float = LINGER_SECONDS,
+    ) -> None:
+        """Answer a request that can't be read; close after ``linger`` seconds."""
+        self._refused = True
+        self._clear_timer()
+        self._body = bytearray()
+        length = (b"Content-Length", str(len(body)).encode())
+        headers = [*headers, length, (b"Connection", b"close")]
+        try:
+            self._send(h11.Response(status_code=status, headers=headers))
+            if body:
+                self._send(h11.Data(data=body))
+            self._send(h11.EndOfMessage())
+        except ConnectionResetError:
+            self._abort()
+            return
+        self._request = None
+        self.buffers.request_ended()
+        self._set_timer(linger, self._abort)
+
+    def _timed_out(self) -> None:
+        self._refuse(408)
+
+    def _abort(self) -> None:
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _cut(self) -> None:
+        """Close at once, so that a started answer does not look complete."""
+        self._closed = True
+        abort_with_reset(self._transport)
+
+    def _set_timer(self, seconds: float, callback: Callable[[], None]) -> None:
+        self._clear_timer()
+        self._timer = self._loop.call_later(seconds, callback)
+
+    def _clear_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
--- a/cranberrywick/gateway/exchange.py
+++ b/cranberrywick/gateway/exchange.py
@@ -4,7 +4,8 @@
 from typing import NamedTuple
 
 from cranberrywick.errors import CranberrywickError, EndpointRefused, InvalidRequest
-from cranberrywick.gateway.ingress import CallerConnection, HttpRequest
+from cranberrywick.gateway.caller_connection import CallerConnection
+from cranberrywick.gateway.http_request import HttpRequest
 from cranberrywick.model import Executed
 from cranberrywick.platform.headers import RequestMeta
 from cranberrywick.routing.model import (
--- a/cranberrywick/gateway/forwarder.py
+++ b/cranberrywick/gateway/forwarder.py
@@ -19,10 +19,11 @@
     Overloaded,
     RequestQuarantined,
 )
+from cranberrywick.gateway.caller_connection import CallerConnection
 from cranberrywick.gateway.direct_attempts import AttemptFailure, DirectAttempts
 from cranberrywick.gateway.drain import Drain
 from cranberrywick.gateway.exchange import Exchange
-from cranberrywick.gateway.ingress import CallerConnection, HttpRequest
+from cranberrywick.gateway.http_request import HttpRequest
 from cranberrywick.gateway.lazy_metrics import LazyMetrics
 from cranberrywick.gateway.peer_attempts import PeerAttempts
 from cranberrywick.gateway.request_routing import TIMEOUT_MARGIN_SECONDS, route_request
--- a/cranberrywick/gateway/peer_requests.py
+++ b/cranberrywick/gateway/peer_requests.py
@@ -20,6 +20,7 @@
     ConnectionBuffers,
     Unbudgeted,
 )
+from cranberrywick.gateway.caller_connection import CallerConnection
 from cranberrywick.gateway.direct_attempts import DirectAttempts
 from cranberrywick.gateway.drain import Drain
 from cranberrywick.gateway.exchange import Exchange
@@ -33,7 +34,7 @@
     take_statement,
 )
 from cranberrywick.gateway.http_request import DEFAULT_LIMITS, HttpRequest
-from cranberrywick.gateway.ingress import CallerConnection, Ingress
+from cranberrywick.gateway.ingress import Ingress
 from cranberrywick.gateway.request_routing import TIMEOUT_MARGIN_SECONDS, route_request
 from cranberrywick.gateway.state import FleetState
 from cranberrywick.gateway.throttled_log import ThrottledLog
--- a/cranberrywick/standin/platform/store.py
+++ b/cranberrywick/standin/platform/store.py
@@ -24,7 +24,9 @@
 from typing import Any, NamedTuple
 from urllib.parse import parse_qsl
 
-from cranberrywick.gateway.ingress import CallerConnection, HttpRequest, Ingress
+from cranberrywick.gateway.caller_connection import CallerConnection
+from cranberrywick.gateway.http_request import HttpRequest
+from cranberrywick.gateway.ingress import Ingress
 
 __all__ = ["LISTENER_MODES", "StoreCopy", "StoreStandIn"]
 
--- a/tests/test_gateway_attempt.py
+++ b/tests/test_gateway_attempt.py
@@ -14,7 +14,7 @@
 from cranberrywick.gateway.buffer_budget import NO_BUDGET
 from cranberrywick.gateway.endpoint_tracker import EndpointTracker
 from cranberrywick.gateway.exchange import AnswerSource, Exchange
-from cranberrywick.gateway.ingress import HttpRequest
+from cranberrywick.gateway.http_request import HttpRequest
 from cranberrywick.logs import EventLog, make_handler
 from cranberrywick.model import EndpointRefusal, Executed
 from cranberrywick.platform.headers import REQUEST_ID, decode_request
