A stopping daemon answers requests that follow another one on their connection

What callers saw: a request that was sent right behind another one was read and lost with the connection, which closed after the first answer.

Cause: while a daemon drains, each answer says Connection: close and the connection ends with it, also if the parser holds the next request already. The header is now left out while bytes follow; the last answer says it.

Evidence: the new test failed before ([200], [502] for two requests each), passes now (200 and 502 where the first is served, 503 and 503 where both wait).

--- a/cranberrywick/gateway/caller_connection.py
+++ b/cranberrywick/gateway/caller_connection.py
@@ -220,9 +220,10 @@
     ) -> None:
         """Send the status line and the headers.
 
-        While draining, the headers say that the connection closes after this answer.
+        While draining, the headers say that the connection closes after this answer,
+        unless the caller has sent more requests already.
         """
-        if self._ingress.draining:
+        if self._ingress.draining and not self._http.trailing_data[0]:
             headers = [*headers, (b"Connection", b"close")]
         self.answer_started = True
         self.buffers.answer_begins()
--- a/tests/test_stop_fleet.py
+++ b/tests/test_stop_fleet.py
@@ -8,9 +8,11 @@
 import time
 
 import pytest
-from gateway_fleet import wait_for
+from gateway_fleet import request_bytes, wait_for
 from stopping_fleet import (
+    DEADLINE,
     GRACE_SECONDS,
+    OCCUPIED_SECONDS,
     outcomes,
     peer_outcomes,
     running_stopping_fleet,
@@ -198,3 +200,41 @@
         # Some of them waited at the gateway that has stopped.
         assert waiting_at_stop(second) >= 1
         assert peer_outcomes(second).count("draining") >= 1
+
+
+def read_to_end(connection):
+    """Return all that a connection receives, and when it was closed."""
+    data = b""
+    while part := connection.recv(65536):
+        data += part
+    return data, time.monotonic()
+
+
+def test_requests_behind_others_on_a_connection_are_answered(tmp_path):
+    """Guards against a pipelined request that is lost with the answer before it.
+
+    On one connection both are served after the signal, on the other one both wait.
+    """
+    with running_stopping_fleet(tmp_path, gateways=2) as fleet:
+        gateway, _ = fleet.gateways
+        fleet.endpoints["desk-1"].work_seconds = 1.0
+        connections = [fleet.connect(gateway) for _ in range(2)]
+        ids = [fleet.new_id() for _ in range(4)]
+        for number, each in enumerate(ids):
+            if number == 2:
+                fleet.wait_until_seen(gateway)
+                fleet.endpoints["desk-1"].work_seconds = OCCUPIED_SECONDS
+            data = request_bytes("POST", f"/books/{number}", b"b", DEADLINE, each)
+            connections[number // 2].sendall(data)
+        fleet.wait_until_seen(gateway)
+        signalled_at = fleet.stop(gateway)
+        received = [read_to_end(each) for each in connections]
+        assert all(at - signalled_at < GRACE_SECONDS for _, at in received)
+        answers = [data.split(b"HTTP/1.1 ")[1:] for data, _ in received]
+        statuses = [[each[:3] for each in both] for both in answers]
+        assert statuses == [[b"200", b"502"], [b"503", b"503"]]
+        # Only the last answer says that the connection closes.
+        closes = [[b"Connection: close" in each for each in both] for both in answers]
+        assert closes == [[False, True], [False, True]]
+        assert [fleet.runs(each) for each in ids] == [1, 1, 0, 0]
+        assert gateway.process.wait(GRACE_SECONDS) == 0
