A stopping daemon reads requests to their end, and refuses what comes too slowly

What callers saw: a request whose body was still being read when its daemon stopped ended with a closed connection, without a byte, after 3.2 s if nothing else was to be served.

Cause: only requests that were read whole counted as work that is left. Requests that are being read count now, as do answers that callers have not received yet and refusals that they are reading. At the end a body that has not come gets 503 with Retry-After.

Evidence: the new test failed before (an empty answer to a body whose rest came after 5 s), passes now: 200 to that, 503 to one that never ends.

The test of the peer failed once on the way: the stand-in read its work time after the test had shortened it, so that nothing waited.

--- a/cranberrywick/gateway/app.py
+++ b/cranberrywick/gateway/app.py
@@ -200,6 +200,7 @@
         await self._until_idle(started + LEAVE_SECONDS, window.answer_by)
         unanswered = self._drain.unanswered
         self._drain.end_unanswered()
+        self._ingress.refuse_unread(self._drain.refuse_unread)
         await self._until_idle(started + LEAVE_SECONDS, window.close_at)
         self._log.info("gateway_stopped", busy=self._busy, unanswered=unanswered)
         self._ingress.close()
--- a/cranberrywick/gateway/buffer_budget.py
+++ b/cranberrywick/gateway/buffer_budget.py
@@ -12,7 +12,7 @@
 from itertools import count
 from typing import NamedTuple
 
-from cranberrywick.errors import Overloaded
+from cranberrywick.errors import CranberrywickError, Overloaded
 from cranberrywick.gateway.lazy_metrics import LazyMetrics
 from cranberrywick.gateway.tcp_options import (
     USER_TIMEOUT_MS,
@@ -31,6 +31,7 @@
     "BufferBudget",
     "ConnectionBuffers",
     "Unbudgeted",
+    "body_refusal",
     "buffer_budget",
 ]
 
@@ -48,12 +49,20 @@
 
 
 class BodyRefusal(NamedTuple):
-    """The answer to a request whose body is not read for lack of memory."""
+    """The answer to a request whose body is not read."""
 
     headers: list[tuple[bytes, bytes]]
     body: bytes
 
 
+def body_refusal(
+    error: CranberrywickError, request_id: str, retry_seconds: float
+) -> BodyRefusal:
+    """Return the refusal with an error, and when the caller should retry."""
+    body = json.dumps({"error": error.body(request_id)}).encode()
+    return BodyRefusal(failure_headers(request_id, retry_seconds), body)
+
+
 class Unbudgeted:
     """Counts and limits nothing: the budget, and the buffers of each connection."""
 
@@ -193,8 +202,7 @@
         )
         error = Overloaded("this daemon holds too many bytes for other requests")
         seconds = self._rng.uniform(*RETRY_RANGE_SECONDS)
-        body = json.dumps({"error": error.body(request_id)}).encode()
-        return BodyRefusal(failure_headers(request_id, seconds), body)
+        return body_refusal(error, request_id, seconds)
 
     def _cut(self, connection_id: str, holding: Holding, held: int, now: float) -> None:
         # The connection is counted no more, also if it still writes something.
--- a/cranberrywick/gateway/caller_connection.py
+++ b/cranberrywick/gateway/caller_connection.py
@@ -19,7 +19,7 @@
 if TYPE_CHECKING:
     from cranberrywick.gateway.ingress import Ingress
 
-__all__ = ["CallerConnection", "Handler"]
+__all__ = ["CallerConnection", "Handler", "RefuseUnread"]
 
 # How long a connection stays open after a request was refused before its body was
 # read, in seconds. Closed at once with bytes unread, the kernel would send a reset,
@@ -30,6 +30,8 @@
 BODY_LINGER_SECONDS = 5.0
 
 Handler = Callable[[HttpRequest, "CallerConnection"], Awaitable[None]]
+# Returns the answer to a request, given the headers, whose body is not read.
+RefuseUnread = Callable[[list[tuple[bytes, bytes]]], BodyRefusal]
 
 
 class CallerConnection(asyncio.Protocol):
@@ -64,8 +66,14 @@
 
     @property
     def busy(self) -> bool:
-        """Whether a request is being served, or an answer has counted unread bytes."""
-        return self._task is not None or self.buffers.unread > 0
+        """Whether a request is being read or served, or an answer is not sent yet."""
+        is_read = self._request is not None or self._refused
+        return is_read or self._task is not None or self._unsent > 0
+
+    @property
+    def _unsent(self) -> int:
+        """Bytes that wait for the caller to read."""
+        return self._transport.get_write_buffer_size() if self._transport else 0
 
     @property
     def gone(self) -> bool:
@@ -133,6 +141,12 @@
         if self._task is None and self._request is None and self._transport:
             self._transport.close()
 
+    def refuse_unread(self, refuse: RefuseUnread) -> None:
+        """Refuse the request that is being read, if one is."""
+        if self._request is not None and self._task is None and not self._refused:
+            refusal = refuse(list(self._request.headers))
+            self._refuse(503, refusal.headers, refusal.body)
+
     def _read_events(self) -> None:
         try:
             while self._task is None and not self._closed and not self._refused:
--- a/cranberrywick/gateway/drain.py
+++ b/cranberrywick/gateway/drain.py
@@ -8,10 +8,12 @@
 from typing import NamedTuple
 
 from cranberrywick.errors import CranberrywickError, Draining
+from cranberrywick.gateway.buffer_budget import BodyRefusal, body_refusal
 from cranberrywick.gateway.exchange import Exchange
 from cranberrywick.gateway.state import FleetState
 from cranberrywick.logs import EventLog
 from cranberrywick.model import Executed
+from cranberrywick.platform.headers import decode_request
 from cranberrywick.routing.demand import Demand, min_first_event_seconds
 from cranberrywick.routing.drain_window import (
     AnswerTimes,
@@ -150,6 +152,12 @@
         endpoints = len(self._state.usable_endpoints.ready(demand.service.name))
         return finish_seconds(demand, min_first_event_seconds(demand, endpoints))
 
+    def refuse_unread(self, headers: list[tuple[bytes, bytes]]) -> BodyRefusal:
+        """Return the answer to a request whose body has not come in time."""
+        request_id = decode_request(headers).request_id
+        error = self._refusal(request_id, "its body has not come")
+        return body_refusal(error, request_id, error.retry_after)
+
     def retry_seconds(self) -> float:
         """Return after how many seconds a refused caller may send its request again."""
         now = self._loop.time()
--- a/cranberrywick/gateway/ingress.py
+++ b/cranberrywick/gateway/ingress.py
@@ -4,7 +4,11 @@
 from collections.abc import Callable
 
 from cranberrywick.gateway.buffer_budget import NO_BUDGET, BufferBudget, Unbudgeted
-from cranberrywick.gateway.caller_connection import CallerConnection, Handler
+from cranberrywick.gateway.caller_connection import (
+    CallerConnection,
+    Handler,
+    RefuseUnread,
+)
 from cranberrywick.gateway.http_request import DEFAULT_LIMITS
 from cranberrywick.routing.model import RequestLimits
 
@@ -49,7 +53,7 @@
 
     @property
     def busy(self) -> int:
-        """How many requests are being served."""
+        """How many connections have a request, or an answer that is not sent yet."""
         return sum(connection.busy for connection in self.connections)
 
     @property
@@ -77,6 +81,11 @@
         """Close each connection after its next answer; new ones are still accepted."""
         self.draining = True
 
+    def refuse_unread(self, refuse: RefuseUnread) -> None:
+        """Refuse the requests whose bodies are still being read."""
+        for connection in list(self.connections):
+            connection.refuse_unread(refuse)
+
     def close(self) -> None:
         """Stop listening and close the connections that have no request."""
         if self._server is not None:
--- a/tests/stopping_fleet.py
+++ b/tests/stopping_fleet.py
@@ -7,7 +7,6 @@
     caller.answer().status
 """
 
-import json
 import re
 import signal
 import socket
@@ -95,6 +94,8 @@
         method = "GET" if prefix == "reads" else "POST"
         caller = self.send(gateway, method, f"/{prefix}/occupied", headers)
         wait_for(lambda: self.runs(caller.request_id) == 1, "the slot to be taken")
+        # The stand-in reads its ``work_seconds`` a moment later.
+        time.sleep(0.1)
         return caller
 
     def send_each_kind(self, gateway: Gateway) -> list[Caller]:
@@ -155,7 +156,8 @@
                 stickySessions=True,
             ),
         ]
-        fleet.configure(json.loads(json.dumps(fields)))
+        fields["limits"] = {**fields["limits"], "idleTimeoutMs": 15_000}
+        fleet.configure(fields)
         for number in range(1, desks + 1):
             shape = {"work_seconds": OCCUPIED_SECONDS}
             fleet.add_endpoint(f"desk-{number}", "desk", **shape)
--- a/tests/test_stop_fleet.py
+++ b/tests/test_stop_fleet.py
@@ -238,3 +238,27 @@
         assert closes == [[False, True], [False, True]]
         assert [fleet.runs(each) for each in ids] == [1, 1, 0, 0]
         assert gateway.process.wait(GRACE_SECONDS) == 0
+
+
+def test_requests_whose_bodies_come_slowly_are_answered(tmp_path):
+    """Guards against requests that are dropped while their bodies are read."""
+    with running_stopping_fleet(tmp_path, gateways=2) as fleet:
+        gateway, _ = fleet.gateways
+        fleet.endpoints["desk-1"].work_seconds = 0.01
+        connections = [fleet.connect(gateway) for _ in range(2)]
+        ids = [fleet.new_id() for _ in connections]
+        for connection, each in zip(connections, ids, strict=True):
+            data = request_bytes("POST", "/books/1", b"b" * 1000, DEADLINE, each)
+            connection.sendall(data[:-500])
+        fleet.wait_until_seen(gateway)
+        signalled_at = fleet.stop(gateway)
+        # By then a gateway without requests would have ended.
+        time.sleep(5.0)
+        connections[0].sendall(b"b" * 500)
+        in_time, too_late = (read_to_end(each)[0] for each in connections)
+        assert in_time.startswith(b"HTTP/1.1 200")
+        assert too_late.startswith(b"HTTP/1.1 503")
+        assert too_late.endswith(b"}}") and b"Retry-After" in too_late
+        assert [fleet.runs(each) for each in ids] == [1, 0]
+        assert gateway.process.wait(GRACE_SECONDS) == 0
+        assert time.monotonic() - signalled_at < GRACE_SECONDS
