A signal that comes during a freeze counts from the beginning of the freeze

What callers saw: a daemon that was frozen when SIGTERM came counted its grace period from when it woke, and was killed with all that waited in it before that had ended.

Cause: the moment of a signal is when the event loop sees it. The loop's timers fire several times a second, so that a pause of 0.5 s shows that the process was suspended; a signal that is seen right after it may have come at its beginning.

A first try compared the moment of the signal with the last timer alone and failed the same way: after a suspension timers run before the signal is read.

--- a/cranberrywick/gateway/app.py
+++ b/cranberrywick/gateway/app.py
@@ -122,6 +122,7 @@
                 settings, peer_updates, self._ticker, self._rng, log
             )
         self._stopping = asyncio.Event()
+        self._signalled_at = 0.0
 
     def _request_limits(self):
         """Return the configured limits of requests, None before a configuration."""
@@ -135,7 +136,7 @@
         """
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self._stopping.set)
+            loop.add_signal_handler(number, self._ask_to_stop)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         await self.start()
         await self._stopping.wait()
@@ -177,6 +178,17 @@
         """
         self._log.info("settings_reload_asked", effect="none")
 
+    def _ask_to_stop(self) -> None:
+        """Let `run` stop the daemon.
+
+        A signal that comes while the process is suspended is seen when it goes on, but
+        the grace period has begun before.
+        """
+        if not self._stopping.is_set():
+            now = asyncio.get_running_loop().time()
+            self._signalled_at = self._ticker.seen_since(now)
+            self._stopping.set()
+
     async def _stop(self) -> None:
         """Leave the directory, serve until no request is left, and close.
 
@@ -184,13 +196,13 @@
         that is known; the others are answered by its end, if only with an error.
         """
         loop = asyncio.get_running_loop()
-        started = loop.time()
+        started = self._signalled_at
         window = DrainWindow.of_grace(started, self._settings.bounds.grace_seconds)
         self._log.info(
             "drain_started",
             busy=self._busy,
             waiting=len(self._waiting),
-            grace=window.close_at - started,
+            grace=window.close_at - loop.time(),
         )
         self.state.leave()
         self._ingress.drain()
--- a/cranberrywick/gateway/ticker.py
+++ b/cranberrywick/gateway/ticker.py
@@ -9,6 +9,13 @@
 __all__ = ["Ticker"]
 
 
+# A loop on which no callback has run for this long was suspended, in seconds. The
+# timers of a daemon fire several times a second.
+SUSPENDED_SECONDS = 0.5
+# For how long after that events are seen that came during it, in seconds.
+RESUMED_SECONDS = 0.1
+
+
 class Ticker:
     """Calls callbacks repeatedly, at their intervals, until it is stopped.
 
@@ -20,6 +27,25 @@
         self._log = log
         self._rng = random.Random()
         self._tasks: list[asyncio.Task] = []
+        # Moments of the event loop's clock.
+        self._ran_at = float("inf")
+        self._suspended_at = self._resumed_at = float("-inf")
+
+    def seen_since(self, now: float) -> float:
+        """Return the earliest time at which an event that is seen now may have come.
+
+        That is ``now``, or the beginning of a time in which the process was suspended
+        if that has just ended.
+        """
+        self._record_run(now)
+        if now - self._resumed_at < RESUMED_SECONDS:
+            return self._suspended_at
+        return now
+
+    def _record_run(self, now: float) -> None:
+        if now - self._ran_at > SUSPENDED_SECONDS:
+            self._suspended_at, self._resumed_at = self._ran_at, now
+        self._ran_at = now
 
     def every(
         self, seconds: float, callback: Callable[[], None], jitter: float = 0.0
@@ -56,8 +82,10 @@
     async def _run(
         self, callback: Callable[[], None], pause: Callable[[], float]
     ) -> None:
+        loop = asyncio.get_running_loop()
         while True:
             await asyncio.sleep(pause())
+            self._record_run(loop.time())
             try:
                 callback()
             except Exception as error:
--- a/tests/test_stop_fleet.py
+++ b/tests/test_stop_fleet.py
@@ -104,6 +104,19 @@
         check_refused(fleet, gateway, waiting, signalled_at, longest_retry=2.0)
 
 
+def test_a_signal_during_a_freeze_counts_from_when_it_was_sent(tmp_path):
+    """Guards against a gateway that is killed, since it noticed the signal late."""
+    with running_stopping_fleet(tmp_path, gateways=2) as fleet:
+        gateway, _ = fleet.gateways
+        waiting, _ = occupied_with_waiting(fleet, gateway)
+        fleet.stop(gateway, signal.SIGSTOP)
+        time.sleep(0.5)
+        signalled_at = fleet.stop(gateway)
+        time.sleep(3.0)
+        fleet.stop(gateway, signal.SIGCONT)
+        check_refused(fleet, gateway, waiting, signalled_at, longest_retry=2.0)
+
+
 def test_three_gateways_that_stop_at_once_refuse_what_waits(tmp_path):
     """Guards against requests that are dropped when no other gateway can serve them."""
     with running_stopping_fleet(tmp_path, gateways=3) as fleet:
--- a/tests/test_ticker.py
+++ b/tests/test_ticker.py
@@ -5,7 +5,7 @@
 
 import asyncio
 
-from cranberrywick.bench.virtual_time import run_in_virtual_time
+from cranberrywick.bench.virtual_time import run_in_virtual_time, suspend_loop
 from cranberrywick.gateway.ticker import Ticker
 from cranberrywick.logs import EventLog
 
@@ -40,3 +40,26 @@
         lambda ticker, callback: ticker.every(0.3, lambda: (callback(), 1 / 0)),
     )
     assert moments == [0.3, 0.6, 0.9]
+
+
+def test_an_event_after_a_suspension_may_have_come_at_its_beginning():
+    """Guards against a signal that counts from when a frozen process noticed it."""
+
+    async def main():
+        loop = asyncio.get_running_loop()
+        ticker = Ticker(EventLog())
+        assert ticker.seen_since(loop.time()) == loop.time()
+        ticker.every(0.3, lambda: None)
+        await asyncio.sleep(1.0)
+        assert ticker.seen_since(loop.time()) == loop.time()
+        began = loop.time()
+        suspend_loop(3.0)
+        noticed = ticker.seen_since(loop.time())
+        assert began - 0.3 <= noticed <= began
+        await asyncio.sleep(0.05)
+        assert ticker.seen_since(loop.time()) == noticed
+        await asyncio.sleep(0.2)
+        assert ticker.seen_since(loop.time()) == loop.time()
+        ticker.stop()
+
+    run_in_virtual_time(main())
