--- a/tests/stopping_fleet.py
+++ b/tests/stopping_fleet.py
@@ -14,6 +14,7 @@
 import time
 from collections.abc import Iterator
 from contextlib import contextmanager
+from itertools import count
 from pathlib import Path
 
 from cut_fleet import CutFleet
@@ -75,6 +76,22 @@
 class StoppingFleet(CutFleet):
     """Gateways before endpoints whose slots tests take."""
 
+    def __init__(self, path: Path):
+        super().__init__(path)
+        self._versions = count(1)
+
+    def reconfigure(self) -> None:
+        """Write the next version of the configuration to the store."""
+        fields = configuration(next(self._versions))
+        stream = {"streamResume": True, "gapAimMs": 250, "stickySessions": True}
+        fields["routes"] = [
+            route("reads", "safe", "desk", timeoutMs=30_000),
+            route("books", "unsafe", "desk", timeoutMs=30_000),
+            route("prompts", "streaming", "pool", timeoutMs=30_000, **stream),
+        ]
+        fields["limits"] = {**fields["limits"], "idleTimeoutMs": 15_000}
+        self.configure(fields)
+
     def send(
         self,
         gateway: Gateway,
@@ -146,18 +163,7 @@
     """
     fleet = StoppingFleet(path)
     try:
-        fields = configuration()
-        fields["routes"] = [
-            route("reads", "safe", "desk", timeoutMs=30_000),
-            route("books", "unsafe", "desk", timeoutMs=30_000),
-            route(
-                *("prompts", "streaming", "pool"),
-                **{"timeoutMs": 30_000, "streamResume": True, "gapAimMs": 250},
-                stickySessions=True,
-            ),
-        ]
-        fields["limits"] = {**fields["limits"], "idleTimeoutMs": 15_000}
-        fleet.configure(fields)
+        fleet.reconfigure()
         for number in range(1, desks + 1):
             shape = {"work_seconds": OCCUPIED_SECONDS}
             fleet.add_endpoint(f"desk-{number}", "desk", **shape)
