--- a/tests/test_stop_fleet.py
+++ b/tests/test_stop_fleet.py
@@ -301,3 +301,49 @@
         assert time.monotonic() - signalled_at < GRACE_SECONDS
         assert not stream.answer().whole
         assert fleet.on_loop(lambda: main.reserved + helper.reserved) == 0
+
+
+def test_requests_that_wait_for_a_permit_are_answered(tmp_path):
+    """Guards against requests that are dropped while a rate limit delays them."""
+    with running_stopping_fleet(tmp_path, gateways=2, slots=8) as fleet:
+        gateway, other = fleet.gateways
+        desk = fleet.endpoints["desk-1"]
+        desk.work_seconds, desk.rate_limit = 0.01, 2.0
+        assert fleet.call(gateway, "GET", "/reads/1").status == 200
+        callers = [fleet.send(gateway, "POST", f"/books/{n}") for n in range(20)]
+        signalled_at = fleet.stop(gateway)
+        statuses = [caller.answer().status for caller in callers]
+        assert set(statuses) == {200, 503}
+        for caller, status in zip(callers, statuses, strict=True):
+            assert fleet.runs(caller.request_id) == (status == 200)
+        # No permit comes so late.
+        assert all(caller.ended_at - signalled_at < 3.0 for caller in callers)
+        assert gateway.process.wait(GRACE_SECONDS) == 0
+
+
+@pytest.mark.parametrize("behaviour", ["full", "reset"])
+def test_requests_between_two_attempts_are_answered(tmp_path, behaviour):
+    """Guards against requests that are dropped after an attempt that has failed.
+
+    The endpoint with a free slot refuses or fails, the slot of the other one is taken.
+    """
+    with running_stopping_fleet(tmp_path, gateways=2, desks=2) as fleet:
+        gateway, _ = fleet.gateways
+        first = fleet.occupy(gateway)
+        bad_id = next(i for i in ("desk-1", "desk-2") if not fleet.endpoints[i].at_work)
+        bad = fleet.endpoints[bad_id]
+        bad.work_seconds, bad.behaviour = 0.01, behaviour
+        callers = [fleet.send(gateway, "GET", f"/reads/{n}") for n in range(3)]
+        wait_for(lambda: len(bad.arrivals) >= 1, "a failed attempt")
+        time.sleep(0.3)
+        signalled_at = fleet.stop(gateway)
+        # An attempt that was lost may have run.
+        expected = {503} if behaviour == "full" else {502, 503}
+        for caller in callers:
+            answer = caller.answer()
+            assert answer.whole and answer.status in expected
+            assert caller.ended_at - signalled_at < GRACE_SECONDS - 0.4
+            if answer.status == 503:
+                assert fleet.runs(caller.request_id) == 0
+        assert first.answer().status == 502
+        assert gateway.process.wait(GRACE_SECONDS) == 0
