--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -11,7 +11,7 @@
 
 from cranberrywick.bench.prompt_engines import PROFILE
 from cranberrywick.bench.virtual_time import run_in_virtual_time
-from cranberrywick.errors import Overloaded, RequestQuarantined
+from cranberrywick.errors import Draining, Overloaded, RequestQuarantined
 from cranberrywick.gateway.contention import Contention
 from cranberrywick.gateway.drain import Drain
 from cranberrywick.gateway.lazy_metrics import LazyMetrics
@@ -20,6 +20,7 @@
 from cranberrywick.logs import EventLog
 from cranberrywick.routing.crash_statement import Quarantine
 from cranberrywick.routing.demand import Demand, min_first_event_seconds
+from cranberrywick.routing.drain_window import DrainWindow
 from cranberrywick.routing.endpoint_index import EndpointPool
 from cranberrywick.routing.fleet_demand import (
     DemandStatement,
@@ -61,6 +62,7 @@
         usable_endpoints=UsableEndpoints(registry, operator, bounds, EventLog()),
         store_is_unavailable=False,
         load=FleetLoad(),
+        members=SimpleNamespace(serving=lambda now: []),
         peer_updates=SimpleNamespace(
             job_added=lambda: None,
             limits=SimpleNamespace(wait_seconds=lambda endpoint_id, now: 0.0),
@@ -106,9 +108,8 @@
         )
         self.full_at = full_at
         self.state = state()
-        self.waiting = WaitingRequests(
-            self.state, self, self.contention, Drain(self.state, EventLog())
-        )
+        self.drain = Drain(self.state, EventLog())
+        self.waiting = WaitingRequests(self.state, self, self.contention, self.drain)
 
     def _count_change(self):
         self.changes += 1
@@ -383,3 +384,27 @@
 
     seconds, _ = refused_after(start)
     assert 0.2 <= seconds < Deferring.LONGEST_SECONDS
+
+
+@pytest.mark.parametrize("full_at", [float("inf"), 0.0])
+def test_a_stop_refuses_what_is_deferred_or_waits(full_at):
+    """Guards against requests in either state that a stopping daemon drops."""
+
+    async def main():
+        scene = Deferring(full_at)
+        task = scene.start()
+        await asyncio.sleep(0.05)
+        assert len(scene.waiting) == 1
+        began = scene.loop.time()
+        scene.drain.begin(DrainWindow(began + 0.3, began + 0.5))
+        scene.waiting.begin_drain()
+        with pytest.raises(Draining) as refusal:
+            await task
+        assert scene.loop.time() < began + 0.3
+        # No other daemon serves, so callers return after this one's end.
+        assert refusal.value.retry_after > 1.0
+        await asyncio.sleep(1.0)
+        assert scene.is_clean
+        return scene.ended()
+
+    assert run_in_virtual_time(main()) == (["refused"] if full_at else [])
