--- a/cranberrywick/gateway/drain.py
+++ b/cranberrywick/gateway/drain.py
@@ -147,28 +147,21 @@
         ):
             raise self._refusal(demand.logged_id, "no turn in time", needed, ahead)
 
-    def _least_seconds(self, demand: Demand) -> float:
-        """Return how long a request takes at idle endpoints."""
-        endpoints = len(self._state.usable_endpoints.ready(demand.service.name))
-        return finish_seconds(demand, min_first_event_seconds(demand, endpoints))
-
     def refuse_unread(self, headers: list[tuple[bytes, bytes]]) -> BodyRefusal:
         """Return the answer to a request whose body has not come in time."""
         request_id = decode_request(headers).request_id
         error = self._refusal(request_id, "its body has not come")
         return body_refusal(error, request_id, error.retry_after)
 
-    def retry_seconds(self) -> float:
-        """Return after how many seconds a refused caller may send its request again."""
-        now = self._loop.time()
-        closes_in = 0.0 if self._window is None else self._window.close_at - now
-        has_peers = any(self._state.members.serving(now))
-        return self._returns.retry_seconds(self.unanswered, has_peers, closes_in)
+    def _least_seconds(self, demand: Demand) -> float:
+        """Return how long a request takes at idle endpoints."""
+        endpoints = len(self._state.usable_endpoints.ready(demand.service.name))
+        return finish_seconds(demand, min_first_event_seconds(demand, endpoints))
 
     def _refusal(
         self, request_id: str, reason: str, needed: float = 0.0, ahead: int = 0
     ) -> Draining:
-        retry_after = self.retry_seconds()
+        retry_after = self._retry_seconds()
         self._log.info(
             "refused_draining",
             request_id=request_id,
@@ -179,3 +172,10 @@
             retry_after=retry_after,
         )
         return Draining("this daemon is stopping", retry_after=retry_after)
+
+    def _retry_seconds(self) -> float:
+        """Return after how many seconds a refused caller may send its request again."""
+        now = self._loop.time()
+        closes_in = 0.0 if self._window is None else self._window.close_at - now
+        has_peers = any(self._state.members.serving(now))
+        return self._returns.retry_seconds(self.unanswered, has_peers, closes_in)
--- a/tests/stopping_fleet.py
+++ b/tests/stopping_fleet.py
@@ -80,9 +80,13 @@
         super().__init__(path)
         self._versions = count(1)
 
-    def reconfigure(self) -> None:
-        """Write the next version of the configuration to the store."""
+    def reconfigure(self, **desk: object) -> None:
+        """Write the next version of the configuration to the store.
+
+        ``desk`` are fields of the plain endpoints' service.
+        """
         fields = configuration(next(self._versions))
+        fields["services"][0].update(desk)
         stream = {"streamResume": True, "gapAimMs": 250, "stickySessions": True}
         fields["routes"] = [
             route("reads", "safe", "desk", timeoutMs=30_000),
