--- a/cranberrywick/bench/request_path.py
+++ b/cranberrywick/bench/request_path.py
@@ -166,7 +166,7 @@
     waiter = Waiter(request, rank, NOW, NOW + target, NOW + 10.0, None)
     placement = Placement("e1", (), 0.1, ())
     return _mean_milliseconds(
-        lambda: deferrals.may_start(waiter, rank, placement, targets_by_rank, NOW),
+        lambda: deferrals.may_start(waiter, placement, targets_by_rank, NOW),
         times,
     )
 
