--- a/cranberrywick/routing/drain_window.py
+++ b/cranberrywick/routing/drain_window.py
@@ -31,7 +31,7 @@
 # an error, in seconds, so that hundreds of them can be written.
 ANSWER_MARGIN_SECONDS = 0.25
 # Time that a request takes in this daemon itself, in seconds.
-MIN_SERVICE_SECONDS = 0.05
+OVERHEAD_SECONDS = 0.05
 # Factor by which an answer may take longer than usual and still be whole.
 ANSWER_SLACK = 1.1
 # The usual time of an answer while none is known, in seconds.
@@ -119,7 +119,7 @@
     ``first_event_seconds`` is the time until its first event.
     """
     answer_seconds = ANSWER_SLACK * demand.answer_seconds
-    return first_event_seconds + answer_seconds + MIN_SERVICE_SECONDS
+    return first_event_seconds + answer_seconds + OVERHEAD_SECONDS
 
 
 def gets_no_turn(
