--- a/cranberrywick/standin/platform/endpoint.py
+++ b/cranberrywick/standin/platform/endpoint.py
@@ -93,16 +93,17 @@
     says so. The next requests are refused, one with each of the ``retry_afters`` as
     value of the header; ``backoffs`` has these refusals. ``extra_headers`` are added to
     each answer. A request's header ``X-Padding`` adds so many bytes to its answer, or
-    to each event. ``read_pause_seconds`` is the pause before each read of a request. A
-    stream that stays unread for ``unread_seconds`` is cut off and counted in
-    ``cut_off``. A request for which ``crashes_under`` returns true crashes the endpoint
+    to each event, and ``X-Events`` states how many events its stream has.
+    ``read_pause_seconds`` is the pause before each read of a request. A stream that
+    stays unread for ``unread_seconds`` is cut off and counted in ``cut_off``. A
+    request for which ``crashes_under`` returns true crashes the endpoint
     ``before``, ``after`` or ``within`` its event number ``crash_event``, as
     ``crash_point`` says, and a call before its answer, or within it: the endpoint
-    closes all its connections, stops listening and calls ``crashed``. ``runs`` counts
-    runs by request id, ``heads`` has the method, target, headers and body of each run,
-    ``at_work`` the request ids in progress and ``tickets`` the reservations of memory
-    by id. ``by_address`` has all endpoints of the process, so that an engine can check
-    its helpers' tickets.
+    closes all its connections, stops listening and calls ``crashed``. ``runs``
+    counts runs by request id, ``heads`` has the method, target, headers and body of
+    each run, ``at_work`` the request ids in progress and ``tickets`` the
+    reservations of memory by id. ``by_address`` has all endpoints of the process,
+    so that an engine can check its helpers' tickets.
     """
 
     by_address: dict[str, "EndpointStandIn"] = {}
@@ -334,6 +335,7 @@
 
     async def _stream(self, http, headers, own, writer, crashes: bool) -> None:
         start = int(headers.get("last-event-id", "0"))
+        events = int(headers.get("x-events", self.events))
         stream = [*own, ("Content-Type", "text/event-stream")]
         if crashes and self.crash_point == "before":
             self.crash()
@@ -342,7 +344,7 @@
             # In HTTP/1.0 a body without a length has no chunks either.
             http.their_http_version = b"1.0"
         writer.write(http.send(h11.Response(status_code=200, headers=stream)))
-        for number in range(start + 1, self.events + 1):
+        for number in range(start + 1, events + 1):
             event = f"id: {number}\ndata: piece {number}".encode()
             event += _padding(headers) + b"\n\n"
             if number > EVENTS_BEFORE_CUT and self.behaviour in ("cut", "silent"):
