Logs of a stop: what was known when a stopping daemon sends a request

A stream that is cut at the end of a stop could not be told from one that nobody had compared with the time left: only refusals were logged. sent_draining has the forecast and what it was made from, request_ended how long the last answer ran and how much of it had come, and drain_decisions counts both kinds of decision. No decision changes.

--- a/cranberrywick/gateway/app.py
+++ b/cranberrywick/gateway/app.py
@@ -90,7 +90,7 @@
             self.state.members.count,
             self._rng,
         )
-        self._drain = Drain(self.state, log)
+        self._drain = Drain(self.state, self._metrics, log)
         self._waiting = WaitingRequests(self.state, placer, contention, self._drain)
         self.state.changed = self._waiting.schedule_placing
         self.state.reach.regained = health.forget
--- a/cranberrywick/gateway/drain.py
+++ b/cranberrywick/gateway/drain.py
@@ -10,6 +10,7 @@
 from cranberrywick.errors import CranberrywickError, Draining
 from cranberrywick.gateway.buffer_budget import BodyRefusal, body_refusal
 from cranberrywick.gateway.exchange import Exchange
+from cranberrywick.gateway.lazy_metrics import LazyMetrics
 from cranberrywick.gateway.state import FleetState
 from cranberrywick.logs import EventLog
 from cranberrywick.model import Executed
@@ -41,8 +42,9 @@
     ...     ...
     """
 
-    def __init__(self, state: FleetState, log: EventLog):
+    def __init__(self, state: FleetState, metrics: LazyMetrics, log: EventLog):
         self._state = state
+        self._metrics = metrics
         self._log = log
         self._loop = asyncio.get_running_loop()
         self._returns = DrainReturns(random.Random())
@@ -118,6 +120,18 @@
         needed = finish_seconds(demand, placement.first_event_seconds)
         if now + needed > self._window.answer_by:
             raise self._refusal(demand.logged_id, "answer takes too long", needed)
+        self._metrics.drain_decided("sent")
+        self._log.info(
+            "sent_draining",
+            request_id=demand.logged_id,
+            endpoint=placement.endpoint_id,
+            needed=needed,
+            first_event=placement.first_event_seconds,
+            answer=demand.answer_seconds,
+            answers_known=self.times.count(demand.route),
+            output_tokens=demand.prompt.output_tokens if demand.prompt else None,
+            seconds_left=self._window.answer_by - now,
+        )
 
     def check_wait(self, demand: Demand, now: float) -> None:
         """Raise `Draining` for a request that would be cut even if it had room now."""
@@ -162,6 +176,7 @@
         self, request_id: str, reason: str, needed: float = 0.0, ahead: int = 0
     ) -> Draining:
         retry_after = self._retry_seconds()
+        self._metrics.drain_decided(reason)
         self._log.info(
             "refused_draining",
             request_id=request_id,
--- a/cranberrywick/gateway/forwarder.py
+++ b/cranberrywick/gateway/forwarder.py
@@ -275,7 +275,13 @@
             parts=exchange.parts,
             helpers=",".join(exchange.helper_ids),
             longest_gap=exchange.longest_gap,
+            events_for=exchange.answering_seconds(now),
+            event_batches=exchange.event_batches,
+            last_event_id=exchange.last_event_id,
             tokens=exchange.meta.prompt.prompt_tokens if exchange.meta.prompt else None,
+            output_tokens=exchange.meta.prompt.output_tokens
+            if exchange.meta.prompt
+            else None,
             version=exchange.version,
             endpoints_age=self._state.registry.age(now),
             operator_age=self._state.operator_age(now),
--- a/cranberrywick/gateway/lazy_metrics.py
+++ b/cranberrywick/gateway/lazy_metrics.py
@@ -133,6 +133,10 @@
         """Count a request that was refused since its forecast was far too late."""
         self._record(methodcaller("refused_early", service))
 
+    def drain_decided(self, decision: str) -> None:
+        """Count a decision of a stopping daemon: "sent", or why it refused."""
+        self._record(methodcaller("drain_decided", decision))
+
     def slot_forecast_error(self, service: str, seconds: float) -> None:
         """Record by how many seconds a wait for a slot exceeded its forecast."""
         self._record(methodcaller("slot_forecast_error", service, seconds))
--- a/cranberrywick/gateway/permitted_placements.py
+++ b/cranberrywick/gateway/permitted_placements.py
@@ -110,6 +110,7 @@
             logged_id=exchange.meta.request_id,
             traits=exchange.traits,
             answer_seconds=self._drain.times.usual(exchange.route.name),
+            route=exchange.route.name,
         )
         return await self._waiting.place(
             demand, exchange.priority, due_at, exchange.deadline
--- a/cranberrywick/metrics.py
+++ b/cranberrywick/metrics.py
@@ -158,6 +158,9 @@
         self._early_refusals = counter(
             "early_refusals", description="Requests refused for a forecast, by service."
         )
+        self._drain_decisions = counter(
+            "drain_decisions", description="Decisions of a stopping daemon, by kind."
+        )
         self._ignored_readings = counter(
             "store_readings_ignored", description="Readings without effect, as older."
         )
@@ -320,6 +323,10 @@
         """Count a request that was refused since its forecast was far too late."""
         self._early_refusals.add(1, {"service": service})
 
+    def drain_decided(self, decision: str) -> None:
+        """Count a decision of a stopping daemon: "sent", or why it refused."""
+        self._drain_decisions.add(1, {"decision": decision})
+
     def slot_forecast_error(self, service: str, seconds: float) -> None:
         """Record by how many seconds a wait for a slot exceeded its forecast.
 
--- a/cranberrywick/routing/demand.py
+++ b/cranberrywick/routing/demand.py
@@ -35,6 +35,7 @@
     an endpoint with a rate limit requires, or for the end of a backoff.
     ``answer_seconds`` is how long answers of its route usually take: calls from the
     send to their end, prompts from the first event.
+    ``route`` is the name of its route.
     ``is_retry`` says that it had a placement before.
     ``organisation`` is the name of the one that sent it, empty if there is none.
     ``request_id`` is unique in the daemon, ``logged_id`` the id in the caller's header.
@@ -56,6 +57,7 @@
     logged_id: str = ""
     traits: RequestTraits | None = None
     answer_seconds: float = 0.0
+    route: str = ""
 
 
 def may_answer(demand: Demand, endpoint_id: str) -> bool:
--- a/cranberrywick/routing/drain_window.py
+++ b/cranberrywick/routing/drain_window.py
@@ -97,6 +97,10 @@
             return UNKNOWN_ANSWER_SECONDS
         return answers[ceil(USUAL_QUANTILE * len(answers)) - 1]
 
+    def count(self, route: str) -> int:
+        """Return how many answers of a route are known."""
+        return len(self._answers_by_route.get(route, ()))
+
     def mean_held(self, service: str) -> float:
         """Return the mean time from send to end in seconds; 0 if none is known."""
         held = self._held_by_service.get(service)
--- a/tests/overloaded_fleet.py
+++ b/tests/overloaded_fleet.py
@@ -90,7 +90,10 @@
         fleet_state = state()
         fleet_state.load = SimpleNamespace(put=self._put)
         self.waiting = WaitingRequests(
-            fleet_state, self, self.contention, Drain(fleet_state, log)
+            fleet_state,
+            self,
+            self.contention,
+            Drain(fleet_state, LazyMetrics(name), log),
         )
 
     def place(self, wanted, usable, now, last_resort):
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -108,7 +108,7 @@
         )
         self.full_at = full_at
         self.state = state()
-        self.drain = Drain(self.state, EventLog())
+        self.drain = Drain(self.state, LazyMetrics("d1"), EventLog())
         self.waiting = WaitingRequests(self.state, self, self.contention, self.drain)
 
     def _count_change(self):
@@ -156,7 +156,7 @@
     started = loop.time()
     placer = PlacerFullUntil(started + free_after)
     built = state()
-    drain = Drain(built, EventLog())
+    drain = Drain(built, LazyMetrics("d1"), EventLog())
     waiting = WaitingRequests(built, placer, uncontended(), drain)
     try:
         deadline = started + deadline_after
@@ -358,7 +358,7 @@
         built = state()
         quarantine_later(built, after)
         placer = PlacerFullUntil(float("inf"))
-        drain = Drain(built, EventLog())
+        drain = Drain(built, LazyMetrics("d1"), EventLog())
         waiting = WaitingRequests(built, placer, uncontended(), drain)
         request = demand(5_000)._replace(traits=BAD)
         loop = asyncio.get_running_loop()
