--- a/tests/stream_stops.py
+++ b/tests/stream_stops.py
@@ -18,10 +18,11 @@
 from collections.abc import Callable, Sequence
 from pathlib import Path
 from signal import SIGTERM
+from subprocess import Popen
 from typing import NamedTuple
 
 import click
-from gateway_fleet import Answer, Gateway, read_answer, request_bytes
+from gateway_fleet import POLL_SECONDS, Answer, Gateway, read_answer, request_bytes
 from stopping_fleet import GRACE_SECONDS, StoppingFleet, running_stopping_fleet
 
 # The pause between two events of a stream, in seconds.
@@ -136,11 +137,13 @@
 
         ``signalled_at`` has the moment of each gateway's signal.
         """
-        gone_at = {}
-        for gateway in self._fleet.gateways:
-            if gateway.name in signalled_at:
-                assert gateway.process.wait(2 * GRACE_SECONDS) == 0
-                gone_at[gateway.name] = time.monotonic()
+        gone_at = self._wait_for_ends(
+            {
+                gateway.name: gateway.process
+                for gateway in self._fleet.gateways
+                if gateway.name in signalled_at
+            }
+        )
         for thread in self._threads:
             thread.join(GONE_SECONDS)
         return [
@@ -157,6 +160,17 @@
             for name, request_id, events, sent_at, ended_at, answer in self._sent
         ]
 
+    def _wait_for_ends(self, processes_by_name: dict[str, Popen]) -> dict[str, float]:
+        """Wait until processes have ended; return when each did."""
+        gone_at = {}
+        while len(gone_at) < len(processes_by_name):
+            for name, process in processes_by_name.items():
+                if name not in gone_at and process.poll() is not None:
+                    assert process.returncode == 0
+                    gone_at[name] = time.monotonic()
+            time.sleep(POLL_SECONDS)
+        return gone_at
+
     def _use(self, gateway: Gateway, rng: random.Random, prefix: str) -> None:
         connection = None
         while True:
