--- a/cranberrywick/gateway/answer_forwarding.py
+++ b/cranberrywick/gateway/answer_forwarding.py
@@ -43,14 +43,14 @@
 
     ``on_head`` is called with the source, the status and the decoded headers, also for
     answers to orders; ``on_first_event`` with the exchange, once, at the first event of
-    a stream; ``on_pause`` with the endpoint's id and the pause since the previous
-    event, in seconds; ``on_events`` with the exchange, for each part of a stream in
-    which whole events came.
+    a stream; ``on_pause`` with the endpoint's id, the pause since the previous
+    event, in seconds, and how many events came after it; ``on_events`` with the
+    exchange, for each part of a stream in which whole events came.
     """
 
     on_head: Callable[[AnswerSource, int, ResponseMeta], None]
     on_first_event: Callable[[Exchange], None]
-    on_pause: Callable[[str, float], None]
+    on_pause: Callable[[str, float, int], None]
     on_events: Callable[[Exchange], None] = lambda exchange: None
 
 
@@ -148,12 +148,15 @@
     ) -> None:
         exchange = self._exchange
         splitter = EventSplitter()
+        forwarded = 0
         async for data in connection.body():
             whole = splitter.feed(data)
             if splitter.is_too_long:
                 raise AnswerLost("the stream has no events")
             if whole:
-                await self._forward_events(answer, meta, whole)
+                events = splitter.events - forwarded
+                forwarded = splitter.events
+                await self._forward_events(answer, meta, whole, events)
                 exchange.last_event_id = splitter.last_id or exchange.last_event_id
         rest = splitter.flush()
         if rest.strip():
@@ -163,18 +166,20 @@
         exchange.caller.end()
 
     async def _forward_events(
-        self, answer: EndpointAnswer, meta: ResponseMeta, whole: bytes
+        self, answer: EndpointAnswer, meta: ResponseMeta, whole: bytes, events: int
     ) -> None:
-        pause = self._exchange.record_events(self._loop.time())
+        pause = self._exchange.record_events(self._loop.time(), events)
         if pause is not None and not self._awaits_first_event:
-            self._callbacks.on_pause(self._exchange.endpoint_id, pause)
+            self._callbacks.on_pause(self._exchange.endpoint_id, pause, events)
         if not self._exchange.caller.answer_started:
             await self._send_head(answer, meta)
         if self._awaits_first_event:
             self._awaits_first_event = False
             self._callbacks.on_first_event(self._exchange)
         self._callbacks.on_events(self._exchange)
+        sent_at = self._loop.time()
         await self._exchange.caller.send_body(whole)
+        self._exchange.blocked_seconds += self._loop.time() - sent_at
 
     async def _send_head(self, answer: EndpointAnswer, meta: ResponseMeta) -> None:
         self._exchange.weights_version = meta.weights_version
--- a/cranberrywick/gateway/app.py
+++ b/cranberrywick/gateway/app.py
@@ -92,6 +92,7 @@
         )
         self._drain = Drain(self.state, self._metrics, log)
         self._waiting = WaitingRequests(self.state, placer, contention, self._drain)
+        peer_updates.answers.running = self._drain.running_streams
         self.state.changed = self._waiting.schedule_placing
         self.state.reach.regained = health.forget
         direct = DirectAttempts(
@@ -174,6 +175,7 @@
         peer_updates.limits.forget(registered_ids, now)
         peer_updates.drain_notices.forget(self.state.registry.born_by_id, now)
         peer_updates.crashes.forget()
+        peer_updates.answers.forget(now)
 
     def _reload(self) -> None:
         """Log that SIGHUP has no effect.
--- a/cranberrywick/gateway/direct_attempts.py
+++ b/cranberrywick/gateway/direct_attempts.py
@@ -15,7 +15,7 @@
 from cranberrywick.gateway.contention import Contention
 from cranberrywick.gateway.crash_detection import CrashDetection
 from cranberrywick.gateway.drain import Drain
-from cranberrywick.gateway.exchange import Exchange
+from cranberrywick.gateway.exchange import Exchange, number_of_id
 from cranberrywick.gateway.lazy_metrics import LazyMetrics
 from cranberrywick.gateway.observations import EndpointObservations
 from cranberrywick.gateway.permitted_placements import PermittedPlacements
@@ -31,6 +31,11 @@
 __all__ = ["AttemptFailure", "DirectAttempts"]
 
 
+# Longest time for which a caller may not have taken events of an answer that is
+# compared with what was foreseen, in seconds.
+MAX_BLOCKED_SECONDS = 0.05
+
+
 class AttemptFailure(NamedTuple):
     """A failed attempt.
 
@@ -81,6 +86,8 @@
         """
         exchange.peer_id = ""
         placement = await self._placements.take(exchange)
+        answers, now = self._state.peer_updates.answers, self._loop.time()
+        exchange.foreseen_pace = answers.paces.at(placement.endpoint_id, now)
         try:
             await self._attempt(exchange, placement)
         except RequestQuarantined:
@@ -105,15 +112,19 @@
 
     def _record_times(self, exchange: Exchange, now: float) -> None:
         """Record how long an answer took, for the requests of a stopping daemon."""
-        began_at = exchange.sent_at
-        if exchange.meta.prompt is not None and exchange.answer_began_at is not None:
-            began_at = exchange.answer_began_at
-        self._drain.times.record(
-            exchange.route.name,
-            exchange.service.name,
-            now - began_at,
-            now - exchange.sent_at,
-        )
+        service, held = exchange.service, now - exchange.sent_at
+        answers = self._state.peer_updates.answers
+        self._drain.held.record(service.name, held)
+        if not exchange.is_stream:
+            answers.record_call(exchange.route.name, held)
+            return
+        stride = service.engine.stride if service.engine else 0
+        last_id = number_of_id(exchange.last_event_id)
+        answers.record_stream(exchange.outline(), last_id, stride)
+        is_plain = exchange.sent_count == 1 and exchange.foreseen_pace
+        if is_plain and exchange.blocked_seconds < MAX_BLOCKED_SECONDS:
+            foreseen = exchange.predicted + exchange.events * exchange.foreseen_pace
+            answers.record_overrun(service.name, foreseen, held, now)
 
     def time_out(self, exchange: Exchange) -> CranberrywickError:
         """Record that a request's time is over; return the error for its answer.
@@ -144,6 +155,13 @@
         now = self._loop.time()
         if exchange.first_event_at is None:
             exchange.first_event_at = now
+        if exchange.predicted is not None:
+            self._state.peer_updates.answers.record_overrun(
+                exchange.service.name,
+                exchange.predicted,
+                now - exchange.sent_at,
+                now,
+            )
         jobs = [
             job._replace(decoding=True, first_event_at=now)
             for job in self._state.load.jobs_of(exchange.key)
--- a/cranberrywick/gateway/drain.py
+++ b/cranberrywick/gateway/drain.py
@@ -15,13 +15,10 @@
 from cranberrywick.logs import EventLog
 from cranberrywick.model import Executed
 from cranberrywick.platform.headers import decode_request
+from cranberrywick.routing.answer_lengths import AnswerOutline
 from cranberrywick.routing.demand import Demand, min_first_event_seconds
-from cranberrywick.routing.drain_window import (
-    AnswerTimes,
-    DrainWindow,
-    finish_seconds,
-    gets_no_turn,
-)
+from cranberrywick.routing.drain_window import DrainWindow, HeldTimes, gets_no_turn
+from cranberrywick.routing.fleet_answers import FinishForecast
 from cranberrywick.routing.placement import Placement
 from cranberrywick.routing.retry_after import DrainReturns
 
@@ -36,7 +33,8 @@
 class Drain:
     """Refuses what a stopping daemon can't finish; before that it refuses nothing.
 
-    ``times`` has how long answers take. Moments are those of the event loop's clock.
+    ``held`` has how long requests hold their slots. Moments are those of the event
+    loop's clock.
 
     >>> async with drain.deadline(exchange):
     ...     ...
@@ -50,7 +48,7 @@
         self._returns = DrainReturns(random.Random())
         self._pending_by_key: dict[str, _Pending] = {}
         self._window: DrainWindow | None = None
-        self.times = AnswerTimes()
+        self.held = HeldTimes()
 
     @property
     def is_active(self) -> bool:
@@ -62,6 +60,15 @@
         """When each request has to have an answer; infinity before the stop."""
         return inf if self._window is None else self._window.answer_by
 
+    def ends_at(self, is_stream: bool) -> float:
+        """Return until when an answer may last; infinity before the stop.
+
+        The events of a stream are forwarded until the connections are closed.
+        """
+        if self._window is None:
+            return inf
+        return self._window.close_at if is_stream else self._window.answer_by
+
     @property
     def unanswered(self) -> int:
         """How many requests are being served whose answer has not begun."""
@@ -113,33 +120,44 @@
             error.executed = Executed.UNKNOWN
         return error
 
+    def running_streams(self) -> list[AnswerOutline]:
+        """Return the streams whose events are being forwarded."""
+        return [
+            exchange.outline()
+            for exchange, _ in self._pending_by_key.values()
+            if exchange.events
+        ]
+
     def check_placement(self, demand: Demand, placement: Placement, now: float) -> None:
-        """Raise `Draining` for a request that would be cut if it were sent now."""
+        """Raise `Draining` for a request that might be cut if it were sent now."""
         if self._window is None:
             return
-        needed = finish_seconds(demand, placement.first_event_seconds)
-        if now + needed > self._window.answer_by:
-            raise self._refusal(demand.logged_id, "answer takes too long", needed)
+        pace = self._pace(demand, placement.endpoint_id, now)
+        forecast = self._forecast(demand, placement.first_event_seconds, pace, now)
+        self._check(demand, forecast, "answer takes too long", now)
         self._metrics.drain_decided("sent")
         self._log.info(
             "sent_draining",
             request_id=demand.logged_id,
             endpoint=placement.endpoint_id,
-            needed=needed,
-            first_event=placement.first_event_seconds,
-            answer=demand.answer_seconds,
-            answers_known=self.times.count(demand.route),
-            output_tokens=demand.prompt.output_tokens if demand.prompt else None,
-            seconds_left=self._window.answer_by - now,
+            resumed=demand.answer.has_begun,
+            **self._fields(demand, forecast, now),
         )
 
-    def check_wait(self, demand: Demand, now: float) -> None:
-        """Raise `Draining` for a request that would be cut even if it had room now."""
+    def check_forwarding(self, exchange: Exchange) -> None:
+        """Raise `Draining` for a request that might be cut if a peer served it now."""
         if self._window is None:
             return
-        needed = self._least_seconds(demand)
-        if now + needed > self._window.answer_by:
-            raise self._refusal(demand.logged_id, "no room in time", needed)
+        now = self._loop.time()
+        demand = exchange.demand("")
+        pace = self._pace(demand, "", now)
+        forecast = self._forecast(demand, min_first_event_seconds(demand), pace, now)
+        self._check(demand, forecast, "answer takes too long", now)
+
+    def check_wait(self, demand: Demand, now: float) -> None:
+        """Raise `Draining` for a request that might be cut even if it had room now."""
+        if self._window is not None:
+            self._check(demand, self._least(demand, now), "no room in time", now)
 
     def check_turn(self, demand: Demand, ahead: int, now: float) -> None:
         """Raise `Draining` for a request that gets no turn before the daemon ends.
@@ -149,17 +167,25 @@
         if self._window is None:
             return
         service = demand.service.name
-        needed = self._least_seconds(demand)
+        forecast = self._least(demand, now)
+        last_start = self.ends_at(demand.answer.is_stream) - forecast.seconds
+        if demand.deadline <= self.ends_at(demand.answer.is_stream):
+            last_start = demand.deadline - forecast.first_event
         if gets_no_turn(
             demand,
             ahead,
             self._state.usable_endpoints.ready(service),
             self._state.load,
-            self.times.mean_held(service),
-            self._window.answer_by - needed,
+            self.held.mean(service),
+            last_start,
             now,
         ):
-            raise self._refusal(demand.logged_id, "no turn in time", needed, ahead)
+            raise self._refusal(
+                demand.logged_id,
+                "no turn in time",
+                ahead=ahead,
+                **self._fields(demand, forecast, now),
+            )
 
     def refuse_unread(self, headers: list[tuple[bytes, bytes]]) -> BodyRefusal:
         """Return the answer to a request whose body has not come in time."""
@@ -167,23 +193,83 @@
         error = self._refusal(request_id, "its body has not come")
         return body_refusal(error, request_id, error.retry_after)
 
-    def _least_seconds(self, demand: Demand) -> float:
-        """Return how long a request takes at idle endpoints."""
-        endpoints = len(self._state.usable_endpoints.ready(demand.service.name))
-        return finish_seconds(demand, min_first_event_seconds(demand, endpoints))
+    def _check(
+        self, demand: Demand, forecast: FinishForecast, reason: str, now: float
+    ) -> None:
+        """Raise `Draining` for a request whose answer the end of the daemon would cut.
 
-    def _refusal(
-        self, request_id: str, reason: str, needed: float = 0.0, ahead: int = 0
-    ) -> Draining:
+        Not if its own time is over before.
+        """
+        ends_at = self.ends_at(demand.answer.is_stream)
+        if demand.deadline <= ends_at:
+            return
+        is_late = now + forecast.first_event > self.answer_by
+        if is_late or now + forecast.seconds > ends_at:
+            fields = self._fields(demand, forecast, now)
+            raise self._refusal(demand.logged_id, reason, **fields)
+
+    def _forecast(
+        self, demand: Demand, first_event: float, pace: float, now: float
+    ) -> FinishForecast:
+        engine = demand.service.engine
+        return self._state.peer_updates.answers.forecast(
+            demand.answer,
+            demand.service.name,
+            engine.stride if engine else 0,
+            first_event,
+            pace,
+            now,
+        )
+
+    def _least(self, demand: Demand, now: float) -> FinishForecast:
+        """Return the forecast for a request at the fastest endpoints, if they idle."""
+        service = demand.service
+        answers = self._state.peer_updates.answers
+        endpoints = len(self._state.usable_endpoints.ready(service.name))
+        pace = answers.least_pace(service.name, now) or _declared_pace(demand)
+        first_event = min_first_event_seconds(demand, endpoints)
+        return self._forecast(demand, first_event, pace, now)
+
+    def _pace(self, demand: Demand, endpoint_id: str, now: float) -> float:
+        """Return the seconds between the events of an answer at an endpoint."""
+        updates = self._state.peer_updates
+        engine = demand.service.engine
+        own = updates.answers.paces.at(endpoint_id, now)
+        pace = updates.answers.pace(endpoint_id, demand.service.name, now)
+        if pace is None:
+            pace = _declared_pace(demand)
+        if engine is not None:
+            # What was seen longer ago counts only where there is nothing newer.
+            is_old = own is None
+            slowdown = updates.slowdowns.slowdown(endpoint_id, now, is_long=is_old)
+            pace = max(pace, slowdown * engine.stride * engine.step_seconds)
+        return pace
+
+    def _fields(
+        self, demand: Demand, forecast: FinishForecast, now: float
+    ) -> dict[str, object]:
+        """Return the fields of a decision's line: what it was made from."""
+        return {
+            "needed": forecast.seconds,
+            "seconds_left": self.ends_at(demand.answer.is_stream) - now,
+            "first_event": forecast.first_event,
+            "events": forecast.events,
+            "pace": forecast.pace,
+            "overrun": forecast.overrun,
+            "basis": forecast.basis,
+            "answers_known": forecast.answers,
+            "output_tokens": demand.answer.tokens,
+            "hint": demand.answer.hint,
+        }
+
+    def _refusal(self, request_id: str, reason: str, **fields: object) -> Draining:
         retry_after = self._retry_seconds()
         self._metrics.drain_decided(reason)
         self._log.info(
             "refused_draining",
             request_id=request_id,
             reason=reason,
-            needed=needed,
-            ahead=ahead,
-            seconds_left=self.answer_by - self._loop.time(),
+            **{"seconds_left": self.answer_by - self._loop.time(), **fields},
             retry_after=retry_after,
         )
         return Draining("this daemon is stopping", retry_after=retry_after)
@@ -194,3 +280,13 @@
         closes_in = 0.0 if self._window is None else self._window.close_at - now
         has_peers = any(self._state.members.serving(now))
         return self._returns.retry_seconds(self.unanswered, has_peers, closes_in)
+
+
+def _declared_pace(demand: Demand) -> float:
+    """Return the seconds between events at an engine that is full, as it declares."""
+    engine = demand.service.engine
+    if engine is None:
+        return demand.gap_seconds
+    jobs = engine.slots * engine.writer_seconds
+    context = engine.memory_tokens * engine.context_seconds
+    return engine.stride * (engine.step_seconds + jobs + context)
--- a/cranberrywick/gateway/events.py
+++ b/cranberrywick/gateway/events.py
@@ -7,7 +7,7 @@
 
 
 class EventSplitter:
-    """Splits a byte stream into complete events and keeps the last event's id.
+    """Splits a byte stream into complete events; keeps the last one's id, counts them.
 
     An endpoint may stop in the middle of an event, and another one then continues the
     stream. What the caller was sent must end with a complete event, or the first event
@@ -16,13 +16,14 @@
     >>> splitter = EventSplitter()
     >>> splitter.feed(b"id: 1\\ndata: a\\n\\nid: 2\\nda")
     b'id: 1\\ndata: a\\n\\n'
-    >>> splitter.last_id
-    '1'
+    >>> splitter.last_id, splitter.events
+    ('1', 1)
     """
 
     def __init__(self) -> None:
         self._rest = b""
         self.last_id: str | None = None
+        self.events = 0
 
     def feed(self, data: bytes) -> bytes:
         """Add bytes and return the complete events among those not returned before."""
@@ -31,6 +32,7 @@
         whole, self._rest = buffered[:end], buffered[end:]
         if whole:
             self._record_last_id(whole)
+            self.events += whole.count(b"\n\n") + whole.count(b"\r\n\r\n")
         return whole
 
     @property
--- a/cranberrywick/gateway/exchange.py
+++ b/cranberrywick/gateway/exchange.py
@@ -8,6 +8,8 @@
 from cranberrywick.gateway.http_request import HttpRequest
 from cranberrywick.model import Executed
 from cranberrywick.platform.headers import RequestMeta
+from cranberrywick.routing.answer_lengths import AnswerOutline
+from cranberrywick.routing.demand import Demand
 from cranberrywick.routing.model import (
     EndpointRecord,
     Organisation,
@@ -17,15 +19,31 @@
 )
 from cranberrywick.routing.request_traits import RequestTraits
 
-__all__ = ["AnswerSource", "Exchange"]
+__all__ = ["AnswerSource", "Exchange", "number_of_id"]
 
 # Value of Retry-After where the failure sets none, in seconds. In this time daemons
 # exchange updates about endpoints that became free or failed.
 RETRY_SECONDS = 0.3
 
+# Largest number of tokens of an answer that is told from a larger one.
+MAX_TOKENS = 10**9
+# Longest id of an event that is read as a number, in characters.
+MAX_NUMBER_LENGTH = 9
+
 _keys = iter(range(1, 2**62))
 
 
+def number_of_id(event_id: str | None) -> int | None:
+    """Return the number that an event's id is; None if it is another text.
+
+    >>> number_of_id("12"), number_of_id("a-12")
+    (12, None)
+    """
+    if not event_id or len(event_id) > MAX_NUMBER_LENGTH:
+        return None
+    return int(event_id) if event_id.isascii() and event_id.isdecimal() else None
+
+
 class AnswerSource(NamedTuple):
     """The endpoint that gave an answer, and the request that led to it.
 
@@ -58,8 +76,10 @@
 
     ``answer_began_at`` is when the last attempt's first event came, None before it,
     ``event_batches`` in how many parts its events have come, and ``answer_is_framed``
-    whether it states its end.
+    whether it states its end. ``events`` is how many events the caller was sent, and
+    ``blocked_seconds`` for how long it did not take them.
     ``predicted`` is the forecast time from placement to the first event,
+    ``foreseen_pace`` that between two events, None if it was not known,
     ``longest_gap`` the longest pause between events, ``parts`` the number of endpoints
     that the last attempt used, helpers included. Times are in seconds, moments those of
     the event loop's clock.
@@ -96,9 +116,12 @@
         self.last_event_at: float | None = None
         self.answer_began_at: float | None = None
         self.event_batches = 0
+        self.events = 0
+        self.blocked_seconds = 0.0
         self.answer_is_framed = True
         self.longest_gap = 0.0
         self.predicted: float | None = None
+        self.foreseen_pace: float | None = None
         self.parts = 1
         self.last_resort = False
         self.helper_ids: tuple[str, ...] = ()
@@ -164,12 +187,13 @@
             return None
         return frozenset(self.sent_ids - self.tried_ids)
 
-    def record_events(self, now: float) -> float | None:
+    def record_events(self, now: float, events: int = 1) -> float | None:
         """Record that events came in; return the pause before them, in seconds.
 
         Returns None for the first events of the request.
         """
         last, self.last_event_at = self.last_event_at, now
+        self.events += events
         if self.answer_began_at is None:
             self.answer_began_at = now
         self.event_batches += 1
@@ -186,6 +210,43 @@
         """Return for how long the last attempt has been answered; None before that."""
         return None if self.answer_began_at is None else now - self.answer_began_at
 
+    def outline(self) -> AnswerOutline:
+        """Return what is known of the answer before it ends."""
+        prompt, resumed_at = self.meta.prompt, self.meta.last_event_id
+        return AnswerOutline(
+            self.route.name,
+            self.is_stream,
+            tokens=min(prompt.output_tokens, MAX_TOKENS) if prompt else 0,
+            hint=self.meta.length_hint or 0,
+            events=self.events,
+            resumed_at=number_of_id(resumed_at) or 0,
+            has_begun=self.caller.answer_started,
+            target_seconds=self.route.target_seconds,
+        )
+
+    def demand(
+        self, failure_domain: str, longest_wait: float = 0.0, is_retry: bool = False
+    ) -> Demand:
+        """Return what the placement of the request has to meet; see `Demand`."""
+        return Demand(
+            request_id=self.key,
+            service=self.service,
+            prompt=self.meta.prompt,
+            target_seconds=self.route.target_seconds,
+            due_at=self.request.arrived + self.route.target_seconds,
+            gap_seconds=self.route.gap_target_seconds,
+            failure_domain=failure_domain,
+            tried_ids=frozenset(self.tried_ids | self.unreachable_ids),
+            answering_ids=self.answering_ids,
+            longest_wait=longest_wait,
+            organisation=self.organisation.name if self.organisation else "",
+            is_retry=is_retry,
+            logged_id=self.meta.request_id,
+            traits=self.traits,
+            answer=self.outline(),
+            deadline=self.deadline,
+        )
+
     @property
     def host(self) -> str:
         """The request's Host header, empty without one."""
--- a/cranberrywick/gateway/fleet.capnp
+++ b/cranberrywick/gateway/fleet.capnp
@@ -70,9 +70,10 @@
 }
 
 # The fields heartbeats and batch hold rows; see cranberrywick.gateway.heartbeat_rows.
-# The fields knowledge, reach, demand and crashes have a row for each of them; see
-# cranberrywick.gateway.knowledge_rows, cranberrywick.gateway.reach_rows,
-# cranberrywick.gateway.demand_rows and cranberrywick.gateway.crash_rows.
+# The fields knowledge, reach, demand, crashes and answers have a row for each of them;
+# see cranberrywick.gateway.knowledge_rows, cranberrywick.gateway.reach_rows,
+# cranberrywick.gateway.demand_rows, cranberrywick.gateway.crash_rows and
+# cranberrywick.gateway.answer_rows.
 struct Message {
   scope @4 :Scope;
   union {
@@ -110,7 +111,7 @@
 }
 
 # A Message with the field crashes, with the same numbers otherwise. Only a message that
-# states crashes is written as this one; all are read as such.
+# states crashes, and nothing of answers, is written as this one.
 struct MessageWithCrashes {
   scope @4 :Scope;
   union {
@@ -129,6 +130,27 @@
   crashes @12 :Data;
 }
 
+# A MessageWithCrashes with the field answers, with the same numbers otherwise. Only a
+# message that states something of answers is written as this one; all are read as such.
+struct MessageWithAnswers {
+  scope @4 :Scope;
+  union {
+    heartbeats @0 :Data;
+    endpoints @1 :EndpointReading;
+    operatorWanted @2 :Void;
+    operator @3 :OperatorReading;
+    batch @5 :Data;
+    endpointsWanted @6 :Void;
+    permitRequest @7 :PermitRequest;
+    permitResponse @8 :PermitResponse;
+  }
+  knowledge @9 :Data;
+  reach @10 :Data;
+  demand @11 :Data;
+  crashes @12 :Data;
+  answers @13 :Data;
+}
+
 # What a daemon states about a request that it forwards to a peer. The peer may send it
 # to none of the excluded endpoints, nor to those of the domains that are out.
 struct ForwardedRequest {
--- a/cranberrywick/gateway/heartbeat_rows.py
+++ b/cranberrywick/gateway/heartbeat_rows.py
@@ -19,6 +19,7 @@
 from cranberrywick.routing.crash_statement import NOTHING_STATED, CrashStatement
 from cranberrywick.routing.drain_notices import DrainNotice
 from cranberrywick.routing.endpoint_limits import LimitReport
+from cranberrywick.routing.fleet_answers import AnswerStatement
 from cranberrywick.routing.fleet_demand import DemandStatement
 from cranberrywick.routing.load import Job
 from cranberrywick.routing.members import Heartbeat
@@ -128,6 +129,7 @@
 _NOTHING = StoreKnowledge()
 _NO_REACH = ReachStatement()
 _NO_DEMAND = DemandStatement()
+_NO_ANSWERS = AnswerStatement()
 _ENCODER = Encoder()
 _DECODER = Decoder(_BatchRow)
 
@@ -157,13 +159,15 @@
     reach_by_position: Mapping[int, ReachStatement] = MappingProxyType({}),
     demand_by_position: Mapping[int, DemandStatement] = MappingProxyType({}),
     crashes_by_position: Mapping[int, CrashStatement] = MappingProxyType({}),
+    answers_by_position: Mapping[int, AnswerStatement] = MappingProxyType({}),
 ) -> HeartbeatBatch:
     """Return the heartbeats in these bytes.
 
     ``now`` is the current time of the receiver's clock. ``knowledge_by_position`` has
     what the heartbeats state about the store, ``reach_by_position`` what they state
-    about reached endpoints, ``demand_by_position`` what they state about demand, and
-    ``crashes_by_position`` what they state about crashes.
+    about reached endpoints, ``demand_by_position`` what they state about demand,
+    ``crashes_by_position`` what they state about crashes, and ``answers_by_position``
+    what they state about answers.
     Raises ValueError for bytes that are not rows of the declared types and bounds.
     """
     relay_id, relay_domain, rows = _DECODER.decode(data)
@@ -175,6 +179,7 @@
             reach_by_position.get(position, _NO_REACH),
             demand_by_position.get(position, _NO_DEMAND),
             crashes_by_position.get(position, NOTHING_STATED),
+            answers_by_position.get(position, _NO_ANSWERS),
         )
         for position, row in enumerate(rows)
     )
@@ -228,6 +233,7 @@
     reach: ReachStatement,
     demand: DemandStatement,
     crashes: CrashStatement,
+    answers: AnswerStatement,
 ) -> RelayedHeartbeat:
     age_ms, *fields, operator_age_ms, jobs, slow_engines, limits, drains = row
     heartbeat = Heartbeat(
@@ -241,6 +247,7 @@
         reach,
         demand,
         crashes,
+        answers,
     )
     return RelayedHeartbeat(now - age_ms / 1000, heartbeat)
 
--- a/cranberrywick/gateway/messages.py
+++ b/cranberrywick/gateway/messages.py
@@ -12,6 +12,7 @@
 import capnp
 
 from cranberrywick.errors import PeerMessageInvalid
+from cranberrywick.gateway.answer_rows import pack_answers, unpack_answers
 from cranberrywick.gateway.crash_rows import pack_crashes, unpack_crashes
 from cranberrywick.gateway.demand_rows import pack_demand, unpack_demand
 from cranberrywick.gateway.endpoint_snapshot import EndpointSnapshot
@@ -166,7 +167,9 @@
         body = {"endpointsWanted": None}
     else:
         body = {"operatorWanted": None}
-    if "crashes" in body:
+    if "answers" in body:
+        kind = SCHEMA.MessageWithAnswers
+    elif "crashes" in body:
         kind = SCHEMA.MessageWithCrashes
     else:
         kind = SCHEMA.Message if "demand" in body else SCHEMA.MessageWithoutDemand
@@ -185,7 +188,7 @@
     if len(data) > MAX_MESSAGE_BYTES:
         raise PeerMessageInvalid("the message is too long")
     try:
-        with unpack(SCHEMA.MessageWithCrashes, data) as message:
+        with unpack(SCHEMA.MessageWithAnswers, data) as message:
             body = _read_body(message, now, row_dropped)
             return Envelope(body, _read_scope(message))
     except (capnp.KjException, ValueError, IndexError, zlib.error) as error:
@@ -207,7 +210,8 @@
         reach = unpack_reach(bytes(message.reach))
         demand = unpack_demand(bytes(message.demand))
         crashes = unpack_crashes(bytes(message.crashes), now)
-        for rows in (knowledge, reach, demand, crashes):
+        answers = unpack_answers(bytes(message.answers))
+        for rows in (knowledge, reach, demand, crashes, answers):
             if rows.error:
                 row_dropped(rows.error)
         batch = unpack_heartbeats(
@@ -217,6 +221,7 @@
             reach.values_by_position,
             demand.values_by_position,
             crashes.values_by_position,
+            answers.values_by_position,
         )
         if which == "batch":
             return batch
@@ -241,12 +246,14 @@
     beats = [relayed.heartbeat for relayed in batch.heartbeats]
     demand = pack_demand(each.demand for each in beats)
     crashes = pack_crashes((each.crashes for each in beats), now)
+    answers = pack_answers(each.answers for each in beats)
     return {
         field: pack_heartbeats(batch, now),
         "knowledge": pack_knowledge([each.store for each in beats], now),
         "reach": pack_reach(each.reach for each in beats),
         **({"demand": demand} if demand else {}),
         **({"crashes": crashes} if crashes else {}),
+        **({"answers": answers} if answers else {}),
     }
 
 
--- a/cranberrywick/gateway/observations.py
+++ b/cranberrywick/gateway/observations.py
@@ -16,6 +16,9 @@
 
 # Number of names of unread headers that are logged; an endpoint may invent any number.
 MAX_LOGGED_NAMES = 64
+# Longest time for which a caller may not have taken events before a pause that shows
+# how fast its endpoint is, in seconds.
+MAX_BLOCKED_SECONDS = 0.005
 
 
 class EndpointObservations:
@@ -99,16 +102,31 @@
             request_id=source.request_id,
         )
 
-    def pause_recorder(self, exchange: Exchange) -> Callable[[str, float], None]:
+    def pause_recorder(self, exchange: Exchange) -> Callable[[str, float, int], None]:
         """Return the callback that records the pauses of an attempt's stream.
 
-        It is called with the endpoint's id and a pause, in seconds.
+        It is called with the endpoint's id, a pause in seconds, and how many events
+        came after it.
         """
+        blocked_before = exchange.blocked_seconds
         profile = exchange.service.engine
         declared = profile.stride * profile.step_seconds if profile else 0.0
         pauses = StreamPauses(declared)
-
-        def record(endpoint_id: str, seconds: float) -> None:
+        paces = self._state.peer_updates.answers.paces
+
+        def record(endpoint_id: str, seconds: float, events: int) -> None:
+            nonlocal blocked_before
+            blocked = exchange.blocked_seconds - blocked_before
+            blocked_before = exchange.blocked_seconds
+            # While its caller doesn't read, a stream shows nothing of the endpoint.
+            if blocked < MAX_BLOCKED_SECONDS:
+                paces.record(
+                    endpoint_id,
+                    exchange.service.name,
+                    seconds,
+                    events,
+                    self._loop.time(),
+                )
             # The prefill that the engine is known to have to do also lengthens the
             # pause, but does not show that the engine is slow.
             slowdown = pauses.record(
--- a/cranberrywick/gateway/peer_attempts.py
+++ b/cranberrywick/gateway/peer_attempts.py
@@ -118,8 +118,10 @@
     async def run(self, exchange: Exchange, peer: Heartbeat) -> AttemptFailure | None:
         """Forward a request; return the failure, None if its answer was forwarded.
 
-        Raises the peer's `Overloaded` and `TimedOut`, and its errors of routing.
+        Raises the peer's `Overloaded` and `TimedOut`, its errors of routing, and
+        `Draining` if the answer can't be whole before this daemon ends.
         """
+        self._drain.check_forwarding(exchange)
         exchange.peer_id = peer.daemon_id
         outcome = "cancelled"
         try:
@@ -203,7 +205,7 @@
         return RequestStatement(
             self._daemon_id,
             now - exchange.request.arrived,
-            min(exchange.deadline, self._drain.answer_by) - now,
+            min(exchange.deadline, self._drain.ends_at(exchange.is_stream)) - now,
             exchange.version,
             exchange.service.name,
             tuple(sorted(exchange.sent_ids)),
@@ -231,7 +233,7 @@
         callbacks = AnswerCallbacks(
             self._record_head,
             self._direct.record_first_event,
-            lambda endpoint_id, seconds: None,
+            lambda endpoint_id, seconds, events: None,
         )
         await AnswerForwarding(exchange, callbacks).forward(connection, answer)
         self._waiting.outage_ended(exchange.service.name)
--- a/cranberrywick/gateway/peer_updates.py
+++ b/cranberrywick/gateway/peer_updates.py
@@ -26,6 +26,7 @@
 from cranberrywick.gateway.ticker import Ticker
 from cranberrywick.logs import EventLog, id_lists
 from cranberrywick.routing.drain_notices import DrainNotice, DrainNotices
+from cranberrywick.routing.fleet_answers import FleetAnswers
 from cranberrywick.routing.fleet_demand import FleetDemand, VmCapacity
 from cranberrywick.routing.fleet_limits import FleetLimits
 from cranberrywick.routing.load import FleetLoad
@@ -55,8 +56,8 @@
 class PeerUpdates:
     """Exchanges updates with the other daemons.
 
-    Keeps what the updates are merged into: the fleet's members, their load, and the
-    endpoints' slowdowns, rate limits and notices.
+    Keeps what the updates are merged into: the fleet's members, their load, the
+    lengths of answers, and the endpoints' slowdowns, rate limits and notices.
     """
 
     def __init__(
@@ -79,6 +80,7 @@
         # Returns what the VM can bear; nothing is stated unless this is replaced.
         self.vm_capacity: Callable[[], VmCapacity] = VmCapacity
         self.slowdowns = EndpointSlowdowns()
+        self.answers = FleetAnswers()
         self.drain_notices = DrainNotices()
         self.crashes = CrashUpdates(self.observation_changed, self._trial_turn, log)
         self.limits = FleetLimits(
@@ -164,7 +166,8 @@
         self._schedule_heartbeat()
         self._sequence += 1
         demand = self.demand.statement(self.vm_capacity(), now)
-        heartbeat = self._heartbeat(now)._replace(demand=demand)
+        answers = self.answers.due_statement(now)
+        heartbeat = self._heartbeat(now)._replace(demand=demand, answers=answers)
         recipients = self._recipients
         if not recipients.has_relays:
             self.link.send(heartbeat, recipients.peers(), recipients.direct_scope)
@@ -295,6 +298,7 @@
             drain_notices=self.drain_notices.all(),
             store=self._listener.store_knowledge(now),
             crashes=self.crashes.full_statement(),
+            answers=self.answers.statement(now),
         )
         self.link.send(heartbeat, [peer_address])
 
@@ -318,6 +322,7 @@
         self.load.receive(daemon_id, heartbeat.jobs, received_at)
         self.demand.receive(daemon_id, heartbeat.demand, received_at)
         self.slowdowns.receive(heartbeat.slow_engines, received_at)
+        self.answers.receive(daemon_id, heartbeat.answers, received_at)
         self._receive_limits(heartbeat)
         self._receive_drain_notices(heartbeat)
         self.crashes.receive(heartbeat.crashes, daemon_id)
--- a/cranberrywick/gateway/permitted_placements.py
+++ b/cranberrywick/gateway/permitted_placements.py
@@ -10,7 +10,6 @@
 from cranberrywick.gateway.state import FleetState
 from cranberrywick.gateway.waiting import WaitingRequests
 from cranberrywick.logs import EventLog
-from cranberrywick.routing.demand import Demand
 from cranberrywick.routing.fleet_limits import longest_permit_wait
 from cranberrywick.routing.placement import Placement
 
@@ -92,26 +91,9 @@
         )
 
     async def _place(self, exchange: Exchange, is_retry: bool) -> Placement:
-        due_at = exchange.request.arrived + exchange.route.target_seconds
         last_at = min(exchange.deadline, self._drain.answer_by)
-        demand = Demand(
-            request_id=exchange.key,
-            service=exchange.service,
-            prompt=exchange.meta.prompt,
-            target_seconds=exchange.route.target_seconds,
-            due_at=due_at,
-            gap_seconds=exchange.route.gap_target_seconds,
-            failure_domain=self._failure_domain,
-            tried_ids=frozenset(exchange.tried_ids | exchange.unreachable_ids),
-            answering_ids=exchange.answering_ids,
-            longest_wait=longest_permit_wait(max(0.0, last_at - self._loop.time())),
-            organisation=exchange.organisation.name if exchange.organisation else "",
-            is_retry=is_retry,
-            logged_id=exchange.meta.request_id,
-            traits=exchange.traits,
-            answer_seconds=self._drain.times.usual(exchange.route.name),
-            route=exchange.route.name,
-        )
+        longest_wait = longest_permit_wait(max(0.0, last_at - self._loop.time()))
+        demand = exchange.demand(self._failure_domain, longest_wait, is_retry)
         return await self._waiting.place(
-            demand, exchange.priority, due_at, exchange.deadline
+            demand, exchange.priority, demand.due_at, exchange.deadline
         )
--- a/cranberrywick/platform/headers.py
+++ b/cranberrywick/platform/headers.py
@@ -26,6 +26,7 @@
 DEADLINE = b"cranberrywick-deadline-ms"
 TOKEN_COUNT = b"cranberrywick-token-count"
 PREFIX = b"cranberrywick-prefix-hash"
+LENGTH_HINT = b"cranberrywick-length-hint"
 LAST_EVENT_ID = b"last-event-id"
 EXPECT_INSTANCE = b"cranberrywick-expect-instance"
 EXPECT_VERSION = b"cranberrywick-expect-version"
@@ -104,6 +105,8 @@
 # the platform.
 MAX_SEGMENTS = 64
 MAX_SEGMENT_ID_CHARACTERS = 32
+# Largest hint of a length that is read, in digits.
+MAX_HINT_DIGITS = 9
 
 
 class RequestMeta(NamedTuple):
@@ -111,7 +114,8 @@
 
     Missing and unreadable values are None; a missing ``request_id`` is empty.
     ``segment_ids`` are the parts of the prompt in their order, empty if they are not
-    stated. All but the last one may be shared with other requests.
+    stated. All but the last one may be shared with other requests. ``length_hint`` is
+    the number of tokens that the caller expects of the answer.
     """
 
     request_id: str
@@ -120,6 +124,7 @@
     prompt: PromptSize | None
     last_event_id: str | None
     segment_ids: tuple[str, ...] = ()
+    length_hint: int | None = None
 
 
 class ResponseMeta(NamedTuple):
@@ -178,6 +183,7 @@
         prompt=_decode_prompt(by_name.get(TOKEN_COUNT)),
         last_event_id=_decode_text(by_name.get(LAST_EVENT_ID)),
         segment_ids=_decode_segments(by_name.get(PREFIX)),
+        length_hint=_decode_length_hint(by_name.get(LENGTH_HINT)),
     )
 
 
@@ -298,6 +304,13 @@
     return PromptSize(int(prompt), int(output) if output.isdigit() else 0)
 
 
+def _decode_length_hint(value: bytes | None) -> int | None:
+    hint = (_decode_text(value) or "").strip()
+    if not hint.isdigit() or len(hint) > MAX_HINT_DIGITS:
+        return None
+    return int(hint)
+
+
 def _decode_segments(value: bytes | None) -> tuple[str, ...]:
     """Return the ids of a list of ``ID:TOKENS`` entries, empty if one is malformed."""
     entries = (_decode_text(value) or "").split(",", MAX_SEGMENTS)[:MAX_SEGMENTS]
--- a/cranberrywick/routing/demand.py
+++ b/cranberrywick/routing/demand.py
@@ -1,9 +1,10 @@
 """The requirements of a request, and whether the endpoints could ever meet them."""
 
-from math import ceil
+from math import ceil, inf
 from operator import attrgetter
 from typing import NamedTuple
 
+from cranberrywick.routing.answer_lengths import AnswerOutline
 from cranberrywick.routing.endpoint_index import EndpointPool
 from cranberrywick.routing.engine_model import prefill_time
 from cranberrywick.routing.model import PromptSize, Service
@@ -33,9 +34,8 @@
     failed the request. Only those in ``answering_ids`` may answer it, though others may
     help; None allows all. It waits up to ``longest_wait`` seconds for the permit that
     an endpoint with a rate limit requires, or for the end of a backoff.
-    ``answer_seconds`` is how long answers of its route usually take: calls from the
-    send to their end, prompts from the first event.
-    ``route`` is the name of its route.
+    ``answer`` is what is known of its answer, and ``deadline`` when its own time is
+    over.
     ``is_retry`` says that it had a placement before.
     ``organisation`` is the name of the one that sent it, empty if there is none.
     ``request_id`` is unique in the daemon, ``logged_id`` the id in the caller's header.
@@ -56,8 +56,8 @@
     is_retry: bool = False
     logged_id: str = ""
     traits: RequestTraits | None = None
-    answer_seconds: float = 0.0
-    route: str = ""
+    answer: AnswerOutline = AnswerOutline()
+    deadline: float = inf
 
 
 def may_answer(demand: Demand, endpoint_id: str) -> bool:
--- a/cranberrywick/routing/drain_window.py
+++ b/cranberrywick/routing/drain_window.py
@@ -18,9 +18,8 @@
 from cranberrywick.routing.model import EngineProfile
 
 __all__ = [
-    "AnswerTimes",
     "DrainWindow",
-    "finish_seconds",
+    "HeldTimes",
     "gets_no_turn",
     "seconds_until_room",
 ]
@@ -30,19 +29,11 @@
 # How long before the connections are closed the last requests without an answer get
 # an error, in seconds, so that hundreds of them can be written.
 ANSWER_MARGIN_SECONDS = 0.25
-# Time that a request takes in this daemon itself, in seconds.
-OVERHEAD_SECONDS = 0.05
-# Factor by which an answer may take longer than usual and still be whole.
-ANSWER_SLACK = 1.1
-# The usual time of an answer while none is known, in seconds.
-UNKNOWN_ANSWER_SECONDS = 0.2
-# Number of answers of a route, and of a service, from which times are estimated.
-RECENT_ANSWERS = 16
-# The share of them that took no longer than the usual time.
-USUAL_QUANTILE = 0.9
-# Largest number of routes or services whose answers are kept. The one that has been
-# without an answer for longest is forgotten first.
-MAX_NAMES = 500
+# Number of requests of a service from which the time that they hold a slot is known.
+RECENT_REQUESTS = 16
+# Largest number of services of which it is kept. The one that has been without a
+# request for longest is forgotten first.
+MAX_SERVICES = 500
 
 
 class DrainWindow(NamedTuple):
@@ -65,67 +56,34 @@
         return cls(max(signalled_at, close_at - ANSWER_MARGIN_SECONDS), close_at)
 
 
-class AnswerTimes:
-    """How long answers take, from the last ones of each route and service.
+class HeldTimes:
+    """How long requests hold their slots, from the last ones of each service.
 
-    >>> times = AnswerTimes()
-    >>> times.record("grant-lookup", "desk", answer_seconds=0.2, held_seconds=0.2)
-    >>> times.usual("grant-lookup")
+    >>> times = HeldTimes()
+    >>> times.record("desk", 0.2)
+    >>> times.mean("desk")
     0.2
     """
 
     def __init__(self) -> None:
-        self._answers_by_route: dict[str, deque[float]] = {}
         self._held_by_service: dict[str, deque[float]] = {}
 
-    def record(
-        self, route: str, service: str, answer_seconds: float, held_seconds: float
-    ) -> None:
-        """Record an answer.
-
-        ``held_seconds`` is the time from the send to the answer's end.
-        ``answer_seconds`` is the same for a call, and the time from the first event to
-        the end for a prompt.
-        """
-        _append(self._answers_by_route, route, answer_seconds)
-        _append(self._held_by_service, service, held_seconds)
-
-    def usual(self, route: str) -> float:
-        """Return the seconds that most answers of a route take."""
-        answers = sorted(self._answers_by_route.get(route, ()))
-        if not answers:
-            return UNKNOWN_ANSWER_SECONDS
-        return answers[ceil(USUAL_QUANTILE * len(answers)) - 1]
-
-    def count(self, route: str) -> int:
-        """Return how many answers of a route are known."""
-        return len(self._answers_by_route.get(route, ()))
-
-    def mean_held(self, service: str) -> float:
-        """Return the mean time from send to end in seconds; 0 if none is known."""
+    def record(self, service: str, seconds: float) -> None:
+        """Record the time from a request's send to the end of its answer."""
+        held = self._held_by_service.pop(service, None)
+        if held is None:
+            held = deque(maxlen=RECENT_REQUESTS)
+            if len(self._held_by_service) >= MAX_SERVICES:
+                del self._held_by_service[next(iter(self._held_by_service))]
+        held.append(seconds)
+        self._held_by_service[service] = held
+
+    def mean(self, service: str) -> float:
+        """Return the mean time in seconds; 0 if none is known."""
         held = self._held_by_service.get(service)
         return sum(held) / len(held) if held else 0.0
 
 
-def _append(times_by_name: dict[str, deque[float]], name: str, seconds: float) -> None:
-    times = times_by_name.pop(name, None)
-    if times is None:
-        times = deque(maxlen=RECENT_ANSWERS)
-        if len(times_by_name) >= MAX_NAMES:
-            del times_by_name[next(iter(times_by_name))]
-    times.append(seconds)
-    times_by_name[name] = times
-
-
-def finish_seconds(demand: Demand, first_event_seconds: float) -> float:
-    """Return how long a request that is placed now takes to its end, in seconds.
-
-    ``first_event_seconds`` is the time until its first event.
-    """
-    answer_seconds = ANSWER_SLACK * demand.answer_seconds
-    return first_event_seconds + answer_seconds + OVERHEAD_SECONDS
-
-
 def gets_no_turn(
     demand: Demand,
     ahead: int,
--- a/cranberrywick/routing/members.py
+++ b/cranberrywick/routing/members.py
@@ -11,6 +11,7 @@
 from cranberrywick.routing.crash_statement import CrashStatement
 from cranberrywick.routing.drain_notices import DrainNotice
 from cranberrywick.routing.endpoint_limits import LimitReport
+from cranberrywick.routing.fleet_answers import AnswerStatement
 from cranberrywick.routing.fleet_demand import DemandStatement
 from cranberrywick.routing.load import Job
 from cranberrywick.routing.reachability import ReachStatement
@@ -60,8 +61,9 @@
     that its streams show to be slower than declared, ``limits`` its reports of
     endpoints' rate limits, ``drain_notices`` what endpoints have announced to it,
     ``store`` what it knows of the store, ``reach`` which endpoints it reaches,
-    ``demand`` its requests for contended services and what its VM can bear, and
-    ``crashes`` under which prompts endpoints have crashed.
+    ``demand`` its requests for contended services and what its VM can bear,
+    ``crashes`` under which prompts endpoints have crashed, and ``answers`` how long the
+    answers are that it has forwarded.
     """
 
     @property
@@ -87,6 +89,7 @@
     reach: ReachStatement = ReachStatement()
     demand: DemandStatement = DemandStatement()
     crashes: CrashStatement = CrashStatement()
+    answers: AnswerStatement = AnswerStatement()
 
     @property
     def operator_position(self) -> StorePosition:
--- a/tests/stop_soak.py
+++ b/tests/stop_soak.py
@@ -8,7 +8,9 @@
 it. Callers use new connections, kept ones, pipelines and slow bodies. Checked are:
 
 - a request that a gateway has read is answered before the gateway ends;
-- an answer that has begun is cut only at the end of the grace period, or at its
+- a stream that was sent after the signal is whole, or refused before it runs, unless
+  its gateway was frozen meanwhile;
+- another answer that has begun is cut only at the end of the grace period, or at its
   deadline;
 - a request that was refused as not run has not run, and no unsafe one ran twice;
 - each gateway ends by itself within its grace period.
@@ -45,11 +47,12 @@
 
 
 class Sent(NamedTuple):
-    """A request, when its last byte was sent, its answer and when that ended."""
+    """A request, when its first and its last byte were sent, and its answer's end."""
 
     gateway: str
     kind: str
     request_id: str
+    begun_at: float
     sent_at: float
     answer: Answer
     ended_at: float
@@ -64,6 +67,8 @@
         self._sent: list[Sent] = []
         self._signalled_at: dict[str, float] = {}
         self._ended_at: dict[str, float] = {}
+        # When gateways went on after they had been frozen.
+        self._woken_at: dict[str, float] = {}
         self._threads: list[threading.Thread] = []
         self._began = 0.0
 
@@ -110,7 +115,7 @@
         self._signalled_at[gateway.name] = self._fleet.stop(gateway, first)
         if frozen_first:
             time.sleep(rng.uniform(0.7, 3.0))
-            self._fleet.stop(gateway, SIGCONT)
+            self._woken_at[gateway.name] = self._fleet.stop(gateway, SIGCONT)
         for number in rng.choices((SIGTERM, SIGINT, SIGHUP), k=rng.randint(0, 3)):
             time.sleep(rng.uniform(0.0, 1.0))
             gateway.process.send_signal(number)
@@ -118,7 +123,7 @@
             time.sleep(rng.uniform(0.0, 1.0))
             gateway.process.send_signal(SIGSTOP)
             time.sleep(rng.uniform(0.2, 2.0))
-            gateway.process.send_signal(SIGCONT)
+            self._woken_at[gateway.name] = self._fleet.stop(gateway, SIGCONT)
         gateway.process.wait(GRACE_SECONDS + 5)
         self._ended_at[gateway.name] = time.monotonic()
 
@@ -147,6 +152,8 @@
         headers = WAITING_PROMPT if kind == "prompts" else {}
         deadline_ms = str(round(1000 * DEADLINE_SECONDS))
         headers = {**headers, "Cranberrywick-Deadline-Ms": deadline_ms}
+        if kind == "prompts":
+            headers["X-Events"] = str(rng.choice((1, 3, 8, 8, 20, 60)))
         request_id = self._fleet.new_id()
         method = "GET" if kind == "reads" else "POST"
         body = b"" if kind == "reads" else b"b" * 1000
@@ -162,7 +169,7 @@
         with connection:
             connection.settimeout(40.0)
             receiving = _ByteByByte(connection)
-            sent_at = 0.0
+            begun_at = sent_at = time.monotonic()
             if pipelined:
                 whole = b"".join(data for *_, data in requests)
                 if not _send(connection, whole):
@@ -170,6 +177,7 @@
                 sent_at = time.monotonic()
             for kind, request_id, data in requests:
                 if not pipelined:
+                    begun_at = time.monotonic()
                     if body_pause:
                         _send(connection, data[:-500])
                         time.sleep(body_pause)
@@ -179,7 +187,9 @@
                     sent_at = time.monotonic()
                 answer = _receive(receiving)
                 now = time.monotonic()
-                sent = Sent(gateway.name, kind, request_id, sent_at, answer, now)
+                sent = Sent(
+                    gateway.name, kind, request_id, begun_at, sent_at, answer, now
+                )
                 self._sent.append(sent)
                 if not answer.whole or answer.headers.get("connection") == "close":
                     return
@@ -208,7 +218,12 @@
             lines.append(what + "was not answered")
         elif answer.status and not answer.whole:
             stop_cuts_at = signalled_at + GRACE_SECONDS - CUT_SECONDS
-            if sent.ended_at < min(stop_cuts_at, sent.sent_at + DEADLINE_SECONDS - 0.1):
+            woken_at = self._woken_at.get(sent.gateway, signalled_at)
+            if sent.sent_at > max(signalled_at, woken_at):
+                stop_cuts_at = float("inf")
+            # The deadline counts from the head of a request.
+            deadline = sent.begun_at + DEADLINE_SECONDS - 0.1
+            if sent.ended_at < min(stop_cuts_at, deadline):
                 lines.append(what + f"was cut after {sent.ended_at - signalled_at:.2f}")
         if answer.status in NOT_RUN_STATUSES and runs:
             lines.append(what + f"got {answer.status} and ran {runs} times")
--- a/tests/test_drain_window.py
+++ b/tests/test_drain_window.py
@@ -11,11 +11,9 @@
 from cranberrywick.bench.prompt_engines import PROFILE
 from cranberrywick.routing.demand import Demand
 from cranberrywick.routing.drain_window import (
-    MAX_NAMES,
-    UNKNOWN_ANSWER_SECONDS,
-    AnswerTimes,
+    MAX_SERVICES,
     DrainWindow,
-    finish_seconds,
+    HeldTimes,
     gets_no_turn,
     seconds_until_room,
 )
@@ -39,7 +37,7 @@
 
 
 def demand(service=CALLS, prompt=None):
-    return Demand("r", service, prompt, 0.3, 0.3, 0.25, "fd-a", answer_seconds=0.5)
+    return Demand("r", service, prompt, 0.3, 0.3, 0.25, "fd-a")
 
 
 def calls(endpoint_id, number):
@@ -112,24 +110,17 @@
     assert seconds_until_room(request, POOL, load_of(jobs), 0.0) == pytest.approx(5.0)
 
 
-def test_answer_times_are_those_of_the_last_answers():
-    """Guards against estimates by an outlier, by old answers, or without a bound."""
-    times = AnswerTimes()
-    assert times.usual("lookup") == UNKNOWN_ANSWER_SECONDS
-    assert times.mean_held("desk") == 0.0
+def test_held_times_are_those_of_the_last_requests():
+    """Guards against estimates by old requests, or without a bound of their number."""
+    times = HeldTimes()
+    assert times.mean("desk") == 0.0
     for seconds in [*[9.0] * 20, *[0.1] * 15, 4.0]:
-        times.record("lookup", "desk", seconds, seconds)
-    assert times.usual("lookup") == 0.1
-    assert times.mean_held("desk") == pytest.approx((15 * 0.1 + 4.0) / 16)
-    for number in range(MAX_NAMES):
-        times.record(f"route-{number}", "desk", 1.0, 1.0)
-    assert times.usual("lookup") == UNKNOWN_ANSWER_SECONDS
-    assert times.usual(f"route-{MAX_NAMES - 1}") == 1.0
-
-
-def test_a_request_needs_its_first_event_and_its_answer():
-    """Guards against prompts that are sent when only their first event is in time."""
-    assert finish_seconds(demand(), first_event_seconds=1.0) == pytest.approx(1.6)
+        times.record("desk", seconds)
+    assert times.mean("desk") == pytest.approx((15 * 0.1 + 4.0) / 16)
+    for number in range(MAX_SERVICES):
+        times.record(f"service-{number}", 1.0)
+    assert times.mean("desk") == 0.0
+    assert times.mean(f"service-{MAX_SERVICES - 1}") == 1.0
 
 
 def test_refused_callers_are_spread_and_return_when_somebody_serves():
--- /dev/null
+++ b/tests/test_fleet_answers.py
@@ -0,0 +1,308 @@
+"""How long an answer may take at most, as a stopping daemon decides by it.
+
+Guards against bounds by the short answers, by the pace of before or by too few, and
+against bounds so far off that nothing would be served.
+"""
+
+import random
+from math import inf
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from msgspec.msgpack import decode, encode
+
+from cranberrywick.gateway.answer_rows import pack_answers, unpack_answers
+from cranberrywick.routing.answer_lengths import (
+    KEPT_ANSWERS,
+    MAX_GROUPS,
+    MIN_ANSWERS,
+    AnswerLengths,
+    AnswerOutline,
+    Tail,
+)
+from cranberrywick.routing.answer_pace import KNOWN_SECONDS, AnswerPaces
+from cranberrywick.routing.fleet_answers import (
+    KEPT_SECONDS,
+    MAX_OVERRUN_SECONDS,
+    MAX_STATED_LENGTHS,
+    OVERRUN_SECONDS,
+    RESTATE_SECONDS,
+    UNKNOWN_STREAM_SECONDS,
+    AnswerStatement,
+    FleetAnswers,
+)
+
+STRIDE = 51
+DRAFT = AnswerOutline("drafts", is_stream=True, tokens=400)
+CALL = AnswerOutline("lookup", target_seconds=0.3)
+
+
+def known(lengths, outline=DRAFT, hints=None):
+    """Return answers of which streams with these lengths are known."""
+    answers = FleetAnswers()
+    record(answers, lengths, outline, hints)
+    return answers
+
+
+def record(answers, lengths, outline=DRAFT, hints=None):
+    for number, events in enumerate(lengths):
+        hint = hints[number] if hints else 0
+        ended = outline._replace(events=events, hint=hint)
+        answers.record_stream(ended, outline.resumed_at + events, STRIDE)
+
+
+def seconds(answers, outline=DRAFT, pace=0.05, now=0.0):
+    """Return the forecast without the time to the first event."""
+    return answers.forecast(outline, "pool", STRIDE, 0.0, pace, now).seconds
+
+
+def events(answers, outline=DRAFT):
+    return answers.forecast(outline, "pool", STRIDE, 0.0, 0.05, 0.0).events
+
+
+def test_the_bound_is_above_the_longest_of_many_short_ones():
+    """Guards against nine in ten answers that stand for all."""
+    answers = known([2] * 100 + [80])
+    assert events(answers) >= 80
+
+
+@pytest.mark.parametrize("draw", ["uniform", "exponential", "lognormal"])
+def test_hardly_any_answer_is_longer_than_its_bound(draw):
+    """Guards against a bound that one answer in a hundred exceeds."""
+    rng = random.Random(7)
+    lengths_by_name = {
+        "uniform": lambda: rng.randint(1, 89),
+        "exponential": lambda: 1 + round(rng.expovariate(1 / 30)),
+        "lognormal": lambda: 1 + round(rng.lognormvariate(3.0, 0.6)),
+    }
+    outline, exceeded = DRAFT._replace(tokens=10**6), 0
+    for _ in range(200):
+        count = rng.choice((MIN_ANSWERS, 32, 64, 256))
+        answers = known([lengths_by_name[draw]() for _ in range(count)], outline)
+        bound = events(answers, outline)
+        exceeded += sum(lengths_by_name[draw]() > bound for _ in range(100))
+    assert exceeded <= 20_000 / 200
+
+
+def test_a_bound_from_many_answers_is_near_the_longest():
+    """Guards against a bound so high that nothing is served."""
+    rng = random.Random(7)
+    answers = known([rng.randint(1, 89) for _ in range(256)])
+    assert 89 <= events(answers) <= 105
+
+
+def test_streams_are_never_longer_than_their_tokens_allow():
+    """Guards against a refusal of answers that can't become long."""
+    assert events(FleetAnswers(), DRAFT._replace(tokens=3)) == 3
+    assert seconds(FleetAnswers(), DRAFT._replace(tokens=3)) < 0.3
+    answers = known([80, 89, 70] * 20)
+    assert events(answers, DRAFT._replace(tokens=9)) == 9
+    # An endpoint that exceeds what requests allow shows that this is no bound.
+    record(answers, [20], DRAFT._replace(tokens=10))
+    assert events(answers, DRAFT._replace(tokens=9)) > 80
+
+
+def test_what_an_engine_declares_is_a_bound_unless_answers_exceed_it():
+    """Guards against a guess where the length is known, and against a wrong one."""
+    long = DRAFT._replace(tokens=4182)
+    answers = known([20, 30, 82, 5] * 8, long)
+    assert events(answers, long) == 82
+    # It is known of the engines, whatever the route is.
+    assert events(answers, long._replace(route="reviews")) == 82
+    answers.running = lambda: [long._replace(route="reviews", events=83)]
+    assert events(answers, long) > 82
+    answers.running = list
+    record(answers, [83], long)
+    assert events(answers, long) > 83
+
+
+def test_an_answer_that_may_become_longer_is_not_bounded_by_shorter_ones():
+    """Guards against a bound from requests that allow a tenth of the tokens."""
+    answers = known([8, 3] * 20, DRAFT._replace(tokens=8))
+    assert seconds(answers) >= UNKNOWN_STREAM_SECONDS
+    assert events(answers, DRAFT._replace(tokens=8)) == 8
+    # The other way round it is one.
+    assert events(known([8] * 20), DRAFT._replace(tokens=300)) <= 16
+
+
+def test_streams_of_unknown_length_take_long():
+    """Guards against a daemon that knows nothing and expects the best."""
+    assert seconds(FleetAnswers()) >= UNKNOWN_STREAM_SECONDS
+    assert seconds(known([2] * (MIN_ANSWERS - 1))) >= UNKNOWN_STREAM_SECONDS
+    assert seconds(known([2] * MIN_ANSWERS)) < 1.0
+    assert events(FleetAnswers(), AnswerOutline("drafts", is_stream=True)) == inf
+
+
+def test_the_first_to_end_do_not_stand_for_those_that_run():
+    """Guards against a bound by the short ones as long as the others still run."""
+    answers = known([2] * 20)
+    answers.running = lambda: [DRAFT._replace(events=5, has_begun=True)] * 12
+    assert seconds(answers) >= UNKNOWN_STREAM_SECONDS
+    assert not answers.statement(0.0).lengths
+    answers.running = lambda: [DRAFT._replace(events=60, has_begun=True)]
+    assert events(answers) >= 60
+    # Two hundred have ended while a few run.
+    record(answers, [2] * 200)
+    answers.running = lambda: [DRAFT._replace(events=2, has_begun=True)] * 12
+    assert events(answers) < 5
+
+
+def test_the_hint_of_a_caller_is_used_as_far_as_hints_were_right():
+    """Guards against each stream of a route that is taken for its longest."""
+    rng = random.Random(7)
+    lengths = [rng.randint(1, 80) for _ in range(200)]
+    hints = [max(1, round(10 * n * rng.choice((0.5, 1, 2)))) for n in lengths]
+    answers = known(lengths, hints=hints)
+    assert 20 <= events(answers, DRAFT._replace(hint=100)) <= 45
+    assert events(answers, DRAFT._replace(hint=5000)) >= 80
+
+
+def test_the_rest_of_a_resumed_stream_is_no_short_answer():
+    """Guards against a bound from answers whose beginning was sent elsewhere."""
+    resumed = DRAFT._replace(resumed_at=78)
+    answers = known([80] * 20)
+    record(answers, [2] * 300, resumed)
+    assert events(answers) >= 80
+    unnumbered = known([80] * 20)
+    for _ in range(300):
+        unnumbered.record_stream(resumed._replace(events=2), None, STRIDE)
+    assert events(unnumbered) >= 80
+
+
+def test_the_pace_is_that_of_now():
+    """Guards against the pace of an engine before it became slower."""
+    paces = AnswerPaces()
+    for number in range(100):
+        paces.record("e1", "pool", 0.05, 1, float(number))
+    assert paces.at("e1", 99.0) == pytest.approx(0.05)
+    for number in range(3):
+        paces.record("e1", "pool", 0.4, 2, 100.0 + number)
+    assert paces.at("e1", 102.0) == pytest.approx(0.2)
+    paces.record("e1", "pool", 0.05, 1, 103.0)
+    assert paces.at("e1", 103.0) < 0.15
+    assert paces.at("e1", 103.0 + 2 * KNOWN_SECONDS) is None
+    assert paces.at("e2", 103.0) is None
+
+
+def test_an_endpoint_without_own_streams_has_the_slowest_pace_known():
+    """Guards against an endpoint that is expected to be as fast as another one."""
+    answers = FleetAnswers()
+    for endpoint_id, pause in (("e1", 0.05), ("e2", 0.2)):
+        for _ in range(8):
+            answers.paces.record(endpoint_id, "pool", pause, 1, 0.0)
+    assert answers.pace("e1", "pool", 1.0) == pytest.approx(0.05)
+    assert answers.pace("e3", "pool", 1.0) == pytest.approx(0.2)
+    assert answers.least_pace("pool", 1.0) == pytest.approx(0.05)
+    assert answers.pace("e3", "desk", 1.0) is None
+    peer = FleetAnswers()
+    peer.receive("d1", answers.statement(1.0), 1.0)
+    assert peer.pace("e1", "pool", 1.0) == pytest.approx(0.2)
+    assert peer.pace("e1", "pool", 60.0) is None
+
+
+def test_answers_that_took_longer_than_foreseen_count_for_some_seconds():
+    """Guards against forecasts that go on being wrong, and against one forever."""
+    answers = known([20] * 20)
+    before = seconds(answers)
+    answers.record_overrun("pool", foreseen=1.0, seconds=1.6, now=5.0)
+    assert seconds(answers, now=6.0) == pytest.approx(before + 0.5)
+    assert seconds(answers, now=6.0 + OVERRUN_SECONDS) == before
+    answers.record_overrun("pool", foreseen=1.0, seconds=100.0, now=20.0)
+    assert answers.overrun_seconds("pool", 20.0) == MAX_OVERRUN_SECONDS
+
+
+def test_calls_take_as_long_as_the_longest_lately():
+    """Guards against calls that are cut as they take longer than most."""
+    answers = FleetAnswers()
+    assert seconds(answers, CALL) == pytest.approx(1.1 * 0.3 + 0.05)
+    for duration in [0.02] * 30 + [1.0]:
+        answers.record_call("lookup", duration)
+    assert seconds(answers, CALL) > 1.0
+    for _ in range(100):
+        answers.record_call("lookup", 0.02)
+    assert seconds(answers, CALL) < 0.1
+
+
+def test_peers_know_what_a_daemon_has_not_seen():
+    """Guards against a daemon that has just started and expects the best."""
+    peer, other = known([80, 20] * 10), known([2] * 30, DRAFT._replace(tokens=8))
+    late = FleetAnswers()
+    late.receive("d1", peer.statement(0.0), 0.0)
+    late.receive("d2", other.statement(0.0), 0.0)
+    assert events(late) >= 80
+    assert events(late, DRAFT._replace(tokens=15)) < 8
+    late.receive("d1", AnswerStatement(), 1.0)
+    assert events(late) >= 80
+    late.forget(KEPT_SECONDS + 2.0)
+    assert seconds(late) >= UNKNOWN_STREAM_SECONDS
+
+
+def test_a_daemon_states_what_it_knows_now_and_then():
+    """Guards against heartbeats that all carry it, and against none that does."""
+    answers = known([5] * 20)
+    assert answers.due_statement(0.0).lengths
+    assert answers.due_statement(RESTATE_SECONDS - 0.1) == AnswerStatement()
+    assert answers.due_statement(RESTATE_SECONDS).lengths
+
+
+def test_what_is_kept_is_bounded():
+    """Guards against a daemon that grows with the routes and answers that it sees."""
+    answers = FleetAnswers()
+    for number in range(2 * MAX_GROUPS):
+        record(answers, [5] * 2, DRAFT._replace(route=f"route-{number}"))
+    statement = answers.statement(0.0)
+    assert len(statement.lengths) == MAX_STATED_LENGTHS
+    assert statement.lengths[0].route == f"route-{2 * MAX_GROUPS - 1}"
+    lengths = AnswerLengths()
+    for _ in range(KEPT_ANSWERS):
+        lengths.record(DRAFT._replace(events=80), 80, STRIDE)
+    for _ in range(KEPT_ANSWERS):
+        lengths.record(DRAFT._replace(events=2), 2, STRIDE)
+    assert lengths.bound(DRAFT, STRIDE, [], []).events < 5
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.integers(0, 10**9),
+            st.integers(0, 10**9),
+            st.integers(1, 5000),
+            st.integers(0, 100),
+        ),
+        max_size=40,
+    )
+)
+def test_statements_survive_the_wire_whatever_requests_state(answers):
+    """Guards against bounds that a peer reads as lower, and against malformed rows."""
+    known_answers = FleetAnswers()
+    for tokens, hint, length, resumed_at in answers:
+        outline = DRAFT._replace(
+            tokens=tokens, hint=hint, events=length, resumed_at=resumed_at
+        )
+        known_answers.record_stream(outline, resumed_at + length, STRIDE)
+    stated = known_answers.statement(0.0)
+    values = unpack_answers(pack_answers([AnswerStatement(), stated]))
+    assert not values.error
+    read = values.values_by_position.get(1, AnswerStatement())
+    assert [e[:2] for e in read.lengths] == [e[:2] for e in stated.lengths]
+    for ours, theirs in zip(stated.lengths, read.lengths, strict=True):
+        assert theirs.events.most == pytest.approx(ours.events.most, abs=0.01)
+        assert theirs.traits == ours.traits
+        for outline in (DRAFT, DRAFT._replace(hint=50)):
+            assert seconds(known_answers, outline) > 0
+
+
+def test_a_row_that_cannot_be_read_is_dropped_alone():
+    """Guards against a whole heartbeat lost for what it states about answers."""
+    good = decode(pack_answers([known([5] * 20).statement(0.0)]))[0]
+    bad = [[["drafts", -1]], []]
+    rows = unpack_answers(encode([bad, good, [*good, "of a newer version"]]))
+    assert rows.error
+    assert set(rows.values_by_position) == {1, 2}
+
+
+def test_a_tail_of_nothing_has_no_bound():
+    """Guards against a division by nothing."""
+    assert Tail.of([]).merge(Tail()).bound() is None
+    assert Tail.of([0.0] * 20).bound() is None
--- a/tests/test_gateway_attempt.py
+++ b/tests/test_gateway_attempt.py
@@ -105,7 +105,7 @@
         callbacks = AnswerCallbacks(
             lambda source, status, meta: announced.append((source, meta.draining)),
             lambda exchange: None,
-            lambda endpoint_id, seconds: None,
+            lambda endpoint_id, seconds, events: None,
         )
         await Attempt(
             exchange,
--- a/tests/test_stream_stops.py
+++ b/tests/test_stream_stops.py
@@ -225,7 +225,7 @@
     """Guards against a refusal for events that the caller has already."""
     with quick_fleet(tmp_path) as fleet:
         gateway, _ = fleet.gateways
-        serve(fleet, gateway, [80, 60, 40, 20] * 5)
+        serve(fleet, gateway, [80, 60, 40, 20] * 12)
         signalled_at = stop_and_wait(fleet, gateway, 4.5)
         headers = {**stream_headers(80), **DEADLINE, "Last-Event-Id": "70"}
         caller = fleet.send(gateway, "POST", "/prompts/1", headers)
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -22,6 +22,7 @@
 from cranberrywick.routing.demand import Demand, min_first_event_seconds
 from cranberrywick.routing.drain_window import DrainWindow
 from cranberrywick.routing.endpoint_index import EndpointPool
+from cranberrywick.routing.fleet_answers import FleetAnswers
 from cranberrywick.routing.fleet_demand import (
     DemandStatement,
     FleetDemand,
@@ -38,6 +39,7 @@
 from cranberrywick.routing.placement import Placement
 from cranberrywick.routing.registry import EndpointRegistry
 from cranberrywick.routing.request_traits import RequestTraits
+from cranberrywick.routing.slowdown import EndpointSlowdowns
 
 
 class PlacerFullUntil:
@@ -66,6 +68,8 @@
         peer_updates=SimpleNamespace(
             job_added=lambda: None,
             limits=SimpleNamespace(wait_seconds=lambda endpoint_id, now: 0.0),
+            answers=FleetAnswers(),
+            slowdowns=EndpointSlowdowns(),
         ),
     )
 
