A stream that breaks off while its daemon stops goes on, with time for its rest

Callers saw streams end in the middle that their endpoint had broken off with 1.4 s of events and 2.7 s of time left. Cause: a further attempt was compared with the time of a whole answer. An answer that has begun is cut either way if it is refused, so that it is continued now whatever the forecast says; and for one that the caller resumes with Last-Event-Id, the events that it has are taken off, where ids are numbers of events.

--- a/cranberrywick/gateway/drain.py
+++ b/cranberrywick/gateway/drain.py
@@ -164,7 +164,7 @@
 
         ``ahead`` is how many others of its service are before it in the queue.
         """
-        if self._window is None:
+        if self._window is None or demand.answer.has_begun:
             return
         service = demand.service.name
         forecast = self._least(demand, now)
@@ -198,10 +198,11 @@
     ) -> None:
         """Raise `Draining` for a request whose answer the end of the daemon would cut.
 
-        Not if its own time is over before.
+        Not if its own time is over before, nor if its answer has begun: that would be
+        cut now.
         """
         ends_at = self.ends_at(demand.answer.is_stream)
-        if demand.deadline <= ends_at:
+        if demand.answer.has_begun or demand.deadline <= ends_at:
             return
         is_late = now + forecast.first_event > self.answer_by
         if is_late or now + forecast.seconds > ends_at:
--- a/cranberrywick/routing/answer_lengths.py
+++ b/cranberrywick/routing/answer_lengths.py
@@ -269,9 +269,12 @@
             _bounds(outline, known, whole, stride if is_declared else 0),
             default=(inf, "unknown"),
         )
+        done = outline.events
+        if whole.traits.is_numbered:
+            done += outline.resumed_at
         answers = known.events.count
         longest = round(known.events.most)
-        return LengthBound(events, basis, answers, longest)
+        return LengthBound(max(1.0, events - done), basis, answers, longest)
 
 
 def _number(outline: AnswerOutline) -> int:
--- a/tests/test_fleet_answers.py
+++ b/tests/test_fleet_answers.py
@@ -158,6 +158,17 @@
     assert events(answers, DRAFT._replace(hint=5000)) >= 80
 
 
+def test_a_resumed_stream_needs_time_for_the_rest():
+    """Guards against a resumption that is refused for events which were sent."""
+    answers = known([80, 60, 40] * 30)
+    assert events(answers, DRAFT._replace(resumed_at=70)) <= 25
+    assert events(answers, DRAFT._replace(events=70)) <= 25
+    # Its end is near if the ids are numbers, else nobody knows where it is.
+    answers.record_stream(DRAFT._replace(events=40), 400, STRIDE)
+    assert events(answers, DRAFT._replace(resumed_at=70)) >= 80
+    assert events(answers, DRAFT._replace(events=70)) <= 25
+
+
 def test_the_rest_of_a_resumed_stream_is_no_short_answer():
     """Guards against a bound from answers whose beginning was sent elsewhere."""
     resumed = DRAFT._replace(resumed_at=78)
