A header that is no number gets no exception in place of an answer

Callers whose Cranberrywick-Token-Count or Length-Hint had a digit that isn't decimal, such as a superscript two, got a closed connection without an answer; half read as a daemon stopped, such a request ended the process with code 1 before the others had their answers. Cause: str.isdigit accepts what int refuses, and any number of digits. The headers are read as bytes now, up to 12 digits, else as not stated.

--- a/cranberrywick/platform/headers.py
+++ b/cranberrywick/platform/headers.py
@@ -105,8 +105,8 @@
 # the platform.
 MAX_SEGMENTS = 64
 MAX_SEGMENT_ID_CHARACTERS = 32
-# Largest hint of a length that is read, in digits.
-MAX_HINT_DIGITS = 9
+# Largest number of tokens that is read, in digits.
+MAX_NUMBER_DIGITS = 12
 
 
 class RequestMeta(NamedTuple):
@@ -183,7 +183,7 @@
         prompt=_decode_prompt(by_name.get(TOKEN_COUNT)),
         last_event_id=_decode_text(by_name.get(LAST_EVENT_ID)),
         segment_ids=_decode_segments(by_name.get(PREFIX)),
-        length_hint=_decode_length_hint(by_name.get(LENGTH_HINT)),
+        length_hint=_decode_number(by_name.get(LENGTH_HINT)),
     )
 
 
@@ -297,18 +297,19 @@
 
 
 def _decode_prompt(value: bytes | None) -> PromptSize | None:
-    prompt, _, output = (_decode_text(value) or "").partition(",")
-    if not prompt.strip().isdigit():
+    prompt, _, output = (value or b"").partition(b",")
+    prompt_tokens = _decode_number(prompt)
+    if prompt_tokens is None:
         return None
-    output = output.strip()
-    return PromptSize(int(prompt), int(output) if output.isdigit() else 0)
+    return PromptSize(prompt_tokens, _decode_number(output) or 0)
 
 
-def _decode_length_hint(value: bytes | None) -> int | None:
-    hint = (_decode_text(value) or "").strip()
-    if not hint.isdigit() or len(hint) > MAX_HINT_DIGITS:
+def _decode_number(value: bytes | None) -> int | None:
+    """Return a whole number of at most `MAX_NUMBER_DIGITS`; None for another text."""
+    digits = (value or b"").strip()
+    if not digits.isdigit() or len(digits) > MAX_NUMBER_DIGITS:
         return None
-    return int(hint)
+    return int(digits)
 
 
 def _decode_segments(value: bytes | None) -> tuple[str, ...]:
