The process of a stopped gateway ends as soon as its last lines are written

Traced: connections are closed at 7.605 s and the event loop has ended at 7.61 s; the interpreter takes itself down after that, for 0.15 to 0.36 s (process gone at 7.757, 7.837, 7.974 s at a load average of 18), and the platform kills it at 8.

--- a/cranberrywick/cli/gateway.py
+++ b/cranberrywick/cli/gateway.py
@@ -1,5 +1,6 @@
 """``cranberrywick gateway``: run the gateway of one entry VM."""
 
+import os
 import sys
 
 import click
@@ -12,6 +13,8 @@
 __all__ = ["gateway"]
 
 EXIT_INVALID_SETTINGS = 2
+# Longest time that the end of the process waits for its last log lines, in seconds.
+LAST_LINES_SECONDS = 0.05
 
 
 @click.command()
@@ -27,9 +30,14 @@
 
     Exit codes: 0 after a stop, 2 for invalid settings.
     """
-    set_up_logs(log_level, BoundedOutput(sys.stdout))
+    output = BoundedOutput(sys.stdout)
+    set_up_logs(log_level, output)
     try:
         run_gateway(settings)
     except InvalidSettings as error:
         click.echo(f"{error.type}: {error.message}", err=True)
         raise SystemExit(EXIT_INVALID_SETTINGS) from error
+    output.wait_written(LAST_LINES_SECONDS)
+    # The interpreter takes up to 0.4 s to take itself down on a busy machine, which may
+    # be longer than the platform waits before it kills the process.
+    os._exit(os.EX_OK)
--- a/cranberrywick/gateway/log_output.py
+++ b/cranberrywick/gateway/log_output.py
@@ -24,6 +24,8 @@
         self._stream = stream
         self._lines: queue.Queue[str] = queue.Queue(MAX_LINES)
         self._dropped = 0
+        # Set while the thread has nothing to write.
+        self._idle = threading.Event()
         thread = threading.Thread(target=self._run, name="log", daemon=True)
         thread.start()
 
@@ -32,6 +34,7 @@
 
         The length is returned in both cases, as for any text stream.
         """
+        self._idle.clear()
         try:
             self._lines.put_nowait(text)
         except queue.Full:
@@ -41,6 +44,10 @@
     def flush(self) -> None:
         """Do nothing: the thread flushes whenever the queue is empty."""
 
+    def wait_written(self, seconds: float) -> bool:
+        """Wait so long until all lines are written; return whether they are."""
+        return self._idle.wait(seconds)
+
     def _run(self) -> None:
         while True:
             text = self._lines.get()
@@ -51,6 +58,7 @@
                 self._stream.write(text)
                 if self._lines.empty():
                     self._stream.flush()
+                    self._idle.set()
             except (OSError, ValueError):
                 # The output is closed, and there is nowhere else to report it.
                 return
