--- a/cranberrywick/gateway/direct_attempts.py
+++ b/cranberrywick/gateway/direct_attempts.py
@@ -5,6 +5,7 @@
 
 from cranberrywick.errors import (
     CranberrywickError,
+    Draining,
     EndpointFailed,
     EndpointRefused,
     RequestQuarantined,
@@ -82,7 +83,8 @@
     async def run(self, exchange: Exchange) -> AttemptFailure | None:
         """Make an attempt; return its failure, None if the answer was forwarded.
 
-        Raises the errors of `PermittedPlacements.take`, and `RequestQuarantined`.
+        Raises the errors of `PermittedPlacements.take`, `Draining` and
+        `RequestQuarantined`.
         """
         exchange.peer_id = ""
         placement = await self._placements.take(exchange)
@@ -90,7 +92,7 @@
         exchange.foreseen_pace = answers.paces.at(placement.endpoint_id, now)
         try:
             await self._attempt(exchange, placement)
-        except RequestQuarantined:
+        except (Draining, RequestQuarantined):
             self._state.load.drop(exchange.key)
             raise
         except CranberrywickError as error:
@@ -183,6 +185,7 @@
             self._waiting.refuse_quarantined(
                 exchange.traits, exchange.key, exchange.meta.request_id
             )
+            self._drain.check_send(exchange, placement)
             return self._state.usable_endpoints.may_send(endpoint_id, as_last_resort)
 
         await Attempt(
--- a/cranberrywick/gateway/drain.py
+++ b/cranberrywick/gateway/drain.py
@@ -144,6 +144,20 @@
             **self._fields(demand, forecast, now),
         )
 
+    def check_send(self, exchange: Exchange, placement: Placement) -> None:
+        """Raise `Draining` for a request that might be cut, just before it is sent.
+
+        It has waited for a connection, a permit or memory since it was placed, and the
+        daemon may have been told to stop meanwhile.
+        """
+        if self._window is None:
+            return
+        now = self._loop.time()
+        demand = exchange.demand("")
+        pace = self._pace(demand, placement.endpoint_id, now)
+        forecast = self._forecast(demand, placement.first_event_seconds, pace, now)
+        self._check(demand, forecast, "sent too late", now)
+
     def check_forwarding(self, exchange: Exchange) -> None:
         """Raise `Draining` for a request that might be cut if a peer served it now."""
         if self._window is None:
--- a/tests/test_stream_stops.py
+++ b/tests/test_stream_stops.py
@@ -232,3 +232,18 @@
         assert check_whole_or_refused(fleet, [caller]) == 1
         assert caller.answer().body.count(b"data:") == 10
         check_ended(gateway, signalled_at)
+
+
+@pytest.mark.parametrize("after", [5.4, 5.6, 5.8])
+def test_streams_that_wait_for_a_permit_are_not_sent_too_late(tmp_path, after):
+    """Guards against a stream that is whole in time only without the wait before it."""
+    with quick_fleet(tmp_path) as fleet:
+        gateway, _ = fleet.gateways
+        serve(fleet, gateway, [30, 25, 20, 10] * 5, tokens=30)
+        for endpoint_id in ("engine-1", "engine-2"):
+            fleet.endpoints[endpoint_id].rate_limit = 2.0
+        serve(fleet, gateway, [1, 1], tokens=30)
+        signalled_at = stop_and_wait(fleet, gateway, after)
+        callers = [send_stream(fleet, gateway, 30, tokens=30) for _ in range(12)]
+        check_whole_or_refused(fleet, callers)
+        check_ended(gateway, signalled_at)
