A peer compares what it is forwarded with the end of the daemon that stops

A stopping daemon forwards a stream with the time that it has left, which its peer took for the caller's own deadline, and compared with nothing: a busy peer began it late and the sender's end cut it. The sender's statement says now that it ends then, and the peer refuses what won't be whole, so that the sender tries another one. Likewise the rest of a stream that goes on at a peer was taken for a whole answer there, and refused by a peer that stops, since the headers of the caller know nothing of it; the statement does.

Daemons of an earlier build ignore the new field.

--- a/cranberrywick/gateway/drain.py
+++ b/cranberrywick/gateway/drain.py
@@ -130,7 +130,7 @@
 
     def check_placement(self, demand: Demand, placement: Placement, now: float) -> None:
         """Raise `Draining` for a request that might be cut if it were sent now."""
-        if self._window is None:
+        if not self._ends_before(demand):
             return
         pace = self._pace(demand, placement.endpoint_id, now)
         forecast = self._forecast(demand, placement.first_event_seconds, pace, now)
@@ -150,10 +150,10 @@
         It has waited for a connection, a permit or memory since it was placed, and the
         daemon may have been told to stop meanwhile.
         """
-        if self._window is None:
+        demand = exchange.demand("")
+        if not self._ends_before(demand):
             return
         now = self._loop.time()
-        demand = exchange.demand("")
         pace = self._pace(demand, placement.endpoint_id, now)
         forecast = self._forecast(demand, placement.first_event_seconds, pace, now)
         self._check(demand, forecast, "sent too late", now)
@@ -170,7 +170,7 @@
 
     def check_wait(self, demand: Demand, now: float) -> None:
         """Raise `Draining` for a request that might be cut even if it had room now."""
-        if self._window is not None:
+        if self._ends_before(demand):
             self._check(demand, self._least(demand, now), "no room in time", now)
 
     def check_turn(self, demand: Demand, ahead: int, now: float) -> None:
@@ -182,8 +182,8 @@
             return
         service = demand.service.name
         forecast = self._least(demand, now)
-        last_start = self.ends_at(demand.answer.is_stream) - forecast.seconds
-        if demand.deadline <= self.ends_at(demand.answer.is_stream):
+        last_start = self._ends_at(demand) - forecast.seconds
+        if not self._ends_before(demand):
             last_start = demand.deadline - forecast.first_event
         if gets_no_turn(
             demand,
@@ -207,19 +207,28 @@
         error = self._refusal(request_id, "its body has not come")
         return body_refusal(error, request_id, error.retry_after)
 
+    def _ends_before(self, demand: Demand) -> bool:
+        """Whether this daemon, or the one that has the caller, ends before a request.
+
+        A request whose own time is over before that is served as ever.
+        """
+        ends_at = self._ends_at(demand)
+        return ends_at < inf and ends_at <= demand.deadline
+
+    def _ends_at(self, demand: Demand) -> float:
+        return min(self.ends_at(demand.answer.is_stream), demand.cut_at)
+
     def _check(
         self, demand: Demand, forecast: FinishForecast, reason: str, now: float
     ) -> None:
         """Raise `Draining` for a request whose answer the end of the daemon would cut.
 
-        Not if its own time is over before, nor if its answer has begun: that would be
-        cut now.
+        Not if its answer has begun: that would be cut now.
         """
-        ends_at = self.ends_at(demand.answer.is_stream)
-        if demand.answer.has_begun or demand.deadline <= ends_at:
+        if demand.answer.has_begun:
             return
         is_late = now + forecast.first_event > self.answer_by
-        if is_late or now + forecast.seconds > ends_at:
+        if is_late or now + forecast.seconds > self._ends_at(demand):
             fields = self._fields(demand, forecast, now)
             raise self._refusal(demand.logged_id, reason, **fields)
 
@@ -266,7 +275,7 @@
         """Return the fields of a decision's line: what it was made from."""
         return {
             "needed": forecast.seconds,
-            "seconds_left": self.ends_at(demand.answer.is_stream) - now,
+            "seconds_left": self._ends_at(demand) - now,
             "first_event": forecast.first_event,
             "events": forecast.events,
             "pace": forecast.pace,
--- a/cranberrywick/gateway/exchange.py
+++ b/cranberrywick/gateway/exchange.py
@@ -1,6 +1,7 @@
 """The state of one request while it is served."""
 
 import json
+from math import inf
 from typing import NamedTuple
 
 from cranberrywick.errors import CranberrywickError, EndpointRefused, InvalidRequest
@@ -67,6 +68,9 @@
     they can't serve it, ``failed_peer_ids`` those that failed for another reason, as
     often as each did.
 
+    ``resumed_id`` is the id of the last event that the caller had before this daemon
+    got the request. A peer that forwarded it may have sent events of it, ``has_begun``,
+    and ends at ``cut_at``.
     ``traits`` are what the request has in common with others, and ``refused_for`` says
     for which one it was refused.
     ``peer_id`` is the peer of the last attempt, empty if that was direct.
@@ -125,7 +129,9 @@
         self.parts = 1
         self.last_resort = False
         self.helper_ids: tuple[str, ...] = ()
-        self.last_event_id = meta.last_event_id
+        self.last_event_id = self.resumed_id = meta.last_event_id
+        self.has_begun = False
+        self.cut_at = inf
         self.weights_version: str | None = None
         self.endpoint_id = ""
         self.endpoint_born = 0
@@ -143,6 +149,7 @@
     def record_forwarded(self, now: float) -> None:
         """Record that the request is being forwarded to a peer."""
         self.sent_at = now
+        self.predicted = None
         self.answer_began_at = None
         self.event_batches = 0
         if self.placed_at is None:
@@ -212,15 +219,15 @@
 
     def outline(self) -> AnswerOutline:
         """Return what is known of the answer before it ends."""
-        prompt, resumed_at = self.meta.prompt, self.meta.last_event_id
+        prompt = self.meta.prompt
         return AnswerOutline(
             self.route.name,
             self.is_stream,
             tokens=min(prompt.output_tokens, MAX_TOKENS) if prompt else 0,
-            hint=self.meta.length_hint or 0,
+            hint=min(self.meta.length_hint or 0, MAX_TOKENS),
             events=self.events,
-            resumed_at=number_of_id(resumed_at) or 0,
-            has_begun=self.caller.answer_started,
+            resumed_at=number_of_id(self.resumed_id) or int(bool(self.resumed_id)),
+            has_begun=self.caller.answer_started or self.has_begun,
             target_seconds=self.route.target_seconds,
         )
 
@@ -245,6 +252,7 @@
             traits=self.traits,
             answer=self.outline(),
             deadline=self.deadline,
+            cut_at=self.cut_at,
         )
 
     @property
--- a/cranberrywick/gateway/fleet.capnp
+++ b/cranberrywick/gateway/fleet.capnp
@@ -152,7 +152,8 @@
 }
 
 # What a daemon states about a request that it forwards to a peer. The peer may send it
-# to none of the excluded endpoints, nor to those of the domains that are out.
+# to none of the excluded endpoints, nor to those of the domains that are out. Where it
+# ends, the daemon itself does so after the remaining time.
 struct ForwardedRequest {
   daemonId @0 :Text;
   elapsedMs @1 :UInt32;
@@ -164,6 +165,7 @@
   domainsOut @7 :List(Text);
   lastEventId @8 :Text;
   weightsVersion @9 :Text;
+  ends @10 :Bool;
 }
 
 # What the peer states about its answer: the endpoint that it sent the request to, empty
--- a/cranberrywick/gateway/forwarded_statements.py
+++ b/cranberrywick/gateway/forwarded_statements.py
@@ -70,7 +70,8 @@
     ``elapsed`` and ``remaining`` are the seconds since its arrival and until its
     deadline. ``version`` is the configuration by which it was routed to ``service``.
     It was sent to ``sent_ids`` already and may not be sent to ``excluded_ids`` or to
-    the ``domains_out``. The last two fields are those of a stream that goes on.
+    the ``domains_out``. ``last_event_id`` and ``weights_version`` are those of a stream
+    that goes on. ``ends`` says that the daemon itself ends after the remaining time.
     """
 
     daemon_id: str
@@ -83,6 +84,7 @@
     domains_out: tuple[str, ...] = ()
     last_event_id: str | None = None
     weights_version: str | None = None
+    ends: bool = False
 
 
 class AnswerStatement(NamedTuple):
@@ -125,6 +127,7 @@
             domainsOut=list(statement.domains_out),
             lastEventId=statement.last_event_id or "",
             weightsVersion=statement.weights_version or "",
+            ends=statement.ends,
         )
     )
 
@@ -144,6 +147,7 @@
             tuple(message.domainsOut),
             message.lastEventId or None,
             message.weightsVersion or None,
+            message.ends,
         )
 
     return _decode(SCHEMA.ForwardedRequest, value, read)
--- a/cranberrywick/gateway/peer_attempts.py
+++ b/cranberrywick/gateway/peer_attempts.py
@@ -197,6 +197,7 @@
 
     def _statement(self, exchange: Exchange) -> RequestStatement:
         now = self._loop.time()
+        ends_at = self._drain.ends_at(exchange.is_stream)
         registry = self._state.registry
         excluded_ids = exchange.tried_ids | registry.departed_ids(
             now - DEPARTED_SECONDS
@@ -205,7 +206,7 @@
         return RequestStatement(
             self._daemon_id,
             now - exchange.request.arrived,
-            min(exchange.deadline, self._drain.ends_at(exchange.is_stream)) - now,
+            min(exchange.deadline, ends_at) - now,
             exchange.version,
             exchange.service.name,
             tuple(sorted(exchange.sent_ids)),
@@ -213,6 +214,7 @@
             tuple(sorted(self._state.domains_out)),
             exchange.last_event_id,
             exchange.weights_version,
+            ends_at < exchange.deadline,
         )
 
     async def _receive(
--- a/cranberrywick/gateway/peer_requests.py
+++ b/cranberrywick/gateway/peer_requests.py
@@ -154,7 +154,10 @@
             request, PeerCaller(connection), decode_request(headers)
         )
         exchange.deadline = stated_at + stated.remaining - TIMEOUT_MARGIN_SECONDS
-        exchange.last_event_id = stated.last_event_id
+        exchange.has_begun = stated.last_event_id != exchange.resumed_id
+        exchange.last_event_id = exchange.resumed_id = stated.last_event_id
+        if stated.ends:
+            exchange.cut_at = exchange.deadline
         exchange.weights_version = stated.weights_version
         exchange.sent_ids.update(stated.sent_ids)
         exchange.tried_ids.update(stated.excluded_ids)
