Daemons that stop together stay open for as long as callers hold their address

What callers saw (`serve`): with two daemons stopped at once, an answer of /v1/entries named a daemon for 15.4 s, and 5.0 s after SIGTERM it refused connections; the other stayed open for 25.1 s. The streams that ran were whole (4 of 4; 6 of 10 had been refused 429 on arrival, before the signal).

Cause: the time for which the address is still held was guessed from who serves at the moment of the signal. Alone it is 5 s, but the answers that were given beside others, up to 20 s, hold on. Likewise where the last other one has just died.

Mended: the daemon records when others were last known to serve, and waits until their last answers have expired. One that was always alone waits 5 s.

Evidence: the new test fails without the change (connection refused) and passes with it; TestGracefulShutdown, 3 tests, passed once after it.

--- a/cranberrywick/daemon.py
+++ b/cranberrywick/daemon.py
@@ -17,6 +17,7 @@
     EndpointController,
 )
 from cranberrywick.controllers.fleet_versions import fetch_versions
+from cranberrywick.controllers.membership import Snapshot
 from cranberrywick.controllers.orders import OrderController
 from cranberrywick.controllers.sweep import SWEEP_SECONDS, SweepController, owner_state
 from cranberrywick.decisions.cold_start import Trouble
@@ -80,6 +81,8 @@
         self._log = EventLog(daemon=settings.daemon_id)
         self._draining = False
         self._closed = False
+        self._has_others = False
+        self._others_seen_at = float("-inf")
         self._metrics = Metrics(settings.daemon_id)
         self._burn = BurnRecorder(settings.daemon_id, self._daemon_addresses)
         self._timers = TimerService(seed=settings.seed)
@@ -195,6 +198,7 @@
         self._peers.on_membership(
             lambda snapshot: self._store.set_daemons(len(snapshot.members_by_id))
         )
+        self._peers.on_membership(self._record_others)
         self._peers.on_leaving(self._endpoint_leaving)
 
     def _application(self, environ: dict, start_response: object) -> object:
@@ -347,15 +351,25 @@
             "configuration_version": current.version if current else 0,
         }
 
+    def _record_others(self, snapshot: Snapshot) -> None:
+        """Record until when other daemons gave this daemon's address to callers."""
+        if self._has_others:
+            self._others_seen_at = time.monotonic()
+        own_id = self._settings.daemon_id
+        self._has_others = bool(snapshot.serving_by_id.keys() - {own_id})
+
     @property
     def _drain_wait(self) -> float:
         """Seconds for which callers may still hold this daemon's address.
 
-        Other daemons give the address to callers as well, and with a longer lifetime
-        than a daemon that has no peers.
+        Beside other daemons it is given for longer than alone. Such answers hold also
+        after the last of the others has left, as where all are stopped at once.
         """
-        others = self._peers.snapshot.serving_by_id.keys() - {self._settings.daemon_id}
-        return DRAIN_SECONDS if others else ALONE_LIFETIME_SECONDS
+        self._record_others(self._peers.snapshot)
+        if self._has_others:
+            return DRAIN_SECONDS
+        left = self._others_seen_at + DRAIN_SECONDS - time.monotonic()
+        return max(ALONE_LIFETIME_SECONDS, left)
 
     def drain(self) -> None:
         """Withdraw this daemon's address, wait, and let every request end.
--- a/tests/test_must_hold.py
+++ b/tests/test_must_hold.py
@@ -12,6 +12,7 @@
 import signal
 import socket
 import threading
+import time
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import contextmanager
 from http.client import HTTPConnection
@@ -480,6 +481,28 @@
         wait_for(lambda: not is_handed_out(), "the address is handed out no more")
         assert daemon.wait() == 0
 
+    def test_daemons_that_stop_together_accept_whom_they_were_named_to(self, fleet):
+        """A daemon closes before the end of the time for which it gave its address."""
+        daemon, *others = fleet.daemons
+        headers = {"Authorization": f"Bearer {CALLER_KEY}"}
+        url = f"http://{daemon.address}/v1/entries"
+        given_at = time.monotonic()
+        answer = urllib3.request("GET", url, headers=headers, retries=False).json()
+        assert daemon.address in [entry["address"] for entry in answer["entries"]]
+        for other in others:
+            other.signal(signal.SIGTERM)
+        wait_for(
+            lambda: all(not get(other, "/readyz")["ready"] for other in others),
+            "the others leave",
+        )
+        # Their notices take some milliseconds to the daemon.
+        time.sleep(1.0)
+        daemon.signal(signal.SIGTERM)
+        # A second less, since answers and checks take time.
+        while time.monotonic() < given_at + answer["lifetime_seconds"] - 1.0:
+            assert accepts_connections(daemon)
+            time.sleep(0.1)
+
     def test_a_connection_that_is_kept_open_does_not_hold_up_the_stop(self, fleet):
         """A client that keeps using its open connection does not prevent the stop.
 
