Renewals of reserved memory don't wait for those that were lost

What callers saw: none has been watched in a fleet; the rule (PROTOCOL) is that a request whose memory expires is cut off. With two renewals in a row without an answer the third one came 3.74 s after the reservation, whose lifetime is 3.0 s (freeMs 4000); the constants promise that two may fail.

Cause: the interval of 0.3 of the lifetime was taken as the time between renewals, as if orders were answered at once. Each also waits for the slowest answer, up to 0.5 s, as does the first one at the reservation itself.

Mended: the interval counts from when the last orders were sent.

--- a/cranberrywick/gateway/reservations.py
+++ b/cranberrywick/gateway/reservations.py
@@ -95,6 +95,7 @@
         """
         if not self.held:
             return
+        asked_at = self._loop.time()
         reserved = await asyncio.gather(*(self._reserve(each) for each in self.held))
         for reservation, ok in zip(self.held, reserved, strict=True):
             if not ok:
@@ -106,7 +107,7 @@
                     else EndpointRefusal.UNREACHABLE,
                     at_fault=reservation.address,
                 )
-        self._renewals = self._loop.create_task(self._renew())
+        self._renewals = self._loop.create_task(self._renew(asked_at))
 
     def release(self) -> None:
         """Release all reservations in background tasks."""
@@ -117,9 +118,13 @@
             _release_tasks.add(task)
             task.add_done_callback(_release_tasks.discard)
 
-    async def _renew(self) -> None:
+    async def _renew(self, asked_at: float) -> None:
+        interval = RENEW_SHARE * self._hold_seconds
         while True:
-            await asyncio.sleep(RENEW_SHARE * self._hold_seconds)
+            # Counted from when the last orders were sent: the lifetime runs from
+            # their arrival, also while one that was lost is waited for.
+            await asyncio.sleep(asked_at + interval - self._loop.time())
+            asked_at = self._loop.time()
             await asyncio.gather(*(self._reserve(each) for each in self.held))
 
     async def _reserve(self, reservation: Reservation) -> bool:
