--- a/tests/stream_stops.py
+++ b/tests/stream_stops.py
@@ -16,6 +16,7 @@
 import time
 from collections import Counter
 from collections.abc import Callable, Sequence
+from contextlib import contextmanager
 from pathlib import Path
 from signal import SIGTERM
 from subprocess import Popen
@@ -23,7 +24,12 @@
 
 import click
 from gateway_fleet import POLL_SECONDS, Answer, Gateway, read_answer, request_bytes
-from stopping_fleet import GRACE_SECONDS, StoppingFleet, running_stopping_fleet
+from stopping_fleet import (
+    DEADLINE,
+    GRACE_SECONDS,
+    StoppingFleet,
+    running_stopping_fleet,
+)
 
 # The pause between two events of a stream, in seconds.
 EVENT_SECONDS = 0.05
@@ -260,6 +266,63 @@
         time.sleep(0.02)
 
 
+@contextmanager
+def quick_fleet(path, gateways=2):
+    """Run gateways before two engines with an event each 50 ms, and a quick desk."""
+    with running_stopping_fleet(path, gateways=gateways, slots=8) as fleet:
+        quicken_engines(fleet, 2)
+        fleet.endpoints["desk-1"].work_seconds = 0.02
+        fleet.unfinished = []
+        yield fleet
+
+
+def send_stream(fleet, gateway, events, tokens=400, hint=None, prefix="prompts"):
+    """Send a stream with so many events, which states how long it may become."""
+    headers = stream_headers(events, tokens)
+    if hint is not None:
+        headers["Cranberrywick-Length-Hint"] = str(hint)
+    return fleet.send(gateway, "POST", f"/{prefix}/1", headers)
+
+
+def serve(fleet, gateway, lengths, **fields):
+    """Let a gateway serve streams of these lengths, all at once."""
+    callers = [send_stream(fleet, gateway, events, **fields) for events in lengths]
+    assert all(caller.answer().status == 200 for caller in callers)
+
+
+def stop_and_wait(fleet, gateway, seconds):
+    """Tell a gateway to stop; return when the signal was sent, so long after it.
+
+    A gateway without requests would end before; one that it reads keeps it.
+    """
+    data = request_bytes("POST", "/books/1", b"body", DEADLINE, fleet.new_id())
+    connection = fleet.connect(gateway)
+    connection.sendall(data[:-1])
+    fleet.wait_until_seen(gateway)
+    signalled_at = fleet.stop(gateway)
+    fleet.unfinished.append(connection)
+    time.sleep(seconds)
+    return signalled_at
+
+
+def check_whole_or_refused(fleet, callers):
+    """Assert that streams were whole, or refused before they ran; return the whole."""
+    whole = 0
+    for caller in callers:
+        answer = caller.answer()
+        assert answer.whole, f"{caller.request_id} was cut"
+        assert answer.status in (200, 503)
+        assert fleet.runs(caller.request_id) == (answer.status == 200)
+        whole += answer.status == 200
+    return whole
+
+
+def check_ended(gateway, signalled_at):
+    """Assert that a gateway ends by itself within its grace period."""
+    assert gateway.process.wait(GRACE_SECONDS) == 0
+    assert time.monotonic() - signalled_at < GRACE_SECONDS
+
+
 def summary(streams: Sequence[Stream]) -> str:
     """Return a line about what became of streams."""
     late = [each for each in streams if each.sent_at > 0]
