--- a/tests/test_stream_promises.py
+++ b/tests/test_stream_promises.py
@@ -233,3 +233,17 @@
     last_id = number_of_id(exchange.last_event_id)
     answers.record_stream(exchange.outline(), last_id, STRIDE)
     assert forecast(answers, DRAFT._replace(resumed_at=78)).events < 10
+
+
+def test_calls_that_take_longer_than_those_before_are_not_sent_to_be_cut(tmp_path):
+    """Guards against a bound of the calls that ended, while longer ones run."""
+    with quick_fleet(tmp_path) as fleet:
+        gateway, _ = fleet.gateways
+        for n in range(20):
+            assert fleet.call(gateway, "GET", f"/reads/{n}").status == 200
+        stop_and_wait(fleet, gateway, 0.0)
+        fleet.endpoints["desk-1"].work_seconds = 4.5
+        running = fleet.send(gateway, "GET", "/reads/1")
+        time.sleep(3.5)
+        late = [fleet.send(gateway, "GET", "/reads/1") for _ in range(4)]
+        assert check_whole_or_refused(fleet, [running, *late]) == 1
