Checks of the stop: none on the way to an endpoint while nobody stops

The check before a send built a demand for each attempt also while the daemon doesn't stop; and a request whose own time is over before the end of the daemon was compared with that end before a forward, unlike before a send. Both seen when the change was read; tests of forwards, promises and waiting pass.

--- a/cranberrywick/gateway/drain.py
+++ b/cranberrywick/gateway/drain.py
@@ -162,6 +162,8 @@
         It has waited for a connection, a permit or memory since it was placed, and the
         daemon may have been told to stop meanwhile.
         """
+        if self._window is None and exchange.cut_at == inf:
+            return
         demand = exchange.demand("")
         if not self._ends_before(demand):
             return
@@ -174,8 +176,10 @@
         """Raise `Draining` for a request that might be cut if a peer served it now."""
         if self._window is None:
             return
-        now = self._loop.time()
         demand = exchange.demand("")
+        if not self._ends_before(demand):
+            return
+        now = self._loop.time()
         pace = self._pace(demand, "", now)
         forecast = self._forecast(demand, min_first_event_seconds(demand), pace, now)
         self._check(demand, forecast, "answer takes too long", now)
