--- a/cranberrywick/daemon.py
+++ b/cranberrywick/daemon.py
@@ -353,21 +353,16 @@
 
     def _record_others(self, snapshot: Snapshot) -> None:
         """Record until when other daemons gave this daemon's address to callers."""
-        if self._has_others:
-            self._others_seen_at = time.monotonic()
+        had_others = self._has_others
         own_id = self._settings.daemon_id
         self._has_others = bool(snapshot.serving_by_id.keys() - {own_id})
+        if had_others or self._has_others:
+            self._others_seen_at = time.monotonic()
 
     @property
     def _drain_wait(self) -> float:
-        """Seconds for which callers may still hold this daemon's address.
-
-        Beside other daemons it is given for longer than alone. Such answers hold also
-        after the last of the others has left, as where all are stopped at once.
-        """
+        """Seconds for which callers may still hold this daemon's address."""
         self._record_others(self._peers.snapshot)
-        if self._has_others:
-            return DRAIN_SECONDS
         left = self._others_seen_at + DRAIN_SECONDS - time.monotonic()
         return max(ALONE_LIFETIME_SECONDS, left)
 
--- a/cranberrywick/metrics.py
+++ b/cranberrywick/metrics.py
@@ -8,8 +8,7 @@
 Each daemon creates its own instance with its own registry. Nothing is global, since
 several daemons run in one process in the demonstration and the tests. Values of labels
 come from the operators' configuration or from enumerations. An organisation is never a
-label: one time series for each of thousands of organisations and each class would be
-the daemon's largest state.
+label: a time series for each of thousands would be the daemon's largest state.
 """
 
 import threading
