A stopping daemon ends and refuses a moment later: reads first, hears of peers

A process that wakes after 3.2 s found nothing that it serves, and ended before it had accepted and read what waited in its sockets.

--- a/cranberrywick/gateway/app.py
+++ b/cranberrywick/gateway/app.py
@@ -46,6 +46,9 @@
 CLOSE_SECONDS = 0.1
 # Interval at which a stopping daemon checks whether requests are left, in seconds.
 IDLE_POLL_SECONDS = 0.02
+# How often in a row it finds none before it ends. A process that was suspended has to
+# accept connections and to read from them first.
+IDLE_POLLS = 3
 # Interval at which the health and rate limits of removed endpoints are dropped, in
 # seconds. It is much longer than the absence of an endpoint that is removed and added
 # again and again, so that such an endpoint returns with its recorded failures.
@@ -248,9 +251,10 @@
     async def _until_idle(self, earliest: float, latest: float) -> None:
         """Wait until no request is left, from ``earliest`` to ``latest``."""
         loop = asyncio.get_running_loop()
-        while loop.time() < latest:
-            if loop.time() >= earliest and not self._busy:
-                return
+        idle_polls = 0
+        while loop.time() < latest and idle_polls < IDLE_POLLS:
+            is_idle = loop.time() >= earliest and not self._busy
+            idle_polls = idle_polls + 1 if is_idle else 0
             await asyncio.sleep(IDLE_POLL_SECONDS)
 
     @property
--- a/cranberrywick/gateway/drain.py
+++ b/cranberrywick/gateway/drain.py
@@ -24,6 +24,9 @@
 
 __all__ = ["Drain"]
 
+# How long after the signal what waits is refused first, in seconds. By then it is known
+# which peers are stopping, too.
+FIRST_REFUSAL_SECONDS = 0.1
 # For how long a list of the streams that run is used, in seconds.
 RUNNING_SECONDS = 0.05
 # How long a stream of which too few are known may take from its first event on, while
@@ -54,6 +57,7 @@
         self._returns = DrainReturns(random.Random())
         self._pending_by_key: dict[str, _Pending] = {}
         self._window: DrainWindow | None = None
+        self._refuses_waiting_at = -inf
         self._running: list[AnswerOutline] = []
         self._running_at = -inf
         self.held = HeldTimes()
@@ -88,6 +92,7 @@
     def begin(self, window: DrainWindow) -> None:
         """Refuse from now on what can't be finished within a window."""
         self._window = window
+        self._refuses_waiting_at = self._loop.time() + FIRST_REFUSAL_SECONDS
 
     @asynccontextmanager
     async def deadline(self, exchange: Exchange) -> AsyncIterator[None]:
@@ -186,7 +191,7 @@
 
     def check_wait(self, demand: Demand, now: float) -> None:
         """Raise `Draining` for a request that might be cut even if it had room now."""
-        if self._ends_before(demand):
+        if now >= self._refuses_waiting_at and self._ends_before(demand):
             self._check(demand, self._least(demand, now), "no room in time", now)
 
     def check_turn(self, demand: Demand, ahead: int, now: float) -> None:
