One constant for when a stopping daemon first refuses what waits

Found when the change was read; behaviour is the same. Formatter, linter, the 40 tests of waiting and bounds and the one of three gateways pass; no other test ran on it.

--- a/cranberrywick/gateway/drain.py
+++ b/cranberrywick/gateway/drain.py
@@ -22,7 +22,7 @@
 from cranberrywick.routing.placement import Placement
 from cranberrywick.routing.retry_after import DrainReturns
 
-__all__ = ["Drain"]
+__all__ = ["FIRST_REFUSAL_SECONDS", "Drain"]
 
 # How long after the signal what waits is refused first, in seconds. By then it is known
 # which peers are stopping, too.
--- a/cranberrywick/gateway/waiting.py
+++ b/cranberrywick/gateway/waiting.py
@@ -12,7 +12,7 @@
 from cranberrywick.errors import Draining, Overloaded, RequestQuarantined
 from cranberrywick.gateway.contention import Contention
 from cranberrywick.gateway.deferrals import retry_seconds
-from cranberrywick.gateway.drain import Drain
+from cranberrywick.gateway.drain import FIRST_REFUSAL_SECONDS, Drain
 from cranberrywick.gateway.state import FleetState
 from cranberrywick.gateway.waiter import Waiter
 from cranberrywick.routing.demand import (
@@ -45,8 +45,6 @@
 # Interval at which a stopping daemon checks whether waiting requests still get their
 # turn, in seconds.
 TURN_CHECK_SECONDS = 0.5
-# When it does so first, in seconds. By then it knows which peers are stopping, too.
-FIRST_TURN_CHECK_SECONDS = 0.1
 
 
 class WaitingRequests:
@@ -124,7 +122,7 @@
 
     def begin_drain(self) -> None:
         """Refuse from now on the requests that get no turn before the daemon ends."""
-        self._loop.call_later(FIRST_TURN_CHECK_SECONDS, self._refuse_without_turn)
+        self._loop.call_later(FIRST_REFUSAL_SECONDS, self._refuse_without_turn)
 
     def _refuse_without_turn(self) -> None:
         """Refuse what gets no turn, and check the rest again later.
