--- a/review/common_2/runner.py
+++ b/review/common_2/runner.py
@@ -26,9 +26,11 @@
         self._event_seconds = event_seconds
         self._server = None
 
-    async def start(self, ip):
-        """Listen on a free port of a loopback address."""
-        self._server = await asyncio.start_server(self._serve, ip, 0, backlog=512)
+    async def start(self, ip, port=0):
+        """Listen on a port of a loopback address, by default on a free one."""
+        self._server = await asyncio.start_server(
+            self._serve, ip, port, backlog=512, reuse_address=True
+        )
         self.address = f"{ip}:{self._server.sockets[0].getsockname()[1]}"
 
     def entry(self, zone):
