review/4: a stopping machine drops calls that come in its last 20 ms

Gateway._until_idle counts three idle polls and sleeps once more before it returns; what comes meanwhile is read, passed on, run and then cancelled by _close. In a rolling restart of three machines the directory names machines that stop, so that clients come at that moment.

--- a/review/4/run.py
+++ b/review/4/run.py
@@ -1,13 +1,14 @@
-"""Stops while calls reach their deadlines: do all that were read get an answer?
+"""Machines that are stopped and started in turn: is any request lost?
 
-Three of four machines serve long calls that take longer than their deadlines. All slots
-of the model runners are taken by long answers, so that short prompts wait in the
-machines. The three are stopped by SIGTERM and started again in turn. With TROUBLE=0
-they are not.
+Clients ask the directory, keep its answers as PROTOCOL.md says and send short calls.
+The three machines are stopped by SIGTERM and started again in turn, and this a few
+times. With TROUBLE=0 they are not stopped.
 """
 
 import asyncio
+import json
 import os
+import random
 import signal
 import sys
 import time
@@ -17,217 +18,229 @@
 
 from common_2.fleet import (  # noqa: E402
     BOUNDS,
+    HOST,
     CannotRun,
     Fleet,
     Record,
     configuration,
+    get,
     request_bytes,
     route,
 )
+from common_2.http import read_message  # noqa: E402
 from common_2.runner import Runner  # noqa: E402
 
 GRACE = BOUNDS["graceS"]
 LOSS_SLACK = BOUNDS["lossSlackMs"] / 1000
 SENT_EARLY_ENOUGH = 3.0
-# Deadlines are whole milliseconds, and count from the arrival at each place.
 ROUNDING = 0.02
-# The engine of the example deployments.
-ENGINE = {
-    "slots": 8,
-    "kvCapacity": 315000,
-    "stride": 51,
-    "step_ms": 0.85,
-    "per_seq_ms": 0.00425,
-    "context_per_k": 0.00285,
-    "read_per_s": 177000.0,
-    "pairs_per_m": 0.184,
-    "chunk": 2048,
-    "usual": {"prompt": 11000, "answer": 1500},
-}
-CALLS, CALL_TIMEOUT_MS, WORK_MS = 84, 12000, 14000
-PROMPT_TIMEOUT_MS = 15000
-# Machines that are stopped and started in turn, with this pause in seconds.
-STOPPED, GAP = ("front-a", "front-b", "front-c"), 1.3
-# The calls are sent so long before the signal and with these pauses, in seconds.
-CALLS_BEFORE, CALL_PAUSE = 2.5, 0.025
-# Their clients wait until these moments after the signal, in seconds.
-FIRST_DEADLINE, LAST_DEADLINE = 7.346, 7.378
-PROMPT_DEADLINE = 7.585
+MACHINES = ("front-a", "front-b", "front-c")
+# One machine at a time, with this pause, and all of them again after a while, seconds.
+GAP, ROLLS, ROLL_EVERY = 1.0, 9, 9.0
+RESTART_DELAY = 0.2
+# Clients, their mean pause between two calls, and a call's work.
+CLIENTS, PAUSE, WORK_MS = 30, 0.4, 22
+DEADLINE_MS = 1500
+DIRECTORY_SECONDS = 1.0
+TTL_MAX = BOUNDS["ttl_max_s"]
 
 
 class Sent:
-    """One request of a client and what it got."""
+    """One call of a client and what it got."""
 
-    def __init__(self, kind, request_id, deadline_ms, timeout_ms):
-        self.kind = kind
+    def __init__(self, request_id, machine):
         self.request_id = request_id
-        self.limit = min(deadline_ms, timeout_ms) / 1000
-        self.sent_at = self.ended_at = 0.0
-        self.machine = ""
-        self.status = ""
+        self.machine = machine
+        self.sent_at = time.monotonic()
+        self.ended_at = 0.0
         self.complete = False
 
 
-async def send(gateway, sent, data, record):
-    """Send a request on a new connection and read its answer."""
-    host, _, port = gateway.front.rpartition(":")
-    try:
-        reader, writer = await asyncio.open_connection(host, int(port))
-    except OSError as error:
-        sent.status = f"no connection: {error}"
-        sent.complete = True  # Nothing was sent.
-        return
-    writer.write(data)
-    sent.machine = gateway.name
-    sent.sent_at = time.monotonic()
-    record(f"client sends {sent.request_id} ({sent.kind}) to {gateway.name}")
-    try:
-        sent.status = (await reader.readline()).decode("latin-1").strip()
-        sent.complete = await read_rest(reader)
-    except (OSError, ValueError, asyncio.IncompleteReadError) as error:
-        record(f"connection of {sent.request_id}: {type(error).__name__}")
-    sent.ended_at = time.monotonic()
-    how = "whole" if sent.complete else "ended before its end"
-    record(f"client has of {sent.request_id}: {sent.status or 'no answer'}, {how}")
-    writer.close()
+class Client:
+    """A client that keeps to PROTOCOL.md; some keep answers three times as long."""
 
+    def __init__(self, case, number):
+        self.case = case
+        self.rng = random.Random(number)
+        self.keeps_connections = number % 2 == 0
+        self.keeps_answers = 3 if number % 3 == 0 else 1
+        self.directories = list(case.directories)
+        self.rng.shuffle(self.directories)
+        self.addresses = []
+        self.fresh_until = 0.0
+        self.failed = set()
+        self.open = None
 
-async def read_rest(reader):
-    """Read headers and body; return whether the answer is whole."""
-    length, chunked = 0, False
-    while (line := await reader.readline()) not in (b"\r\n", b""):
-        name, _, value = line.decode("latin-1").partition(":")
-        if name.lower() == "content-length":
-            length = int(value)
-        chunked |= name.lower() == "transfer-encoding" and "chunked" in value
-    if line == b"":
-        return False
-    if not chunked:
-        await reader.readexactly(length)
-        return True
-    while True:
-        size_line = await reader.readline()
-        if size_line == b"":
+    async def run(self, until):
+        while time.monotonic() < until:
+            await asyncio.sleep(self.rng.expovariate(1 / PAUSE))
+            await self.resolve()
+            if self.addresses:
+                await self.call()
+
+    async def resolve(self):
+        """Ask the directory when the last answer has been kept long enough."""
+        if time.monotonic() < self.fresh_until:
+            return
+        query = f"/resolve?name={HOST}&region=tallinn&zone=tln-a"
+        for directory in self.directories:
+            try:
+                async with asyncio.timeout(DIRECTORY_SECONDS):
+                    message = await get(directory, query)
+            except TimeoutError:
+                continue
+            if message is None or " 200 " not in message[0]:
+                continue
+            fields = json.loads(message[2])
+            self.addresses = fields["addresses"]
+            kept = self.keeps_answers * min(fields["ttlS"], TTL_MAX)
+            self.fresh_until = time.monotonic() + kept
+            self.failed.clear()
+            if self.open is not None and self.open[0] not in self.addresses:
+                self.close()
+            return
+
+    async def call(self):
+        """Send a call, on the open connection or on a new one."""
+        if self.open is None and not await self.connect():
+            return
+        address, reader, writer = self.open
+        if reader.at_eof():
+            self.close()  # The machine has closed it.
+            return
+        method, path = self.rng.choice((("GET", "/status/1"), ("POST", "/notices/1")))
+        request_id = self.case.new_id()
+        headers = [f"X-Work-Ms: {WORK_MS}"]
+        data = request_bytes(method, path, request_id, DEADLINE_MS, headers)
+        sent = Sent(request_id, self.case.machine_by_address[address])
+        self.case.all.append(sent)
+        writer.write(data)
+        message = None
+        try:
+            async with asyncio.timeout(DEADLINE_MS / 1000):
+                message = await read_message(reader)
+        except (OSError, EOFError, ValueError) as error:
+            self.case.record(f"connection of {request_id}: {type(error).__name__}")
+        except TimeoutError:
+            pass
+        sent.ended_at = time.monotonic()
+        sent.complete = message is not None
+        what = message[0] if message else "no answer"
+        self.case.record(f"client has of {request_id} from {sent.machine}: {what}")
+        if message is None:
+            self.failed.add(address)
+        closes = message is None or message[1].get("connection") == "close"
+        if closes or not self.keeps_connections:
+            self.close()
+
+    async def connect(self):
+        """Connect to one of the addresses; return whether one accepts."""
+        usable = [each for each in self.addresses if each not in self.failed]
+        if not usable:
+            self.fresh_until = 0.0
+            return False
+        address = self.rng.choice(usable)
+        host, _, port = address.rpartition(":")
+        try:
+            async with asyncio.timeout(1.0):
+                reader, writer = await asyncio.open_connection(host, int(port))
+        except (OSError, TimeoutError):
+            self.failed.add(address)
             return False
-        size = int(size_line, 16)
-        await reader.readexactly(size + 2)
-        if size == 0:
-            return True
+        self.open = address, reader, writer
+        return True
+
+    def close(self):
+        if self.open is not None:
+            self.open[2].close()
+            self.open = None
 
 
 class Case:
-    """One run; `lost` are the requests that break the rule."""
+    """One run; `lost` are the calls that break the rule."""
 
     def __init__(self, record, trouble):
         self.record = record
         self.trouble = trouble
         self.fleet = Fleet(record)
         self.all = []
-        self.tasks = []
-        self.signalled_at = {}
-        self.runners = [
-            *(Runner(f"i-report-{n}", "teavitus", record) for n in range(16)),
-            *(Runner(f"i-model-{n}", "kirjutaja", record, slots=8) for n in range(2)),
-        ]
+        self.signals = []
+        self.runners = [Runner(f"i-app-{n}", "teavitus", record) for n in range(3)]
+        self.directories = []
+        self.machine_by_address = {}
+
+    def new_id(self):
+        return f"{len(self.all) + 1:016x}"
 
     async def run(self):
-        stream = {"streamResume": True, "gapAimMs": 250, "stickySessions": True}
         routes = [
-            route("/reports/", "safe", "teavitus", CALL_TIMEOUT_MS),
-            route("/prompts/", "streaming", "kirjutaja", PROMPT_TIMEOUT_MS, **stream),
-        ]
-        services = [
-            {"name": "teavitus", "coldStartS": 0, "coldPerS": 0},
-            {"name": "kirjutaja", "coldStartS": 3, "coldPerS": 38, "engine": ENGINE},
+            route("/status/", "safe", "teavitus", DEADLINE_MS),
+            route("/notices/", "unsafe", "teavitus", DEADLINE_MS, maxAttempts=1),
         ]
+        services = [{"name": "teavitus", "coldStartS": 0, "coldPerS": 0}]
         document = configuration(routes, services)
-        names = [*STOPPED, "front-d"]
-        await self.fleet.start(names, document, self.runners)
-        await asyncio.sleep(1.0)
-        *stopped, other = self.fleet.gateways
-        for _ in range(16):
-            self.prompt(other, "long prompt", 600, "4000,30600", PROMPT_TIMEOUT_MS)
-        await asyncio.sleep(1.0)
-        first_at = time.monotonic() + CALLS_BEFORE + 0.5
-        rolled = (
-            self.stop(gateway, first_at + number * GAP)
-            for number, gateway in enumerate(stopped)
-        )
-        await asyncio.gather(*rolled)
-        await asyncio.gather(*self.tasks)
+        await self.fleet.start(MACHINES, document, self.runners)
+        for gateway in self.fleet.gateways:
+            self.directories.append(gateway.settings["listen"]["directory"])
+            self.machine_by_address[gateway.front] = gateway.name
+        until = time.monotonic() + 4.0 + ROLLS * ROLL_EVERY
+        clients = [Client(self, number) for number in range(CLIENTS)]
+        tasks = [asyncio.ensure_future(each.run(until)) for each in clients]
+        await asyncio.sleep(4.0)
+        for _ in range(ROLLS if self.trouble else 0):
+            begun = time.monotonic()
+            stops = (
+                self.stop_and_start(gateway, begun + number * GAP)
+                for number, gateway in enumerate(self.fleet.gateways)
+            )
+            await asyncio.gather(*stops)
+            await asyncio.sleep(max(0.0, begun + ROLL_EVERY - time.monotonic()))
+        await asyncio.gather(*tasks)
+        for client in clients:
+            client.close()
 
-    async def stop(self, gateway, stop_at):
-        """Send a machine its calls and prompts, and stop it at a moment."""
-        for number in range(CALLS):
-            at = stop_at - CALLS_BEFORE + number * CALL_PAUSE
-            await asyncio.sleep(max(0.0, at - time.monotonic()))
-            part = number / CALLS
-            waits = FIRST_DEADLINE + part * (LAST_DEADLINE - FIRST_DEADLINE)
-            self.call(gateway, round((stop_at + waits - time.monotonic()) * 1000))
-        for _ in range(8):
-            left = stop_at + PROMPT_DEADLINE - time.monotonic()
-            self.prompt(gateway, "short prompt", 1, "100,1", round(left * 1000))
-        await asyncio.sleep(max(0.0, stop_at - time.monotonic()))
-        if self.trouble:
-            self.signalled_at[gateway.name] = time.monotonic()
-            gateway.process.send_signal(signal.SIGTERM)
-            self.record(f"platform sends SIGTERM to {gateway.name}")
-            await self.kill_after_grace(gateway)
-            gateway.start()
+    async def stop_and_start(self, gateway, at):
+        await asyncio.sleep(max(0.0, at - time.monotonic()))
+        signalled_at = time.monotonic()
+        self.signals.append((gateway.name, signalled_at))
+        gateway.process.send_signal(signal.SIGTERM)
+        self.record(f"platform sends SIGTERM to {gateway.name}")
+        while gateway.process.poll() is None:
+            if time.monotonic() > signalled_at + GRACE:
+                self.record(f"platform sends SIGKILL to {gateway.name}")
+                gateway.process.kill()
+            await asyncio.sleep(0.005)
+        after = time.monotonic() - signalled_at
+        self.record(f"{gateway.name} has ended {after:.3f} s after the signal")
+        await asyncio.sleep(RESTART_DELAY)
+        gateway.start()
 
-    async def kill_after_grace(self, gateway):
-        while time.monotonic() < self.signalled_at[gateway.name] + GRACE:
-            if gateway.process.poll() is not None:
-                code = gateway.process.returncode
-                self.record(f"{gateway.name} has ended with exit status {code}")
-                return
-            await asyncio.sleep(0.01)
-        gateway.process.kill()
-        gateway.process.wait()
-        self.record(f"platform sends SIGKILL to {gateway.name}")
-
-    def prompt(self, gateway, kind, events, tokens, deadline_ms):
-        headers = [
-            "Cranberrywick-Model: m",
-            f"Cranberrywick-Token-Count: {tokens}",
-            "Cranberrywick-Prefix-Hash: 5c1e07a2:40",
-            f"X-Events: {events}",
-        ]
-        sent = self.new(kind, deadline_ms, PROMPT_TIMEOUT_MS)
-        data = request_bytes(
-            "POST", "/prompts/1", sent.request_id, deadline_ms, headers, b"text"
+    def last_signal(self, sent):
+        """Return when a call's machine last had a SIGTERM before the call ended."""
+        return max(
+            (
+                at
+                for machine, at in self.signals
+                if machine == sent.machine and at <= sent.ended_at
+            ),
+            default=float("-inf"),
         )
-        self.begin(gateway, sent, data)
-
-    def call(self, gateway, deadline_ms):
-        sent = self.new("call", deadline_ms, CALL_TIMEOUT_MS)
-        headers = [f"X-Work-Ms: {WORK_MS}"]
-        data = request_bytes("GET", "/reports/1", sent.request_id, deadline_ms, headers)
-        self.begin(gateway, sent, data)
-
-    def new(self, kind, deadline_ms, timeout_ms):
-        request_id = f"{len(self.all) + 1:016x}"
-        self.all.append(Sent(kind, request_id, deadline_ms, timeout_ms))
-        return self.all[-1]
-
-    def begin(self, gateway, sent, data):
-        task = asyncio.ensure_future(send(gateway, sent, data, self.record))
-        self.tasks.append(task)
 
     def lost(self):
-        """Return the requests whose connection ended against the rule LOST."""
+        """Return the calls whose connection ended against the rule LOST."""
         return [sent for sent in self.all if self._is_lost(sent)]
 
     def _is_lost(self, sent):
-        if sent.complete or not sent.sent_at:
+        if sent.complete:
+            return False
+        if sent.ended_at >= sent.sent_at + DEADLINE_MS / 1000 - ROUNDING:
+            return False  # The deadline, which is the route's timeout, was reached.
+        signalled_at = self.last_signal(sent)
+        if sent.ended_at > signalled_at + GRACE + 1.0:
             return False
-        if sent.ended_at >= sent.sent_at + sent.limit - ROUNDING:
-            return False  # The deadline or the route's timeout was reached.
         passed_on = any(sent.request_id in runner.runs for runner in self.runners)
         if not passed_on:
             return sent.ended_at - sent.sent_at > LOSS_SLACK
-        # What was passed on is still at work: runners end no answer early here.
-        signalled_at = self.signalled_at.get(sent.machine, float("inf"))
         in_last_sixth = sent.ended_at >= signalled_at + GRACE * 5 / 6
         sent_early = sent.sent_at <= signalled_at + SENT_EARLY_ENOUGH
         return not (in_last_sixth and sent_early)
@@ -237,7 +250,7 @@
     record = Record(Path(__file__).resolve().parent / "record.txt")
     case = Case(record, os.environ.get("TROUBLE", "1") != "0")
     try:
-        asyncio.run(asyncio.wait_for(case.run(), 100))
+        asyncio.run(asyncio.wait_for(case.run(), 105))
     except (CannotRun, OSError, TimeoutError) as error:
         record(f"the case could not be run: {error}")
         print(f"the case could not be run: {error}")
@@ -247,11 +260,15 @@
         record.write()
     lost = case.lost()
     for sent in lost:
-        waited = sent.ended_at - sent.sent_at
-        record(f"LOST {sent.request_id} ({sent.kind}): no answer after {waited:.2f} s")
-    record(f"{len(lost)} of {len(case.all)} requests lost")
+        took = sent.ended_at - sent.sent_at
+        since = sent.ended_at - case.last_signal(sent)
+        record(
+            f"LOST {sent.request_id} at {sent.machine}: passed on, its connection ended"
+            f" after {took * 1000:.1f} ms, {since:.3f} s after the last signal"
+        )
+    record(f"{len(lost)} of {len(case.all)} calls lost at {len(case.signals)} stops")
     record.write()
-    print(f"{len(lost)} of {len(case.all)} requests lost")
+    print(f"{len(lost)} of {len(case.all)} calls lost at {len(case.signals)} stops")
     return 1 if lost else 0
 
 
--- a/review/common_2/fleet.py
+++ b/review/common_2/fleet.py
@@ -241,7 +241,11 @@
         for gateway in self.gateways:
             if gateway.log_path.exists():
                 for line in gateway.log_path.read_text().splitlines():
-                    if "level=error" in line or "Error" in line[:60]:
+                    if (
+                        "level=error" in line
+                        or "Error" in line[:60]
+                        or "=gateway_stopped" in line
+                    ):
                         self.record(f"log of {gateway.name}: {line[:300]}")
         self._folder.cleanup()
 
