review/4: one answer without an end ends a machine and its requests

A body without an end is collected until the deadline of its request. The process exceeds its memory, is killed as the pages say, and all calls that it has at sound runners are closed without an answer.

The other cases move up by one number: the gravest first.

--- a/review/4/run.py
+++ b/review/4/run.py
@@ -1,15 +1,12 @@
-"""Machines that are stopped and started in turn: is any request lost?
+"""An answer whose body has no end: does the machine live, and its requests with it?
 
-Clients ask the directory, keep its answers as PROTOCOL.md says and send short calls.
-The three machines are stopped by SIGTERM and started again in turn, and this a few
-times. With TROUBLE=0 they are not stopped.
+Clients send calls on kept connections to two machines. A model runner answers a part of
+its requests with bytes that have no end. A machine whose process exceeds its memory is
+killed, as DEPLOY.md says. With TROUBLE=0 that runner is sound.
 """
 
 import asyncio
-import json
 import os
-import random
-import signal
 import sys
 import time
 from pathlib import Path
@@ -17,240 +14,234 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
 from common_2.fleet import (  # noqa: E402
-    BOUNDS,
-    HOST,
     CannotRun,
     Fleet,
     Record,
     configuration,
-    get,
     request_bytes,
     route,
 )
 from common_2.http import read_message  # noqa: E402
-from common_2.runner import Runner  # noqa: E402
+from common_2.runner import Runner, _head  # noqa: E402
 
-GRACE = BOUNDS["graceS"]
-LOSS_SLACK = BOUNDS["lossSlackMs"] / 1000
-SENT_EARLY_ENOUGH = 3.0
-ROUNDING = 0.02
-MACHINES = ("front-a", "front-b", "front-c")
-# One machine at a time, with this pause, and all of them again after a while, seconds.
-GAP, ROLLS, ROLL_EVERY = 1.0, 9, 9.0
-RESTART_DELAY = 0.2
-# Clients, their mean pause between two calls, and a call's work.
-CLIENTS, PAUSE, WORK_MS = 30, 0.4, 22
-DEADLINE_MS = 1500
-DIRECTORY_SECONDS = 1.0
-TTL_MAX = BOUNDS["ttl_max_s"]
+# The engine of the example deployments.
+ENGINE = {
+    "slots": 8,
+    "kvCapacity": 315000,
+    "stride": 51,
+    "step_ms": 0.85,
+    "per_seq_ms": 0.00425,
+    "context_per_k": 0.00285,
+    "read_per_s": 177000.0,
+    "pairs_per_m": 0.184,
+    "chunk": 2048,
+    "usual": {"prompt": 11000, "answer": 1500},
+}
+# Deadlines of the sheet, in milliseconds.
+CALL_DEADLINE_MS, PROMPT_DEADLINE_MS = 1500, 10000
+CALLERS, CALL_PAUSE, WORK_MS = 10, 0.02, 60
+PROMPT_EVERY = 0.1
+# One in so many answers of the faulty runner has no end: x 0.05.
+SPOILT_ONE_IN = 20
+# The machines' links have 1,000 Mbit/s.
+PART, PART_SECONDS = b"x" * 1_000_000, 0.008
+SECONDS = 30.0
+MOST_CLOSED = 3
+CHECK_SECONDS, RESTART_DELAY = 0.02, 0.3
 
 
-class Sent:
-    """One call of a client and what it got."""
+class FaultyRunner(Runner):
+    """A runner that answers some requests with 500 and a body that has no end."""
 
-    def __init__(self, request_id, machine):
-        self.request_id = request_id
-        self.machine = machine
-        self.sent_at = time.monotonic()
-        self.ended_at = 0.0
-        self.complete = False
+    def __init__(self, *arguments, is_faulty, **shape):
+        super().__init__(*arguments, **shape)
+        self._is_faulty = is_faulty
+        self._answers = SPOILT_ONE_IN - 2
 
+    async def _run(self, headers, request_id, deadline, writer):
+        self._answers += 1
+        if not self._is_faulty or self._answers % SPOILT_ONE_IN:
+            await super()._run(headers, request_id, deadline, writer)
+            return
+        self._record(f"runner {self.runner_id} begins an endless body {request_id}")
+        own = [
+            f"Cranberrywick-Request-Id: {request_id}",
+            f"Cranberrywick-Response-Seal: seal.{self.runner_id}.{request_id}",
+            "Transfer-Encoding: chunked",
+        ]
+        writer.write(_head("500 Internal Server Error", own))
+        while True:
+            writer.write(b"%x\r\n%s\r\n" % (len(PART), PART))
+            await writer.drain()
+            await asyncio.sleep(PART_SECONDS)
 
-class Client:
-    """A client that keeps to PROTOCOL.md; some keep answers three times as long."""
 
-    def __init__(self, case, number):
-        self.case = case
-        self.rng = random.Random(number)
-        self.keeps_connections = number % 2 == 0
-        self.keeps_answers = 3 if number % 3 == 0 else 1
-        self.directories = list(case.directories)
-        self.rng.shuffle(self.directories)
-        self.addresses = []
-        self.fresh_until = 0.0
-        self.failed = set()
-        self.open = None
+class Case:
+    """One run; `closed_by_machine` are the calls that were closed unanswered."""
 
-    async def run(self, until):
-        while time.monotonic() < until:
-            await asyncio.sleep(self.rng.expovariate(1 / PAUSE))
-            await self.resolve()
-            if self.addresses:
-                await self.call()
+    def __init__(self, record, trouble):
+        self.record = record
+        self.fleet = Fleet(record)
+        self.sound = [
+            *(Runner(f"i-app-{n}", "teavitus", record, slots=8) for n in range(3)),
+            *(Runner(f"i-model-{n}", "kirjutaja", record, slots=8) for n in range(3)),
+        ]
+        self.faulty = FaultyRunner(
+            "i-model-3", "kirjutaja", record, slots=8, is_faulty=trouble
+        )
+        self.closed_by_machine = {}
+        self.most_by_machine = {}
+        self.calls = 0
+        self.prompts = 0
 
-    async def resolve(self):
-        """Ask the directory when the last answer has been kept long enough."""
-        if time.monotonic() < self.fresh_until:
-            return
-        query = f"/resolve?name={HOST}&region=tallinn&zone=tln-a"
-        for directory in self.directories:
-            try:
-                async with asyncio.timeout(DIRECTORY_SECONDS):
-                    message = await get(directory, query)
-            except TimeoutError:
+    async def run(self):
+        stream = {"streamResume": True, "gapAimMs": 250, "stickySessions": True}
+        routes = [
+            route("/status/", "safe", "teavitus", CALL_DEADLINE_MS),
+            route("/notices/", "unsafe", "teavitus", CALL_DEADLINE_MS, maxAttempts=1),
+            route("/prompts/", "streaming", "kirjutaja", PROMPT_DEADLINE_MS, **stream),
+        ]
+        services = [
+            {"name": "teavitus", "coldStartS": 0, "coldPerS": 0},
+            {"name": "kirjutaja", "coldStartS": 3, "coldPerS": 38, "engine": ENGINE},
+        ]
+        document = configuration(routes, services)
+        await self.fleet.start(
+            ["front-a", "front-b"], document, [*self.sound, self.faulty]
+        )
+        await asyncio.sleep(1.0)
+        until = time.monotonic() + SECONDS
+        tasks = [
+            asyncio.ensure_future(self.client(gateway, number, until))
+            for gateway in self.fleet.gateways
+            for number in range(CALLERS)
+        ]
+        tasks += [
+            asyncio.ensure_future(self.prompt_clients(gateway, until))
+            for gateway in self.fleet.gateways
+        ]
+        tasks += [
+            asyncio.ensure_future(self.platform(gateway, until))
+            for gateway in self.fleet.gateways
+        ]
+        await asyncio.gather(*tasks)
+
+    async def platform(self, gateway, until):
+        """End a process that exceeds its memory, and start it again."""
+        limit = gateway.settings["limits"]["memoryMb"]
+        while time.monotonic() < until:
+            await asyncio.sleep(CHECK_SECONDS)
+            used = memory_mb(gateway.process.pid)
+            most = max(used, self.most_by_machine.get(gateway.name, 0.0))
+            self.most_by_machine[gateway.name] = most
+            if used <= limit:
                 continue
-            if message is None or " 200 " not in message[0]:
+            gateway.process.kill()
+            gateway.process.wait()
+            what = f"{gateway.name} has {used:.0f} MB of {limit} and is killed"
+            self.record(f"platform: {what}")
+            await asyncio.sleep(RESTART_DELAY)
+            gateway.start()
+
+    async def client(self, gateway, number, until):
+        """Send calls on a connection that is kept; connect again when it is closed."""
+        while time.monotonic() < until:
+            connection = await connect(gateway)
+            if connection is None:
+                await asyncio.sleep(0.2)
                 continue
-            fields = json.loads(message[2])
-            self.addresses = fields["addresses"]
-            kept = self.keeps_answers * min(fields["ttlS"], TTL_MAX)
-            self.fresh_until = time.monotonic() + kept
-            self.failed.clear()
-            if self.open is not None and self.open[0] not in self.addresses:
-                self.close()
-            return
+            served = 0
+            while time.monotonic() < until:
+                await asyncio.sleep(CALL_PAUSE)
+                if not await self.call(gateway, number, served, *connection):
+                    break
+                served += 1
+            connection[1].close()
 
-    async def call(self):
-        """Send a call, on the open connection or on a new one."""
-        if self.open is None and not await self.connect():
-            return
-        address, reader, writer = self.open
+    async def call(self, gateway, number, served, reader, writer):
+        """Send a call; return whether its connection can be used again."""
         if reader.at_eof():
-            self.close()  # The machine has closed it.
-            return
-        method, path = self.rng.choice((("GET", "/status/1"), ("POST", "/notices/1")))
-        request_id = self.case.new_id()
+            return False
+        self.calls += 1
+        request_id = f"{self.calls:016x}"
+        method, path = (("GET", "/status/1"), ("POST", "/notices/1"))[number % 2]
         headers = [f"X-Work-Ms: {WORK_MS}"]
-        data = request_bytes(method, path, request_id, DEADLINE_MS, headers)
-        sent = Sent(request_id, self.case.machine_by_address[address])
-        self.case.all.append(sent)
-        writer.write(data)
+        writer.write(request_bytes(method, path, request_id, CALL_DEADLINE_MS, headers))
         message = None
         try:
-            async with asyncio.timeout(DEADLINE_MS / 1000):
+            async with asyncio.timeout(CALL_DEADLINE_MS / 1000):
                 message = await read_message(reader)
-        except (OSError, EOFError, ValueError) as error:
-            self.case.record(f"connection of {request_id}: {type(error).__name__}")
         except TimeoutError:
-            pass
-        sent.ended_at = time.monotonic()
-        sent.complete = message is not None
-        what = message[0] if message else "no answer"
-        self.case.record(f"client has of {request_id} from {sent.machine}: {what}")
-        if message is None:
-            self.failed.add(address)
-        closes = message is None or message[1].get("connection") == "close"
-        if closes or not self.keeps_connections:
-            self.close()
-
-    async def connect(self):
-        """Connect to one of the addresses; return whether one accepts."""
-        usable = [each for each in self.addresses if each not in self.failed]
-        if not usable:
-            self.fresh_until = 0.0
-            return False
-        address = self.rng.choice(usable)
-        host, _, port = address.rpartition(":")
-        try:
-            async with asyncio.timeout(1.0):
-                reader, writer = await asyncio.open_connection(host, int(port))
-        except (OSError, TimeoutError):
-            self.failed.add(address)
             return False
-        self.open = address, reader, writer
-        return True
-
-    def close(self):
-        if self.open is not None:
-            self.open[2].close()
-            self.open = None
-
-
-class Case:
-    """One run; `lost` are the calls that break the rule."""
-
-    def __init__(self, record, trouble):
-        self.record = record
-        self.trouble = trouble
-        self.fleet = Fleet(record)
-        self.all = []
-        self.signals = []
-        self.runners = [Runner(f"i-app-{n}", "teavitus", record) for n in range(3)]
-        self.directories = []
-        self.machine_by_address = {}
+        except (OSError, EOFError, ValueError):
+            pass
+        if message is not None:
+            return message[1].get("connection") != "close"
+        self.record(f"client has of {request_id} from {gateway.name}: no answer")
+        passed_on = any(request_id in runner.runs for runner in self.sound)
+        if served and passed_on:
+            self.closed_by_machine.setdefault(gateway.name, []).append(request_id)
+        return False
 
-    def new_id(self):
-        return f"{len(self.all) + 1:016x}"
+    async def prompt_clients(self, gateway, until):
+        """Send prompts, each on a new connection."""
+        tasks = []
+        while time.monotonic() < until:
+            tasks.append(asyncio.ensure_future(self.prompt(gateway)))
+            await asyncio.sleep(PROMPT_EVERY)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
 
-    async def run(self):
-        routes = [
-            route("/status/", "safe", "teavitus", DEADLINE_MS),
-            route("/notices/", "unsafe", "teavitus", DEADLINE_MS, maxAttempts=1),
+    async def prompt(self, gateway):
+        connection = await connect(gateway)
+        if connection is None:
+            return
+        self.prompts += 1
+        headers = [
+            "Cranberrywick-Model: m",
+            "Cranberrywick-Token-Count: 5000,300",
+            "Cranberrywick-Prefix-Hash: 5c1e07a2:40,91bd3f06:4960",
+            "X-Events: 15",
         ]
-        services = [{"name": "teavitus", "coldStartS": 0, "coldPerS": 0}]
-        document = configuration(routes, services)
-        await self.fleet.start(MACHINES, document, self.runners)
-        for gateway in self.fleet.gateways:
-            self.directories.append(gateway.settings["listen"]["directory"])
-            self.machine_by_address[gateway.front] = gateway.name
-        until = time.monotonic() + 4.0 + ROLLS * ROLL_EVERY
-        clients = [Client(self, number) for number in range(CLIENTS)]
-        tasks = [asyncio.ensure_future(each.run(until)) for each in clients]
-        await asyncio.sleep(4.0)
-        for _ in range(ROLLS if self.trouble else 0):
-            begun = time.monotonic()
-            stops = (
-                self.stop_and_start(gateway, begun + number * GAP)
-                for number, gateway in enumerate(self.fleet.gateways)
-            )
-            await asyncio.gather(*stops)
-            await asyncio.sleep(max(0.0, begun + ROLL_EVERY - time.monotonic()))
-        await asyncio.gather(*tasks)
-        for client in clients:
-            client.close()
+        request_id = f"{self.prompts + 2**32:016x}"
+        reader, writer = connection
+        data = request_bytes(
+            "POST", "/prompts/1", request_id, PROMPT_DEADLINE_MS, headers, b"text"
+        )
+        writer.write(data)
+        try:
+            await read_message(reader)
+        except (OSError, EOFError, ValueError):
+            pass
+        finally:
+            writer.close()
 
-    async def stop_and_start(self, gateway, at):
-        await asyncio.sleep(max(0.0, at - time.monotonic()))
-        signalled_at = time.monotonic()
-        self.signals.append((gateway.name, signalled_at))
-        gateway.process.send_signal(signal.SIGTERM)
-        self.record(f"platform sends SIGTERM to {gateway.name}")
-        while gateway.process.poll() is None:
-            if time.monotonic() > signalled_at + GRACE:
-                self.record(f"platform sends SIGKILL to {gateway.name}")
-                gateway.process.kill()
-            await asyncio.sleep(0.005)
-        after = time.monotonic() - signalled_at
-        self.record(f"{gateway.name} has ended {after:.3f} s after the signal")
-        await asyncio.sleep(RESTART_DELAY)
-        gateway.start()
 
-    def last_signal(self, sent):
-        """Return when a call's machine last had a SIGTERM before the call ended."""
-        return max(
-            (
-                at
-                for machine, at in self.signals
-                if machine == sent.machine and at <= sent.ended_at
-            ),
-            default=float("-inf"),
-        )
+async def connect(gateway):
+    host, _, port = gateway.front.rpartition(":")
+    try:
+        async with asyncio.timeout(1.0):
+            return await asyncio.open_connection(host, int(port))
+    except (OSError, TimeoutError):
+        return None
 
-    def lost(self):
-        """Return the calls whose connection ended against the rule LOST."""
-        return [sent for sent in self.all if self._is_lost(sent)]
 
-    def _is_lost(self, sent):
-        if sent.complete:
-            return False
-        if sent.ended_at >= sent.sent_at + DEADLINE_MS / 1000 - ROUNDING:
-            return False  # The deadline, which is the route's timeout, was reached.
-        signalled_at = self.last_signal(sent)
-        if sent.ended_at > signalled_at + GRACE + 1.0:
-            return False
-        passed_on = any(sent.request_id in runner.runs for runner in self.runners)
-        if not passed_on:
-            return sent.ended_at - sent.sent_at > LOSS_SLACK
-        in_last_sixth = sent.ended_at >= signalled_at + GRACE * 5 / 6
-        sent_early = sent.sent_at <= signalled_at + SENT_EARLY_ENOUGH
-        return not (in_last_sixth and sent_early)
+def memory_mb(process_id):
+    """Return the memory that a process holds, 0 if it has ended."""
+    try:
+        lines = Path(f"/proc/{process_id}/status").read_text().splitlines()
+    except OSError:
+        return 0.0
+    held = (int(line.split()[1]) for line in lines if line.startswith("VmRSS"))
+    return next(held, 0) / 1000
 
 
 def main():
     record = Record(Path(__file__).resolve().parent / "record.txt")
     case = Case(record, os.environ.get("TROUBLE", "1") != "0")
     try:
-        asyncio.run(asyncio.wait_for(case.run(), 105))
+        asyncio.run(asyncio.wait_for(case.run(), 100))
     except (CannotRun, OSError, TimeoutError) as error:
         record(f"the case could not be run: {error}")
         print(f"the case could not be run: {error}")
@@ -258,18 +249,15 @@
     finally:
         case.fleet.close()
         record.write()
-    lost = case.lost()
-    for sent in lost:
-        took = sent.ended_at - sent.sent_at
-        since = sent.ended_at - case.last_signal(sent)
-        record(
-            f"LOST {sent.request_id} at {sent.machine}: passed on, its connection ended"
-            f" after {took * 1000:.1f} ms, {since:.3f} s after the last signal"
-        )
-    record(f"{len(lost)} of {len(case.all)} calls lost at {len(case.signals)} stops")
+    for machine, most in sorted(case.most_by_machine.items()):
+        record(f"{machine} held up to {most:.0f} MB")
+    closed = {m: len(ids) for m, ids in case.closed_by_machine.items()}
+    broken = any(number > MOST_CLOSED for number in closed.values())
+    summary = f"calls at sound runners closed without an answer: {closed or 'none'}"
+    record(f"{summary}, of {case.calls}")
     record.write()
-    print(f"{len(lost)} of {len(case.all)} calls lost at {len(case.signals)} stops")
-    return 1 if lost else 0
+    print(f"{summary}, of {case.calls}; {case.most_by_machine}")
+    return 1 if broken else 0
 
 
 if __name__ == "__main__":
--- a/review/5/run.py
+++ b/review/5/run.py
@@ -1,164 +1,256 @@
-"""Helpers at addresses that are used again: does another service get the work?
+"""Machines that are stopped and started in turn: is any request lost?
 
-Prompts of the service kirjutaja exceed the memory of one of its seven model runners, so
-that several hold and read a part. One of the seven is lost for good; its address goes
-to a model runner of another service. With TROUBLE=0 nothing is lost.
+Clients ask the directory, keep its answers as PROTOCOL.md says and send short calls.
+The three machines are stopped by SIGTERM and started again in turn, and this a few
+times. With TROUBLE=0 they are not stopped.
 """
 
 import asyncio
+import json
 import os
+import random
+import signal
 import sys
 import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from common_2.engine import Engine  # noqa: E402
 from common_2.fleet import (  # noqa: E402
     BOUNDS,
+    HOST,
     CannotRun,
     Fleet,
     Record,
     configuration,
+    get,
     request_bytes,
     route,
 )
 from common_2.http import read_message  # noqa: E402
+from common_2.runner import Runner  # noqa: E402
 
-HEARTBEAT = 1.2
-# An entry is removed after three heartbeat intervals of silence.
-ENTRY_LASTS = 3 * HEARTBEAT
-REUSED_AFTER = BOUNDS["reuseAfterS"]
-# The engine of the example deployments.
-ENGINE = {
-    "slots": 8,
-    "kvCapacity": 315000,
-    "stride": 51,
-    "step_ms": 0.85,
-    "per_seq_ms": 0.00425,
-    "context_per_k": 0.00285,
-    "read_per_s": 177000.0,
-    "pairs_per_m": 0.184,
-    "chunk": 2048,
-    "usual": {"prompt": 11000, "answer": 1500},
-}
-DEADLINE_MS = 15000
-OWN, OTHER = "kirjutaja", "joonis"
-# When prompts are sent, in seconds from the loss, each to another machine.
-PROMPTS_AT = (2.2, 2.5, 2.8, 3.1)
+GRACE = BOUNDS["graceS"]
+LOSS_SLACK = BOUNDS["lossSlackMs"] / 1000
+SENT_EARLY_ENOUGH = 3.0
+ROUNDING = 0.02
+MACHINES = ("front-a", "front-b", "front-c")
+# One machine at a time, with this pause, and all of them again after a while, seconds.
+GAP, ROLLS, ROLL_EVERY = 1.0, 9, 9.0
+RESTART_DELAY = 0.2
+# Clients, their mean pause between two calls, and a call's work.
+CLIENTS, PAUSE, WORK_MS = 30, 0.4, 22
+DEADLINE_MS = 1500
+DIRECTORY_SECONDS = 1.0
+TTL_MAX = BOUNDS["ttl_max_s"]
+
+
+class Sent:
+    """One call of a client and what it got."""
+
+    def __init__(self, request_id, machine):
+        self.request_id = request_id
+        self.machine = machine
+        self.sent_at = time.monotonic()
+        self.ended_at = 0.0
+        self.complete = False
+
+
+class Client:
+    """A client that keeps to PROTOCOL.md; some keep answers three times as long."""
+
+    def __init__(self, case, number):
+        self.case = case
+        self.rng = random.Random(number)
+        self.keeps_connections = number % 2 == 0
+        self.keeps_answers = 3 if number % 3 == 0 else 1
+        self.directories = list(case.directories)
+        self.rng.shuffle(self.directories)
+        self.addresses = []
+        self.fresh_until = 0.0
+        self.failed = set()
+        self.open = None
+
+    async def run(self, until):
+        while time.monotonic() < until:
+            await asyncio.sleep(self.rng.expovariate(1 / PAUSE))
+            await self.resolve()
+            if self.addresses:
+                await self.call()
+
+    async def resolve(self):
+        """Ask the directory when the last answer has been kept long enough."""
+        if time.monotonic() < self.fresh_until:
+            return
+        query = f"/resolve?name={HOST}&region=tallinn&zone=tln-a"
+        for directory in self.directories:
+            try:
+                async with asyncio.timeout(DIRECTORY_SECONDS):
+                    message = await get(directory, query)
+            except TimeoutError:
+                continue
+            if message is None or " 200 " not in message[0]:
+                continue
+            fields = json.loads(message[2])
+            self.addresses = fields["addresses"]
+            kept = self.keeps_answers * min(fields["ttlS"], TTL_MAX)
+            self.fresh_until = time.monotonic() + kept
+            self.failed.clear()
+            if self.open is not None and self.open[0] not in self.addresses:
+                self.close()
+            return
+
+    async def call(self):
+        """Send a call, on the open connection or on a new one."""
+        if self.open is None and not await self.connect():
+            return
+        address, reader, writer = self.open
+        if reader.at_eof():
+            self.close()  # The machine has closed it.
+            return
+        method, path = self.rng.choice((("GET", "/status/1"), ("POST", "/notices/1")))
+        request_id = self.case.new_id()
+        headers = [f"X-Work-Ms: {WORK_MS}"]
+        data = request_bytes(method, path, request_id, DEADLINE_MS, headers)
+        sent = Sent(request_id, self.case.machine_by_address[address])
+        self.case.all.append(sent)
+        writer.write(data)
+        message = None
+        try:
+            async with asyncio.timeout(DEADLINE_MS / 1000):
+                message = await read_message(reader)
+        except (OSError, EOFError, ValueError) as error:
+            self.case.record(f"connection of {request_id}: {type(error).__name__}")
+        except TimeoutError:
+            pass
+        sent.ended_at = time.monotonic()
+        sent.complete = message is not None
+        what = message[0] if message else "no answer"
+        self.case.record(f"client has of {request_id} from {sent.machine}: {what}")
+        if message is None:
+            self.failed.add(address)
+        closes = message is None or message[1].get("connection") == "close"
+        if closes or not self.keeps_connections:
+            self.close()
+
+    async def connect(self):
+        """Connect to one of the addresses; return whether one accepts."""
+        usable = [each for each in self.addresses if each not in self.failed]
+        if not usable:
+            self.fresh_until = 0.0
+            return False
+        address = self.rng.choice(usable)
+        host, _, port = address.rpartition(":")
+        try:
+            async with asyncio.timeout(1.0):
+                reader, writer = await asyncio.open_connection(host, int(port))
+        except (OSError, TimeoutError):
+            self.failed.add(address)
+            return False
+        self.open = address, reader, writer
+        return True
+
+    def close(self):
+        if self.open is not None:
+            self.open[2].close()
+            self.open = None
 
 
 class Case:
+    """One run; `lost` are the calls that break the rule."""
+
     def __init__(self, record, trouble):
         self.record = record
         self.trouble = trouble
         self.fleet = Fleet(record)
-        self.lost = Engine("i-own-1", OWN, record, slots=8)
-        self.runners = [
-            self.lost,
-            *(Engine(f"i-own-{n}", OWN, record, slots=8) for n in range(2, 8)),
-            Engine("i-other-1", OTHER, record, slots=8),
-        ]
+        self.all = []
+        self.signals = []
+        self.runners = [Runner(f"i-app-{n}", "teavitus", record) for n in range(3)]
+        self.directories = []
+        self.machine_by_address = {}
+
+    def new_id(self):
+        return f"{len(self.all) + 1:016x}"
 
     async def run(self):
-        stream = {"streamResume": True, "gapAimMs": 1000, "stickySessions": True}
         routes = [
-            route("/reviews/", "streaming", OWN, DEADLINE_MS, **stream),
-            route("/drawings/", "streaming", OTHER, DEADLINE_MS, **stream),
+            route("/status/", "safe", "teavitus", DEADLINE_MS),
+            route("/notices/", "unsafe", "teavitus", DEADLINE_MS, maxAttempts=1),
         ]
-        cold = {"coldStartS": 3, "coldPerS": 38, "engine": ENGINE}
-        services = [{"name": OWN, **cold}, {"name": OTHER, **cold}]
-        names = ["front-a", "front-b", "front-c", "front-d"]
-        await self.fleet.start(names, configuration(routes, services), self.runners)
-        heartbeats = asyncio.ensure_future(self.heartbeats())
-        await asyncio.sleep(2.0)
-        for number, gateway in enumerate(self.fleet.gateways):
-            await self.prompt(gateway, f"{number + 1:016x}")
-        await asyncio.sleep(1.0)
-        lost_at = time.monotonic()
-        later = []
-        if self.trouble:
-            self.record("i-own-1 is lost for good")
-            self.runners.remove(self.lost)
-            self.lost.crash()
-            later = [
-                asyncio.ensure_future(self.reuse(lost_at + REUSED_AFTER)),
-                asyncio.ensure_future(self.expire(lost_at + ENTRY_LASTS)),
-            ]
-        sent = []
-        for number, at in enumerate(PROMPTS_AT):
-            await asyncio.sleep(max(0.0, lost_at + at - time.monotonic()))
-            gateway = self.fleet.gateways[number]
-            sent.append(
-                asyncio.ensure_future(self.prompt(gateway, f"{number + 17:016x}"))
+        services = [{"name": "teavitus", "coldStartS": 0, "coldPerS": 0}]
+        document = configuration(routes, services)
+        await self.fleet.start(MACHINES, document, self.runners)
+        for gateway in self.fleet.gateways:
+            self.directories.append(gateway.settings["listen"]["directory"])
+            self.machine_by_address[gateway.front] = gateway.name
+        until = time.monotonic() + 4.0 + ROLLS * ROLL_EVERY
+        clients = [Client(self, number) for number in range(CLIENTS)]
+        tasks = [asyncio.ensure_future(each.run(until)) for each in clients]
+        await asyncio.sleep(4.0)
+        for _ in range(ROLLS if self.trouble else 0):
+            begun = time.monotonic()
+            stops = (
+                self.stop_and_start(gateway, begun + number * GAP)
+                for number, gateway in enumerate(self.fleet.gateways)
             )
-        await asyncio.gather(*sent, *later)
-        heartbeats.cancel()
-
-    async def heartbeats(self):
-        """Let each runner write its entry, which changes in its sequence."""
-        number = 1
-        while True:
-            await asyncio.sleep(HEARTBEAT)
-            number += 1
-            for runner in self.runners:
-                entry = {**runner.entry("tln-a"), "sequence": number}
-                self.fleet.store.put(f"servers/{runner.runner_id}", entry)
-
-    async def reuse(self, at):
-        """Start a runner of another service at the address of the lost one."""
-        await asyncio.sleep(max(0.0, at - time.monotonic()))
-        runner = Engine("i-other-2", OTHER, self.record, slots=8)
-        ip, _, port = self.lost.address.rpartition(":")
-        await runner.start(ip, int(port))
-        self.record(f"i-other-2 of {OTHER} starts at the address of i-own-1")
-        self.fleet.store.put("servers/i-other-2", runner.entry("tln-a"))
-        self.runners.append(runner)
-
-    async def expire(self, at):
-        """Remove the entry of the lost runner, as the platform does."""
+            await asyncio.gather(*stops)
+            await asyncio.sleep(max(0.0, begun + ROLL_EVERY - time.monotonic()))
+        await asyncio.gather(*tasks)
+        for client in clients:
+            client.close()
+
+    async def stop_and_start(self, gateway, at):
         await asyncio.sleep(max(0.0, at - time.monotonic()))
-        self.fleet.store.remove("servers/i-own-1")
-        self.record("the entry of i-own-1 is removed")
-
-    async def prompt(self, gateway, request_id):
-        headers = [
-            "Cranberrywick-Model: m",
-            "Cranberrywick-Token-Count: 700000,150",
-            "Cranberrywick-Prefix-Hash: 5c1e07a2:40,91bd3f06:699960",
-            "X-Events: 3",
-        ]
-        host, _, port = gateway.front.rpartition(":")
-        reader, writer = await asyncio.open_connection(host, int(port))
-        writer.write(
-            request_bytes(
-                "POST", "/reviews/1", request_id, DEADLINE_MS, headers, b"text"
-            )
+        signalled_at = time.monotonic()
+        self.signals.append((gateway.name, signalled_at))
+        gateway.process.send_signal(signal.SIGTERM)
+        self.record(f"platform sends SIGTERM to {gateway.name}")
+        while gateway.process.poll() is None:
+            if time.monotonic() > signalled_at + GRACE:
+                self.record(f"platform sends SIGKILL to {gateway.name}")
+                gateway.process.kill()
+            await asyncio.sleep(0.005)
+        after = time.monotonic() - signalled_at
+        self.record(f"{gateway.name} has ended {after:.3f} s after the signal")
+        await asyncio.sleep(RESTART_DELAY)
+        gateway.start()
+
+    def last_signal(self, sent):
+        """Return when a call's machine last had a SIGTERM before the call ended."""
+        return max(
+            (
+                at
+                for machine, at in self.signals
+                if machine == sent.machine and at <= sent.ended_at
+            ),
+            default=float("-inf"),
         )
-        self.record(f"client sends {request_id} of /reviews/ to {gateway.name}")
-        try:
-            message = await read_message(reader)
-            status = message[0] if message else "no answer"
-        except (OSError, EOFError):
-            status = "an answer that broke off"
-        self.record(f"client has of {request_id}: {status}")
-        writer.close()
-
-    def broken(self):
-        """Return what runners of the other service did for requests of this one."""
-        lines = []
-        for runner in self.runners:
-            if runner.service == OTHER:
-                for request_id in (*runner.read_parts, *runner.runs):
-                    lines.append(f"ROUTE {request_id} is run by {runner.service}")
-        return lines
+
+    def lost(self):
+        """Return the calls whose connection ended against the rule LOST."""
+        return [sent for sent in self.all if self._is_lost(sent)]
+
+    def _is_lost(self, sent):
+        if sent.complete:
+            return False
+        if sent.ended_at >= sent.sent_at + DEADLINE_MS / 1000 - ROUNDING:
+            return False  # The deadline, which is the route's timeout, was reached.
+        signalled_at = self.last_signal(sent)
+        if sent.ended_at > signalled_at + GRACE + 1.0:
+            return False
+        passed_on = any(sent.request_id in runner.runs for runner in self.runners)
+        if not passed_on:
+            return sent.ended_at - sent.sent_at > LOSS_SLACK
+        in_last_sixth = sent.ended_at >= signalled_at + GRACE * 5 / 6
+        sent_early = sent.sent_at <= signalled_at + SENT_EARLY_ENOUGH
+        return not (in_last_sixth and sent_early)
 
 
 def main():
     record = Record(Path(__file__).resolve().parent / "record.txt")
     case = Case(record, os.environ.get("TROUBLE", "1") != "0")
     try:
-        asyncio.run(asyncio.wait_for(case.run(), 100))
+        asyncio.run(asyncio.wait_for(case.run(), 105))
     except (CannotRun, OSError, TimeoutError) as error:
         record(f"the case could not be run: {error}")
         print(f"the case could not be run: {error}")
@@ -166,13 +258,18 @@
     finally:
         case.fleet.close()
         record.write()
-    broken = case.broken()
-    for line in broken:
-        record(line)
-    record(f"{len(broken)} requests run by a service that no route leads them to")
+    lost = case.lost()
+    for sent in lost:
+        took = sent.ended_at - sent.sent_at
+        since = sent.ended_at - case.last_signal(sent)
+        record(
+            f"LOST {sent.request_id} at {sent.machine}: passed on, its connection ended"
+            f" after {took * 1000:.1f} ms, {since:.3f} s after the last signal"
+        )
+    record(f"{len(lost)} of {len(case.all)} calls lost at {len(case.signals)} stops")
     record.write()
-    print(f"{len(broken)} requests run by a service that no route leads them to")
-    return 1 if broken else 0
+    print(f"{len(lost)} of {len(case.all)} calls lost at {len(case.signals)} stops")
+    return 1 if lost else 0
 
 
 if __name__ == "__main__":
