Answers without an end are recognised, and what is kept of answers is bounded

Cause: an answer that is no stream is kept until it is whole, and nothing bounds that. The same in other forms: a body of any status, chunked, with a huge Content-Length or ended by its connection. Streams of comments and empty lines went on until the deadline. Thousands of interim responses or of chunks of one byte in one read held up the loop: sound requests took up to 4.0 s and 10.8 s.

Change: named bounds of what can be an answer (routing/answer_limits.py), which end the connection, count against the endpoint and let a request that may be repeated go to another one. All answers that are kept share 16 MiB; an answer without room, or longer than 8 MiB, is forwarded as it comes, so that sound long ones stay whole. 32 parts of a connection are handled in one turn of the loop. serve: room for all answers of its threads. The store: 8 MiB and a time for a whole answer; a connection with unread bytes is not used again. A whole answer is delivered also after its deadline, block by block.

--- a/cranberrywick/endpoints/client.py
+++ b/cranberrywick/endpoints/client.py
@@ -3,7 +3,7 @@
 import json
 import socket
 import time
-from collections.abc import Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping
 
 from urllib3.response import BaseHTTPResponse
 
@@ -68,6 +68,8 @@
         connection: EndpointConnection,
         response: BaseHTTPResponse,
     ):
+        # Called with the length of each part of a body that is no stream.
+        self.on_part: Callable[[int], object] = lambda size: None
         self.address = address
         self.call = call
         self.deadline = deadline
@@ -192,6 +194,8 @@
             received += len(data)
             if received > MAX_ANSWER_BYTES:
                 raise AnswerLost("the answer is larger than the limit")
+            if self.check is None:
+                self.on_part(len(data))
             yield data
         if received and not _has_marked_end(self._response):
             raise AnswerLost("nothing tells a whole answer from a cut one")
--- a/cranberrywick/errors.py
+++ b/cranberrywick/errors.py
@@ -11,6 +11,7 @@
 __all__ = [
     "AmbiguousSend",
     "AnswerLost",
+    "AnswerTooLong",
     "CallerGone",
     "CranberrywickError",
     "Draining",
@@ -248,6 +249,19 @@
     status = 502
 
 
+class AnswerTooLong(AnswerLost):
+    """The endpoint sent bytes that can't be an answer.
+
+    ``bound`` names the bound that they exceed, ``received`` is how many there were of
+    what it counts.
+    """
+
+    def __init__(self, bound: str, received: int):
+        super().__init__(f"no answer: {bound} of {received} is beyond the bound")
+        self.bound = bound
+        self.received = received
+
+
 class EndpointFailed(AnswerLost):
     """The endpoint ran the request and answered with an error.
 
--- a/cranberrywick/external/exchange.py
+++ b/cranberrywick/external/exchange.py
@@ -3,6 +3,7 @@
 import json
 import math
 import threading
+import time
 from collections.abc import Mapping
 from types import MappingProxyType
 from typing import NamedTuple
@@ -30,6 +31,8 @@
 # Longest answer that is read, in bytes: a listing holds several values of up to 1 MiB,
 # and no valid answer is longer than this.
 ANSWER_LIMIT_BYTES = 32 << 20
+# How much of it is read at once, in bytes.
+PART_BYTES = 65_536
 CONNECTIONS_PER_SERVICE = 8
 
 
@@ -62,13 +65,18 @@
 
     Retries and redirects are switched off: a repeated write could take effect twice,
     and only the code that makes the call knows how to find out whether the first did.
+    An answer longer than ``answer_limit`` bytes counts as none.
     """
 
     def __init__(
-        self, urls: tuple[str, ...], read_timeout: float = READ_TIMEOUT_SECONDS
+        self,
+        urls: tuple[str, ...],
+        read_timeout: float = READ_TIMEOUT_SECONDS,
+        answer_limit: int = ANSWER_LIMIT_BYTES,
     ):
         self._urls = tuple(url.rstrip("/") for url in urls)
         self._read_timeout = read_timeout
+        self._answer_limit = answer_limit
         self._pool = urllib3.PoolManager(
             maxsize=CONNECTIONS_PER_SERVICE, retries=False, block=False
         )
@@ -125,14 +133,29 @@
                 redirect=False,
                 preload_content=False,
             )
-            data = response.read(ANSWER_LIMIT_BYTES)
-            response.release_conn()
+            data = self._read(response, time.monotonic() + self._read_timeout + extra)
         except NewConnectionError as error:
             raise _NotReached(f"{url}: {error}") from error
         except (HTTPError, OSError) as error:
             raise no_answer_error(method, f"{url}: {error}") from error
         return _decode(method, url, response, data)
 
+    def _read(self, response: urllib3.BaseHTTPResponse, deadline: float) -> bytes:
+        """Return a body; raises `HTTPError` if it is too long or comes too slowly."""
+        data = bytearray()
+        try:
+            while part := response.read1(PART_BYTES):
+                data += part
+                if len(data) > self._answer_limit:
+                    raise HTTPError(f"over {self._answer_limit} bytes")
+                if time.monotonic() > deadline:
+                    raise HTTPError("the answer did not end in time")
+        except BaseException:
+            response.close()  # What is left of it belongs to no other call.
+            raise
+        response.release_conn()
+        return bytes(data)
+
 
 class _NotReached(Exception):
     """No connection was made: nothing was sent, so another address may be tried."""
--- a/cranberrywick/filters/dispatch.py
+++ b/cranberrywick/filters/dispatch.py
@@ -10,6 +10,7 @@
 from cranberrywick.dispatcher import Dispatcher, Ticket
 from cranberrywick.endpoints.client import Answer, Call, send
 from cranberrywick.endpoints.gang import hold_gang
+from cranberrywick.endpoints.held_bodies import HeldBodies, HeldBody
 from cranberrywick.endpoints.relay import Relay
 from cranberrywick.errors import (
     CallerGone,
@@ -82,6 +83,7 @@
     ):
         self._dispatcher = dispatcher
         self._relay = relay
+        self._bodies = HeldBodies()
         self._board = board
         self._name_owner = name_owner
         self._record_refusal = record_refusal
@@ -202,7 +204,9 @@
                 self._stream(exchange, answer, headers)
                 body = b""
             else:
-                body = b"".join(answer.chunks())
+                with HeldBody(self._bodies, answer.deadline) as held:
+                    answer.on_part = held.keep
+                    body = b"".join(answer.chunks())
                 self._record_first_token(exchange)
         finally:
             answer.close()
--- a/cranberrywick/gateway/answer_forwarding.py
+++ b/cranberrywick/gateway/answer_forwarding.py
@@ -1,13 +1,19 @@
 """Forwarding of one answer, as it is received, to the caller."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 from typing import NamedTuple
 
-from cranberrywick.errors import AnswerLost, EndpointFailed, EndpointRefused
+from cranberrywick.errors import (
+    AnswerLost,
+    AnswerTooLong,
+    EndpointFailed,
+    EndpointRefused,
+)
 from cranberrywick.gateway.caller_connection import CallerConnection
 from cranberrywick.gateway.events import EventSplitter
 from cranberrywick.gateway.exchange import AnswerSource, Exchange
+from cranberrywick.gateway.held_answers import HeldAnswers, HeldBody
 from cranberrywick.gateway.upstream import EndpointAnswer, EndpointConnection
 from cranberrywick.model import EndpointRefusal
 from cranberrywick.platform.headers import (
@@ -15,6 +21,12 @@
     ResponseMeta,
     decode_response,
 )
+from cranberrywick.routing.answer_limits import (
+    HELD_OF_ONE_BYTES,
+    AnswerBound,
+    is_endless,
+    longest_held,
+)
 
 __all__ = ["AnswerCallbacks", "AnswerForwarding", "WholeAnswer"]
 
@@ -23,18 +35,18 @@
     """An endpoint's answer, its body fully received."""
 
     head: EndpointAnswer
-    body: bytes
+    body: HeldBody
 
     async def send_to(self, caller: CallerConnection) -> None:
         """Send the answer to the caller with the endpoint's status, headers and body.
 
-        Raises `ConnectionError` if the caller has closed its connection.
+        The body is kept until the caller has taken it, and can be sent once. Raises
+        `ConnectionError` if the caller has closed its connection.
         """
         headers = _forwarded_headers(self.head)
-        headers.append((b"Content-Length", str(len(self.body)).encode()))
+        headers.append((b"Content-Length", str(self.body.held).encode()))
         await caller.send_head(self.head.status, self.head.reason, headers)
-        if self.body:
-            await caller.send_whole_body(self.body)
+        await _send_held(self.body, caller)
         caller.end()
 
 
@@ -55,11 +67,17 @@
 
 
 class AnswerForwarding:
-    """Checks an answer to the exchange's request and forwards it to the caller."""
+    """Checks an answer to the exchange's request and forwards it to the caller.
 
-    def __init__(self, exchange: Exchange, callbacks: AnswerCallbacks):
+    ``held`` has the room for what is kept of answers.
+    """
+
+    def __init__(
+        self, exchange: Exchange, callbacks: AnswerCallbacks, held: HeldAnswers
+    ):
         self._exchange = exchange
         self._callbacks = callbacks
+        self._held = held
         self._loop = asyncio.get_running_loop()
         self._awaits_first_event = True
 
@@ -108,37 +126,91 @@
     async def _forward_whole(
         self, connection: EndpointConnection, answer: EndpointAnswer
     ) -> None:
-        """Forward an answer after its last byte has come.
+        """Forward an answer after its last byte has come, if there is room for it.
 
         An answer that breaks off can then still be replaced by another endpoint's.
         """
         exchange = self._exchange
+        body = self._held.body()
+        exchange.hold(body)
         try:
-            await self._forward_read(connection, answer)
+            await self._forward_read(connection, answer, body)
         except EndpointFailed:
             raise  # It retains the answer, which stays counted.
         except BaseException:  # Also if the attempt is cancelled.
+            body.release()
             exchange.caller.buffers.hold_answer(0)
             raise
 
     async def _forward_read(
-        self, connection: EndpointConnection, answer: EndpointAnswer
+        self, connection: EndpointConnection, answer: EndpointAnswer, body: HeldBody
     ) -> None:
         exchange = self._exchange
-        whole = WholeAnswer(answer, await self._read_whole(connection))
-        if exchange.caller.answer_started:
-            raise AnswerLost(f"status {answer.status} in place of more events")
+        parts = connection.body()
+        async for part in parts:
+            if not await self._may_hold(answer, body, len(part)):
+                await self._forward_rest(answer, body, part, parts)
+                return
+            body.append(part)
+            exchange.caller.buffers.hold_answer(body.held)
+        self._check_not_begun(answer)
+        whole = WholeAnswer(answer, body)
         if answer.status >= 500 and exchange.route.idempotent:
             raise EndpointFailed(f"status {answer.status}", whole)
+        await exchange.lift_deadline()
         await whole.send_to(exchange.caller)
 
-    async def _read_whole(self, connection: EndpointConnection) -> bytes:
-        """Return the body of an answer, which is counted while it is held."""
-        body = bytearray()
-        async for part in connection.body():
-            body += part
-            self._exchange.caller.buffers.hold_answer(len(body))
-        return bytes(body)
+    async def _may_hold(
+        self, answer: EndpointAnswer, body: HeldBody, more: int
+    ) -> bool:
+        """Return whether more of a body may be kept.
+
+        Raises `AnswerTooLong` if it counts as one without an end.
+        """
+        exchange = self._exchange
+        may_repeat = exchange.may_try_another
+        received = body.held + more
+        longest = longest_held(answer.status, may_repeat)
+        has_room = received <= longest and await self._held.has_room(body, more)
+        if has_room:
+            return True
+        is_usual = answer.has_length or exchange.route.name in self._held.long_routes
+        if is_endless(answer.status, received, may_repeat, is_usual):
+            exchange.long_answers += 1
+            raise AnswerTooLong(AnswerBound.HELD, received)
+        return False
+
+    async def _forward_rest(
+        self,
+        answer: EndpointAnswer,
+        body: HeldBody,
+        part: bytes,
+        parts: AsyncIterator[bytes],
+    ) -> None:
+        """Forward what is kept of a body, and its other parts as they come."""
+        self._check_not_begun(answer)
+        exchange = self._exchange
+        exchange.is_cut_short = True
+        headers = _forwarded_headers(answer)
+        if answer.has_length:
+            length = answer.headers_by_name[b"content-length"]
+            headers.append((b"Content-Length", length))
+        await exchange.caller.send_head(answer.status, answer.reason, headers)
+        received = body.held + len(part)
+        await _send_held(body, exchange.caller)
+        exchange.caller.buffers.hold_answer(0)
+        await exchange.caller.send_body(part)
+        async for part in parts:
+            received += len(part)
+            await exchange.caller.send_body(part)
+        exchange.caller.end()
+        exchange.is_cut_short = False
+        if received > HELD_OF_ONE_BYTES:
+            self._held.long_routes.add(exchange.route.name)
+
+    def _check_not_begun(self, answer: EndpointAnswer) -> None:
+        if self._exchange.caller.answer_started:
+            raise AnswerLost(f"status {answer.status} in place of more events")
 
     async def _forward_stream(
         self,
@@ -148,18 +220,22 @@
     ) -> None:
         exchange = self._exchange
         splitter = EventSplitter()
+        rest = self._held.body()
+        exchange.hold(rest)
         forwarded = 0
         async for data in connection.body():
             whole = splitter.feed(data)
-            if splitter.is_too_long:
-                raise AnswerLost("the stream has no events")
+            splitter.check_bounds()
+            more = splitter.rest_bytes - rest.held
+            if more > 0 and not await self._held.has_room(rest, more):
+                raise AnswerTooLong(AnswerBound.EVENT, splitter.rest_bytes)
+            rest.count(more)
             if whole:
                 events = splitter.events - forwarded
                 forwarded = splitter.events
                 await self._forward_events(answer, meta, whole, events)
                 exchange.last_event_id = splitter.last_id or exchange.last_event_id
-        rest = splitter.flush()
-        if rest.strip():
+        if splitter.flush().strip():
             raise AnswerLost("the stream ended in the middle of an event")
         if not exchange.caller.answer_started:
             await self._send_head(answer, meta)
@@ -187,6 +263,12 @@
         await self._exchange.caller.send_head(answer.status, answer.reason, headers)
 
 
+async def _send_held(body: HeldBody, caller: CallerConnection) -> None:
+    """Send what is kept of a body, each part once the caller has room for it."""
+    while block := body.take():
+        await caller.send_whole_body(block)
+
+
 def _forwarded_headers(answer: EndpointAnswer) -> list[tuple[bytes, bytes]]:
     return [
         (name, value)
--- a/cranberrywick/gateway/attempt.py
+++ b/cranberrywick/gateway/attempt.py
@@ -11,6 +11,7 @@
 from cranberrywick.gateway.answer_forwarding import AnswerCallbacks, AnswerForwarding
 from cranberrywick.gateway.endpoint_reach import EndpointReach
 from cranberrywick.gateway.exchange import Exchange
+from cranberrywick.gateway.held_answers import HeldAnswers
 from cranberrywick.gateway.reservations import Reservations
 from cranberrywick.gateway.upstream import EndpointAnswer, EndpointConnection
 from cranberrywick.logs import EventLog
@@ -33,7 +34,8 @@
     """Sends a request to the endpoint of its placement and forwards the answer.
 
     ``may_send`` says whether an endpoint, given its id and whether it is used as a
-    last resort, may get new work now. ``free_seconds`` is the longest time for which
+    last resort, may get new work now. ``held_answers`` has the room for what is kept of
+    answers. ``free_seconds`` is the longest time for which
     helpers may keep memory reserved after its last use.
     """
 
@@ -46,11 +48,13 @@
         callbacks: AnswerCallbacks,
         connect_timeout: ConnectTimeout,
         reach: EndpointReach,
+        held_answers: HeldAnswers,
         free_seconds: float,
         log: EventLog,
     ):
         self._connect_timeout = connect_timeout
         self._reach = reach
+        self._held_answers = held_answers
         self._free_seconds = free_seconds
         self._log = log
         self._exchange = exchange
@@ -109,7 +113,9 @@
             await self._send(connection, reservations)
             try:
                 answer = await connection.read_head()
-                forwarding = AnswerForwarding(exchange, self._callbacks)
+                forwarding = AnswerForwarding(
+                    exchange, self._callbacks, self._held_answers
+                )
                 await forwarding.forward(connection, answer)
             except EndpointRefused:
                 exchange.in_flight = False
--- a/cranberrywick/gateway/direct_attempts.py
+++ b/cranberrywick/gateway/direct_attempts.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from cranberrywick.errors import (
+    AnswerTooLong,
     CranberrywickError,
     Draining,
     EndpointFailed,
@@ -17,6 +18,7 @@
 from cranberrywick.gateway.crash_detection import CrashDetection
 from cranberrywick.gateway.drain import Drain
 from cranberrywick.gateway.exchange import Exchange, number_of_id
+from cranberrywick.gateway.held_answers import HeldAnswers
 from cranberrywick.gateway.lazy_metrics import LazyMetrics
 from cranberrywick.gateway.observations import EndpointObservations
 from cranberrywick.gateway.permitted_placements import PermittedPlacements
@@ -77,6 +79,11 @@
         self._placements = PermittedPlacements(
             settings.failure_domain, state, waiting, drain, metrics, log
         )
+        self.held_answers = HeldAnswers()
+        metrics.observe_answers(
+            lambda: {"all": self.held_answers.held},
+            lambda: self.held_answers.too_long_by_bound,
+        )
         self.observations = EndpointObservations(state, metrics, log)
         self._crash_detection = CrashDetection(state, metrics, log)
 
@@ -102,6 +109,8 @@
             await self._crash_detection.check(exchange, error)
             if not isinstance(error, EndpointRefused):
                 self._state.peer_updates.crashes.lost(exchange.key)
+            if isinstance(error, AnswerTooLong):
+                self._record_too_long(exchange, error)
             return self._record_failure(placement, error)
         self._crash_detection.record_end(exchange)
         self.observations.record_call_end(exchange)
@@ -143,6 +152,7 @@
 
     def end(self, exchange: Exchange) -> None:
         """Remove a request that has ended from the load; let waiting ones proceed."""
+        exchange.hold(None)
         self._state.load.drop(exchange.key)
         self._state.peer_updates.crashes.ended(exchange.key)
         self._state.peer_updates.job_ended()
@@ -196,10 +206,24 @@
             callbacks,
             self._connect_timeout,
             self._state.reach,
+            self.held_answers,
             self._settings.bounds.free_seconds,
             self._log,
         ).run()
 
+    def _record_too_long(self, exchange: Exchange, error: AnswerTooLong) -> None:
+        self.held_answers.too_long_by_bound[error.bound] += 1
+        self._log.warning(
+            "answer_too_long",
+            request_id=exchange.meta.request_id,
+            route=exchange.route.name,
+            endpoint=exchange.endpoint_id,
+            bound=error.bound,
+            received=error.received,
+            held=self.held_answers.held,
+            begun=exchange.caller.answer_started,
+        )
+
     def _record_failure(
         self, placement: Placement, error: CranberrywickError
     ) -> AttemptFailure:
--- a/cranberrywick/gateway/drain.py
+++ b/cranberrywick/gateway/drain.py
@@ -104,6 +104,7 @@
             raise self._refusal(exchange.meta.request_id, "no time is left")
         async with asyncio.timeout_at(exchange.deadline) as timeout:
             self._pending_by_key[exchange.key] = _Pending(exchange, timeout)
+            exchange.timeout = timeout
             try:
                 yield
             finally:
--- a/cranberrywick/gateway/events.py
+++ b/cranberrywick/gateway/events.py
@@ -1,9 +1,16 @@
 """A splitter for server-sent events: only complete events are forwarded."""
 
+import re
+
+from cranberrywick.errors import AnswerTooLong
+from cranberrywick.routing.answer_limits import MAX_IDLE_BYTES, AnswerBound
+
 __all__ = ["EventSplitter"]
 
 # Longest event, in bytes; more without the end of an event is not an event stream.
 MAX_EVENT_BYTES = 1 << 20
+# The begin of a line that is neither empty nor a comment.
+_FIELD = re.compile(rb"(?:^|[\r\n])[^:\r\n]")
 
 
 class EventSplitter:
@@ -22,6 +29,7 @@
 
     def __init__(self) -> None:
         self._rest = b""
+        self._idle_bytes = 0
         self.last_id: str | None = None
         self.events = 0
 
@@ -33,12 +41,21 @@
         if whole:
             self._record_last_id(whole)
             self.events += whole.count(b"\n\n") + whole.count(b"\r\n\r\n")
+            is_idle = _FIELD.search(whole) is None
+            self._idle_bytes = self._idle_bytes + len(whole) if is_idle else 0
         return whole
 
     @property
-    def is_too_long(self) -> bool:
-        """Whether the incomplete event is longer than `MAX_EVENT_BYTES`."""
-        return len(self._rest) > MAX_EVENT_BYTES
+    def rest_bytes(self) -> int:
+        """How long the incomplete event is."""
+        return len(self._rest)
+
+    def check_bounds(self) -> None:
+        """Raise `AnswerTooLong` for bytes that are no event stream."""
+        if self.rest_bytes > MAX_EVENT_BYTES:
+            raise AnswerTooLong(AnswerBound.EVENT, self.rest_bytes)
+        if self._idle_bytes > MAX_IDLE_BYTES:
+            raise AnswerTooLong(AnswerBound.IDLE, self._idle_bytes)
 
     def flush(self) -> bytes:
         """Return and drop the bytes left over at the end of the stream."""
--- a/cranberrywick/gateway/exchange.py
+++ b/cranberrywick/gateway/exchange.py
@@ -1,11 +1,13 @@
 """The state of one request while it is served."""
 
+import asyncio
 import json
 from math import inf
 from typing import NamedTuple
 
 from cranberrywick.errors import CranberrywickError, EndpointRefused, InvalidRequest
 from cranberrywick.gateway.caller_connection import CallerConnection
+from cranberrywick.gateway.held_answers import HeldBody
 from cranberrywick.gateway.http_request import HttpRequest
 from cranberrywick.model import Executed
 from cranberrywick.platform.headers import RequestMeta
@@ -71,6 +73,7 @@
     ``resumed_id`` is the id of the last event that the caller had before this daemon
     got the request. A peer that forwarded it may have sent events of it, ``has_begun``,
     and ends at ``cut_at``.
+    ``timeout`` ends it at its ``deadline``.
     ``traits`` are what the request has in common with others, and ``refused_for`` says
     for which one it was refused.
     ``peer_id`` is the peer of the last attempt, empty if that was direct.
@@ -82,6 +85,8 @@
     ``event_batches`` in how many parts its events have come, and ``answer_is_framed``
     whether it states its end. ``events`` is how many events the caller was sent, and
     ``blocked_seconds`` for how long it did not take them.
+    ``long_answers`` is how many answers counted as without an end, and ``is_cut_short``
+    says that a part of an answer that is no stream has been sent.
     ``predicted`` is the forecast time from placement to the first event,
     ``foreseen_pace`` that between two events, None if it was not known,
     ``longest_gap`` the longest pause between events, ``parts`` the number of endpoints
@@ -105,6 +110,7 @@
         self.priority = 0
         self.version = 0
         self.deadline = float("inf")
+        self.timeout: asyncio.Timeout | None = None
         self.tried_ids: set[str] = set()
         self.sent_ids: set[str] = set()
         self.lost_starts: set[tuple[str, int]] = set()
@@ -122,6 +128,9 @@
         self.event_batches = 0
         self.events = 0
         self.blocked_seconds = 0.0
+        self.long_answers = 0
+        self.is_cut_short = False
+        self._held_body: HeldBody | None = None
         self.answer_is_framed = True
         self.longest_gap = 0.0
         self.predicted: float | None = None
@@ -157,6 +166,24 @@
         self.endpoint_id = ""
         self.in_flight = True
 
+    async def lift_deadline(self) -> None:
+        """Let the caller take an answer that is whole, also after the deadline.
+
+        If that passes just now, the request is cancelled here, before the answer.
+        """
+        if self.timeout is None:
+            return
+        if self.timeout.expired():
+            await asyncio.sleep(0)
+        else:
+            self.timeout.reschedule(None)
+
+    def hold(self, body: HeldBody | None) -> None:
+        """Keep a body in place of the one that is kept of an earlier attempt."""
+        if self._held_body is not None:
+            self._held_body.release()
+        self._held_body = body
+
     def record_lost(self) -> None:
         """Record that the last attempt was lost, and may have run."""
         self.in_flight = False
@@ -183,6 +210,15 @@
         """Seconds from the request's arrival to its last attempt; None before one."""
         return None if self.sent_at is None else self.sent_at - self.request.arrived
 
+    @property
+    def may_try_another(self) -> bool:
+        """Whether an answer without an end may be replaced by another endpoint's.
+
+        If that was done before, the answers to this request are just long.
+        """
+        is_allowed = self.sent_count < self.route.max_endpoints
+        return self.route.idempotent and is_allowed and not self.long_answers
+
     @property
     def answering_ids(self) -> frozenset[str] | None:
         """The ids of the endpoints that the request may still be sent to; None for any.
--- a/cranberrywick/gateway/forwarder.py
+++ b/cranberrywick/gateway/forwarder.py
@@ -186,7 +186,9 @@
         """Return why no other attempt may follow, empty if one may."""
         if exchange.may_have_run and not exchange.route.idempotent:
             return "it may have run"
-        if exchange.caller.answer_started and not exchange.is_stream:
+        if exchange.caller.answer_started and (
+            exchange.is_cut_short or not exchange.is_stream
+        ):
             return "the answer has begun"
         if self._crashes_met(exchange) >= MAX_CRASHES:
             return "endpoints have crashed under it"
--- /dev/null
+++ b/cranberrywick/gateway/held_answers.py
@@ -0,0 +1,115 @@
+"""Answers that are kept until they are whole, and the room that all of them share.
+
+`cranberrywick.routing.answer_limits` decides. See docs/design/answer-limits.md.
+"""
+
+import asyncio
+from collections import Counter, deque
+
+from cranberrywick.routing.answer_limits import HeldLedger
+
+__all__ = ["HeldAnswers", "HeldBody"]
+
+# How long an answer waits for room before it is forwarded as it comes, in seconds.
+# Those without an end have been recognised by then, and give theirs back.
+ROOM_SECONDS = 0.25
+# Size up to which successive parts of a body are joined, in bytes: each has an overhead
+# of some sixty.
+BLOCK_BYTES = 65_536
+
+
+class HeldAnswers:
+    """The room for the answers that this daemon keeps.
+
+    ``too_long_by_bound`` counts the answers that had no end, ``long_routes`` are those
+    with whole answers of which a part was forwarded before the end.
+
+    >>> answers = HeldAnswers()
+    >>> body = answers.body()
+    >>> if await answers.has_room(body, len(part)):
+    ...     body.append(part)
+    """
+
+    def __init__(self) -> None:
+        self._ledger = HeldLedger()
+        self._freed = asyncio.Event()
+        self._ahead: HeldBody | None = None
+        self.too_long_by_bound: Counter[str] = Counter()
+        self.long_routes: set[str] = set()
+
+    @property
+    def held(self) -> int:
+        """How many bytes are kept."""
+        return self._ledger.held
+
+    def body(self) -> "HeldBody":
+        """Return an empty body whose bytes are counted."""
+        return HeldBody(self)
+
+    async def has_room(self, body: "HeldBody", more: int) -> bool:
+        """Return whether more bytes of an answer may be kept; wait a moment for room.
+
+        One answer at a time may go on without room. It is soon whole, or recognised as
+        one without an end; if all waited for the others, none would be.
+        """
+        if self._admits(body, more):
+            return True
+        try:
+            async with asyncio.timeout(ROOM_SECONDS):
+                while not self._admits(body, more):
+                    self._freed.clear()
+                    await self._freed.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    def _admits(self, body: "HeldBody", more: int) -> bool:
+        if self._ledger.admits(body.held, more):
+            return True
+        if self._ahead is None:
+            self._ahead = body
+        return self._ahead is body
+
+    def add(self, body: "HeldBody", more: int) -> None:
+        """Count more bytes of an answer, or fewer if it is negative."""
+        self._ledger.add(more)
+        if not body.held and self._ahead is body:
+            self._ahead = None
+        if more < 0:
+            self._freed.set()
+
+
+class HeldBody:
+    """The part of a body that is kept; ``held`` is its length in bytes."""
+
+    def __init__(self, answers: HeldAnswers):
+        self._answers = answers
+        self._blocks: deque[bytearray] = deque()
+        self.held = 0
+
+    def append(self, data: bytes) -> None:
+        """Add the next part."""
+        if self._blocks and len(self._blocks[-1]) + len(data) <= BLOCK_BYTES:
+            self._blocks[-1] += data
+        else:
+            self._blocks.append(bytearray(data))
+        self.count(len(data))
+
+    def count(self, more: int) -> None:
+        """Count bytes of the answer that are kept elsewhere."""
+        self.held += more
+        if more:
+            self._answers.add(self, more)
+
+    def take(self) -> bytes:
+        """Remove and return the first block; empty if there is none."""
+        if not self._blocks:
+            return b""
+        block = self._blocks.popleft()
+        self.count(-len(block))
+        return bytes(block)
+
+    def release(self) -> None:
+        """Drop what is kept."""
+        self._blocks.clear()
+        self.count(-self.held)
--- a/cranberrywick/gateway/lazy_metrics.py
+++ b/cranberrywick/gateway/lazy_metrics.py
@@ -129,6 +129,20 @@
             methodcaller("observe_gauge", "held_bytes", description, "kind", read)
         )
 
+    def observe_answers(
+        self,
+        read_held: Callable[[], dict[str, float]],
+        read_long: Callable[[], dict[str, float]],
+    ) -> None:
+        """Publish what is kept of answers, and how many had no end.
+
+        ``read_held`` returns bytes, ``read_long`` counts by the exceeded bound.
+        """
+        held = ("held_answer_bytes", "Bytes of answers that are kept.", "kind")
+        self._record(methodcaller("observe_gauge", *held, read_held))
+        long = ("answers_too_long", "Answers that exceeded a bound.", "bound")
+        self._record(methodcaller("observe_counter", *long, read_long))
+
     def refused_early(self, service: str) -> None:
         """Count a request that was refused since its forecast was far too late."""
         self._record(methodcaller("refused_early", service))
--- a/cranberrywick/gateway/peer_attempts.py
+++ b/cranberrywick/gateway/peer_attempts.py
@@ -237,7 +237,8 @@
             self._direct.record_first_event,
             lambda endpoint_id, seconds, events: None,
         )
-        await AnswerForwarding(exchange, callbacks).forward(connection, answer)
+        forwarding = AnswerForwarding(exchange, callbacks, self._direct.held_answers)
+        await forwarding.forward(connection, answer)
         self._waiting.outage_ended(exchange.service.name)
         return None
 
--- a/cranberrywick/gateway/upstream.py
+++ b/cranberrywick/gateway/upstream.py
@@ -13,16 +13,29 @@
 
 import h11
 
-from cranberrywick.errors import AmbiguousSend, AnswerLost, EndpointRefused
+from cranberrywick.errors import (
+    AmbiguousSend,
+    AnswerLost,
+    AnswerTooLong,
+    EndpointRefused,
+)
 from cranberrywick.gateway.buffer_budget import NO_BUDGET, ConnectionBuffers, Unbudgeted
 from cranberrywick.gateway.tcp_options import enable_keepalive
 from cranberrywick.model import EndpointRefusal
+from cranberrywick.routing.answer_limits import (
+    MAX_ANSWER_BYTES,
+    MAX_INTERIM_RESPONSES,
+    MAX_PARTS_OF_A_READ,
+    AnswerBound,
+)
 
 __all__ = ["EndpointAnswer", "EndpointConnection"]
 
-READ_BYTES = 65536
+READ_BYTES = 32768
 # Longest head of an answer, in bytes; a longer one counts as malformed.
 MAX_HEAD_BYTES = 65536
+# Number of parts of a read after which others get their turn.
+PARTS_PER_TURN = 32
 
 
 class EndpointAnswer:
@@ -51,6 +64,12 @@
         }
         return bool(framing)
 
+    @property
+    def has_length(self) -> bool:
+        """Whether the head declares the length of the body."""
+        headers = self.headers_by_name
+        return b"content-length" in headers and b"transfer-encoding" not in headers
+
     @property
     def is_encoded(self) -> bool:
         """Whether the body has a content encoding, such as gzip."""
@@ -86,6 +105,9 @@
         )
         self._reader: asyncio.StreamReader | None = None
         self._writer: asyncio.StreamWriter | None = None
+        self._method = b""
+        self._parts = 0
+        self._interim_responses = 0
         self.sent = False
 
     async def __aenter__(self) -> "EndpointConnection":
@@ -129,6 +151,8 @@
                 reason=EndpointRefusal.UNREACHABLE,
             ) from error
         transport = self._writer.transport
+        # How much asyncio receives at once; by default it is 256 KiB.
+        transport.max_size = READ_BYTES
         enable_keepalive(transport)
         self._buffers = self._caller_buffers.endpoint_connection(transport, self._cut)
 
@@ -143,6 +167,7 @@
 
         The endpoint may answer before it has read the whole request.
         """
+        self._method = method
         framing = [(b"Connection", b"close")]
         if body or method not in (b"GET", b"HEAD"):
             framing.append((b"Content-Length", str(len(body)).encode()))
@@ -168,24 +193,51 @@
         while True:
             event = await self._next_event()
             if isinstance(event, h11.Response):
-                return EndpointAnswer(event)
+                answer = EndpointAnswer(event)
+                self._check_length(answer)
+                return answer
             if isinstance(event, h11.ConnectionClosed):
                 raise AmbiguousSend("the endpoint closed without an answer")
 
     async def body(self) -> AsyncIterator[bytes]:
         """Yield the parts of the body.
 
-        Raises `AnswerLost` if the connection ends before the body does.
+        Raises `AnswerLost` if the connection ends before the body does, and if the body
+        is longer than `MAX_ANSWER_BYTES`.
         """
+        received = 0
         while True:
             event = await self._next_event()
             if isinstance(event, h11.Data):
+                received += len(event.data)
+                if received > MAX_ANSWER_BYTES:
+                    raise AnswerTooLong(AnswerBound.WHOLE, received)
                 yield bytes(event.data)
             elif isinstance(event, h11.EndOfMessage):
                 return
             elif isinstance(event, h11.ConnectionClosed):
                 raise AnswerLost("the answer broke off")
 
+    def _check_length(self, answer: EndpointAnswer) -> None:
+        """Raise `AnswerTooLong` if the head declares a body that can't be one."""
+        if self._method == b"HEAD" or answer.status == 304 or not answer.has_length:
+            return
+        declared = int(answer.headers_by_name[b"content-length"])
+        if declared > MAX_ANSWER_BYTES:
+            raise AnswerTooLong(AnswerBound.DECLARED, declared)
+
+    async def _check_part(self, event: h11.Event) -> None:
+        """Count a part of what was read; raise `AnswerTooLong` beyond the bounds."""
+        if isinstance(event, h11.InformationalResponse):
+            self._interim_responses += 1
+            if self._interim_responses > MAX_INTERIM_RESPONSES:
+                raise AnswerTooLong(AnswerBound.INTERIM, self._interim_responses)
+        self._parts += 1
+        if self._parts > MAX_PARTS_OF_A_READ:
+            raise AnswerTooLong(AnswerBound.PARTS, self._parts)
+        if self._parts % PARTS_PER_TURN == 0:
+            await asyncio.sleep(0)
+
     async def _next_event(self) -> h11.Event:
         while True:
             try:
@@ -193,7 +245,9 @@
             except h11.RemoteProtocolError as error:
                 raise AnswerLost(f"malformed answer: {error!s:.80}") from error
             if event is not h11.NEED_DATA:
+                await self._check_part(event)
                 return event
+            self._parts = 0
             try:
                 data = await self._reader.read(READ_BYTES)
             except OSError as error:
--- a/cranberrywick/platform/store.py
+++ b/cranberrywick/platform/store.py
@@ -31,6 +31,11 @@
 # again or to use an update from a peer.
 READ_TIMEOUT_SECONDS = 1.0
 
+# Longest answer, in bytes: a page has 1 MB and one value of 1 MiB more, as base64.
+MAX_PAGE_BYTES = 8 << 20
+# Largest number of pages of a reading: they have some 500 records each.
+MAX_PAGES = 200
+
 # Bounds of a lease's time, in seconds.
 MIN_LEASE_SECONDS = 1.0
 MAX_LEASE_SECONDS = 600.0
@@ -55,7 +60,9 @@
     def __init__(self, address: str, log: EventLog):
         self._epochs = StoreEpochs(log)
         self._client = PlatformClient(
-            (f"http://{address}",), read_timeout=READ_TIMEOUT_SECONDS
+            (f"http://{address}",),
+            read_timeout=READ_TIMEOUT_SECONDS,
+            answer_limit=MAX_PAGE_BYTES,
         )
         # Records are decoded again only if they have changed: of thousands of endpoints
         # most have not written since the last snapshot.
@@ -203,7 +210,7 @@
         query = {"prefix": prefix}
         if serializable:
             query["serializable"] = "1"
-        while True:
+        for _ in range(MAX_PAGES):
             reply = self._call("GET", "/kv-range", query)
             fields = reply.fields
             items = fields.get("items") or []
@@ -212,6 +219,7 @@
             if not fields.get("truncated") or not items:
                 return pages
             query = {**query, "after": items[-1]["key"]}
+        raise PlatformUnavailable(f"{prefix}: over {MAX_PAGES} pages")
 
     def _call(
         self,
--- /dev/null
+++ b/cranberrywick/routing/answer_limits.py
@@ -0,0 +1,108 @@
+"""How long an endpoint's answer may be, and how much of answers a daemon keeps.
+
+Load pattern: an endpoint sends bytes without end in the place of an answer, as fast as
+its link allows, while others send sound answers of several megabytes to callers that
+read slowly. An answer is kept until it is whole, since one that breaks off can then be
+replaced by another endpoint's. A bound for each answer alone would be too low for the
+sound ones or, with many at a time, exceed the memory of a VM with 200 MB. There is
+therefore a bound for all of them as well, beyond which answers are forwarded as they
+come, no faster than their callers read.
+"""
+
+from enum import StrEnum
+
+__all__ = [
+    "HELD_BYTES",
+    "HELD_OF_LAST_BYTES",
+    "HELD_OF_ONE_BYTES",
+    "MAX_ANSWER_BYTES",
+    "MAX_IDLE_BYTES",
+    "MAX_INTERIM_RESPONSES",
+    "MAX_PARTS_OF_A_READ",
+    "AnswerBound",
+    "HeldLedger",
+    "is_endless",
+    "longest_held",
+]
+
+MIB = 1024 * 1024
+# Longest answer, in bytes. A million output tokens, at about 60 bytes an event, stay
+# below it.
+MAX_ANSWER_BYTES = 64 * MIB
+# How much of all answers is kept, in bytes.
+HELD_BYTES = 16 * MIB
+# How much of one answer is kept, in bytes. No error message is as long.
+HELD_OF_ONE_BYTES = 8 * MIB
+# The same if no other endpoint may be tried, in bytes.
+HELD_OF_LAST_BYTES = 4 * MIB
+# What every answer may keep, whatever the others do, in bytes. Most answers have a few
+# kB.
+OWN_PART_BYTES = 65_536
+# Largest number of interim responses, such as 100 (Continue), before an answer.
+MAX_INTERIM_RESPONSES = 16
+# Longest row of comments and empty lines between two events, in bytes.
+MAX_IDLE_BYTES = 65_536
+# Largest number of parts, such as chunks, in a read of 32 KiB. The events of a sound
+# stream have five bytes at least.
+MAX_PARTS_OF_A_READ = 3000
+
+
+class AnswerBound(StrEnum):
+    """A bound that bytes exceed which can't be an answer."""
+
+    DECLARED = "declared_length"
+    WHOLE = "answer_length"
+    HELD = "held_length"
+    EVENT = "event_length"
+    IDLE = "bytes_without_event"
+    INTERIM = "interim_responses"
+    PARTS = "parts_of_a_read"
+
+
+def longest_held(status: int, may_repeat: bool) -> int:
+    """Return how many bytes are kept of an answer that is not whole yet.
+
+    Of one that can't be replaced by another endpoint's fewer are kept, so that others
+    have the room.
+    """
+    is_error = status >= 500
+    return HELD_OF_ONE_BYTES if may_repeat or is_error else HELD_OF_LAST_BYTES
+
+
+def is_endless(status: int, received: int, may_repeat: bool, is_usual: bool) -> bool:
+    """Whether an answer that can't be kept any longer counts as one without an end.
+
+    Otherwise it is forwarded as it comes. ``received`` is how many bytes have come and
+    ``may_repeat`` says whether another endpoint may still be tried. ``is_usual`` says
+    that a sound answer may be as long, since it declares its length, or since others
+    of its route were.
+
+    >>> is_endless(200, HELD_OF_ONE_BYTES + 1, may_repeat=True, is_usual=False)
+    True
+    """
+    is_long = received > HELD_OF_ONE_BYTES
+    if status >= 500:
+        return is_long or may_repeat
+    return is_long and may_repeat and not is_usual
+
+
+class HeldLedger:
+    """Counts the bytes of the answers that are kept.
+
+    >>> ledger = HeldLedger(limit=100_000)
+    >>> ledger.admits(own=0, more=200_000), ledger.admits(own=0, more=60_000)
+    (False, True)
+    """
+
+    def __init__(self, limit: int = HELD_BYTES):
+        self._limit = limit
+        self.held = 0
+
+    def admits(self, own: int, more: int) -> bool:
+        """Whether an answer of which ``own`` bytes are kept may keep ``more``."""
+        is_own_part = own + more <= OWN_PART_BYTES
+        return is_own_part or self.held + more <= self._limit
+
+    def add(self, more: int) -> None:
+        """Record that more bytes are kept, or fewer if it is negative."""
+        self.held += more
--- /dev/null
+++ b/tests/endless_endpoints.py
@@ -0,0 +1,178 @@
+"""Endpoints whose answers never end, for tests with real gateway processes.
+
+Each form is a function from a request to the bytes that an endpoint sends first and
+those that it repeats until the gateway closes the connection. Threads send them, as
+fast as the gateway reads.
+"""
+
+import socket
+import threading
+from collections import Counter
+from collections.abc import Callable
+from typing import NamedTuple
+
+__all__ = ["FORMS", "EndlessEndpoint", "Request"]
+
+# Size of a repeated part, in bytes.
+PART_BYTES = 64_000
+# Longest time for which an endpoint waits for a request or a reader, in seconds.
+SOCKET_SECONDS = 15.0
+HUGE_LENGTH = 900_000_000_000
+
+FORMS: dict[str, Callable[["Request"], tuple[bytes, bytes]]] = {}
+
+
+class Request(NamedTuple):
+    """What an endpoint has read of a request; header names are in lower case."""
+
+    target: str
+    headers: dict[str, str]
+
+    @property
+    def request_id(self) -> str:
+        return self.headers.get("cranberrywick-request-id", "")
+
+
+def _form(function):
+    FORMS[function.__name__.lstrip("_")] = function
+    return function
+
+
+def _head(request, status="200 OK", *lines):
+    own = [
+        f"HTTP/1.1 {status}",
+        f"Cranberrywick-Request-Id: {request.request_id}",
+        "Cranberrywick-Response-Seal: seal.endless",
+        *lines,
+    ]
+    return "\r\n".join([*own, "", ""]).encode()
+
+
+def _chunk(data):
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+CHUNKED = "Transfer-Encoding: chunked"
+EVENTS = "Content-Type: text/event-stream"
+
+
+@_form
+def _chunked(request):
+    return _head(request, "200 OK", CHUNKED), _chunk(b"x" * PART_BYTES)
+
+
+@_form
+def _huge_length(request):
+    length = f"Content-Length: {HUGE_LENGTH}"
+    return _head(request, "200 OK", length), b"x" * PART_BYTES
+
+
+@_form
+def _unframed(request):
+    return _head(request), b"x" * PART_BYTES
+
+
+@_form
+def _failing_chunked(request):
+    head = _head(request, "500 Internal Server Error", CHUNKED)
+    return head, _chunk(b"x" * PART_BYTES)
+
+
+@_form
+def _failing_huge_length(request):
+    length = f"Content-Length: {HUGE_LENGTH}"
+    return _head(request, "500 Internal Server Error", length), b"x" * PART_BYTES
+
+
+@_form
+def _failing_unframed(request):
+    return _head(request, "500 Internal Server Error"), b"x" * PART_BYTES
+
+
+@_form
+def _refusing_chunked(request):
+    own = ("Cranberrywick-Not-Executed: 1", CHUNKED)
+    head = _head(request, "503 Service Unavailable", *own)
+    return head, _chunk(b"x" * PART_BYTES)
+
+
+@_form
+def _one_event(request):
+    head = _head(request, "200 OK", EVENTS, CHUNKED) + _chunk(b"id: 1\ndata: ")
+    return head, _chunk(b"x" * PART_BYTES)
+
+
+@_form
+def _comments(request):
+    return _head(request, "200 OK", EVENTS, CHUNKED), _chunk(b": waiting\n\n" * 5_000)
+
+
+@_form
+def _empty_lines(request):
+    return _head(request, "200 OK", EVENTS, CHUNKED), _chunk(b"\n" * PART_BYTES)
+
+
+@_form
+def _tiny_chunks(request):
+    return _head(request, "200 OK", EVENTS, CHUNKED), _chunk(b"x") * 10_000
+
+
+@_form
+def _interim(request):
+    return b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 2_000
+
+
+class EndlessEndpoint:
+    """One endpoint; ``form`` is the one of `FORMS` that it answers with.
+
+    ``runs`` counts the requests that it got by their ids.
+    """
+
+    def __init__(self, form: str):
+        self.form = form
+        self.runs: Counter[str] = Counter()
+        self._listener = socket.create_server(("127.0.0.1", 0), backlog=128)
+        self.address = "{}:{}".format(*self._listener.getsockname())
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def stop(self) -> None:
+        """Stop listening; connections end with their readers."""
+        self._listener.close()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                connection, _ = self._listener.accept()
+            except OSError:
+                return  # It was stopped.
+            threading.Thread(
+                target=self._serve, args=(connection,), daemon=True
+            ).start()
+
+    def _serve(self, connection: socket.socket) -> None:
+        with connection:
+            connection.settimeout(SOCKET_SECONDS)
+            try:
+                request = _read_request(connection)
+                if request is None:
+                    return
+                self.runs[request.request_id] += 1
+                first, repeated = FORMS[self.form](request)
+                connection.sendall(first)
+                while True:
+                    connection.sendall(repeated)
+            except OSError:
+                pass  # The gateway has closed the connection.
+
+
+def _read_request(connection: socket.socket) -> Request | None:
+    data = b""
+    while b"\r\n\r\n" not in data:
+        part = connection.recv(65536)
+        if not part:
+            return None
+        data += part
+    lines = data.partition(b"\r\n\r\n")[0].decode("latin-1").split("\r\n")
+    fields = (line.partition(":") for line in lines[1:])
+    headers = {name.lower(): value.strip() for name, _, value in fields}
+    return Request(lines[0].split()[1], headers)
--- /dev/null
+++ b/tests/test_answer_limits.py
@@ -0,0 +1,156 @@
+"""The bounds of answers: what is kept, what is forwarded, what is no answer."""
+
+import asyncio
+import socket
+import threading
+import time
+
+import pytest
+
+from cranberrywick.endpoints.held_bodies import HeldBodies, HeldBody
+from cranberrywick.errors import AnswerTooLong, PlatformUnavailable, TimedOut
+from cranberrywick.external.exchange import PlatformClient
+from cranberrywick.gateway.events import EventSplitter
+from cranberrywick.gateway.held_answers import HeldAnswers
+from cranberrywick.routing.answer_limits import (
+    HELD_BYTES,
+    HELD_OF_LAST_BYTES,
+    HELD_OF_ONE_BYTES,
+    MAX_IDLE_BYTES,
+    OWN_PART_BYTES,
+    AnswerBound,
+    is_endless,
+    longest_held,
+)
+
+LONG = HELD_OF_ONE_BYTES + 1
+
+
+@pytest.mark.parametrize(
+    ("status", "received", "may_repeat", "is_usual", "expected"),
+    [
+        # Another endpoint may have a sound answer.
+        (200, LONG, True, False, True),
+        (500, OWN_PART_BYTES + 1, True, True, True),
+        # A sound answer may be as long, or there is nothing to put in its place.
+        (200, LONG, True, True, False),
+        (200, LONG, False, False, False),
+        (200, OWN_PART_BYTES + 1, True, False, False),
+        (500, OWN_PART_BYTES + 1, False, True, False),
+        # No error message is as long.
+        (500, LONG, False, True, True),
+    ],
+)
+def test_which_answers_have_no_end(status, received, may_repeat, is_usual, expected):
+    """Guards against sound long answers that are taken for endless ones."""
+    assert is_endless(status, received, may_repeat, is_usual) is expected
+
+
+def test_less_is_kept_of_what_no_other_endpoint_can_replace():
+    """Guards against unsafe calls that take the room of those that can be repeated."""
+    assert longest_held(200, may_repeat=False) == HELD_OF_LAST_BYTES
+    assert longest_held(200, may_repeat=True) == HELD_OF_ONE_BYTES
+
+
+def test_answers_that_wait_for_one_another_all_end():
+    """Guards against answers of which each waits for the room of the others."""
+
+    async def receive(answers, size):
+        body = answers.body()
+        for _ in range(size // OWN_PART_BYTES):
+            if not await answers.has_room(body, OWN_PART_BYTES):
+                return False
+            body.append(bytes(OWN_PART_BYTES))
+            assert answers.held <= HELD_BYTES + HELD_OF_ONE_BYTES + 4 * OWN_PART_BYTES
+            await asyncio.sleep(0)
+        body.release()
+        return True
+
+    async def main():
+        answers = HeldAnswers()
+        sizes = [HELD_OF_ONE_BYTES] * 4
+        assert all(await asyncio.gather(*(receive(answers, s) for s in sizes)))
+        assert answers.held == 0
+
+    asyncio.run(main())
+
+
+def test_the_room_of_a_body_is_given_back_as_it_is_sent():
+    """Guards against room that is lost to answers which have been sent."""
+    answers = HeldAnswers()
+    body = answers.body()
+    parts = [b"a" * 40_000, b"b" * 20_000, b"c" * 20_000, b"d"]
+    for part in parts:
+        body.append(part)
+    assert body.held == answers.held == 80_001
+    blocks = []
+    while block := body.take():
+        blocks.append(block)
+    assert b"".join(blocks) == b"".join(parts)
+    assert body.held == answers.held == 0
+
+
+@pytest.mark.parametrize("idle", [b": waiting\n\n", b"\n\n", b":\r\n\r\n"])
+def test_comments_without_end_are_no_stream(idle):
+    """Guards against streams that go on for ever without an event."""
+    splitter = EventSplitter()
+    splitter.feed(b"id: 1\ndata: a\n\n")
+    for _ in range(MAX_IDLE_BYTES // len(idle)):
+        splitter.feed(idle)
+        splitter.check_bounds()
+    # An event ends the row of comments.
+    splitter.feed(b"id: 2\ndata: b\n\n")
+    splitter.feed(idle)
+    splitter.check_bounds()
+    splitter.feed(idle * (MAX_IDLE_BYTES // len(idle)))
+    with pytest.raises(AnswerTooLong) as raised:
+        splitter.check_bounds()
+    assert raised.value.bound is AnswerBound.IDLE
+
+
+def test_bodies_of_threads_wait_for_room():
+    """Guards against a daemon whose threads keep more than its memory."""
+    bodies = HeldBodies(limit=1_000_000)
+    with HeldBody(bodies, time.monotonic() + 5) as first:
+        first.keep(900_000)
+        first.keep(900_000)  # One answer at a time may go on without room.
+        second = HeldBody(bodies, time.monotonic() + 0.05)
+        with pytest.raises(TimedOut):
+            second.keep(200_000)
+        second.keep(1_000)  # A short answer always has room.
+        timer = threading.Timer(0.05, first.__exit__)
+        timer.start()
+        with HeldBody(bodies, time.monotonic() + 5) as third:
+            third.keep(500_000)
+            timer.join()
+    second.__exit__()
+    assert bodies.held == 0
+
+
+@pytest.mark.parametrize("pause", [0.0, 0.05])
+def test_an_answer_of_the_store_without_an_end_is_none(pause):
+    """Guards against a reading of the store that keeps bytes without end."""
+    listener = socket.create_server(("127.0.0.1", 0))
+
+    def serve():
+        connection, _ = listener.accept()
+        with connection, listener:
+            connection.recv(65536)
+            connection.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            try:
+                while True:
+                    connection.sendall(b"a\r\n" + b" " * 10 + b"\r\n")
+                    time.sleep(pause)
+            except OSError:
+                pass  # The client has closed the connection.
+
+    server = threading.Thread(target=serve)
+    server.start()
+    host, port = listener.getsockname()
+    client = PlatformClient(
+        (f"http://{host}:{port}",), read_timeout=0.5, answer_limit=100_000
+    )
+    with pytest.raises(PlatformUnavailable):
+        client.call("GET", "/kv-range")
+    server.join(timeout=10)
+    assert not server.is_alive()
--- a/tests/test_buffer_connections.py
+++ b/tests/test_buffer_connections.py
@@ -21,6 +21,7 @@
     BufferBudget,
     buffer_budget,
 )
+from cranberrywick.gateway.held_answers import HeldAnswers
 from cranberrywick.gateway.ingress import Ingress
 from cranberrywick.gateway.lazy_metrics import LazyMetrics
 from cranberrywick.gateway.tcp_options import USER_TIMEOUT_MS
@@ -263,13 +264,17 @@
         answer_started=False, buffers=SimpleNamespace(hold_answer=held.append)
     )
     route = SimpleNamespace(idempotent=True)
-    exchange = SimpleNamespace(caller=caller, route=route)
+    exchange = SimpleNamespace(
+        caller=caller, route=route, hold=lambda body: None, may_try_another=True
+    )
     answer = SimpleNamespace(status=500)
 
     async def main():
-        forwarding = AnswerForwarding(exchange, None)
+        answers = HeldAnswers()
+        forwarding = AnswerForwarding(exchange, None, answers)
         with pytest.raises(EndpointFailed if is_retained else AnswerLost):
             await forwarding._forward_whole(Connection(), answer)
+        assert answers.held == (1000 if is_retained else 0)
 
     asyncio.run(main())
     assert held == ([1000] if is_retained else [1000, 0])
--- a/tests/test_gateway_attempt.py
+++ b/tests/test_gateway_attempt.py
@@ -14,6 +14,7 @@
 from cranberrywick.gateway.buffer_budget import NO_BUDGET
 from cranberrywick.gateway.endpoint_tracker import EndpointTracker
 from cranberrywick.gateway.exchange import AnswerSource, Exchange
+from cranberrywick.gateway.held_answers import HeldAnswers
 from cranberrywick.gateway.http_request import HttpRequest
 from cranberrywick.logs import EventLog, make_handler
 from cranberrywick.model import EndpointRefusal, Executed
@@ -36,7 +37,7 @@
     async def attempt():
         placement = Placement("e1", (), 0.1, ())
         await Attempt(
-            None, placement, {}, None, None, None, None, 4.0, EventLog()
+            None, placement, {}, None, None, None, None, None, 4.0, EventLog()
         ).run()
 
     with pytest.raises(EndpointRefused) as raised:
@@ -69,6 +70,7 @@
             None,
             None,
             None,
+            None,
             4.0,
             EventLog(),
         ).run()
@@ -118,6 +120,7 @@
                 failed=lambda endpoint_id, error: None,
                 connected=lambda endpoint_id: None,
             ),
+            HeldAnswers(),
             4.0,
             EventLog(),
         ).run()
