A stopping daemon closes right after its last look, and what it has read is answered

Cause: the last look for requests and the close were two steps, 20 ms and a turn of the event loop apart; `_close` cancelled what had come in between. The second wait had the same gap. Requests of which a part of the head had come did not count as being read; connections that the kernel had accepted, and bytes that it held, were not looked at; a request read just before the end of the grace period was cancelled; peers' half read requests were closed.

Change: the last look and the close are one step, without another turn of the loop. A look also asks the kernel for connections and bytes, and counts half read heads. The listener is closed first, what was accepted is read and served, then the rest is looked at again. Peers get the statement that their half read requests did not run.

--- a/cranberrywick/gateway/app.py
+++ b/cranberrywick/gateway/app.py
@@ -49,6 +49,10 @@
 # How often in a row it finds none before it ends. A process that was suspended has to
 # accept connections and to read from them first.
 IDLE_POLLS = 3
+# Turns of the event loop in which a connection that was accepted is read.
+ACCEPT_TURNS = 8
+# Longest time in which the last requests without an answer get an error, in seconds.
+REST_SECONDS = 0.05
 # Interval at which the health and rate limits of removed endpoints are dropped, in
 # seconds. It is much longer than the absence of an endpoint that is removed and added
 # again and again, so that such an endpoint returns with its recorded failures.
@@ -113,9 +117,9 @@
         )
         budget = buffer_budget(settings, self._metrics, log)
         self._ingress = Ingress(forwarder, self._request_limits, budget)
-        self._peer_ingress = PeerRequests(
-            self.state, direct, self._drain, budget, log
-        ).ingress
+        self._peer_requests = PeerRequests(self.state, direct, self._drain, budget, log)
+        self._peer_ingress = self._peer_requests.ingress
+        self._served = (self._ingress, self._peer_ingress)
         self._internal_ingresses = [
             (address, Ingress(handler, budget=budget))
             for address, handler in (
@@ -219,25 +223,51 @@
             ingress.drain()
         self._drain.begin(window)
         self._waiting.begin_drain()
-        await self._until_idle(started + LEAVE_SECONDS, window.answer_by)
+        earliest = started + LEAVE_SECONDS
+        await self._until_idle(earliest, window.answer_by)
         unanswered = self._drain.unanswered
-        self._drain.end_unanswered()
-        self._ingress.refuse_unread(self._drain.refuse_unread)
-        await self._until_idle(started + LEAVE_SECONDS, window.close_at)
+        self._give_up_unanswered()
+        await self._until_idle(earliest, window.close_at)
+        # What was accepted before is read and served; nothing new comes.
+        for ingress in self._served:
+            ingress.stop_listening()
+        for _ in range(ACCEPT_TURNS):
+            await asyncio.sleep(0)
+        await self._until_idle(earliest, window.close_at)
+        # From the last look on nothing else runs until all connections are closed, or
+        # nothing more is read from them.
+        if self._busy:
+            await self._answer_rest()
         self._log.info("gateway_stopped", busy=self._busy, unanswered=unanswered)
         await self._close()
 
+    def _give_up_unanswered(self) -> None:
+        """End the requests whose answers have not begun, and refuse half read ones."""
+        self.state.end_start()
+        self._drain.end_unanswered()
+        self._ingress.refuse_unread(self._drain.refuse_unread)
+        self._peer_ingress.refuse_unread(self._peer_requests.refuse_unread)
+
+    async def _answer_rest(self) -> None:
+        """Answer what has been read, if only with an error; read nothing more."""
+        loop = asyncio.get_running_loop()
+        latest = loop.time() + REST_SECONDS
+        for ingress in self._served:
+            ingress.stop_reading()
+        self._give_up_unanswered()
+        while loop.time() < latest and any(each.unanswered for each in self._served):
+            await asyncio.sleep(REST_SECONDS / 10)
+
     async def _close(self) -> None:
         """Close the connections, and end all that outlives a request.
 
         Requests that are left are cancelled here and not by the end of the event loop,
         so that the memory that they have reserved at endpoints is released.
         """
-        served = [self._ingress, self._peer_ingress]
         internal = [ingress for _, ingress in self._internal_ingresses]
-        for ingress in (*served, *internal):
+        for ingress in (*self._served, *internal):
             ingress.close()
-        tasks = [task for ingress in served for task in ingress.tasks]
+        tasks = [task for ingress in self._served for task in ingress.tasks]
         for task in tasks:
             task.cancel()
         tasks += [task for ingress in internal for task in ingress.tasks]
@@ -249,18 +279,24 @@
         self.state.peer_updates.link.close()
 
     async def _until_idle(self, earliest: float, latest: float) -> None:
-        """Wait until no request is left, from ``earliest`` to ``latest``."""
+        """Wait until no request is left, from ``earliest`` to ``latest``.
+
+        Returns right after the last look, so that what is done next meets what it saw.
+        """
         loop = asyncio.get_running_loop()
         idle_polls = 0
-        while loop.time() < latest and idle_polls < IDLE_POLLS:
+        while loop.time() < latest:
             is_idle = loop.time() >= earliest and not self._busy
+            is_idle = is_idle and not any(each.has_unread for each in self._served)
             idle_polls = idle_polls + 1 if is_idle else 0
+            if idle_polls == IDLE_POLLS:
+                return
             await asyncio.sleep(IDLE_POLL_SECONDS)
 
     @property
     def _busy(self) -> int:
         """How many requests of callers and of peers are being served."""
-        return self._ingress.busy + self._peer_ingress.busy
+        return sum(ingress.busy for ingress in self._served)
 
     async def _answer_directory(
         self, request: HttpRequest, caller: CallerConnection
--- a/cranberrywick/gateway/caller_connection.py
+++ b/cranberrywick/gateway/caller_connection.py
@@ -67,9 +67,33 @@
     @property
     def busy(self) -> bool:
         """Whether a request is being read or served, or an answer is not sent yet."""
-        is_read = self._request is not None or self._refused
+        is_read = self._request is not None or self._refused or self._has_part_of_head
         return is_read or self._task is not None or self._unsent > 0
 
+    @property
+    def _has_part_of_head(self) -> bool:
+        is_between = self._request is None and self._task is None and not self._refused
+        return is_between and bool(self._http.trailing_data[0])
+
+    @property
+    def is_unanswered(self) -> bool:
+        """Whether a request is being served whose answer has not begun."""
+        return self._task is not None and not self.answer_started
+
+    @property
+    def reads(self) -> bool:
+        """Whether what the caller sends is read."""
+        return self._transport is not None and self._transport.is_reading()
+
+    def fileno(self) -> int:
+        """Return the descriptor of the connection's socket."""
+        return self._transport.get_extra_info("socket").fileno()
+
+    def stop_reading(self) -> None:
+        """Read nothing more that the caller sends."""
+        if self.reads:
+            self._transport.pause_reading()
+
     @property
     def _unsent(self) -> int:
         """Bytes that wait for the caller to read."""
@@ -148,8 +172,9 @@
 
     def refuse_unread(self, refuse: RefuseUnread) -> None:
         """Refuse the request that is being read, if one is."""
-        if self._request is not None and self._task is None and not self._refused:
-            refusal = refuse(list(self._request.headers))
+        is_read = self._request is not None or self._has_part_of_head
+        if is_read and self._task is None and not self._refused:
+            refusal = refuse(list(self._request.headers) if self._request else [])
             self._refuse(503, refusal.headers, refusal.body)
 
     def _read_events(self) -> None:
--- a/cranberrywick/gateway/drain.py
+++ b/cranberrywick/gateway/drain.py
@@ -224,11 +224,16 @@
             )
 
     def refuse_unread(self, headers: list[tuple[bytes, bytes]]) -> BodyRefusal:
-        """Return the answer to a request whose body has not come in time."""
+        """Return the answer to a request whose end has not come in time."""
+        error = self.refusal_of_unread(headers)
         request_id = decode_request(headers).request_id
-        error = self._refusal(request_id, "its body has not come")
         return body_refusal(error, request_id, error.retry_after)
 
+    def refusal_of_unread(self, headers: list[tuple[bytes, bytes]]) -> Draining:
+        """Return the error for a request whose end has not come in time."""
+        request_id = decode_request(headers).request_id
+        return self._refusal(request_id, "its end has not come")
+
     def _ends_before(self, demand: Demand) -> bool:
         """Whether this daemon, or the one that has the caller, ends before a request.
 
--- a/cranberrywick/gateway/ingress.py
+++ b/cranberrywick/gateway/ingress.py
@@ -1,6 +1,7 @@
 """Listening for callers, and the connections that they have open."""
 
 import asyncio
+import select
 from collections.abc import Callable
 
 from cranberrywick.gateway.buffer_budget import NO_BUDGET, BufferBudget, Unbudgeted
@@ -56,6 +57,22 @@
         """How many connections have a request, or an answer that is not sent yet."""
         return sum(connection.busy for connection in self.connections)
 
+    @property
+    def has_unread(self) -> bool:
+        """Whether the kernel has connections to accept, or bytes of callers to read."""
+        poll = select.poll()
+        for listener in self._server.sockets if self._server else ():
+            poll.register(listener.fileno(), select.POLLIN)
+        for connection in self.connections:
+            if connection.reads:
+                poll.register(connection.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
+    @property
+    def unanswered(self) -> int:
+        """How many requests are being served whose answer has not begun."""
+        return sum(connection.is_unanswered for connection in self.connections)
+
     @property
     def tasks(self) -> list[asyncio.Task]:
         """The tasks of the requests that are being served."""
@@ -88,13 +105,26 @@
         self.draining = True
 
     def refuse_unread(self, refuse: RefuseUnread) -> None:
-        """Refuse the requests whose bodies are still being read."""
+        """Refuse the requests that are still being read."""
         for connection in list(self.connections):
             connection.refuse_unread(refuse)
 
-    def close(self) -> None:
-        """Stop listening and close the connections that have no request."""
+    def stop_listening(self) -> None:
+        """Accept no more connections; those that wait for it are reset."""
         if self._server is not None:
             self._server.close()
+
+    def stop_reading(self) -> None:
+        """Read no more requests; those that were read are served."""
+        for connection in self.connections:
+            connection.stop_reading()
+
+    def close(self) -> None:
+        """Stop listening and close the connections that have no request.
+
+        No request is read after this call.
+        """
+        self.stop_listening()
+        self.stop_reading()
         for connection in list(self.connections):
             connection.close_if_idle()
--- a/cranberrywick/gateway/peer_requests.py
+++ b/cranberrywick/gateway/peer_requests.py
@@ -16,6 +16,7 @@
     PlatformUnavailable,
 )
 from cranberrywick.gateway.buffer_budget import (
+    BodyRefusal,
     BufferBudget,
     ConnectionBuffers,
     Unbudgeted,
@@ -230,6 +231,12 @@
         )
         await caller.refuse()
 
+    def refuse_unread(self, headers: list[tuple[bytes, bytes]]) -> BodyRefusal:
+        """Return the answer to a request whose body has not come in time."""
+        error = self._drain.refusal_of_unread(headers)
+        value = encode_answer_statement(AnswerStatement(error=error))
+        return BodyRefusal([(STATEMENT_HEADER, value)], b"")
+
     def _limits(self) -> RequestLimits:
         """Return the limits of callers' requests, with room for the statement."""
         table = self._state.table
--- a/cranberrywick/gateway/state.py
+++ b/cranberrywick/gateway/state.py
@@ -151,6 +151,10 @@
         except TimeoutError:
             return  # The caller refuses the request because of the missing state.
 
+    def end_start(self) -> None:
+        """Let the requests go on that wait for this daemon's start: it ends."""
+        self._became_ready.set()
+
     def leave(self) -> None:
         """Announce that this daemon accepts no new callers; end its registration."""
         self.leaving = True
