One failure in a stop, or in one request, ends nothing else

Cause: a request whose own deadline fires in the pass of the event loop in which the rest is given up has a timeout that can't be rescheduled any more. Nothing caught the exception in the stop, so that neither the refusals nor the close were reached. The same holds for whatever else raises in the stop.

Change: an expired timeout is left alone, since its request is being cancelled already. Each step of the stop is taken by itself; one that raises is logged (stop_step_failed). A pass over waiting requests goes on after one that raises, which gets its error itself; a request that crashes gets 502, at a peer the statement of a lost answer (request_crashed); what nothing else handles in callbacks and tasks is logged (callback_failed).

--- a/cranberrywick/gateway/app.py
+++ b/cranberrywick/gateway/app.py
@@ -4,6 +4,7 @@
 import contextlib
 import random
 import signal
+from collections.abc import Callable
 
 from cranberrywick.gateway.buffer_budget import buffer_budget
 from cranberrywick.gateway.caller_connection import CallerConnection
@@ -53,6 +54,8 @@
 ACCEPT_TURNS = 8
 # Longest time in which the last requests without an answer get an error, in seconds.
 REST_SECONDS = 0.05
+# Longest description of a callback in a log line, in characters.
+MAX_SOURCE = 300
 # Interval at which the health and rate limits of removed endpoints are dropped, in
 # seconds. It is much longer than the absence of an endpoint that is removed and added
 # again and again, so that such an endpoint returns with its recorded failures.
@@ -151,6 +154,7 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._ask_to_stop)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
+        loop.set_exception_handler(self._record_failure)
         await self.start()
         await self._stopping.wait()
         await self._stop()
@@ -192,6 +196,19 @@
         """
         self._log.info("settings_reload_asked", effect="none")
 
+    def _record_failure(
+        self, loop: asyncio.AbstractEventLoop, context: dict[str, object]
+    ) -> None:
+        """Log an exception of a callback or a task that nothing else has handled."""
+        keys = ("future", "task", "handle", "protocol")
+        source = next((context[key] for key in keys if key in context), "")
+        self._log.error(
+            "callback_failed",
+            source=repr(source)[:MAX_SOURCE],
+            message=context.get("message", ""),
+            error=context.get("exception"),
+        )
+
     def _ask_to_stop(self) -> None:
         """Let `run` stop the daemon.
 
@@ -209,29 +226,17 @@
         A request that can't be finished within the grace period is refused as soon as
         that is known; the others are answered by its end, if only with an error.
         """
-        loop = asyncio.get_running_loop()
         started = self._signalled_at
         window = DrainWindow.of_grace(started, self._settings.bounds.grace_seconds)
-        self._log.info(
-            "drain_started",
-            busy=self._busy,
-            waiting=len(self._waiting),
-            grace=window.close_at - loop.time(),
-        )
-        self.state.leave()
-        internal = (ingress for _, ingress in self._internal_ingresses)
-        for ingress in (self._ingress, self._peer_ingress, *internal):
-            ingress.drain()
-        self._drain.begin(window)
-        self._waiting.begin_drain()
         earliest = started + LEAVE_SECONDS
+        self._step(self._begin_drain, window)
         await self._until_idle(earliest, window.answer_by)
         unanswered = self._drain.unanswered
         self._give_up_unanswered()
         await self._until_idle(earliest, window.close_at)
         # What was accepted before is read and served; nothing new comes.
         for ingress in self._served:
-            ingress.stop_listening()
+            self._step(ingress.stop_listening)
         for _ in range(ACCEPT_TURNS):
             await asyncio.sleep(0)
         await self._until_idle(earliest, window.close_at)
@@ -242,19 +247,47 @@
         self._log.info("gateway_stopped", busy=self._busy, unanswered=unanswered)
         await self._close()
 
+    def _step(self, step: Callable[..., object], *arguments: object) -> None:
+        """Take a step of the stop; one that fails doesn't keep the others from theirs.
+
+        Without the rest of the stop, requests that have nothing to do with the failure
+        would be dropped.
+        """
+        try:
+            step(*arguments)
+        except Exception as error:
+            self._log.error("stop_step_failed", step=step.__qualname__, error=error)
+
+    def _begin_drain(self, window: DrainWindow) -> None:
+        """Refuse what can't be finished, and let no more callers come."""
+        self._step(self._drain.begin, window)
+        self._step(self._waiting.begin_drain)
+        for ingress in (*self._served, *self._internal):
+            self._step(ingress.drain)
+        self._step(self.state.leave)
+        self._log.info(
+            "drain_started",
+            busy=self._busy,
+            waiting=len(self._waiting),
+            grace=window.close_at - asyncio.get_running_loop().time(),
+        )
+
     def _give_up_unanswered(self) -> None:
         """End the requests whose answers have not begun, and refuse half read ones."""
-        self.state.end_start()
-        self._drain.end_unanswered()
-        self._ingress.refuse_unread(self._drain.refuse_unread)
-        self._peer_ingress.refuse_unread(self._peer_requests.refuse_unread)
+        self._step(self.state.end_start)
+        self._step(self._drain.end_unanswered)
+        for ingress, requests in (
+            (self._ingress, self._drain),
+            (self._peer_ingress, self._peer_requests),
+        ):
+            self._step(ingress.refuse_unread, requests.refuse_unread)
 
     async def _answer_rest(self) -> None:
         """Answer what has been read, if only with an error; read nothing more."""
         loop = asyncio.get_running_loop()
         latest = loop.time() + REST_SECONDS
         for ingress in self._served:
-            ingress.stop_reading()
+            self._step(ingress.stop_reading)
         self._give_up_unanswered()
         while loop.time() < latest and any(each.unanswered for each in self._served):
             await asyncio.sleep(REST_SECONDS / 10)
@@ -265,19 +298,18 @@
         Requests that are left are cancelled here and not by the end of the event loop,
         so that the memory that they have reserved at endpoints is released.
         """
-        internal = [ingress for _, ingress in self._internal_ingresses]
-        for ingress in (*self._served, *internal):
-            ingress.close()
+        for ingress in (*self._served, *self._internal):
+            self._step(ingress.close)
         tasks = [task for ingress in self._served for task in ingress.tasks]
         for task in tasks:
             task.cancel()
-        tasks += [task for ingress in internal for task in ingress.tasks]
+        tasks += [task for ingress in self._internal for task in ingress.tasks]
         if tasks:
             await asyncio.wait(tasks, timeout=CLOSE_SECONDS)
         await wait_for_releases(CLOSE_SECONDS)
-        self.state.reach.stop()
-        self._ticker.stop()
-        self.state.peer_updates.link.close()
+        self._step(self.state.reach.stop)
+        self._step(self._ticker.stop)
+        self._step(self.state.peer_updates.link.close)
 
     async def _until_idle(self, earliest: float, latest: float) -> None:
         """Wait until no request is left, from ``earliest`` to ``latest``.
@@ -287,13 +319,27 @@
         loop = asyncio.get_running_loop()
         idle_polls = 0
         while loop.time() < latest:
-            is_idle = loop.time() >= earliest and not self._busy
-            is_idle = is_idle and not any(each.has_unread for each in self._served)
+            is_idle = loop.time() >= earliest and self._is_idle
             idle_polls = idle_polls + 1 if is_idle else 0
             if idle_polls == IDLE_POLLS:
                 return
             await asyncio.sleep(IDLE_POLL_SECONDS)
 
+    @property
+    def _is_idle(self) -> bool:
+        """Whether there is no request, neither here nor in the kernel."""
+        try:
+            unread = any(each.has_unread for each in self._served)
+        except OSError as error:
+            self._log.error("stop_step_failed", step="has_unread", error=error)
+            unread = False
+        return not unread and not self._busy
+
+    @property
+    def _internal(self) -> list[Ingress]:
+        """The ingresses whose requests the daemon answers itself."""
+        return [ingress for _, ingress in self._internal_ingresses]
+
     @property
     def _busy(self) -> int:
         """How many requests of callers and of peers are being served."""
--- a/cranberrywick/gateway/caller_connection.py
+++ b/cranberrywick/gateway/caller_connection.py
@@ -174,7 +174,13 @@
         """Refuse the request that is being read, if one is."""
         is_read = self._request is not None or self._has_part_of_head
         if is_read and self._task is None and not self._refused:
-            refusal = refuse(list(self._request.headers) if self._request else [])
+            headers = list(self._request.headers) if self._request else []
+            try:
+                refusal = refuse(headers)
+            except Exception as error:  # Others are refused after it.
+                context = {"message": "no refusal", "exception": error}
+                self._loop.call_exception_handler(context)
+                refusal = BodyRefusal([], b"")
             self._refuse(503, refusal.headers, refusal.body)
 
     def _read_events(self) -> None:
--- a/cranberrywick/gateway/drain.py
+++ b/cranberrywick/gateway/drain.py
@@ -137,7 +137,8 @@
         """
         now = self._loop.time()
         for exchange, timeout in self._pending_by_key.values():
-            if not exchange.caller.answer_started:
+            # One whose own deadline has just passed is being cancelled already.
+            if not exchange.caller.answer_started and not timeout.expired():
                 timeout.reschedule(now)
 
     def time_out(self, exchange: Exchange) -> CranberrywickError | None:
--- a/cranberrywick/gateway/forwarder.py
+++ b/cranberrywick/gateway/forwarder.py
@@ -103,6 +103,12 @@
         except asyncio.CancelledError:
             outcome = "caller_gone" if caller.gone else "daemon_stopped"
             raise
+        except Exception as error:
+            self._log.error(
+                "request_crashed", request_id=exchange.meta.request_id, error=error
+            )
+            crash = CranberrywickError("the daemon failed; its log has the cause")
+            outcome = await self._answer_failure(exchange, crash)
         finally:
             self._direct.end(exchange)
             self._record_end(exchange, outcome)
--- a/cranberrywick/gateway/peer_requests.py
+++ b/cranberrywick/gateway/peer_requests.py
@@ -9,6 +9,7 @@
 import random
 
 from cranberrywick.errors import (
+    AnswerLost,
     CranberrywickError,
     EndpointFailed,
     EndpointRefused,
@@ -192,6 +193,13 @@
             error = raised
         except TimeoutError:
             error = self._direct.time_out(exchange)
+        except ConnectionError:
+            raise
+        except Exception as raised:
+            self._log.error(
+                "request_crashed", request_id=exchange.meta.request_id, error=raised
+            )
+            error = AnswerLost("this daemon failed; its log has the cause")
         await self._answer_failure(exchange, error, at_fault_id)
         return error.type
 
--- a/cranberrywick/gateway/waiting.py
+++ b/cranberrywick/gateway/waiting.py
@@ -9,7 +9,7 @@
 from functools import partial
 from math import inf
 
-from cranberrywick.errors import Draining, Overloaded, RequestQuarantined
+from cranberrywick.errors import Overloaded, RequestQuarantined
 from cranberrywick.gateway.contention import Contention
 from cranberrywick.gateway.deferrals import retry_seconds
 from cranberrywick.gateway.drain import FIRST_REFUSAL_SECONDS, Drain
@@ -130,16 +130,16 @@
         More becomes known of the requests that are before them.
         """
         now = self._loop.time()
+        if now < self._drain.answer_by:
+            self._loop.call_later(TURN_CHECK_SECONDS, self._refuse_without_turn)
         ahead_by_service: Counter[str] = Counter()
         for waiter in self._in_order(now):
             try:
                 ahead = ahead_by_service[waiter.service]
                 self._drain.check_turn(waiter.demand, ahead, now)
                 ahead_by_service[waiter.service] += 1
-            except Draining as error:
+            except Exception as error:  # Its failure, or its refusal, is its own.
                 self._refuse(waiter, error)
-        if now < self._drain.answer_by:
-            self._loop.call_later(TURN_CHECK_SECONDS, self._refuse_without_turn)
 
     def _in_order(self, now: float) -> list[Waiter]:
         """Return the requests that wait, the most urgent first."""
@@ -198,12 +198,10 @@
             return
         try:
             self._try_placing(waiter)
-        except (Draining, Overloaded, RequestQuarantined) as error:
+        except Exception as error:  # Its failure, or its refusal, is its own.
             self._refuse(waiter, error)
 
-    def _refuse(
-        self, waiter: Waiter, error: Draining | Overloaded | RequestQuarantined
-    ) -> None:
+    def _refuse(self, waiter: Waiter, error: Exception) -> None:
         self._remove(waiter)
         if not waiter.placement_future.done():
             waiter.placement_future.set_exception(error)
--- /dev/null
+++ b/tests/test_stop_failures.py
@@ -0,0 +1,154 @@
+"""A gateway that stops while something in it fails.
+
+Guards against one failure by which all requests of the daemon are dropped.
+"""
+
+import asyncio
+import os
+import subprocess
+import sys
+import time
+from types import SimpleNamespace
+
+import pytest
+from gateway_fleet import ROOT, read_answer, request_bytes, wait_for
+from stopping_fleet import DEADLINE, GRACE_SECONDS, StoppingFleet, outcomes
+from test_waiting import state
+
+from cranberrywick.gateway.drain import Drain
+from cranberrywick.gateway.lazy_metrics import LazyMetrics
+from cranberrywick.logs import EventLog
+from cranberrywick.routing.drain_window import DrainWindow
+
+OCCUPIED_SECONDS = 30.0
+GATEWAY = "cranberrywick.gateway."
+# What the stop calls, and what may fail beside it.
+STEPS = (
+    "state:FleetState.leave",
+    "state:FleetState.end_start",
+    "drain:Drain.end_unanswered",
+    "drain:Drain.refuse_unread",
+    "ingress:Ingress.drain",
+    "ingress:Ingress.stop_listening",
+    "ticker:Ticker.stop",
+    "fleet_link:FleetLink.close",
+    "peer_updates:PeerUpdates.send_heartbeat",
+)
+
+
+class FailingFleet(StoppingFleet):
+    """Gateways in which the method ``failing`` fails."""
+
+    failing = ""
+
+    def start_process(self, settings, log):
+        return subprocess.Popen(
+            [sys.executable, str(ROOT / "tests" / "failing_gateway.py"), "gateway"],
+            cwd=ROOT,
+            env={
+                **os.environ,
+                "CRANBERRYWICK_CONFIG": str(settings),
+                "FAILING": self.failing,
+                "PYTHONPATH": str(ROOT),
+            },
+            stdout=log.open("a"),
+            stderr=subprocess.STDOUT,
+        )
+
+
+@pytest.fixture
+def start(tmp_path):
+    """Return a function that starts a gateway before one slot, which is taken."""
+    fleet = FailingFleet(tmp_path)
+
+    def run(failing):
+        fleet.failing = ",".join(GATEWAY + each for each in failing)
+        fleet.reconfigure()
+        fleet.add_endpoint("desk-1", "desk", work_seconds=OCCUPIED_SECONDS)
+        fleet.register("desk-1", "desk", slots=1)
+        gateway = fleet.start_gateway("gateway-0")
+        fleet.occupy(gateway)
+        return fleet, gateway
+
+    yield run
+    fleet.close()
+
+
+@pytest.mark.parametrize("failing", STEPS)
+def test_a_step_that_fails_keeps_no_request_from_its_answer(start, failing):
+    """Guards against a stop that ends at whatever raises in it."""
+    fleet, gateway = start([failing])
+    waiting = [fleet.send(gateway, "POST", f"/books/{n}") for n in range(4)]
+    data = request_bytes("POST", "/books/9", b"body", DEADLINE, fleet.new_id())
+    half_read = fleet.connect(gateway)
+    half_read.sendall(data[:-1])
+    fleet.wait_until_seen(gateway)
+    signalled_at = fleet.stop(gateway)
+    if "end_unanswered" not in failing:
+        statuses = [caller.answer().status for caller in waiting]
+        assert statuses == [503] * 4, gateway.log[-900:]
+        assert read_answer(half_read).status == 503
+    assert gateway.process.wait(GRACE_SECONDS) == 0
+    assert time.monotonic() - signalled_at < GRACE_SECONDS
+    assert "event=gateway_stopped" in gateway.log
+    assert "fails" in gateway.log
+
+
+def test_a_request_that_crashes_is_answered(start):
+    """Guards against a connection that is closed for a failure of the daemon."""
+    fleet, gateway = start(["direct_attempts:DirectAttempts.run"])
+    fleet.stop(gateway)
+    answer = fleet.call(gateway, "GET", "/reads/1")
+    assert (answer.status, answer.whole) == (502, True)
+    assert "event=request_crashed" in gateway.log
+    assert outcomes(gateway).count("internal_error") == 1
+
+
+def test_a_waiting_request_that_fails_leaves_the_others_their_turn(start):
+    """Guards against a pass over the waiting requests that ends at one of them."""
+    fleet, gateway = start(["drain:Drain.check_turn", "drain:Drain.check_wait"])
+    waiting = [fleet.send(gateway, "POST", f"/books/{n}") for n in range(4)]
+    fleet.wait_until_seen(gateway)
+    fleet.stop(gateway)
+    answers = [caller.answer() for caller in waiting]
+    assert all(answer.whole for answer in answers)
+    assert {answer.status for answer in answers} <= {502, 503}
+    wait_for(lambda: gateway.process.poll() is not None, "the end of the gateway")
+    assert gateway.process.returncode == 0
+
+
+def test_a_deadline_at_the_moment_of_the_last_check_ends_no_other_request():
+    """Guards against a stop that ends as a request reaches its deadline."""
+
+    async def main():
+        loop = asyncio.get_running_loop()
+        drain = Drain(state(), LazyMetrics("d1"), EventLog())
+        drain.begin(DrainWindow(loop.time() + 9.0, loop.time() + 9.2))
+        ended = []
+
+        async def serve(key, deadline):
+            caller = SimpleNamespace(answer_started=False)
+            meta = SimpleNamespace(prompt=None, request_id=key)
+            exchange = SimpleNamespace(
+                key=key, caller=caller, deadline=deadline, meta=meta, service=None
+            )
+            try:
+                async with drain.deadline(exchange):
+                    await asyncio.sleep(5.0)
+            except TimeoutError:
+                ended.append(key)
+
+        at = loop.time() + 0.05
+        tasks = [
+            loop.create_task(serve("own", at)),
+            loop.create_task(serve("others", at + 5)),
+        ]
+        # Both are due in the same pass, the deadline's timer first.
+        loop.call_at(at + 0.0001, drain.end_unanswered)
+        await asyncio.sleep(0)
+        time.sleep(0.06)
+        await asyncio.gather(*tasks)
+        assert sorted(ended) == ["others", "own"]
+        assert loop.time() - at < 1.0
+
+    asyncio.run(main())
