Test of a crashing request: it is sent once the gateway has begun to stop

The methods of the test fail from the signal on. In one run beside others the request came before the gateway had seen the signal, and waited for a slot like any other.

--- a/tests/test_stop_failures.py
+++ b/tests/test_stop_failures.py
@@ -98,6 +98,7 @@
     """Guards against a connection that is closed for a failure of the daemon."""
     fleet, gateway = start(["direct_attempts:DirectAttempts.run"])
     fleet.stop(gateway)
+    wait_for(lambda: "event=drain_started" in gateway.log, "the begin of the stop")
     answer = fleet.call(gateway, "GET", "/reads/1")
     assert (answer.status, answer.whole) == (502, True)
     assert "event=request_crashed" in gateway.log
