The rule of the answer that goes ahead, and the longest answer, stand once

The two rooms for answers, of the event loop and of threads, each had the rule by which one answer at a time may exceed the limit; the ledger has it now. The client of `serve` takes the largest answer from routing/answer_limits.py, where it was written a second time with the same reason. Behaviour and bounds are the same.

--- a/cranberrywick/endpoints/client.py
+++ b/cranberrywick/endpoints/client.py
@@ -22,18 +22,15 @@
     EndpointRefused,
 )
 from cranberrywick.model import EndpointRefusal
+from cranberrywick.routing.answer_limits import MAX_ANSWER_BYTES
 
 __all__ = [
     "COMPLETIONS_PATH",
-    "MAX_ANSWER_BYTES",
     "Answer",
     "Call",
     "send",
 ]
 
-# Largest answer.  A million output tokens at about 60 bytes an event stay below it,
-# so only a faulty endpoint sends more.
-MAX_ANSWER_BYTES = 64 * 1024 * 1024
 MAX_REFUSAL_BYTES = 4096
 READ_BYTES = 65536
 # Upper bound on an endpoint's ``Retry-After``, in seconds; larger values are capped.
--- a/cranberrywick/endpoints/held_bodies.py
+++ b/cranberrywick/endpoints/held_bodies.py
@@ -23,7 +23,6 @@
     def __init__(self, limit: int = HELD_BYTES):
         self._ledger = HeldLedger(limit)
         self._changed = threading.Condition()
-        self._ahead: HeldBody | None = None
 
     @property
     def held(self) -> int:
@@ -34,7 +33,9 @@
         """Count more bytes of an answer once there is room for them."""
         with self._changed:
             remaining = max(0.0, deadline - time.monotonic())
-            if not self._changed.wait_for(lambda: self._admits(body, more), remaining):
+            if not self._changed.wait_for(
+                lambda: self._ledger.admits(body, body.held, more), remaining
+            ):
                 raise TimedOut("there was no room for the answer in time")
             self._ledger.add(more)
 
@@ -42,17 +43,9 @@
         """Give back the room of an answer."""
         with self._changed:
             self._ledger.add(-body.held)
-            if self._ahead is body:
-                self._ahead = None
+            self._ledger.end(body)
             self._changed.notify_all()
 
-    def _admits(self, body: "HeldBody", more: int) -> bool:
-        if self._ledger.admits(body.held, more):
-            return True
-        if self._ahead is None:
-            self._ahead = body
-        return self._ahead is body
-
 
 class HeldBody:
     """One answer of which ``held`` bytes are kept.
--- a/cranberrywick/endpoints/relay.py
+++ b/cranberrywick/endpoints/relay.py
@@ -20,10 +20,11 @@
 
 from waitress.receiver import ChunkedReceiver
 
-from cranberrywick.endpoints.client import MAX_ANSWER_BYTES, Answer
+from cranberrywick.endpoints.client import Answer
 from cranberrywick.endpoints.events import EventCheck
 from cranberrywick.errors import AnswerLost, CallerGone, CranberrywickError, TimedOut
 from cranberrywick.logs import EventLog
+from cranberrywick.routing.answer_limits import MAX_ANSWER_BYTES
 
 __all__ = ["MAX_UNREAD_BYTES", "Relay"]
 
--- a/cranberrywick/gateway/held_answers.py
+++ b/cranberrywick/gateway/held_answers.py
@@ -33,7 +33,6 @@
     def __init__(self) -> None:
         self._ledger = HeldLedger()
         self._freed = asyncio.Event()
-        self._ahead: HeldBody | None = None
         self.too_long_by_bound: Counter[str] = Counter()
         self.long_routes: set[str] = set()
 
@@ -47,34 +46,23 @@
         return HeldBody(self)
 
     async def has_room(self, body: "HeldBody", more: int) -> bool:
-        """Return whether more bytes of an answer may be kept; wait a moment for room.
-
-        One answer at a time may go on without room. It is soon whole, or recognised as
-        one without an end; if all waited for the others, none would be.
-        """
-        if self._admits(body, more):
+        """Return whether more of an answer may be kept; wait a moment for room."""
+        if self._ledger.admits(body, body.held, more):
             return True
         try:
             async with asyncio.timeout(ROOM_SECONDS):
-                while not self._admits(body, more):
+                while not self._ledger.admits(body, body.held, more):
                     self._freed.clear()
                     await self._freed.wait()
         except TimeoutError:
             return False
         return True
 
-    def _admits(self, body: "HeldBody", more: int) -> bool:
-        if self._ledger.admits(body.held, more):
-            return True
-        if self._ahead is None:
-            self._ahead = body
-        return self._ahead is body
-
     def add(self, body: "HeldBody", more: int) -> None:
         """Count more bytes of an answer, or fewer if it is negative."""
         self._ledger.add(more)
-        if not body.held and self._ahead is body:
-            self._ahead = None
+        if not body.held:
+            self._ledger.end(body)
         if more < 0:
             self._freed.set()
 
--- a/cranberrywick/routing/answer_limits.py
+++ b/cranberrywick/routing/answer_limits.py
@@ -89,20 +89,35 @@
 class HeldLedger:
     """Counts the bytes of the answers that are kept.
 
+    One answer at a time may exceed the limit. It is soon whole, or recognised as one
+    without an end; if all waited for the others, none would be. Answers are told apart
+    by identity.
+
     >>> ledger = HeldLedger(limit=100_000)
-    >>> ledger.admits(own=0, more=200_000), ledger.admits(own=0, more=60_000)
-    (False, True)
+    >>> ledger.admits("first", own=0, more=200_000)
+    True
+    >>> ledger.admits("second", own=0, more=200_000)
+    False
     """
 
     def __init__(self, limit: int = HELD_BYTES):
         self._limit = limit
+        self._ahead: object = None
         self.held = 0
 
-    def admits(self, own: int, more: int) -> bool:
+    def admits(self, answer: object, own: int, more: int) -> bool:
         """Whether an answer of which ``own`` bytes are kept may keep ``more``."""
-        is_own_part = own + more <= OWN_PART_BYTES
-        return is_own_part or self.held + more <= self._limit
+        if own + more <= OWN_PART_BYTES or self.held + more <= self._limit:
+            return True
+        if self._ahead is None:
+            self._ahead = answer
+        return self._ahead is answer
 
     def add(self, more: int) -> None:
         """Record that more bytes are kept, or fewer if it is negative."""
         self.held += more
+
+    def end(self, answer: object) -> None:
+        """Record that nothing is kept of an answer any more."""
+        if self._ahead is answer:
+            self._ahead = None
