Tests of repeated requests: endpoints and records are waited for

Cause, by the gateways' logs: the test sends four repeats and needs three ends of endpoints. The gateways learned of desk-3 to desk-8 0.4 s after their registration; until then desk-1 and desk-2 had ended, repeats 2 and 3 got 503 (overloaded, sent=0), and where the fourth did too, there was no third end and no quarantine. The 502: the test waited for "source=store", which the line of the store's epoch has as well, and so sent before the record was read.

Change: end_under waits until each gateway knows each endpoint, and the test for the line of the quarantine itself.

--- a/tests/repeated_fleet.py
+++ b/tests/repeated_fleet.py
@@ -6,6 +6,7 @@
 """
 
 import random
+import re
 import time
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
@@ -20,6 +21,7 @@
     Gateway,
     read_answer,
     request_bytes,
+    wait_for,
 )
 
 from cranberrywick.standin.platform.endpoint import SeenRequest
@@ -74,6 +76,12 @@
 )
 
 
+def known_endpoints(log: str) -> set[str]:
+    """Return the ids of the endpoints that have appeared, by a gateway's log."""
+    appeared = re.findall(r"event=endpoint_changed .*endpoint=(\S+) what=appeared", log)
+    return {endpoint_id for ids in appeared for endpoint_id in ids.split(",")}
+
+
 class RepeatedFleet(CrashingFleet):
     """Endpoints of both services end under the repeated request, and start again."""
 
@@ -114,6 +122,12 @@
             endpoint.event_seconds = 0.03
             endpoint.crashes_under = crashes_under
             endpoint.crashed = self._restart_later
+        # A repeat that finds no endpoint ends none.
+        for gateway in self.gateways:
+            wait_for(
+                lambda g=gateway: known_endpoints(g.log) >= self.endpoints.keys(),
+                f"{gateway.name} to know the endpoints",
+            )
 
     def late_arrivals(self, since: float) -> list[str]:
         """Return the ids of repeats that reached endpoints after a time."""
--- a/tests/test_repeated_requests_fleet.py
+++ b/tests/test_repeated_requests_fleet.py
@@ -3,6 +3,7 @@
 Guards against a fleet that sends it on until its endpoints are gone.
 """
 
+import re
 import time
 from concurrent.futures import ThreadPoolExecutor
 
@@ -19,6 +20,8 @@
 REPEATS = 8
 PAUSE_SECONDS = 0.2
 LOADED_SECONDS = 9.0
+# How a log states that a quarantine was read from the store.
+RESTORED = "event=requests_quarantined .*source=store"
 
 
 @pytest.mark.parametrize("kind", KINDS)
@@ -101,7 +104,7 @@
         fleet.gateways = [fleet.restart(gateway) for gateway in fleet.gateways]
         for gateway in fleet.gateways:
             fleet.wait_ready(gateway)
-            wait_for(lambda g=gateway: "source=store" in g.log, "the record")
+            wait_for(lambda g=gateway: re.search(RESTORED, g.log), "the record")
         answers = fleet.repeat_in_turn("body", 4, 0.0)
         assert {answer.status for answer in answers} == {503}
         assert len(fleet.crashed_at) == ENDS
