Streams that end as declared, and early ones that nobody else serves, are sent at a stop

What callers saw: too much was refused. From outside, a fresh daemon served 0 of 55 first streams. On three daemons that stopped after 6 s of service sent none of the streams that came late, although 53 of 54 that were refused would have been whole.

Cause: the events that an engine declares bounded a stream only once 32 answers were known, and answers that have ended didn't count while a third as many ran. While nobody else serves, a stream was expected to take as long as hardly any does, twice the longest of 16; only a daemon that knew less assumed a time.

Change: four answers that had just as many events as declared show that engines declare truly, also while others run: one that has more shows it itself. Until 3 s after the signal, while nobody else serves, a stream is expected to be no longer than the longest so far, than declared, or than four seconds; later, and while others serve, only what is bounded is sent. The time assumed for unknown ones ended 2.1 s after the signal before.

--- a/cranberrywick/gateway/drain.py
+++ b/cranberrywick/gateway/drain.py
@@ -40,9 +40,9 @@
 SUSPENDED_SECONDS = 1.0
 # For how long a list of the streams that run is used, in seconds.
 RUNNING_SECONDS = 0.05
-# How long a stream of which too few are known may take from its first event on, while
-# no other daemon would serve it, in seconds.
-UNKNOWN_STREAM_SECONDS = 5.0
+# How long an early stream may take from its first event on while no other daemon would
+# serve it, in seconds, though longer ones can't be ruled out.
+UNKNOWN_STREAM_SECONDS = 4.0
 
 
 class _Pending(NamedTuple):
@@ -308,7 +308,7 @@
         self, demand: Demand, first_event: float, pace: float, now: float
     ) -> FinishForecast:
         engine = demand.service.engine
-        others_serve = any(self._state.members.serving(now))
+        has_alternative = self._is_late(now) or any(self._state.members.serving(now))
         return self._state.peer_updates.answers.forecast(
             demand.answer,
             demand.service.name,
@@ -316,17 +316,21 @@
             first_event,
             pace,
             now,
-            inf if others_serve else UNKNOWN_STREAM_SECONDS,
+            inf if has_alternative else UNKNOWN_STREAM_SECONDS,
             self._reading(demand, now),
         )
 
+    def _is_late(self, now: float) -> bool:
+        """Whether only what is sure to end in time is sent to endpoints."""
+        return self._window is None or now >= self._window.late_from
+
     def _reading(self, demand: Demand, now: float) -> PromptReading:
         """Return what a prompt costs a late stream that its engine reads meanwhile.
 
         An early one has time enough for that, or has to be cut with the daemon.
         """
-        engine, window = demand.service.engine, self._window
-        if engine is None or window is None or now < window.late_from:
+        engine = demand.service.engine
+        if engine is None or self._window is None or not self._is_late(now):
             return NO_READING
         service = demand.service.name
         tokens = self._state.peer_updates.answers.longest_prompt(service, now)
--- a/cranberrywick/routing/answer_lengths.py
+++ b/cranberrywick/routing/answer_lengths.py
@@ -39,6 +39,8 @@
 # Least number of answers, on all routes, from which it is known that no answer has more
 # events than its engine declares.
 MIN_DECLARED_ANSWERS = 32
+# An answer that has just as many shows as much of it as this many that have fewer.
+FILLED_WEIGHT = 8
 # The share of a sample that doesn't exceed its usual value.
 USUAL_QUANTILE = 0.9
 # A bound from a sample of ``n`` is raised by this much divided by ``n``.
@@ -151,13 +153,14 @@
 class KnownLengths:
     """What is known of the lengths of answers, by route.
 
-    ``is_declared`` says that engines make no more events of an answer's tokens than
-    they declare: that is known from answers on all routes, and none may have had more.
+    ``within_declared`` says that none of these answers, on all routes, had more events
+    than its engine declares to make of its tokens; ``filled`` of them had as many.
     """
 
-    def __init__(self, statements: Iterable[LengthStatement]):
+    def __init__(self, statements: Iterable[LengthStatement], filled: int = 0):
         self._by_route: dict[str, list[LengthStatement]] = defaultdict(list)
         self.answers = 0
+        self.filled = filled
         self.within_declared = True
         for each in statements:
             self._by_route[each.route].append(each)
@@ -174,13 +177,15 @@
 
     ``basis`` is "tokens", "declared", "answers" or "hint", or "unknown" where
     ``events`` is infinite. ``answers`` is how many like it are known, and ``longest``
-    how many events the longest of them has had so far.
+    how many events the longest of them has had so far. ``declared`` is how many the
+    engine declares to make at most, 0 if it declares nothing.
     """
 
     events: float
     basis: str
     answers: int
     longest: int
+    declared: int = 0
 
     @property
     def is_learned(self) -> bool:
@@ -223,7 +228,8 @@
 class AnswerLengths:
     """The lengths of streams, from those that have ended here.
 
-    ``version`` changes with each of them.
+    ``version`` changes with each of them, ``filled`` counts those that had as many
+    events as their engine declares.
 
     >>> lengths = AnswerLengths()
     >>> outline = AnswerOutline("drafts", is_stream=True, tokens=400)
@@ -237,6 +243,7 @@
     def __init__(self) -> None:
         self._groups: dict[_Key, _Group] = {}
         self.version = 0
+        self.filled = 0
 
     def record(self, outline: AnswerOutline, last_id: int | None, stride: int) -> None:
         """Record an answer that has ended; ``outline`` has all of its events.
@@ -258,6 +265,7 @@
         traits = _traits(outline, stride)._replace(is_numbered=is_numbered)
         group.record(_Answer(outline.events, traits))
         self.version += 1
+        self.filled += outline.events == _declared_events(outline, stride)
 
     def statements(
         self, running: Iterable[AnswerOutline] = ()
@@ -304,26 +312,33 @@
     bounds = list(_learned(tail, hint_tail))
     if outline.tokens and traits.within_tokens and is_within:
         bounds.append((outline.tokens, "tokens"))
-    if outline.tokens and stride and _is_declared(known, running, stride):
-        bounds.append((ceil(outline.tokens / stride), "declared"))
+    declared = _declared_events(outline, stride)
+    if declared and _is_declared(known, running, stride):
+        bounds.append((declared, "declared"))
     events, basis = min(bounds, default=(inf, "unknown"))
     done = outline.events
     answers = sum(each.events.count for each in of_route)
     if traits.is_numbered and answers >= MIN_ANSWERS:
         done += outline.resumed_at
-    return LengthBound(max(1.0, events - done), basis, tail.count, round(tail.most))
+    longest = round(tail.most)
+    return LengthBound(max(1.0, events - done), basis, tail.count, longest, declared)
 
 
 def _key(outline: AnswerOutline) -> _Key:
     return outline.route, outline.size, outline.hint_size
 
 
+def _declared_events(outline: AnswerOutline, stride: int) -> int:
+    """Return how many events an engine declares to make at most; 0 if it doesn't."""
+    return ceil(outline.tokens / stride) if stride else 0
+
+
 def _traits(outline: AnswerOutline, stride: int) -> LengthTraits:
     """Return what an answer shows that has so many events."""
+    declared = _declared_events(outline, stride)
     return LengthTraits(
         not outline.tokens or outline.events <= outline.tokens,
-        not (stride and outline.tokens)
-        or outline.events <= ceil(outline.tokens / stride),
+        not declared or outline.events <= declared,
     )
 
 
@@ -349,7 +364,8 @@
     known: Iterable[KnownLengths], running: Iterable[AnswerOutline], stride: int
 ) -> bool:
     """Whether engines are known to make no more events than they declare."""
-    if sum(each.answers for each in known) < MIN_DECLARED_ANSWERS:
+    shown = sum(each.answers + FILLED_WEIGHT * each.filled for each in known)
+    if shown < MIN_DECLARED_ANSWERS:
         return False
     is_within = all(each.within_declared for each in known)
     return is_within and all(_traits(r, stride).within_declared for r in running)
--- a/cranberrywick/routing/fleet_answers.py
+++ b/cranberrywick/routing/fleet_answers.py
@@ -37,8 +37,6 @@
     "PromptReading",
 ]
 
-# A stream that nobody knows may become this many times as long as the longest so far.
-UNKNOWN_LENGTH_FACTOR = 2.0
 # A call that has run for longer than those that have ended, or of which few have, may
 # take this many times as long.
 UNKNOWN_CALL_FACTOR = 2.0
@@ -247,8 +245,11 @@
 
         Its first event is expected after ``first_event`` seconds, and then one each
         ``pace`` seconds. An engine makes an event of ``stride`` tokens, 0 if it doesn't
-        say. A stream of unknown length is expected to take ``unknown_seconds`` from its
-        first event on. ``reading`` is what a prompt costs it that is read meanwhile.
+        say. ``reading`` is what a prompt costs a stream that is read meanwhile.
+
+        If ``unknown_seconds`` are given, a stream is expected to take no longer from
+        its first event on than that, or than the longest so far, or than its engine
+        declares, in place of what hardly any exceeds.
         """
         if outline.is_stream:
             bound = self._bound(outline, stride)
@@ -292,7 +293,8 @@
         running = self.running()
         own = self._own
         if own is None or own.version != self._lengths.version or own.of != running:
-            known = KnownLengths(self._lengths.statements(running))
+            statements = self._lengths.statements(running)
+            known = KnownLengths(statements, self._lengths.filled)
             own = self._own = _Own(known, self._lengths.version, running)
             self._bounds.clear()
         if self._stated is None:
@@ -335,10 +337,8 @@
 
 def _rest_seconds(bound: LengthBound, pace: float, unknown_seconds: float) -> float:
     """Return how long a stream takes at most from its first event on."""
-    if bound.is_learned:
-        return bound.events * pace
-    unknown = UNKNOWN_LENGTH_FACTOR * bound.longest * pace
-    return min(bound.events * pace, max(unknown_seconds, unknown))
+    expected = max(unknown_seconds, max(bound.longest, bound.declared) * pace)
+    return min(bound.events * pace, expected)
 
 
 def _append(values_by_name: dict[str, deque], name: str, value: object) -> None:
--- a/tests/stream_stops.py
+++ b/tests/stream_stops.py
@@ -30,6 +30,8 @@
     running_stopping_fleet,
 )
 
+from cranberrywick.standin.platform.demo import ENGINE
+
 # The pause between two events of a stream, in seconds.
 EVENT_SECONDS = 0.05
 # The largest number of events of a stream.
@@ -59,6 +61,12 @@
     return stream_headers(events, rng.randint(events, events + 5))
 
 
+def declared_lengths(rng: random.Random) -> dict[str, str]:
+    """Return the headers of a stream with as many events as engines declare."""
+    events = rng.randint(1, MOST_EVENTS)
+    return stream_headers(events, events * ENGINE["stride"])
+
+
 def stream_headers(events: int, tokens: int = STATED_TOKENS) -> dict[str, str]:
     """Return the headers of a stream with so many events and at most ``tokens``."""
     return {
@@ -70,6 +78,13 @@
     }
 
 
+DRAWS: dict[str, Draw] = {
+    "unlike": unlike_lengths,
+    "stated": stated_lengths,
+    "declared": declared_lengths,
+}
+
+
 class Stream(NamedTuple):
     """A stream that was sent to a gateway, and what came back.
 
@@ -106,6 +121,12 @@
             return self.runs > 0 or self.sent_at < self.gone_at - CROSSING_SECONDS
         return self.sent_at > 0 or self.ended_at < GRACE_SECONDS - CUT_SECONDS
 
+    @property
+    def is_refused_in_vain(self) -> bool:
+        """Whether it was refused and would have been whole at the usual pace."""
+        ends_at = self.sent_at + (self.events + 2) * EVENT_SECONDS
+        return self.is_refused and ends_at < GRACE_SECONDS - CUT_SECONDS
+
     def __str__(self) -> str:
         return (
             f"{self.request_id} at {self.gateway}: {self.events} events, sent "
@@ -326,9 +347,10 @@
         for each in late
     )
     lost = [each for each in streams if each.is_lost]
+    in_vain = sum(each.is_refused_in_vain for each in late)
     return (
         f"{len(streams)} streams, {len(late)} after the signal: "
-        f"{counts['served']} served, {counts['refused']} refused, "
+        f"{counts['served']} served, {counts['refused']} refused ({in_vain} in vain), "
         f"{counts['failed']} neither; {len(lost)} lost"
     )
 
@@ -340,11 +362,10 @@
 @click.option("--gateways", default=2, show_default=True)
 @click.option("--stopping", default=1, show_default=True)
 @click.option("--callers", default=12, show_default=True)
-@click.option("--stated/--unstated", default=False, show_default=True)
-def main(runs, first, served, gateways, stopping, callers, stated) -> None:
+@click.option("--lengths", type=click.Choice(list(DRAWS)), default="unlike")
+def main(runs, first, served, gateways, stopping, callers, lengths) -> None:
     """Play a scene some times; exits with 1 if a stream was lost."""
-    draw = stated_lengths if stated else unlike_lengths
-    scene = StopScene(gateways, stopping, served, callers, draw=draw)
+    scene = StopScene(gateways, stopping, served, callers, draw=DRAWS[lengths])
     failed = 0
     for seed in range(first, first + runs):
         with tempfile.TemporaryDirectory() as path:
--- /dev/null
+++ b/tests/test_first_streams.py
@@ -0,0 +1,77 @@
+"""Streams that a stopping gateway has time for, although it knows few like them.
+
+Guards against refusals of streams that will end, or that nobody else would serve.
+"""
+
+import time
+
+import pytest
+from stream_stops import (
+    check_ended,
+    check_whole_or_refused,
+    quick_fleet,
+    send_stream,
+    serve,
+    stop_and_wait,
+)
+
+from cranberrywick.standin.platform.demo import ENGINE
+
+STRIDE = ENGINE["stride"]
+
+
+def stop_some(fleet, stopping):
+    """Tell the first gateways to stop; return the first one and the moment."""
+    signalled_at = stop_and_wait(fleet, fleet.gateways[0], 0.0)
+    for other in fleet.gateways[1:stopping]:
+        fleet.stop(other)
+    return fleet.gateways[0], signalled_at
+
+
+def send_at(fleet, gateway, moment, events, tokens):
+    """Send four streams at a moment; return how many were whole, none being cut."""
+    time.sleep(max(0.0, moment - time.monotonic()))
+    callers = [send_stream(fleet, gateway, events, tokens) for _ in range(4)]
+    return check_whole_or_refused(fleet, callers)
+
+
+@pytest.mark.parametrize("tokens", [400, 10 * STRIDE])
+def test_the_first_streams_of_a_fleet_that_stops_are_served(tmp_path, tokens):
+    """Guards against a stop that refuses streams since it has seen few or none."""
+    with quick_fleet(tmp_path, gateways=3) as fleet:
+        gateway, signalled_at = stop_some(fleet, 3)
+        for after in (0.3, 1.2, 2.7):
+            moment = signalled_at + after
+            assert send_at(fleet, gateway, moment, 10, tokens) == 4
+        check_ended(gateway, signalled_at)
+
+
+@pytest.mark.parametrize("stopping", [1, 3])
+def test_streams_as_long_as_engines_declare_are_served_late(tmp_path, stopping):
+    """Guards against declared lengths that are used only after dozens of answers."""
+    with quick_fleet(tmp_path, gateways=3) as fleet:
+        serve(fleet, fleet.gateways[0], [20] * 4, tokens=20 * STRIDE)
+        gateway, signalled_at = stop_some(fleet, stopping)
+        for after in (3.3, 4.5, 5.5):
+            moment = signalled_at + after
+            assert send_at(fleet, gateway, moment, 10, 10 * STRIDE) == 4
+        check_ended(gateway, signalled_at)
+
+
+def test_a_few_long_answers_leave_streams_served_while_all_stop(tmp_path):
+    """Guards against a bound from few answers that refuses what nobody else serves."""
+    with quick_fleet(tmp_path, gateways=3) as fleet:
+        serve(fleet, fleet.gateways[0], [70] * 16)
+        gateway, signalled_at = stop_some(fleet, 3)
+        assert send_at(fleet, gateway, signalled_at + 0.3, 30, 400) == 4
+        check_ended(gateway, signalled_at)
+
+
+def test_streams_longer_than_declared_are_not_sent_late(tmp_path):
+    """Guards against a declared length that answers have shown to be wrong."""
+    with quick_fleet(tmp_path, gateways=3) as fleet:
+        # Four of them have just as many events as declared.
+        serve(fleet, fleet.gateways[0], [8] * 4 + [80])
+        gateway, signalled_at = stop_some(fleet, 1)
+        assert send_at(fleet, gateway, signalled_at + 4.0, 80, 400) == 0
+        check_ended(gateway, signalled_at)
--- a/tests/test_fleet_answers.py
+++ b/tests/test_fleet_answers.py
@@ -118,6 +118,31 @@
     assert events(answers, long) > 83
 
 
+def test_answers_as_long_as_declared_show_that_engines_declare_truly():
+    """Guards against declared lengths that are used only after dozens of answers."""
+    long = DRAFT._replace(tokens=4182)
+    assert seconds(known([20] * 4, long), long) > 82 * 0.05 * 1.1 + 1.0
+    answers = known([82] * 4, long)
+    # They show it though as many others run as would make nothing else known.
+    answers.running = lambda: [long._replace(events=40, has_begun=True)] * 12
+    assert seconds(answers, long) == pytest.approx(82 * 0.05 * 1.1 + 0.05)
+    answers.running = lambda: [long._replace(events=83, has_begun=True)]
+    assert seconds(answers, long) > 82 * 0.05 * 1.1 + 1.0
+
+
+def test_a_stream_that_nobody_else_serves_is_as_long_as_the_longest():
+    """Guards against a bound from few answers that refuses what nobody else serves."""
+
+    def seconds_of(answers, unknown_seconds):
+        fields = DRAFT, "pool", STRIDE, 0.0, 0.05, 0.0, unknown_seconds
+        return answers.forecast(*fields).seconds
+
+    answers = known([60] * 16)
+    assert seconds_of(answers, inf) > 100 * 0.05
+    assert seconds_of(answers, 1.0) == pytest.approx(60 * 0.05 * 1.1 + 0.05)
+    assert seconds_of(known([2] * 16), 1.0) < 1.1 * 1.0 + 0.1
+
+
 def test_an_answer_that_may_become_longer_is_not_bounded_by_shorter_ones():
     """Guards against a bound from requests that allow a tenth of the tokens."""
     answers = known([8, 3] * 20, DRAFT._replace(tokens=8))
