--- a/tests/endless_endpoints.py
+++ b/tests/endless_endpoints.py
@@ -122,6 +122,27 @@
     return b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 2_000
 
 
+@_form
+def _status_line(request):
+    return b"HTTP/1.1 200 ", b"x" * PART_BYTES
+
+
+@_form
+def _head_lines(request):
+    return b"HTTP/1.1 200 OK\r\n", b"X-Line: x\r\n" * 5_000
+
+
+@_form
+def _trailer_lines(request):
+    head = _head(request, "200 OK", CHUNKED) + _chunk(b"x") + b"0\r\n"
+    return head, b"X-Line: x\r\n" * 5_000
+
+
+@_form
+def _chunk_extension(request):
+    return _head(request, "200 OK", CHUNKED) + b"1;", b"x" * PART_BYTES
+
+
 class EndlessEndpoint:
     """One endpoint; ``form`` is the one of `FORMS` that it answers with.
 
