A look for requests that fails at a stop counts as one that found some

What callers would see: no answer from a stopping daemon to anything that it has, since a look that raises something other than OSError ended the stop.

Change: whatever raises in a look is logged as stop_step_failed, and the daemon goes on serving until the end of the grace period. Before, an OSError counted as nothing unread.

Evidence: tests/test_stop_failures.py with CallerConnection.fileno failing: four waiting requests got no byte before, and 503 now.

--- a/cranberrywick/gateway/app.py
+++ b/cranberrywick/gateway/app.py
@@ -327,13 +327,15 @@
 
     @property
     def _is_idle(self) -> bool:
-        """Whether there is no request, neither here nor in the kernel."""
+        """Whether there is no request, neither here nor in the kernel.
+
+        If a look fails there may be one.
+        """
         try:
-            unread = any(each.has_unread for each in self._served)
-        except OSError as error:
-            self._log.error("stop_step_failed", step="has_unread", error=error)
-            unread = False
-        return not unread and not self._busy
+            return not any(each.has_unread or each.busy for each in self._served)
+        except Exception as error:
+            self._log.error("stop_step_failed", step="look", error=error)
+            return False
 
     @property
     def _internal(self) -> list[Ingress]:
--- a/tests/test_stop_failures.py
+++ b/tests/test_stop_failures.py
@@ -30,6 +30,7 @@
     "drain:Drain.refuse_unread",
     "ingress:Ingress.drain",
     "ingress:Ingress.stop_listening",
+    "caller_connection:CallerConnection.fileno",
     "ticker:Ticker.stop",
     "fleet_link:FleetLink.close",
     "peer_updates:PeerUpdates.send_heartbeat",
