A call to the store that fails in any way is made again

What operators would see: a daemon that never reads a part of the store again after one answer of another form, such as a list in the place of an object.

Cause: the reader's thread passed on only errors of some types. Any other was logged by the actor, and the call counted as under way for good.

--- a/cranberrywick/gateway/store_reader.py
+++ b/cranberrywick/gateway/store_reader.py
@@ -74,7 +74,9 @@
             answer = make()
         except CranberrywickError as error:
             answer = error
-        except (KeyError, TypeError, ValueError) as error:
-            # The store's answer has an unexpected form.
-            answer = CranberrywickError(f"unusable answer: {error!s:.100}")
+        except Exception as error:
+            # The store's answer has an unexpected form. Without an outcome the same
+            # call would never be made again.
+            kind = type(error).__name__
+            answer = CranberrywickError(f"unusable answer: {kind}: {error!s:.100}")
         done(answer)
