--- a/cranberrywick/routing/drain_window.py
+++ b/cranberrywick/routing/drain_window.py
@@ -30,8 +30,8 @@
 # an error, in seconds, so that hundreds of them can be written.
 ANSWER_MARGIN_SECONDS = 0.25
 # For how long after the signal a stream is served though a prompt that its engine reads
-# meanwhile might hold it up until the end, in seconds. Most are not held up, and while
-# all daemons stop nobody else serves them.
+# meanwhile might hold it up until the end, or though it might be longer than those so
+# far, in seconds. Most are not, and while all daemons stop nobody else serves them.
 EARLY_SECONDS = 3.0
 # Number of requests of a service from which the time that they hold a slot is known.
 RECENT_REQUESTS = 16
@@ -45,7 +45,7 @@
 
     By ``answer_by`` every request has its answer, or an error in its place, and at
     ``close_at`` the connections are closed. What is sent from ``late_from`` on is sent
-    only if it ends in time even while its engine reads a long prompt.
+    only if it ends in time whatever else is served, even a long prompt at its engine.
 
     >>> DrainWindow.of_grace(100.0, grace_seconds=8.0)
     DrainWindow(answer_by=107.35, close_at=107.6, late_from=103.0)
