--- a/cranberrywick/gateway/app.py
+++ b/cranberrywick/gateway/app.py
@@ -327,10 +327,7 @@
 
     @property
     def _is_idle(self) -> bool:
-        """Whether there is no request, neither here nor in the kernel.
-
-        If a look fails there may be one.
-        """
+        """Whether a look finds no request, neither here nor in the kernel."""
         try:
             return not any(each.has_unread or each.busy for each in self._served)
         except Exception as error:
--- a/tests/test_stop_end.py
+++ b/tests/test_stop_end.py
@@ -33,6 +33,7 @@
 FIRST_SECONDS, LAST_SECONDS = 2.6, 8.0
 # A request without an answer by then is lost, also if nobody ran it, in seconds.
 LOSS_SECONDS = 0.2
+READ_REQUEST = b"GET /resolve HTTP/1.1\r\nHost: h\r\n\r\n"
 
 
 class Sender:
@@ -195,6 +196,40 @@
     asyncio.run(main())
 
 
+@pytest.mark.parametrize("earlier", [0, 1])
+def test_what_an_internal_address_has_read_is_answered(earlier):
+    """Guards against answers of the directory that are dropped as the gateway closes.
+
+    The connection is a new one, or one that is kept.
+    """
+
+    async def run():
+        begun = asyncio.Event()
+
+        async def answer_later(request, caller):
+            begun.set()
+            await asyncio.sleep(WORK_SECONDS)
+            await caller.answer(200, [], b"whole")
+
+        ingress = Ingress(answer_later)
+        await ingress.start("127.0.0.1:0")
+        reader, writer = await asyncio.open_connection(*ingress.address.split(":"))
+        for _ in range(earlier):
+            writer.write(READ_REQUEST)
+            assert (await reader.readuntil(b"whole")).startswith(b"HTTP/1.1 200")
+        begun.clear()
+        writer.write(READ_REQUEST)
+        await begun.wait()
+        ingress.drain()
+        ingress.close()
+        await asyncio.wait(ingress.tasks)
+        answer = await reader.read()
+        assert answer.startswith(b"HTTP/1.1 200") and answer.endswith(b"whole")
+        writer.close()
+
+    asyncio.run(run())
+
+
 @pytest.mark.parametrize("pause", [0.002, 0.02])
 def test_a_stopping_server_answers_all_that_it_has_read(pause):
     """Guards against requests that ``serve`` reads just before it closes."""
