Interim responses without end hold no thread of serve and of the store's readers

What callers saw: before serve, ten of 48 requests, those that met one of two endpoints each that send 100 (Continue) without end, waited for the whole minute that they had and got 504; each kept one of the daemon's threads busy. On the gateway a call to a store that sends them never returned, so that the daemon would read that part of it no more.

Cause: the HTTP library skips responses with status 100 for as long as they come. Each read succeeds, so that no timeout of a read fires; the bound of the gateway's own connections to endpoints doesn't hold there.

--- a/cranberrywick/endpoints/connection.py
+++ b/cranberrywick/endpoints/connection.py
@@ -5,9 +5,8 @@
 from collections.abc import Callable
 from io import BufferedReader
 
-from urllib3.connection import HTTPConnection
-
 from cranberrywick.errors import CallerGone, EndpointRefused, TimedOut
+from cranberrywick.external.bounded_http import BoundedConnection
 from cranberrywick.model import EndpointRefusal, Executed
 
 __all__ = ["CONNECT_SECONDS", "EndpointConnection", "connect"]
@@ -69,7 +68,7 @@
         )
 
 
-class EndpointConnection(HTTPConnection):
+class EndpointConnection(BoundedConnection):
     """A connection for one exchange that keeps its socket until it is closed.
 
     The HTTP library drops its reference to the socket as soon as it has read
--- a/cranberrywick/endpoints/orders.py
+++ b/cranberrywick/endpoints/orders.py
@@ -26,6 +26,7 @@
 
 from cranberrywick.decisions.orders import Order, OrderKind
 from cranberrywick.errors import AnswerLost, CranberrywickError, PlatformUnavailable
+from cranberrywick.external.bounded_http import BoundedResponse
 from cranberrywick.external.key_value import (
     KeyValueStore,
     LeaseLapsed,
@@ -261,9 +262,11 @@
 
 
 def _connect(endpoint: Endpoint) -> http.client.HTTPConnection:
-    return http.client.HTTPConnection(
+    connection = http.client.HTTPConnection(
         endpoint.address, timeout=ENDPOINT_TIMEOUT_SECONDS
     )
+    connection.response_class = BoundedResponse
+    return connection
 
 
 def _request_json(
--- a/cranberrywick/external/exchange.py
+++ b/cranberrywick/external/exchange.py
@@ -13,6 +13,7 @@
 from urllib3.exceptions import HTTPError, NewConnectionError
 
 from cranberrywick.errors import PlatformUnavailable
+from cranberrywick.external.bounded_http import bounded_pool_manager
 
 __all__ = [
     "AmbiguousWrite",
@@ -77,7 +78,7 @@
         self._urls = tuple(url.rstrip("/") for url in urls)
         self._read_timeout = read_timeout
         self._answer_limit = answer_limit
-        self._pool = urllib3.PoolManager(
+        self._pool = bounded_pool_manager(
             maxsize=CONNECTIONS_PER_SERVICE, retries=False, block=False
         )
         # Guards the index of the address that is tried first.
--- a/tests/endless_endpoints.py
+++ b/tests/endless_endpoints.py
@@ -146,12 +146,14 @@
 class EndlessEndpoint:
     """One endpoint; ``form`` is the one of `FORMS` that it answers with.
 
-    ``runs`` counts the requests that it got by their ids.
+    ``runs`` counts the requests that it got by their ids, ``endless_runs`` those to
+    which it sent an answer without end.
     """
 
     def __init__(self, form: str):
         self.form = form
         self.runs: Counter[str] = Counter()
+        self.endless_runs = 0
         self._listener = socket.create_server(("127.0.0.1", 0), backlog=128)
         self.address = "{}:{}".format(*self._listener.getsockname())
         threading.Thread(target=self._accept, daemon=True).start()
@@ -160,6 +162,10 @@
         """Stop listening; connections end with their readers."""
         self._listener.close()
 
+    def first_answer(self, request: Request) -> bytes | None:
+        """Return a whole answer to send in place of an endless one, if there is one."""
+        return None
+
     def _accept(self) -> None:
         while True:
             try:
@@ -178,6 +184,11 @@
                 if request is None:
                     return
                 self.runs[request.request_id] += 1
+                whole = self.first_answer(request)
+                if whole is not None:
+                    connection.sendall(whole)
+                    return
+                self.endless_runs += 1
                 first, repeated = FORMS[self.form](request)
                 connection.sendall(first)
                 while True:
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -28,6 +28,7 @@
     "OPERATOR_KEY",
     "Fleet",
     "Process",
+    "list_vm",
     "running_fleet",
     "wait_for",
 ]
@@ -217,7 +218,7 @@
         daemons_by_id = _start_daemons(stack, folder, daemons, standins)
         for number, (daemon_id, daemon) in enumerate(daemons_by_id.items()):
             fields = {"address": daemon.address, "peer_address": daemon.peer_address}
-            _list_vm(vm_list, daemon_id, "entry", number, fields)
+            list_vm(vm_list, daemon_id, "entry", number, fields)
         fleet = Fleet(
             key_value, vm_list, tuple(engine_processes), (service,), daemons_by_id
         )
@@ -263,12 +264,12 @@
 def _list_endpoints(vm_list: Process, engines: list[Process], service: Process) -> None:
     for number, engine in enumerate(engines):
         fields = {"kind": "drafting", "address": engine.address}
-        _list_vm(vm_list, f"engine-{number}", "endpoint", number, fields)
+        list_vm(vm_list, f"engine-{number}", "endpoint", number, fields)
     fields = {"kind": "slots", "address": service.address}
-    _list_vm(vm_list, "service-0", "endpoint", len(FAILURE_DOMAINS) - 1, fields)
+    list_vm(vm_list, "service-0", "endpoint", len(FAILURE_DOMAINS) - 1, fields)
 
 
-def _list_vm(
+def list_vm(
     vm_list: Process, vm_id: str, role: str, number: int, fields: Mapping[str, str]
 ) -> None:
     vm = {
--- a/tests/test_answer_limits.py
+++ b/tests/test_answer_limits.py
@@ -127,19 +127,32 @@
     assert bodies.held == 0
 
 
-@pytest.mark.parametrize("pause", [0.0, 0.05])
-def test_an_answer_of_the_store_without_an_end_is_none(pause):
-    """Guards against a reading of the store that keeps bytes without end."""
+CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+SPACES = b"a\r\n" + b" " * 10 + b"\r\n"
+INTERIM = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("first", "repeated", "pause"),
+    [
+        (CHUNKED_HEAD, SPACES, 0.0),
+        (CHUNKED_HEAD, SPACES, 0.05),
+        (b"", INTERIM * 100, 0.0),
+        (b"", INTERIM, 0.05),
+    ],
+)
+def test_an_answer_of_the_store_without_an_end_is_none(first, repeated, pause):
+    """Guards against a reading of the store that keeps bytes, or goes on, for ever."""
     listener = socket.create_server(("127.0.0.1", 0))
 
     def serve():
         connection, _ = listener.accept()
         with connection, listener:
             connection.recv(65536)
-            connection.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
             try:
+                connection.sendall(first)
                 while True:
-                    connection.sendall(b"a\r\n" + b" " * 10 + b"\r\n")
+                    connection.sendall(repeated)
                     time.sleep(pause)
             except OSError:
                 pass  # The client has closed the connection.
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -54,9 +54,9 @@
     met: bool
 
 
-def memory_bytes(gateway):
-    """Return the largest memory that a gateway's process has had."""
-    with open(f"/proc/{gateway.process.pid}/status") as status:
+def memory_bytes(pid):
+    """Return the largest memory that a process has had."""
+    with open(f"/proc/{pid}/status") as status:
         (line,) = [each for each in status if each.startswith("VmHWM")]
     return int(line.split()[1]) * 1024
 
@@ -141,10 +141,13 @@
         fleet.cut(cut, "refuse")
     time.sleep(KNOWN_SECONDS)
     usual = max(each.seconds for each in send_all(fleet))
-    before = [memory_bytes(gateway) for gateway in fleet.gateways]
+    before = [memory_bytes(gateway.process.pid) for gateway in fleet.gateways]
     with endless_endpoints(fleet, form, cut) as endless:
         outcomes = send_all(fleet, endless, most)
-    grown = [memory_bytes(g) - b for g, b in zip(fleet.gateways, before, strict=True)]
+    grown = [
+        memory_bytes(g.process.pid) - b
+        for g, b in zip(fleet.gateways, before, strict=True)
+    ]
     sound = [each for each in outcomes if not each.met]
     served = [each for each in sound if each.status == 200 and each.whole]
     slowest = max(each.seconds for each in sound)
@@ -214,11 +217,11 @@
             fleet.endpoints[f"desk-{number}"].behaviour = behaviour
             fleet.register(f"desk-{number}", "desk", slots=LONG_CALLERS)
         time.sleep(KNOWN_SECONDS)
-        before = memory_bytes(gateway)
+        before = memory_bytes(gateway.process.pid)
         with ThreadPoolExecutor(LONG_CALLERS) as pool:
             pauses = [PAUSE_SECONDS * (number % 3) for number in range(LONG_CALLERS)]
             answers = list(pool.map(lambda pause: read_slowly(fleet, pause), pauses))
-        grown = memory_bytes(gateway) - before
+        grown = memory_bytes(gateway.process.pid) - before
         assert {status for status, _, _ in answers} == {200}
         assert all(received >= LONG_BYTES for _, received, _ in answers)
         assert all(whole for _, _, whole in answers)
