--- a/cranberrywick/routing/answer_lengths.py
+++ b/cranberrywick/routing/answer_lengths.py
@@ -187,11 +187,6 @@
     longest: int
     declared: int = 0
 
-    @property
-    def is_learned(self) -> bool:
-        """Whether the bound is more than what the request allows."""
-        return self.basis == "declared" or self.answers >= MIN_ANSWERS
-
 
 class _Answer(NamedTuple):
     events: int
