A caller that reads slowly takes no time and no slot of its endpoint

What callers saw: beside one caller that read an answer of 7.5 MB at 100 kB/s, a stopping daemon refused all calls of the route ("answer takes too long", needed=9.08): of 20 calls of 0.05 s in the first 3 s after the signal 0 were served, on 20. The same beside an answer of 12 MB, which is forwarded as it comes. Before any stop, a call to an endpoint of one slot waited 21 s for a reader of its last answer, or got 503.

Change: an endpoint has answered when the last byte has come. Its slot is free from then on, and the times of calls, at a stop and as a measure of slow endpoints, are without the time for which a caller didn't take the answer.

--- a/cranberrywick/gateway/answer_forwarding.py
+++ b/cranberrywick/gateway/answer_forwarding.py
@@ -57,13 +57,15 @@
     answers to orders; ``on_first_event`` with the exchange, once, at the first event of
     a stream; ``on_pause`` with the endpoint's id, the pause since the previous
     event, in seconds, and how many events came after it; ``on_events`` with the
-    exchange, for each part of a stream in which whole events came.
+    exchange, for each part of a stream in which whole events came; ``on_received`` with
+    the exchange, when the last part of an answer that is no stream has come.
     """
 
     on_head: Callable[[AnswerSource, int, ResponseMeta], None]
     on_first_event: Callable[[Exchange], None]
     on_pause: Callable[[str, float, int], None]
     on_events: Callable[[Exchange], None] = lambda exchange: None
+    on_received: Callable[[Exchange], None] = lambda exchange: None
 
 
 class AnswerForwarding:
@@ -153,6 +155,7 @@
                 return
             body.append(part)
             exchange.caller.buffers.hold_answer(body.held)
+        self._callbacks.on_received(exchange)
         self._check_not_begun(answer)
         whole = WholeAnswer(answer, body)
         if answer.status >= 500 and exchange.route.idempotent:
@@ -197,12 +200,13 @@
             headers.append((b"Content-Length", length))
         await exchange.caller.send_head(answer.status, answer.reason, headers)
         received = body.held + len(part)
-        await _send_held(body, exchange.caller)
+        await exchange.await_caller(_send_held(body, exchange.caller))
         exchange.caller.buffers.hold_answer(0)
-        await exchange.caller.send_body(part)
+        await exchange.await_caller(exchange.caller.send_body(part))
         async for part in parts:
             received += len(part)
-            await exchange.caller.send_body(part)
+            await exchange.await_caller(exchange.caller.send_body(part))
+        self._callbacks.on_received(exchange)
         exchange.caller.end()
         exchange.is_cut_short = False
         if received > HELD_OF_ONE_BYTES:
@@ -253,9 +257,7 @@
             self._awaits_first_event = False
             self._callbacks.on_first_event(self._exchange)
         self._callbacks.on_events(self._exchange)
-        sent_at = self._loop.time()
-        await self._exchange.caller.send_body(whole)
-        self._exchange.blocked_seconds += self._loop.time() - sent_at
+        await self._exchange.await_caller(self._exchange.caller.send_body(whole))
 
     async def _send_head(self, answer: EndpointAnswer, meta: ResponseMeta) -> None:
         self._exchange.weights_version = meta.weights_version
--- a/cranberrywick/gateway/direct_attempts.py
+++ b/cranberrywick/gateway/direct_attempts.py
@@ -115,7 +115,8 @@
         self._crash_detection.record_end(exchange)
         self.observations.record_call_end(exchange)
         now = self._loop.time()
-        self._contention.request_held(exchange.service.name, now - exchange.sent_at)
+        held = exchange.sent_for(now)
+        self._contention.request_held(exchange.service.name, held)
         self._record_times(exchange, now)
         if exchange.status < 500:
             self._health.succeeded(placement.endpoint_id, now)
@@ -123,11 +124,11 @@
 
     def _record_times(self, exchange: Exchange, now: float) -> None:
         """Record how long an answer took, for the requests of a stopping daemon."""
-        service, held = exchange.service, now - exchange.sent_at
+        service, held = exchange.service, exchange.sent_for(now)
         answers = self._state.peer_updates.answers
         self._drain.held.record(service.name, held)
         if not exchange.is_stream:
-            answers.record_call(exchange.route.name, held)
+            answers.record_call(exchange.route.name, exchange.worked_for(now))
             return
         stride = service.engine.stride if service.engine else 0
         last_id = number_of_id(exchange.last_event_id)
@@ -153,8 +154,16 @@
     def end(self, exchange: Exchange) -> None:
         """Remove a request that has ended from the load; let waiting ones proceed."""
         exchange.hold(None)
-        self._state.load.drop(exchange.key)
         self._state.peer_updates.crashes.ended(exchange.key)
+        self._free(exchange)
+
+    def record_received(self, exchange: Exchange) -> None:
+        """Record that an endpoint has answered; its caller may still have to read."""
+        exchange.received_at = self._loop.time()
+        self._free(exchange)
+
+    def _free(self, exchange: Exchange) -> None:
+        self._state.load.drop(exchange.key)
         self._state.peer_updates.job_ended()
         self._waiting.schedule_placing()
 
@@ -189,6 +198,7 @@
             self.record_first_event,
             self.observations.pause_recorder(exchange),
             self._crash_detection.record_events,
+            self.record_received,
         )
 
         def may_send(endpoint_id: str, as_last_resort: bool) -> bool:
--- a/cranberrywick/gateway/drain.py
+++ b/cranberrywick/gateway/drain.py
@@ -174,7 +174,7 @@
             self._calls_by_route = {}
             for exchange, _ in self._pending_by_key.values():
                 if exchange.in_flight and not exchange.is_stream:
-                    name, age = exchange.route.name, exchange.sent_for(now)
+                    name, age = exchange.route.name, exchange.worked_for(now)
                     longest = self._calls_by_route.get(name, 0.0)
                     self._calls_by_route[name] = max(longest, age)
         return self._calls_by_route
--- a/cranberrywick/gateway/exchange.py
+++ b/cranberrywick/gateway/exchange.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+from collections.abc import Awaitable
 from math import inf
 from typing import NamedTuple
 
@@ -84,7 +85,8 @@
     ``answer_began_at`` is when the last attempt's first event came, None before it,
     ``event_batches`` in how many parts its events have come, and ``answer_is_framed``
     whether it states its end. ``events`` is how many events the caller was sent, and
-    ``blocked_seconds`` for how long it did not take them.
+    ``blocked_seconds`` for how long it did not take what came. ``received_at`` is when
+    the last part of an answer that is no stream came, None before it.
     ``long_answers`` is how many answers counted as without an end, and ``is_cut_short``
     says that a part of an answer that is no stream has been sent.
     ``predicted`` is the forecast time from placement to the first event,
@@ -125,9 +127,11 @@
         self.first_event_at: float | None = None
         self.last_event_at: float | None = None
         self.answer_began_at: float | None = None
+        self.received_at: float | None = None
         self.event_batches = 0
         self.events = 0
         self.blocked_seconds = 0.0
+        self._blocked_at: float | None = None
         self.long_answers = 0
         self.is_cut_short = False
         self._held_body: HeldBody | None = None
@@ -150,7 +154,7 @@
     def record_sent(self, endpoint: EndpointRecord, now: float) -> None:
         """Record that the request is being sent to an endpoint."""
         self.sent_at = now
-        self.answer_began_at = None
+        self.answer_began_at = self.received_at = None
         self.event_batches = 0
         self.record_endpoint(endpoint.endpoint_id, endpoint.born)
         self.in_flight = True
@@ -159,7 +163,7 @@
         """Record that the request is being forwarded to a peer."""
         self.sent_at = now
         self.predicted = None
-        self.answer_began_at = None
+        self.answer_began_at = self.received_at = None
         self.event_batches = 0
         if self.placed_at is None:
             self.placed_at = now
@@ -245,9 +249,29 @@
         self.longest_gap = max(self.longest_gap, now - last)
         return now - last
 
+    async def await_caller(self, sending: Awaitable[None]) -> None:
+        """Wait until the caller has room; that is no time of the endpoint's."""
+        loop = asyncio.get_running_loop()
+        self._blocked_at = loop.time()
+        try:
+            await sending
+        finally:
+            self.blocked_seconds += loop.time() - self._blocked_at
+            self._blocked_at = None
+
     def sent_for(self, now: float) -> float | None:
-        """Return for how long the last attempt has run; None before one."""
-        return None if self.sent_at is None else now - self.sent_at
+        """Return for how long an endpoint has had the last attempt; None before one."""
+        if self.sent_at is None:
+            return None
+        return (now if self.received_at is None else self.received_at) - self.sent_at
+
+    def worked_for(self, now: float) -> float:
+        """Return for how long an endpoint has worked on the last attempt.
+
+        That leaves out the time for which the caller didn't take the answer.
+        """
+        until = now if self._blocked_at is None else self._blocked_at
+        return self.sent_for(until) - self.blocked_seconds
 
     def answering_seconds(self, now: float) -> float | None:
         """Return for how long the last attempt has been answered; None before that."""
--- a/cranberrywick/gateway/observations.py
+++ b/cranberrywick/gateway/observations.py
@@ -157,7 +157,7 @@
             return
         if self._state.reach.is_suspected(exchange.endpoint_id):
             return  # The time may be that of this VM's own links.
-        seconds = self._loop.time() - exchange.sent_at
+        seconds = exchange.worked_for(self._loop.time())
         slowdown = call_slowdown(seconds, exchange.route.target_seconds)
         # A call within its target shows nothing: calls differ, and a short one is fast
         # at a slow endpoint too.
--- a/cranberrywick/gateway/peer_attempts.py
+++ b/cranberrywick/gateway/peer_attempts.py
@@ -236,6 +236,7 @@
             self._record_head,
             self._direct.record_first_event,
             lambda endpoint_id, seconds, events: None,
+            on_received=self._direct.record_received,
         )
         forwarding = AnswerForwarding(exchange, callbacks, self._direct.held_answers)
         await forwarding.forward(connection, answer)
