A reader of metrics that leaves ends their loading for nobody else

What operators saw: after one reader of the metrics had left within the first fraction of a second, while the library is loaded, each later one got no answer, and the daemon kept all measurements without bound. A measurement that fails ended the request that it measures.

Cause: the first reader awaited the task that loads the library, so that its cancellation cancelled the task.

Change: the task is shielded, and started again if it has failed.

--- a/cranberrywick/gateway/lazy_metrics.py
+++ b/cranberrywick/gateway/lazy_metrics.py
@@ -161,20 +161,21 @@
 
     async def render(self) -> Rendered:
         """Return all metrics as text, after loading the library if necessary."""
-        metrics = await self._start_loading()
+        # A reader that leaves doesn't end the loading for all others.
+        metrics = await asyncio.shield(self._start_loading())
         return Rendered(metrics.render(), metrics.content_type)
 
     def _record(self, recording: Callable[["Metrics"], None]) -> None:
         if self._metrics is not None:
-            recording(self._metrics)
+            _apply(recording, self._metrics)
             return
         self._pending.append(recording)
         if len(self._pending) >= MAX_PENDING:
             self._start_loading()
 
     def _start_loading(self) -> asyncio.Task["Metrics"]:
-        """Return the task that loads the library; it is started once."""
-        if self._loading is None:
+        """Return the task that loads the library; it is started again if it failed."""
+        if self._loading is None or (self._loading.done() and self._metrics is None):
             loop = asyncio.get_running_loop()
             self._loading = loop.create_task(self._create_metrics())
         return self._loading
@@ -183,12 +184,21 @@
         # In another thread, so that the event loop goes on serving requests.
         metrics = await asyncio.to_thread(_import_metrics, self._daemon_id)
         for recording in self._pending:
-            recording(metrics)
+            _apply(recording, metrics)
         self._pending.clear()
         self._metrics = metrics
         return metrics
 
 
+def _apply(recording: Callable[["Metrics"], None], metrics: "Metrics") -> None:
+    """Record a measurement; what it measures doesn't fail if that fails."""
+    try:
+        recording(metrics)
+    except Exception as error:
+        context = {"message": "a measurement was not recorded", "exception": error}
+        asyncio.get_running_loop().call_exception_handler(context)
+
+
 def _import_metrics(daemon_id: str) -> "Metrics":
     from cranberrywick.metrics import Metrics  # Loaded late: see the module's head.
 
--- a/tests/test_lazy_metrics.py
+++ b/tests/test_lazy_metrics.py
@@ -59,6 +59,43 @@
     )
 
 
+def test_a_reader_that_leaves_lets_others_read():
+    """Guards against metrics that nobody gets any more once a reader has left."""
+
+    async def main():
+        metrics = LazyMetrics("e1")
+        metrics.request_ended("grants", "completed", 0.5)
+        reader = asyncio.create_task(metrics.render())
+        await asyncio.sleep(0)
+        reader.cancel()
+        await asyncio.wait([reader])
+        return await metrics.render(), metrics._pending
+
+    rendered, pending = asyncio.run(main())
+    assert requests_in(rendered) == 1
+    assert not pending
+
+
+def test_a_measurement_that_fails_ends_neither_request_nor_reading(monkeypatch):
+    """Guards against a request that fails since something of it can't be counted."""
+
+    def fail(self, class_name, outcome, seconds):
+        raise RuntimeError("request_ended fails")
+
+    async def main():
+        failures = []
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, context: failures.append(context))
+        monkeypatch.setattr("cranberrywick.metrics.Metrics.request_ended", fail)
+        metrics = LazyMetrics("e1")
+        metrics.request_ended("grants", "completed", 0.5)
+        await metrics.render()
+        metrics.request_ended("grants", "completed", 0.5)
+        return failures
+
+    assert len(asyncio.run(main())) == 2
+
+
 def requests_in(rendered):
     for line in rendered.body.decode().splitlines():
         if line.startswith("cranberrywick_requests_total{"):
