A request that can't be given up at a stop leaves the others their errors

What callers would see: no answer at the end of a stop, for all requests behind one whose end raises.

Cause: the loop that gives up what is unanswered was one step of the stop as a whole. A request was also listed before its prompt was recorded; a failure there would have left it in the list.

Change: each request is given up by itself, and one that fails is logged. What is recorded of a request is inside the block that removes it from the list.

Evidence: tests/test_stop_failures.py, a caller's connection that fails: the request behind it was not ended before, and is now. The test of the deadline shares its scene and asserts the same.

--- a/cranberrywick/gateway/app.py
+++ b/cranberrywick/gateway/app.py
@@ -102,8 +102,8 @@
         )
         self._drain = Drain(self.state, self._metrics, log)
         self._waiting = WaitingRequests(self.state, placer, contention, self._drain)
-        peer_updates.answers.running = self._drain.running_streams
-        peer_updates.answers.running_calls = self._drain.running_calls
+        peer_updates.answers.running = self._drain.running.streams
+        peer_updates.answers.running_calls = self._drain.running.calls
         self.state.changed = self._waiting.schedule_placing
         self.state.reach.regained = health.forget
         direct = DirectAttempts(
--- a/cranberrywick/gateway/drain.py
+++ b/cranberrywick/gateway/drain.py
@@ -11,11 +11,11 @@
 from cranberrywick.gateway.buffer_budget import BodyRefusal, body_refusal
 from cranberrywick.gateway.exchange import Exchange
 from cranberrywick.gateway.lazy_metrics import LazyMetrics
+from cranberrywick.gateway.running_answers import RunningAnswers
 from cranberrywick.gateway.state import FleetState
 from cranberrywick.logs import EventLog
 from cranberrywick.model import Executed
 from cranberrywick.platform.headers import decode_request
-from cranberrywick.routing.answer_lengths import AnswerOutline
 from cranberrywick.routing.demand import (
     Demand,
     declared_pace,
@@ -38,8 +38,6 @@
 # If what waits has not been looked at for longer, the process was suspended or had
 # nothing that waits, in seconds. It is looked at twice a second.
 SUSPENDED_SECONDS = 1.0
-# For how long a list of the streams that run is used, in seconds.
-RUNNING_SECONDS = 0.05
 # How long an early stream may take from its first event on while no other daemon would
 # serve it, in seconds, though longer ones can't be ruled out.
 UNKNOWN_STREAM_SECONDS = 4.0
@@ -53,8 +51,8 @@
 class Drain:
     """Refuses what a stopping daemon can't finish; before that it refuses nothing.
 
-    ``held`` has how long requests hold their slots. Moments are those of the event
-    loop's clock.
+    ``held`` has how long requests hold their slots, ``running`` what is being answered.
+    Moments are those of the event loop's clock.
 
     >>> async with drain.deadline(exchange):
     ...     ...
@@ -70,11 +68,8 @@
         self._window: DrainWindow | None = None
         self._refuses_waiting_at = -inf
         self._waiting_seen_at = -inf
-        self._running: list[AnswerOutline] = []
-        self._running_at = -inf
-        self._calls_by_route: dict[str, float] = {}
-        self._calls_at = -inf
         self.held = HeldTimes()
+        self.running = RunningAnswers(self._served)
 
     @property
     def is_active(self) -> bool:
@@ -118,13 +113,9 @@
             raise self._refusal(exchange.meta.request_id, "no time is left")
         async with asyncio.timeout_at(exchange.deadline) as timeout:
             self._pending_by_key[exchange.key] = _Pending(exchange, timeout)
-            prompt, service = exchange.meta.prompt, exchange.service
-            if prompt is not None and service is not None and service.engine:
-                self._state.peer_updates.answers.record_prompt(
-                    service.name, prompt.prompt_tokens, self._loop.time()
-                )
             exchange.timeout = timeout
             try:
+                self._record_prompt(exchange)
                 yield
             finally:
                 del self._pending_by_key[exchange.key]
@@ -137,9 +128,24 @@
         """
         now = self._loop.time()
         for exchange, timeout in self._pending_by_key.values():
-            # One whose own deadline has just passed is being cancelled already.
-            if not exchange.caller.answer_started and not timeout.expired():
-                timeout.reschedule(now)
+            try:
+                # One whose own deadline has just passed is being cancelled already.
+                if not exchange.caller.answer_started and not timeout.expired():
+                    timeout.reschedule(now)
+            except Exception as error:  # Others are ended after it.
+                self._log.error(
+                    "request_crashed", request_id=exchange.meta.request_id, error=error
+                )
+
+    def _served(self) -> list[Exchange]:
+        return [exchange for exchange, _ in self._pending_by_key.values()]
+
+    def _record_prompt(self, exchange: Exchange) -> None:
+        prompt, service = exchange.meta.prompt, exchange.service
+        if prompt is not None and service is not None and service.engine:
+            self._state.peer_updates.answers.record_prompt(
+                service.name, prompt.prompt_tokens, self._loop.time()
+            )
 
     def time_out(self, exchange: Exchange) -> CranberrywickError | None:
         """Return the error for a request that `end_unanswered` has cancelled.
@@ -154,31 +160,6 @@
             error.executed = Executed.UNKNOWN
         return error
 
-    def running_streams(self) -> list[AnswerOutline]:
-        """Return the streams whose events are being forwarded, as of a moment ago."""
-        now = self._loop.time()
-        if now - self._running_at >= RUNNING_SECONDS:
-            self._running_at = now
-            self._running = [
-                exchange.outline()
-                for exchange, _ in self._pending_by_key.values()
-                if exchange.events
-            ]
-        return self._running
-
-    def running_calls(self) -> dict[str, float]:
-        """Return by route for how long the oldest call has been at its endpoint."""
-        now = self._loop.time()
-        if now - self._calls_at >= RUNNING_SECONDS:
-            self._calls_at = now
-            self._calls_by_route = {}
-            for exchange, _ in self._pending_by_key.values():
-                if exchange.in_flight and not exchange.is_stream:
-                    name, age = exchange.route.name, exchange.worked_for(now)
-                    longest = self._calls_by_route.get(name, 0.0)
-                    self._calls_by_route[name] = max(longest, age)
-        return self._calls_by_route
-
     def check_placement(self, demand: Demand, placement: Placement, now: float) -> None:
         """Raise `Draining` for a request that might be cut if it were sent now."""
         if not self._ends_before(demand):
--- a/tests/test_stop_failures.py
+++ b/tests/test_stop_failures.py
@@ -120,27 +120,64 @@
     assert gateway.process.returncode == 0
 
 
+WAITING_CALLER = SimpleNamespace(answer_started=False)
+
+
+class FailingCaller:
+    """A caller's connection that fails once it is asked about its answer."""
+
+    @property
+    def answer_started(self):
+        raise RuntimeError("answer_started fails")
+
+
+def stopping_drain():
+    """Return the stop of a gateway, and what serves a request in it until its end.
+
+    The keys of those whose time was over are appended to the third.
+    """
+    now = asyncio.get_running_loop().time()
+    drain = Drain(state(), LazyMetrics("d1"), EventLog())
+    drain.begin(DrainWindow(now + 9.0, now + 9.2))
+    ended = []
+
+    async def serve(key, deadline, caller=WAITING_CALLER):
+        meta = SimpleNamespace(prompt=None, request_id=key)
+        exchange = SimpleNamespace(
+            key=key, caller=caller, deadline=deadline, meta=meta, service=None
+        )
+        try:
+            async with drain.deadline(exchange):
+                await asyncio.sleep(5.0)
+        except TimeoutError:
+            ended.append(key)
+
+    return drain, serve, ended
+
+
+def test_a_request_that_can_not_be_ended_leaves_the_others_their_end():
+    """Guards against requests without an answer since one before them failed."""
+
+    async def main():
+        loop = asyncio.get_running_loop()
+        drain, serve, ended = stopping_drain()
+        own = loop.create_task(serve("own", loop.time() + 8.0, FailingCaller()))
+        others = loop.create_task(serve("others", loop.time() + 8.0))
+        await asyncio.sleep(0.01)
+        drain.end_unanswered()
+        await asyncio.wait_for(others, 1.0)
+        own.cancel()
+        assert ended == ["others"]
+
+    asyncio.run(main())
+
+
 def test_a_deadline_at_the_moment_of_the_last_check_ends_no_other_request():
     """Guards against a stop that ends as a request reaches its deadline."""
 
     async def main():
         loop = asyncio.get_running_loop()
-        drain = Drain(state(), LazyMetrics("d1"), EventLog())
-        drain.begin(DrainWindow(loop.time() + 9.0, loop.time() + 9.2))
-        ended = []
-
-        async def serve(key, deadline):
-            caller = SimpleNamespace(answer_started=False)
-            meta = SimpleNamespace(prompt=None, request_id=key)
-            exchange = SimpleNamespace(
-                key=key, caller=caller, deadline=deadline, meta=meta, service=None
-            )
-            try:
-                async with drain.deadline(exchange):
-                    await asyncio.sleep(5.0)
-            except TimeoutError:
-                ended.append(key)
-
+        drain, serve, ended = stopping_drain()
         at = loop.time() + 0.05
         tasks = [
             loop.create_task(serve("own", at)),
