A server that stops reads nothing after its last look, and answers what it has read

What callers of `serve` saw: calls that came over kept connections as the daemon ended were read and closed without a byte: two of three, with one thread.

Between the last look for running requests and the end of the threads the loop went on reading; a request that no thread had begun was cancelled with the queue.

Change: the stop first ends all reading, on the loop's own thread, waits up to half a second for the answers to what has been read, and then ends the threads.

--- a/cranberrywick/http_server.py
+++ b/cranberrywick/http_server.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from waitress import wasyncore
+from waitress.channel import HTTPChannel
 
 from cranberrywick.http_limits import create_http_server
 
@@ -14,6 +15,15 @@
 POLL_SECONDS = 1.0
 # Interval between checks for running requests during a drain, in seconds.
 IDLE_CHECK_SECONDS = 0.05
+# Longest time for the answers to what was read just before a stop, in seconds.
+LAST_ANSWERS_SECONDS = 0.5
+
+
+class _Connection(HTTPChannel):
+    """A connection from which nothing is read once its server has stopped reading."""
+
+    def readable(self) -> bool:
+        return self.server.reads and super().readable()
 
 
 class HttpServer:
@@ -27,6 +37,8 @@
 
     def __init__(self, application: Callable, listen: str, threads: int):
         self._server = create_http_server(application, listen, threads=threads)
+        self._server.channel_class = _Connection
+        self._server.reads = True
         self._stopping = threading.Event()
         self._thread = threading.Thread(target=self._run, name="http", daemon=True)
 
@@ -47,17 +59,30 @@
 
     def stop_accepting(self) -> None:
         """Close the listener; open connections stay open."""
-        # The loop's own thread closes the socket, between two polls: closed during
-        # a poll, it would leave a stale descriptor in the poll set.
-        closed = threading.Event()
+        self._run_on_loop(self._close_listener)
+
+    def _close_listener(self) -> None:
+        self._server.del_channel()
+        self._server.socket.close()
 
-        def close_listener() -> None:
-            self._server.del_channel()
-            self._server.socket.close()
-            closed.set()
+    def _stop_reading(self) -> None:
+        self._server.reads = False
 
-        self._server.trigger.pull_trigger(close_listener)
-        closed.wait(2 * POLL_SECONDS)
+    def _run_on_loop(self, step: Callable[[], None]) -> None:
+        """Run a step on the loop's own thread, between two polls, and wait for it.
+
+        A listener closed during a poll would leave a stale descriptor in the poll set.
+        """
+        done = threading.Event()
+
+        def run() -> None:
+            try:
+                step()
+            finally:
+                done.set()
+
+        self._server.trigger.pull_trigger(run)
+        done.wait(2 * POLL_SECONDS)
 
     def wait_until_idle(self, seconds: float) -> bool:
         """Wait at most ``seconds`` for running requests; return whether all ended."""
@@ -76,7 +101,13 @@
         )
 
     def stop(self) -> None:
-        """Close every connection and end the threads."""
+        """Close every connection and end the threads.
+
+        Nothing is read any more, and what has been read gets its answer before, if that
+        takes no longer than `LAST_ANSWERS_SECONDS`.
+        """
+        self._run_on_loop(self._stop_reading)
+        self.wait_until_idle(LAST_ANSWERS_SECONDS)
         self._stopping.set()
         self._server.pull_trigger()
         self._thread.join()
--- a/tests/test_stop_end.py
+++ b/tests/test_stop_end.py
@@ -14,7 +14,7 @@
 
 import pytest
 from cut_scenes import make_unreached
-from gateway_fleet import read_answer, request_bytes
+from gateway_fleet import read_answer, request_bytes, wait_for
 from stopping_fleet import (
     DEADLINE,
     GRACE_SECONDS,
@@ -271,3 +271,29 @@
         caller.join()
     assert len(answered) > 50
     assert sorted(served) == sorted(answered)
+
+
+def test_requests_that_a_server_has_read_at_its_end_are_answered():
+    """Guards against requests that ``serve`` has read and drops, as its threads end."""
+
+    def application(environ, start_response):
+        time.sleep(0.1)
+        start_response("200 OK", [("Content-Length", "2")])
+        return [b"ok"]
+
+    server = HttpServer(application, "127.0.0.1:0", threads=1)
+    server.start()
+    host, _, port = server.address.rpartition(":")
+    callers = [socket.create_connection((host, int(port))) for _ in range(3)]
+    for caller in callers:
+        caller.settimeout(5.0)
+    connections = server._server.active_channels
+    wait_for(lambda: len(connections) == 3, "the connections")
+    server.stop_accepting()
+    assert server.wait_until_idle(1.0)
+    for caller in callers:
+        caller.sendall(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+    wait_for(lambda: all(c.requests for c in connections.values()), "the requests")
+    server.stop()
+    answers = [read_answer(caller) for caller in callers]
+    assert [(each.status, each.whole) for each in answers] == [(200, True)] * 3
