A connection that fails leaves the loop of `serve` to the others

What callers of `serve` would see: no answer at all any more, after one connection raised as the loop asked whether it reads or writes.

Cause: only the events of a connection are guarded by the HTTP server, not the questions before each poll. The thread of the loop ended, while the daemon went on saying that it was ready.

Change: a turn of the loop that raises is logged as http_loop_failed, and the next one follows.

Evidence: tests/test_stop_end.py, a connection that fails once: another one timed out before, and gets its answer now.

--- a/cranberrywick/http_server.py
+++ b/cranberrywick/http_server.py
@@ -8,15 +8,20 @@
 from waitress.channel import HTTPChannel
 
 from cranberrywick.http_limits import create_http_server
+from cranberrywick.logs import EventLog
 
 __all__ = ["HttpServer"]
 
+_log = EventLog(part="http")
+
 # Longest wait of one turn of the event loop, in seconds.
 POLL_SECONDS = 1.0
 # Interval between checks for running requests during a drain, in seconds.
 IDLE_CHECK_SECONDS = 0.05
 # Longest time for the answers to what was read just before a stop, in seconds.
 LAST_ANSWERS_SECONDS = 0.5
+# Pause after a turn of the event loop that failed, in seconds.
+FAILED_TURN_SECONDS = 0.05
 
 
 class _Connection(HTTPChannel):
@@ -53,9 +58,13 @@
 
     def _run(self) -> None:
         while not self._stopping.is_set():
-            wasyncore.loop(
-                timeout=POLL_SECONDS, map=self._server._map, count=1, use_poll=True
-            )
+            try:
+                wasyncore.loop(
+                    timeout=POLL_SECONDS, map=self._server._map, count=1, use_poll=True
+                )
+            except Exception as error:  # Other connections go on.
+                _log.error("http_loop_failed", error=error)
+                time.sleep(FAILED_TURN_SECONDS)
 
     def stop_accepting(self) -> None:
         """Close the listener; open connections stay open."""
--- a/tests/test_stop_end.py
+++ b/tests/test_stop_end.py
@@ -297,3 +297,34 @@
     server.stop()
     answers = [read_answer(caller) for caller in callers]
     assert [(each.status, each.whole) for each in answers] == [(200, True)] * 3
+
+
+def test_a_failing_connection_leaves_a_server_to_the_others():
+    """Guards against a server whose loop ends as one connection fails."""
+
+    def application(environ, start_response):
+        start_response("200 OK", [("Content-Length", "2")])
+        return [b"ok"]
+
+    server = HttpServer(application, "127.0.0.1:0", threads=2)
+    server.start()
+    host, _, port = server.address.rpartition(":")
+    with socket.create_connection((host, int(port))) as failing:
+        failing.sendall(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+        assert read_answer(failing).status == 200
+        (channel,) = server._server.active_channels.values()
+        failures = [RuntimeError("readable fails")]
+
+        def readable():
+            if failures:
+                raise failures.pop()
+            return False
+
+        channel.readable = readable
+        server._server.pull_trigger()
+        wait_for(lambda: not failures, "the failure")
+        with socket.create_connection((host, int(port))) as other:
+            other.settimeout(5.0)
+            other.sendall(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+            assert read_answer(other).status == 200
+    server.stop()
