--- a/tests/test_buffer_connections.py
+++ b/tests/test_buffer_connections.py
@@ -268,10 +268,11 @@
         caller=caller, route=route, hold=lambda body: None, may_try_another=True
     )
     answer = SimpleNamespace(status=500)
+    callbacks = SimpleNamespace(on_received=lambda exchange: None)
 
     async def main():
         answers = HeldAnswers()
-        forwarding = AnswerForwarding(exchange, None, answers)
+        forwarding = AnswerForwarding(exchange, callbacks, answers)
         with pytest.raises(EndpointFailed if is_retained else AnswerLost):
             await forwarding._forward_whole(Connection(), answer)
         assert answers.held == (1000 if is_retained else 0)
