--- a/cranberrywick/gateway/attempt.py
+++ b/cranberrywick/gateway/attempt.py
@@ -99,7 +99,7 @@
                 part.reserved_tokens,
             )
             for part in self._placement.helpers
-            if part.reserved_tokens and part.endpoint_id in self._tracked_by_id
+            if part.endpoint_id in self._tracked_by_id
         ]
 
     async def _run(self, record: EndpointRecord, reservations: Reservations) -> None:
--- a/cranberrywick/gateway/reservations.py
+++ b/cranberrywick/gateway/reservations.py
@@ -1,6 +1,8 @@
 """Memory reserved at helper endpoints for one request.
 
-A prompt that exceeds the memory of one engine is held by several. A reservation
+A prompt that exceeds the memory of one engine is held by several, and others may read a
+part of it without holding any. All of them are named by their addresses, which another
+endpoint may have taken over, so that each is asked for its id first. A reservation
 expires after a short time and is renewed while it is used, so that the memory reserved
 by a daemon that is killed becomes free soon. An order without an answer may still be
 executed seconds later, even after the release of the same reservation. The release of
@@ -18,9 +20,11 @@
 from cranberrywick.logs import EventLog
 from cranberrywick.model import EndpointRefusal
 from cranberrywick.platform.orders import (
+    MISDIRECTED_STATUS,
     ORDER_TARGET,
     encode_release,
     encode_reserve,
+    order_headers,
 )
 from cranberrywick.routing.connect_timeout import is_late
 
@@ -35,6 +39,9 @@
 # Timeout of an order, in seconds. Endpoints answer orders at once, so waiting longer
 # would not help.
 ORDER_TIMEOUT_SECONDS = 0.5
+# How long an endpoint that only reads a part may take to confirm its id, in seconds. It
+# is used without, as many endpoints leave an order unanswered for a while.
+CONFIRM_SECONDS = 0.1
 # Longest time for its connection, in seconds: more than one that is lost once needs.
 CONNECT_TIMEOUT_SECONDS = 0.4
 # When a release is repeated if an order got no answer, in seconds after the first
@@ -43,7 +50,10 @@
 
 
 class Reservation(NamedTuple):
-    """Memory at one endpoint, in tokens, under an id that is used only once."""
+    """Memory at one endpoint, in tokens, under an id that is used only once.
+
+    An endpoint that only reads a part holds none.
+    """
 
     endpoint_id: str
     address: str
@@ -52,7 +62,7 @@
 
 
 class Reservations:
-    """The reservations of one request.
+    """The reservations of one request, and the check of its other helpers.
 
     ``wanted`` lists the endpoints with their address and the tokens to reserve.
     ``free_seconds`` is the longest time until memory must be free after its last use.
@@ -79,10 +89,13 @@
         self._reach = reach
         self._hold_seconds = HOLD_SHARE * free_seconds
         name = secrets.token_hex(6)
-        self.held = [
+        helpers = [
             Reservation(endpoint_id, address, f"{name}-{index}", tokens)
             for index, (endpoint_id, address, tokens) in enumerate(wanted)
         ]
+        self.held = [each for each in helpers if each.tokens]
+        self._readers = [each for each in helpers if not each.tokens]
+        self._misdirected_ids: set[str] = set()
         self._unanswered_ids: set[str] = set()
         self._unreachable_ids: set[str] = set()
         self._renewals: asyncio.Task | None = None
@@ -91,24 +104,31 @@
         """Reserve the memory at all endpoints and renew it until `release`.
 
         Raises `EndpointRefused` with the address of the endpoint at fault if one has
-        not enough memory or does not answer.
+        not enough memory or does not answer, or if another one has its address.
         """
-        if not self.held:
-            return
         asked_at = self._loop.time()
-        reserved = await asyncio.gather(*(self._reserve(each) for each in self.held))
-        for reservation, ok in zip(self.held, reserved, strict=True):
+        agreed = await asyncio.gather(
+            *(self._reserve(each) for each in self.held),
+            *(self._confirm(each) for each in self._readers),
+        )
+        for helper, ok in zip([*self.held, *self._readers], agreed, strict=True):
             if not ok:
-                is_reached = reservation.endpoint_id not in self._unreachable_ids
                 raise EndpointRefused(
-                    f"no memory at helper {reservation.endpoint_id}",
-                    reason=EndpointRefusal.FULL
-                    if is_reached
-                    else EndpointRefusal.UNREACHABLE,
-                    at_fault=reservation.address,
+                    f"no memory at helper {helper.endpoint_id}, or it is gone",
+                    reason=self._refusal(helper.endpoint_id),
+                    at_fault=helper.address,
                 )
+        if not self.held:
+            return
         self._renewals = self._loop.create_task(self._renew(asked_at))
 
+    def _refusal(self, endpoint_id: str) -> EndpointRefusal:
+        if endpoint_id in self._misdirected_ids:
+            return EndpointRefusal.LEAVING
+        if endpoint_id in self._unreachable_ids:
+            return EndpointRefusal.UNREACHABLE
+        return EndpointRefusal.FULL
+
     def release(self) -> None:
         """Release all reservations in background tasks."""
         if self._renewals is not None:
@@ -137,6 +157,16 @@
             self._unanswered_ids.add(reservation.reservation_id)
         return status == 200
 
+    async def _confirm(self, reader: Reservation) -> bool:
+        """Return whether an endpoint that holds no memory may still have its address.
+
+        It is told to release what it doesn't hold, which changes nothing.
+        """
+        body = encode_release(reader.reservation_id)
+        await self._order(reader, body, CONFIRM_SECONDS)
+        gone_ids = self._misdirected_ids | self._unreachable_ids
+        return reader.endpoint_id not in gone_ids
+
     async def _release(self, reservation: Reservation) -> None:
         body = encode_release(reservation.reservation_id)
         status = await self._order(reservation, body)
@@ -148,14 +178,16 @@
             waited = moment
             await self._order(reservation, body)
 
-    async def _order(self, reservation: Reservation, body: bytes) -> int:
+    async def _order(
+        self,
+        reservation: Reservation,
+        body: bytes,
+        seconds: float = ORDER_TIMEOUT_SECONDS,
+    ) -> int:
         """Send an order and return the HTTP status, 0 if there was no answer."""
-        headers = [
-            (b"Host", reservation.address.encode()),
-            (b"Content-Type", b"application/json"),
-        ]
+        headers = order_headers(reservation.address, reservation.endpoint_id)
         try:
-            async with asyncio.timeout(ORDER_TIMEOUT_SECONDS):
+            async with asyncio.timeout(seconds):
                 async with EndpointConnection(reservation.address) as connection:
                     await self._open(connection, reservation.endpoint_id)
                     await connection.send(b"POST", ORDER_TARGET, headers, body)
@@ -168,6 +200,8 @@
                 error=error,
             )
             return 0
+        if answer.status == MISDIRECTED_STATUS:
+            self._misdirected_ids.add(reservation.endpoint_id)
         self._on_answer(reservation.endpoint_id, answer)
         return answer.status
 
--- a/cranberrywick/platform/orders.py
+++ b/cranberrywick/platform/orders.py
@@ -2,9 +2,27 @@
 
 import json
 
-__all__ = ["ORDER_TARGET", "encode_release", "encode_reserve", "helper_entry"]
+__all__ = [
+    "MISDIRECTED_STATUS",
+    "ORDER_TARGET",
+    "encode_release",
+    "encode_reserve",
+    "helper_entry",
+    "order_headers",
+]
 
 ORDER_TARGET = b"/order"
+# The answer of another endpoint, which has taken over the address.
+MISDIRECTED_STATUS = 421
+
+
+def order_headers(address: str, endpoint_id: str) -> list[tuple[bytes, bytes]]:
+    """Return the headers of an order, which only this endpoint carries out."""
+    return [
+        (b"Host", address.encode()),
+        (b"Content-Type", b"application/json"),
+        (b"Cranberrywick-Expect-Instance", endpoint_id.encode()),
+    ]
 
 
 def encode_reserve(reservation_id: str, tokens: int, hold_seconds: float) -> bytes:
--- a/cranberrywick/standin/platform/endpoint.py
+++ b/cranberrywick/standin/platform/endpoint.py
@@ -198,16 +198,16 @@
 
     async def _answer(self, head, body, http, reader, writer) -> None:
         headers = {bytes(n).decode(): bytes(v).decode() for n, v in head.headers}
-        if head.target == b"/order":
-            status, body = self._order(json.loads(body))
-            answer = encode_response(http, status, self._state_headers(), body)
-            writer.write(answer)
-            return
         expected = headers.get("cranberrywick-expect-instance")
         if expected not in (None, self.endpoint_id):
             own = [("Cranberrywick-Instance-Id", self.endpoint_id)]
             writer.write(encode_response(http, 421, own, b""))
             return
+        if head.target == b"/order":
+            status, body = self._order(json.loads(body))
+            answer = encode_response(http, status, self._state_headers(), body)
+            writer.write(answer)
+            return
         request_id = headers.get("cranberrywick-request-id", "")
         now = asyncio.get_running_loop().time()
         source = writer.get_extra_info("peername")[0]
