A suspension of the process is no time of its endpoints

What callers saw: a daemon that had been frozen for two seconds when its signal came refused all streams afterwards, 39 of 39, though all of them would have been whole.

Cause: the pause of the freeze was recorded as the pause between two events of each stream that ran (0.21 s in place of 0.05 s), as time by which answers took longer than foreseen (1.65 s), and as time of calls and of slots. It counted for ten seconds.

Change: the ticker, which notices suspensions for the signal, says since when events have been seen as they came. What began before is not recorded as a time; a stream's length still is.

--- a/cranberrywick/gateway/direct_attempts.py
+++ b/cranberrywick/gateway/direct_attempts.py
@@ -115,24 +115,37 @@
         self._crash_detection.record_end(exchange)
         self.observations.record_call_end(exchange)
         now = self._loop.time()
-        held = exchange.sent_for(now)
-        self._contention.request_held(exchange.service.name, held)
-        self._record_times(exchange, now)
+        self._record_length(exchange)
+        if not self._was_suspended(exchange, now):
+            self._record_times(exchange, now)
         if exchange.status < 500:
             self._health.succeeded(placement.endpoint_id, now)
         return None
 
+    def _was_suspended(self, exchange: Exchange, now: float) -> bool:
+        """Whether this process was suspended while an endpoint had a request."""
+        sent_at = exchange.sent_at
+        return self._state.ticker.running_since(sent_at, now) > sent_at
+
+    def _record_length(self, exchange: Exchange) -> None:
+        """Record how many events a stream had."""
+        if exchange.is_stream:
+            engine = exchange.service.engine
+            self._state.peer_updates.answers.record_stream(
+                exchange.outline(),
+                number_of_id(exchange.last_event_id),
+                engine.stride if engine else 0,
+            )
+
     def _record_times(self, exchange: Exchange, now: float) -> None:
-        """Record how long an answer took, for the requests of a stopping daemon."""
+        """Record how long an answer took, to foresee how long others will."""
         service, held = exchange.service, exchange.sent_for(now)
         answers = self._state.peer_updates.answers
+        self._contention.request_held(service.name, held)
         self._drain.held.record(service.name, held)
         if not exchange.is_stream:
             answers.record_call(exchange.route.name, exchange.worked_for(now))
             return
-        stride = service.engine.stride if service.engine else 0
-        last_id = number_of_id(exchange.last_event_id)
-        answers.record_stream(exchange.outline(), last_id, stride)
         is_plain = exchange.sent_count == 1 and exchange.foreseen_pace
         if is_plain and exchange.blocked_seconds < MAX_BLOCKED_SECONDS:
             foreseen = exchange.predicted + exchange.events * exchange.foreseen_pace
@@ -176,7 +189,7 @@
         now = self._loop.time()
         if exchange.first_event_at is None:
             exchange.first_event_at = now
-        if exchange.predicted is not None:
+        if exchange.predicted is not None and not self._was_suspended(exchange, now):
             self._state.peer_updates.answers.record_overrun(
                 exchange.service.name,
                 exchange.predicted,
--- a/cranberrywick/gateway/drain.py
+++ b/cranberrywick/gateway/drain.py
@@ -69,7 +69,7 @@
         self._refuses_waiting_at = -inf
         self._waiting_seen_at = -inf
         self.held = HeldTimes()
-        self.running = RunningAnswers(self._served)
+        self.running = RunningAnswers(self._served, state.ticker)
 
     @property
     def is_active(self) -> bool:
--- a/cranberrywick/gateway/observations.py
+++ b/cranberrywick/gateway/observations.py
@@ -118,6 +118,9 @@
             nonlocal blocked_before
             blocked = exchange.blocked_seconds - blocked_before
             blocked_before = exchange.blocked_seconds
+            now = self._loop.time()
+            if self._state.ticker.running_since(now - seconds, now) > now - seconds:
+                return
             # While its caller doesn't read, a stream shows nothing of the endpoint.
             if blocked < MAX_BLOCKED_SECONDS:
                 paces.record(
@@ -125,7 +128,7 @@
                     exchange.service.name,
                     seconds,
                     events,
-                    self._loop.time(),
+                    now,
                 )
             # The prefill that the engine is known to have to do also lengthens the
             # pause, but does not show that the engine is slow.
@@ -157,7 +160,10 @@
             return
         if self._state.reach.is_suspected(exchange.endpoint_id):
             return  # The time may be that of this VM's own links.
-        seconds = exchange.worked_for(self._loop.time())
+        now = self._loop.time()
+        if self._state.ticker.running_since(exchange.sent_at, now) > exchange.sent_at:
+            return
+        seconds = exchange.worked_for(now)
         slowdown = call_slowdown(seconds, exchange.route.target_seconds)
         # A call within its target shows nothing: calls differ, and a short one is fast
         # at a slow endpoint too.
--- a/cranberrywick/gateway/running_answers.py
+++ b/cranberrywick/gateway/running_answers.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Iterable
 
 from cranberrywick.gateway.exchange import Exchange
+from cranberrywick.gateway.ticker import Ticker
 from cranberrywick.routing.answer_lengths import AnswerOutline
 
 __all__ = ["RunningAnswers"]
@@ -15,11 +16,13 @@
 class RunningAnswers:
     """Lists what runs, as of a moment ago.
 
-    ``served`` returns the requests that are being served.
+    ``served`` returns the requests that are being served, and ``ticker`` knows when the
+    process was suspended.
     """
 
-    def __init__(self, served: Callable[[], Iterable[Exchange]]):
+    def __init__(self, served: Callable[[], Iterable[Exchange]], ticker: Ticker):
         self._served = served
+        self._ticker = ticker
         self._loop = asyncio.get_running_loop()
         self._streams: list[AnswerOutline] = []
         self._streams_at = float("-inf")
@@ -42,7 +45,9 @@
             self._calls_by_route = {}
             for exchange in self._served():
                 if exchange.in_flight and not exchange.is_stream:
-                    name, age = exchange.route.name, exchange.worked_for(now)
+                    running_since = self._ticker.running_since(exchange.sent_at, now)
+                    age = min(exchange.worked_for(now), now - running_since)
+                    name = exchange.route.name
                     longest = self._calls_by_route.get(name, 0.0)
                     self._calls_by_route[name] = max(longest, age)
         return self._calls_by_route
--- a/cranberrywick/gateway/state.py
+++ b/cranberrywick/gateway/state.py
@@ -79,7 +79,7 @@
     ):
         self._settings = settings
         self._store = store
-        self._ticker = ticker
+        self.ticker = ticker
         self._log = log
         self._loop = asyncio.get_running_loop()
         self._history = StoreHistory(self._loop.time, metrics, log)
@@ -131,11 +131,11 @@
     async def start(self) -> None:
         """Start to receive and send updates and to read the store."""
         self._start_deadline = self._loop.time() + STARTING_SECONDS
-        await self.peer_updates.start(self._ticker)
+        await self.peer_updates.start(self.ticker)
         self._read_if_due()
-        self._registration.start(self._ticker)
+        self._registration.start(self.ticker)
         self._quarantine_records.start()
-        self._ticker.when_due(self._read_if_due, self._seconds_until_due)
+        self.ticker.when_due(self._read_if_due, self._seconds_until_due)
 
     async def wait_for_start(self, deadline: float) -> None:
         """Wait until this daemon is ready to serve requests for the first time.
--- a/cranberrywick/gateway/ticker.py
+++ b/cranberrywick/gateway/ticker.py
@@ -42,6 +42,17 @@
             return self._suspended_at
         return now
 
+    def running_since(self, moment: float, now: float) -> float:
+        """Return from when on events have been seen as they came, since a moment.
+
+        If the process was suspended since then, that is a later moment. A pause that
+        began earlier shows nothing of what was waited for: it is too long or, between
+        two events that came meanwhile, too short.
+        """
+        if now - self._ran_at > SUSPENDED_SECONDS:
+            self._record_run(now)
+        return max(moment, self._resumed_at + RESUMED_SECONDS)
+
     def _record_run(self, now: float) -> None:
         if now - self._ran_at > SUSPENDED_SECONDS:
             self._suspended_at, self._resumed_at = self._ran_at, now
--- a/tests/test_ticker.py
+++ b/tests/test_ticker.py
@@ -63,3 +63,27 @@
         ticker.stop()
 
     run_in_virtual_time(main())
+
+
+def test_a_suspension_is_no_time_in_which_the_process_ran():
+    """Guards against endpoints that count as slow after this process was frozen."""
+
+    async def main():
+        loop = asyncio.get_running_loop()
+        ticker = Ticker(EventLog())
+        ticker.every(0.3, lambda: None)
+        await asyncio.sleep(1.0)
+        began = loop.time()
+        assert ticker.running_since(0.5, began) == 0.5
+        suspend_loop(3.0)
+        # Before a timer has fired again, what came meanwhile is seen at once.
+        resumed_at = loop.time()
+        assert ticker.running_since(began, resumed_at) > resumed_at
+        assert ticker.running_since(resumed_at, resumed_at) > resumed_at
+        await asyncio.sleep(1.0)
+        now = loop.time()
+        assert began + 3.0 < ticker.running_since(began, now) < began + 3.5
+        assert ticker.running_since(now, now) == now
+        ticker.stop()
+
+    run_in_virtual_time(main())
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -15,6 +15,7 @@
 from cranberrywick.gateway.contention import Contention
 from cranberrywick.gateway.drain import Drain
 from cranberrywick.gateway.lazy_metrics import LazyMetrics
+from cranberrywick.gateway.ticker import Ticker
 from cranberrywick.gateway.usable_endpoints import UsableEndpoints
 from cranberrywick.gateway.waiting import RETRY_INTERVAL_SECONDS, WaitingRequests
 from cranberrywick.logs import EventLog
@@ -65,6 +66,7 @@
         store_is_unavailable=False,
         load=FleetLoad(),
         members=SimpleNamespace(serving=lambda now: []),
+        ticker=Ticker(EventLog()),
         peer_updates=SimpleNamespace(
             job_added=lambda: None,
             limits=SimpleNamespace(wait_seconds=lambda endpoint_id, now: 0.0),
