--- a/cranberrywick/gateway/reservations.py
+++ b/cranberrywick/gateway/reservations.py
@@ -39,8 +39,8 @@
 # Timeout of an order, in seconds. Endpoints answer orders at once, so waiting longer
 # would not help.
 ORDER_TIMEOUT_SECONDS = 0.5
-# How long an endpoint that only reads a part may take to confirm its id, in seconds. It
-# is used without, as many endpoints leave an order unanswered for a while.
+# How long an endpoint that only reads a part may take to confirm its id, in seconds.
+# After that it is used all the same: endpoints may leave orders unanswered for a while.
 CONFIRM_SECONDS = 0.1
 # Longest time for its connection, in seconds: more than one that is lost once needs.
 CONNECT_TIMEOUT_SECONDS = 0.4
