A stream that is read slowly doesn't make its engine slow

What callers would see: prompts kept away from an engine, and late streams refused at a stop, since one caller hardly reads.

Cause: while a caller takes no events, the pauses between them are its own. They were left out of the pace of the engine, but not of the measure of slow engines, which takes the shortest of three.

Change: one check for both.

Evidence: tests/test_slow_readers.py: five pauses of 2 s of which the caller took 1.9 s each counted as a slowdown before, and don't now; without the caller's share they still do. The case takes the place of one with a process, which passed before as well: the kernel's buffers let such pauses come one by one there. The two cases of a stop have a target that a busy machine doesn't exceed, since they also ask that the endpoint isn't counted as slow.

--- a/cranberrywick/gateway/observations.py
+++ b/cranberrywick/gateway/observations.py
@@ -119,17 +119,12 @@
             blocked = exchange.blocked_seconds - blocked_before
             blocked_before = exchange.blocked_seconds
             now = self._loop.time()
-            if self._state.ticker.running_since(now - seconds, now) > now - seconds:
-                return
+            began_at = now - seconds
             # While its caller doesn't read, a stream shows nothing of the endpoint.
-            if blocked < MAX_BLOCKED_SECONDS:
-                paces.record(
-                    endpoint_id,
-                    exchange.service.name,
-                    seconds,
-                    events,
-                    now,
-                )
+            is_blocked = blocked >= MAX_BLOCKED_SECONDS
+            if is_blocked or self._state.ticker.running_since(began_at, now) > began_at:
+                return
+            paces.record(endpoint_id, exchange.service.name, seconds, events, now)
             # The prefill that the engine is known to have to do also lengthens the
             # pause, but does not show that the engine is slow.
             slowdown = pauses.record(
