--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -34,6 +34,9 @@
 # Longest wait for a condition or an answer, in seconds: the machine may be busy.
 WAIT_SECONDS = 30.0
 POLL_SECONDS = 0.02
+# Number of fleets whose gateways have addresses of their own; later ones reuse those of
+# fleets that have ended.
+MAX_SUBNETS = 250
 
 
 def route(name: str, kind: str, service: str, **fields: object) -> dict:
@@ -151,7 +154,7 @@
         self.addresses_by_id: dict[str, str] = {}
         self.gateways: list[Gateway] = []
         self._ids = count(1)
-        self._subnet = next(_SUBNETS)
+        self._subnet = 1 + next(_SUBNETS) % MAX_SUBNETS
 
     def on_loop(self, function: Callable, *arguments: object):
         """Run a function on the stand-ins' loop and return its result."""
@@ -353,7 +356,7 @@
 
 
 _PORTS: list[int] = []
-_SUBNETS = count(1)
+_SUBNETS = count()
 
 
 def gateway_settings(name: str, ip: str, store: str) -> dict:
