--- a/tests/stopping_fleet.py
+++ b/tests/stopping_fleet.py
@@ -114,6 +114,16 @@
         data = request_bytes(method, target, body, headers, request_id)
         return Caller(self.connect(gateway), request_id, data)
 
+    def send_reads(
+        self, gateway: Gateway, number: int, pause: float, began: float
+    ) -> list[Caller]:
+        """Send calls, one each ``pause`` seconds from the moment ``began`` on."""
+        calls = []
+        for due in (began + each * pause for each in range(number)):
+            time.sleep(max(0.0, due - time.monotonic()))
+            calls.append(self.send(gateway, "GET", "/reads/1"))
+        return calls
+
     def occupy(self, gateway: Gateway, prefix: str = "reads") -> Caller:
         """Take a slot of an endpoint, or the memory of an engine, for long."""
         headers = LONG_PROMPT if prefix == "prompts" else DEADLINE
--- a/tests/test_late_requests.py
+++ b/tests/test_late_requests.py
@@ -4,7 +4,6 @@
 are sent although a long prompt may hold them up until the end.
 """
 
-import time
 
 import pytest
 from gateway_fleet import wait_for
@@ -92,11 +91,7 @@
         (gateway,) = fleet.gateways
         long_target(fleet, 0.05)
         signalled_at = fleet.stop(gateway)
-        calls = []
-        for number in range(SENT_CALLS):
-            at = signalled_at + number * SEND_SECONDS
-            time.sleep(max(0.0, at - time.monotonic()))
-            calls.append(fleet.send(gateway, "GET", "/reads/1"))
+        calls = fleet.send_reads(gateway, SENT_CALLS, SEND_SECONDS, signalled_at)
         statuses = [call.answer().status for call in calls]
         assert statuses == [200] * SENT_CALLS
         assert gateway.process.wait(GRACE_SECONDS) == 0
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -67,11 +67,7 @@
         wait_for(lambda: f"version={version}" in gateway.log, "the target")
         with slow_reader(fleet, padding):
             signalled_at = fleet.stop(gateway)
-            calls = []
-            for number in range(SENT_CALLS):
-                at = signalled_at + number * SEND_SECONDS
-                time.sleep(max(0.0, at - time.monotonic()))
-                calls.append(fleet.send(gateway, "GET", "/reads/1"))
+            calls = fleet.send_reads(gateway, SENT_CALLS, SEND_SECONDS, signalled_at)
             statuses = [call.answer().status for call in calls]
             assert statuses == [200] * SENT_CALLS
             assert gateway.process.wait(GRACE_SECONDS) == 0
