--- a/tests/test_late_requests.py
+++ b/tests/test_late_requests.py
@@ -4,7 +4,6 @@
 are sent although a long prompt may hold them up until the end.
 """
 
-
 import pytest
 from gateway_fleet import wait_for
 from stopping_fleet import GRACE_SECONDS, running_stopping_fleet, waiting_at_stop
