The end of a gateway says what its connections leave unread and unsent

An operator's record has a call whose connection was closed around a stop without a whole answer. A close with unread bytes resets the connection, and an answer that was sent before may be lost with it; the gateway's log could not tell that from a request that was cancelled at the close.

gateway_stopped has two more fields: sockets with bytes or connections that were not read, and connections with an answer that was not sent. No logic changes.

--- a/cranberrywick/gateway/app.py
+++ b/cranberrywick/gateway/app.py
@@ -17,6 +17,7 @@
 from cranberrywick.gateway.lazy_metrics import LazyMetrics
 from cranberrywick.gateway.peer_requests import PeerRequests
 from cranberrywick.gateway.reservations import wait_for_releases
+from cranberrywick.gateway.served_requests import ServedRequests
 from cranberrywick.gateway.state import FleetState
 from cranberrywick.gateway.ticker import Ticker
 from cranberrywick.gateway.waiting import WaitingRequests
@@ -45,11 +46,6 @@
 # Longest time for answers of the daemon itself, and for releases of memory at
 # endpoints, once the connections are closed, in seconds.
 CLOSE_SECONDS = 0.1
-# Interval at which a stopping daemon checks whether requests are left, in seconds.
-IDLE_POLL_SECONDS = 0.02
-# How often in a row it finds none before it ends. A process that was suspended has to
-# accept connections and to read from them first.
-IDLE_POLLS = 3
 # Turns of the event loop in which a connection that was accepted is read.
 ACCEPT_TURNS = 8
 # Longest time in which the last requests without an answer get an error, in seconds.
@@ -124,6 +120,7 @@
         self._peer_requests = PeerRequests(self.state, direct, self._drain, budget, log)
         self._peer_ingress = self._peer_requests.ingress
         self._served = (self._ingress, self._peer_ingress)
+        self._requests = ServedRequests(self._served, log)
         self._internal_ingresses = [
             (address, Ingress(handler, budget=budget))
             for address, handler in (
@@ -230,21 +227,21 @@
         window = DrainWindow.of_grace(started, self._settings.bounds.grace_seconds)
         earliest = started + LEAVE_SECONDS
         self._step(self._begin_drain, window)
-        await self._until_idle(earliest, window.answer_by)
+        await self._requests.wait_until_idle(earliest, window.answer_by)
         unanswered = self._drain.unanswered
         self._give_up_unanswered()
-        await self._until_idle(earliest, window.close_at)
+        await self._requests.wait_until_idle(earliest, window.close_at)
         # What was accepted before is read and served; nothing new comes.
         for ingress in self._served:
             self._step(ingress.stop_listening)
         for _ in range(ACCEPT_TURNS):
             await asyncio.sleep(0)
-        await self._until_idle(earliest, window.close_at)
+        await self._requests.wait_until_idle(earliest, window.close_at)
         # From the last look on nothing else runs until all connections are closed, or
         # nothing more is read from them.
-        if self._busy:
+        if self._requests.busy:
             await self._answer_rest()
-        self._log.info("gateway_stopped", busy=self._busy, unanswered=unanswered)
+        self._step(self._requests.record_end, unanswered)
         await self._close()
 
     def _step(self, step: Callable[..., object], *arguments: object) -> None:
@@ -267,7 +264,7 @@
         self._step(self.state.leave)
         self._log.info(
             "drain_started",
-            busy=self._busy,
+            busy=self._requests.busy,
             waiting=len(self._waiting),
             grace=window.close_at - asyncio.get_running_loop().time(),
         )
@@ -311,39 +308,11 @@
         self._step(self._ticker.stop)
         self._step(self.state.peer_updates.link.close)
 
-    async def _until_idle(self, earliest: float, latest: float) -> None:
-        """Wait until no request is left, from ``earliest`` to ``latest``.
-
-        Returns right after the last look, so that what is done next meets what it saw.
-        """
-        loop = asyncio.get_running_loop()
-        idle_polls = 0
-        while loop.time() < latest:
-            is_idle = loop.time() >= earliest and self._is_idle
-            idle_polls = idle_polls + 1 if is_idle else 0
-            if idle_polls == IDLE_POLLS:
-                return
-            await asyncio.sleep(IDLE_POLL_SECONDS)
-
-    @property
-    def _is_idle(self) -> bool:
-        """Whether a look finds no request, neither here nor in the kernel."""
-        try:
-            return not any(each.has_unread or each.busy for each in self._served)
-        except Exception as error:
-            self._log.error("stop_step_failed", step="look", error=error)
-            return False
-
     @property
     def _internal(self) -> list[Ingress]:
         """The ingresses whose requests the daemon answers itself."""
         return [ingress for _, ingress in self._internal_ingresses]
 
-    @property
-    def _busy(self) -> int:
-        """How many requests of callers and of peers are being served."""
-        return sum(ingress.busy for ingress in self._served)
-
     async def _answer_directory(
         self, request: HttpRequest, caller: CallerConnection
     ) -> None:
--- a/cranberrywick/gateway/caller_connection.py
+++ b/cranberrywick/gateway/caller_connection.py
@@ -68,7 +68,7 @@
     def busy(self) -> bool:
         """Whether a request is being read or served, or an answer is not sent yet."""
         is_read = self._request is not None or self._refused or self._has_part_of_head
-        return is_read or self._task is not None or self._unsent > 0
+        return is_read or self._task is not None or self.unsent > 0
 
     @property
     def _has_part_of_head(self) -> bool:
@@ -95,7 +95,7 @@
             self._transport.pause_reading()
 
     @property
-    def _unsent(self) -> int:
+    def unsent(self) -> int:
         """Bytes that wait for the caller to read."""
         return self._transport.get_write_buffer_size() if self._transport else 0
 
--- a/cranberrywick/gateway/ingress.py
+++ b/cranberrywick/gateway/ingress.py
@@ -58,15 +58,20 @@
         return sum(connection.busy for connection in self.connections)
 
     @property
-    def has_unread(self) -> bool:
-        """Whether the kernel has connections to accept, or bytes of callers to read."""
+    def unread(self) -> int:
+        """How many sockets have connections to accept, or bytes of callers to read."""
         poll = select.poll()
         for listener in self._server.sockets if self._server else ():
             poll.register(listener.fileno(), select.POLLIN)
         for connection in self.connections:
             if connection.reads:
                 poll.register(connection.fileno(), select.POLLIN)
-        return bool(poll.poll(0))
+        return len(poll.poll(0))
+
+    @property
+    def unsent(self) -> int:
+        """How many connections have an answer that is not sent yet."""
+        return sum(connection.unsent > 0 for connection in self.connections)
 
     @property
     def unanswered(self) -> int:
--- a/tests/test_stop_end.py
+++ b/tests/test_stop_end.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import io
 import signal
 import socket
 import threading
@@ -23,7 +24,9 @@
 )
 
 from cranberrywick.gateway.ingress import Ingress
+from cranberrywick.gateway.served_requests import ServedRequests
 from cranberrywick.http_server import HttpServer
+from cranberrywick.logs import EventLog, make_handler
 
 WORK_SECONDS = 0.005
 # Pauses between two requests of a caller, in seconds. A gateway ends when it has been
@@ -171,22 +174,22 @@
         ingress = Ingress(handle)
         await ingress.start("127.0.0.1:0")
         host, _, port = ingress.address.rpartition(":")
-        assert not ingress.has_unread
+        assert not ingress.unread
         with socket.create_connection((host, int(port))) as caller:
-            assert ingress.has_unread  # It has not been accepted.
+            assert ingress.unread  # It has not been accepted.
             while not ingress.connections:
                 await asyncio.sleep(0)
             await asyncio.sleep(0.01)
-            assert not ingress.has_unread
+            assert not ingress.unread
             caller.sendall(b"GET / HTTP/1.1\r\n")
-            assert ingress.has_unread
+            assert ingress.unread
             await asyncio.sleep(0.01)
             # A half read head is a request that is being read.
-            assert not ingress.has_unread and ingress.busy
+            assert not ingress.unread and ingress.busy
             caller.sendall(b"Host: h\r\n\r\n")
-            assert ingress.has_unread
+            assert ingress.unread
             await asyncio.sleep(0.01)
-            assert not ingress.has_unread and not ingress.busy
+            assert not ingress.unread and not ingress.busy
             assert caller.recv(100).startswith(b"HTTP/1.1 200")
             caller.sendall(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
             ingress.close()
@@ -196,6 +199,33 @@
     asyncio.run(main())
 
 
+def test_what_a_close_leaves_unread_and_unsent_is_logged():
+    """Guards against lost answers whose cause the log doesn't tell."""
+    stream = io.StringIO()
+
+    async def handle(request, caller):
+        await caller.answer(200, [], b"." * 10_000_000)
+
+    async def main():
+        ingress = Ingress(handle)
+        await ingress.start("127.0.0.1:0")
+        host, _, port = ingress.address.rpartition(":")
+        with (
+            socket.create_connection((host, int(port))) as slow,
+            socket.create_connection((host, int(port))) as late,
+        ):
+            slow.sendall(READ_REQUEST)
+            while len(ingress.connections) < 2 or not ingress.unsent:
+                await asyncio.sleep(0)
+            late.sendall(READ_REQUEST)
+            ServedRequests((ingress,), EventLog()).record_end(0)
+            ingress.close()
+
+    with make_handler("info", stream).applicationbound():
+        asyncio.run(main())
+    assert "busy=1 unanswered=0 unread=1 unsent=1" in stream.getvalue()
+
+
 @pytest.mark.parametrize("earlier", [0, 1])
 def test_what_an_internal_address_has_read_is_answered(earlier):
     """Guards against answers of the directory that are dropped as the gateway closes.
