A head without an end is no whole one, for serve, the store's client and the commands

What callers saw: an endpoint closed in the middle of its answer's head, and serve passed on a 200 with an empty body, framed as whole.

Cause: http.client takes the end of the connection for the end of the headers. What is left of them names the attempt, has no length and no chunks, and an empty body without a length counted as whole. Class: the end of a connection is taken for the end of a message. The same library reads the first digit of a chunk's size as a size ("0" of "0005" is the last chunk), and takes a length that it can't read for none.

Change: lines of heads and of chunk sizes have to be whole, for all connections of external/bounded_http.py; the commands and the daemons' version reads use it, too. A body, also an empty one, needs a marked end, unless its status or method has none; so does what a command prints.

--- a/cranberrywick/cli/answers.py
+++ b/cranberrywick/cli/answers.py
@@ -8,6 +8,7 @@
 from urllib3.exceptions import HTTPError
 
 from cranberrywick.errors import AnswerLost, CranberrywickError, ErrorBody
+from cranberrywick.external.bounded_http import has_marked_end
 from cranberrywick.model import Executed
 
 __all__ = ["ServiceError", "StreamedAnswer", "read_body", "read_error", "read_stream"]
@@ -40,7 +41,12 @@
 
 
 def read_body(response: BaseHTTPResponse) -> bytes:
-    """Return the whole body; raise `AnswerLost` when reading it fails."""
+    """Return the whole body; raise `AnswerLost` when reading it fails.
+
+    A body whose end isn't marked may have been cut.
+    """
+    if not has_marked_end(response):
+        raise AnswerLost("nothing tells a whole answer from a cut one")
     try:
         return response.read()
     except HTTPError as error:
--- a/cranberrywick/cli/caller.py
+++ b/cranberrywick/cli/caller.py
@@ -14,7 +14,7 @@
 from dataclasses import dataclass, replace
 from typing import NamedTuple
 
-from urllib3 import BaseHTTPResponse, HTTPConnectionPool, Timeout
+from urllib3 import BaseHTTPResponse, Timeout
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 from urllib3.util import parse_url
 
@@ -32,6 +32,7 @@
     EntryUnreachable,
     StillRunning,
 )
+from cranberrywick.external.bounded_http import BoundedPool
 from cranberrywick.model import Executed
 
 __all__ = ["Answered", "Caller", "Failed", "Outcome", "Refused", "Rejected"]
@@ -251,7 +252,7 @@
         # reused idle connection may fail at the first byte, and then the caller cannot
         # know whether the request ran.
         host, _, port = address.rpartition(":")
-        pool = HTTPConnectionPool(host, int(port), maxsize=1)
+        pool = BoundedPool(host, int(port), maxsize=1)
         try:
             return pool.urlopen(
                 call.method,
--- a/cranberrywick/cli/operator_client.py
+++ b/cranberrywick/cli/operator_client.py
@@ -12,6 +12,7 @@
 
 from cranberrywick.configuration.operator_api import PREFIX
 from cranberrywick.errors import CranberrywickError
+from cranberrywick.external.bounded_http import bounded_pool_manager
 
 __all__ = [
     "EXIT_CODES_HELP",
@@ -75,7 +76,7 @@
     def __init__(self, daemons: tuple[str, ...], key: str):
         self._daemons = daemons
         self._headers = {"Authorization": f"Bearer {key}"}
-        self._pool = urllib3.PoolManager(retries=False)
+        self._pool = bounded_pool_manager(retries=False)
 
     def get(self, path: str, **query: str) -> dict:
         """Return the answer to a GET request; raise `OperatorRequestFailed`."""
--- a/cranberrywick/controllers/fleet_versions.py
+++ b/cranberrywick/controllers/fleet_versions.py
@@ -4,10 +4,10 @@
 from collections.abc import Iterable
 from concurrent.futures import ThreadPoolExecutor
 
-import urllib3
 from urllib3.exceptions import HTTPError
 
 from cranberrywick.decisions.membership import Member
+from cranberrywick.external.bounded_http import bounded_pool_manager
 
 __all__ = ["fetch_versions"]
 
@@ -39,7 +39,7 @@
 
 def _fetch_version(member: Member) -> int:
     try:
-        answer = urllib3.request(
+        answer = bounded_pool_manager().request(
             "GET",
             f"http://{member.entry_address}/readyz",
             timeout=TIMEOUT_SECONDS,
--- a/cranberrywick/endpoints/client.py
+++ b/cranberrywick/endpoints/client.py
@@ -21,6 +21,7 @@
     AnswerLost,
     EndpointRefused,
 )
+from cranberrywick.external.bounded_http import has_marked_end
 from cranberrywick.model import EndpointRefusal
 from cranberrywick.routing.answer_limits import MAX_ANSWER_BYTES
 
@@ -38,6 +39,9 @@
 # Number of times that one stream is resumed.
 RESUME_ATTEMPTS = 2
 
+# Statuses of answers that have no body, whatever their headers say.
+BODILESS_STATUSES = (204, 304)
+
 # Error types of a 503 that state that the endpoint did not run the request.
 _REFUSALS = {
     reason.value: reason
@@ -194,7 +198,8 @@
             if self.check is None:
                 self.on_part(len(data))
             yield data
-        if received and not _has_marked_end(self._response):
+        has_body = self.call.method != "HEAD" and self.status not in BODILESS_STATUSES
+        if has_body and not has_marked_end(self._response):
             raise AnswerLost("nothing tells a whole answer from a cut one")
 
     def _read(self) -> bytes:
@@ -244,7 +249,7 @@
     connection.close()
     try:
         reason = _REFUSALS.get(json.loads(body)["error"]["type"])
-    except (ValueError, TypeError, KeyError):
+    except (ValueError, TypeError, KeyError, RecursionError):
         reason = None
     if reason is None:
         raise AmbiguousSend("the endpoint answered 503 without saying why")
@@ -261,15 +266,6 @@
     return min(float(value), MAX_RETRY_AFTER_SECONDS)
 
 
-def _has_marked_end(response: BaseHTTPResponse) -> bool:
-    """Return whether the end of the body is marked, so that truncation is noticed.
-
-    A body that ends when the connection closes looks complete wherever it breaks.
-    """
-    chunked = "chunked" in response.headers.get("Transfer-Encoding", "")
-    return chunked or "Content-Length" in response.headers
-
-
 def _is_event_stream(response: BaseHTTPResponse) -> bool:
     content_type = response.headers.get("Content-Type", "")
     return response.status == 200 and content_type.startswith("text/event-stream")
--- a/cranberrywick/external/bounded_http.py
+++ b/cranberrywick/external/bounded_http.py
@@ -1,25 +1,74 @@
-"""HTTP connections on which few interim responses may precede an answer.
+"""HTTP connections that take no answer for whole whose head has no end.
 
-Load pattern: a faulty endpoint or service sends interim responses, such as 100
-(Continue), without end. The HTTP library skips them for as long as they come, so that
-no timeout of a read ever fires and the calling thread is kept busy.
+Two things that the HTTP library accepts are refused. A faulty endpoint or service sends
+interim responses, such as 100 (Continue), without end: the library skips them for as
+long as they come, so that no timeout of a read ever fires. Or it closes in the middle
+of a head: the library takes the end of the connection for that of the headers, and what
+is left of them, without a length, for those of a whole and empty answer.
 """
 
-from http.client import BadStatusLine, HTTPResponse
+from http.client import BadStatusLine, HTTPResponse, IncompleteRead
+from io import BufferedReader
+from typing import Any
 
-from urllib3 import HTTPConnectionPool, HTTPSConnectionPool, PoolManager
+from urllib3 import (
+    BaseHTTPResponse,
+    HTTPConnectionPool,
+    HTTPSConnectionPool,
+    PoolManager,
+)
 from urllib3.connection import HTTPConnection, HTTPSConnection
 
 from cranberrywick.routing.answer_limits import MAX_INTERIM_RESPONSES
 
-__all__ = ["BoundedConnection", "BoundedResponse", "bounded_pool_manager"]
+__all__ = [
+    "BoundedConnection",
+    "BoundedPool",
+    "BoundedResponse",
+    "bounded_pool_manager",
+    "has_marked_end",
+]
+
+
+class _WholeLines:
+    """The bytes of an answer, whose lines have to be whole.
+
+    These are the lines of the head, and the sizes of chunks: one of which a part has
+    come may look like the last one.
+    """
+
+    def __init__(self, file: BufferedReader):
+        self._file = file
+        self._begun = False
+
+    def readline(self, limit: int = -1) -> bytes:
+        """Return a line; raises `IncompleteRead` if the connection ends within it.
+
+        An answer of which nothing has come has no line, which is returned as empty.
+        """
+        line = self._file.readline(limit)
+        is_cut = not line.endswith(b"\n") and len(line) != limit
+        if is_cut and (line or self._begun):
+            raise IncompleteRead(line)
+        self._begun = True
+        return line
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._file, name)
 
 
 class BoundedResponse(HTTPResponse):
-    """A response that raises `BadStatusLine` after too many interim ones."""
+    """A response that raises `IncompleteRead` if its head has no end.
+
+    After too many interim responses it raises `BadStatusLine`.
+    """
 
     _status_lines = 0
 
+    def __init__(self, *arguments: Any, **options: Any):
+        super().__init__(*arguments, **options)
+        self.fp = _WholeLines(self.fp)
+
     def _read_status(self) -> tuple[str, int, str]:
         self._status_lines += 1
         if self._status_lines > MAX_INTERIM_RESPONSES + 1:
@@ -37,7 +86,9 @@
     response_class = BoundedResponse
 
 
-class _BoundedPool(HTTPConnectionPool):
+class BoundedPool(HTTPConnectionPool):
+    """Connections to one address."""
+
     ConnectionCls = BoundedConnection
 
 
@@ -48,5 +99,17 @@
 def bounded_pool_manager(**options: object) -> PoolManager:
     """Return a pool of such connections; options are those of `urllib3.PoolManager`."""
     manager = PoolManager(**options)
-    manager.pool_classes_by_scheme = {"http": _BoundedPool, "https": _BoundedTlsPool}
+    manager.pool_classes_by_scheme = {"http": BoundedPool, "https": _BoundedTlsPool}
     return manager
+
+
+def has_marked_end(response: BaseHTTPResponse) -> bool:
+    """Return whether the end of a body is marked, so that a cut is noticed.
+
+    A body that ends when the connection closes looks whole wherever it breaks, and so
+    does one whose length can't be read.
+    """
+    if "chunked" in response.headers.get("Transfer-Encoding", "").lower():
+        return True
+    length = response.headers.get("Content-Length", "")
+    return length.isascii() and length.isdigit()
--- a/cranberrywick/reports/gather.py
+++ b/cranberrywick/reports/gather.py
@@ -11,6 +11,7 @@
 from urllib3.util import parse_url
 
 from cranberrywick.errors import AnswerLost, CranberrywickError, Unauthorised
+from cranberrywick.external.bounded_http import bounded_pool_manager
 from cranberrywick.reports.burn import STEP_COUNT, WINDOWS_SECONDS, Objective
 from cranberrywick.reports.fleet import BurnReport, SilentDaemon, merge
 from cranberrywick.reports.recorder import BurnAnswer
@@ -87,7 +88,7 @@
     when no entry gives a usable answer, and `Unauthorised` when an entry rejects
     the key.
     """
-    with PoolManager(
+    with bounded_pool_manager(
         num_pools=MAX_PARALLEL,
         retries=False,
         timeout=Timeout(connect=CONNECT_TIMEOUT_SECONDS, read=READ_TIMEOUT_SECONDS),
