An entry that names nothing usable leaves the others usable

What callers saw: beside one odd record of an endpoint, sound requests got 502 (request_crashed), since it was chosen and raised at the connect: ports above 65535, digits of other scripts, 5,000 digits, NUL, surrogates, long names. What peers are sent failed by surrogates and by numbers that no message has (callback_failed), so that they heard nothing any more. One surrogate in a log line ended the log.

Cause, class: what another writer has written is taken for what its place suggests. Records were checked for their types only; what raises before a request is sent was no failed attempt; one row of the configuration made all of it unusable, or raised something that nobody expects (keys that are no list), and a text in their place was taken for a list of keys.

Change: addresses are IPv4 addresses with ports (addresses.py), names can be printed and have at most 200 characters, numbers have bounds; the same for records of daemons, peers' heartbeats and the operators' domains. A connection whose address is none, and a request that can't be written, refuse as unreachable endpoints do: another one is tried, and a request counts as sent only once its bytes exist. What an earlier version's peer sends is part of the digest and not tracked. An entry of the configuration that can't be read makes its route, its service or its keys refuse with 503, and the rest applies. Digits of other scripts in a load header no longer drop the whole answer.

--- a/cranberrywick/external/exchange.py
+++ b/cranberrywick/external/exchange.py
@@ -100,7 +100,10 @@
         `PlatformUnavailable` when nothing was done, `RateLimited` on status 429, and
         `AmbiguousWrite` when a call other than GET may have taken effect.
         """
-        target = f"{path}?{urlencode(query)}" if query else path
+        target = path
+        if query:
+            # A key that is no valid text is asked for as the service gave it.
+            target += f"?{urlencode(query, errors='surrogatepass')}"
         body = json.dumps(fields).encode() if fields is not None else None
         first = self._preferred
         for step in range(len(self._urls)):
@@ -179,7 +182,7 @@
         raise no_answer_error(method, f"{url}: status {status}")
     try:
         fields = json.loads(data)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise no_answer_error(method, f"{url}: answer is not JSON") from error
     if not isinstance(fields, dict):
         raise no_answer_error(method, f"{url}: answer is not a JSON object")
--- a/cranberrywick/gateway/app.py
+++ b/cranberrywick/gateway/app.py
@@ -23,12 +23,12 @@
 from cranberrywick.gateway.waiting import WaitingRequests
 from cranberrywick.gateway.weighted_directory import WeightedDirectory
 from cranberrywick.logs import EventLog
+from cranberrywick.platform.configuration import decode_configuration
 from cranberrywick.platform.directory import (
     DIRECTORY_PATH,
     decode_failure_domain,
     encode_directory,
 )
-from cranberrywick.platform.documents import decode_configuration
 from cranberrywick.platform.settings import load_settings
 from cranberrywick.platform.store import PlatformStore
 from cranberrywick.routing.directory import ANSWER_SECONDS, choose_addresses
--- a/cranberrywick/gateway/attempt.py
+++ b/cranberrywick/gateway/attempt.py
@@ -110,7 +110,7 @@
             # Checked again after connecting: an endpoint may have started to leave
             # since it was chosen, and must get no work after its bound for that.
             self._check_usable((Part(record.endpoint_id), *self._placement.helpers))
-            await self._send(connection, reservations)
+            self._send(connection, reservations)
             try:
                 answer = await connection.read_head()
                 forwarding = AnswerForwarding(
@@ -174,9 +174,7 @@
         self._connect_timeout.answered(self._loop.time() - started)
         self._reach.connected(endpoint_id)
 
-    async def _send(
-        self, connection: EndpointConnection, reservations: Reservations
-    ) -> None:
+    def _send(self, connection: EndpointConnection, reservations: Reservations) -> None:
         exchange, placement = self._exchange, self._placement
         organisation = exchange.organisation
         headers = endpoint_headers(
@@ -190,6 +188,10 @@
                 weights_version=exchange.weights_version,
             ),
         )
+        request = exchange.request
+        data = connection.encode_request(
+            request.method, request.target, headers, request.body
+        )
         # The record may have changed since the endpoint was chosen.
         record = self._tracked_by_id[placement.endpoint_id].record
         exchange.record_sent(record, self._loop.time())
@@ -197,8 +199,7 @@
         exchange.parts = 1 + len(placement.helpers)
         exchange.last_resort = placement.last_resort
         exchange.helper_ids = tuple(part.endpoint_id for part in placement.helpers)
-        request = exchange.request
-        await connection.send(request.method, request.target, headers, request.body)
+        connection.write_request(data)
 
     def _helpers(self, reservations: Reservations) -> tuple[str, ...]:
         """Return the helpers for the request's header, in the order of the placement.
--- a/cranberrywick/gateway/crash_detection.py
+++ b/cranberrywick/gateway/crash_detection.py
@@ -11,6 +11,7 @@
 from contextlib import suppress
 from math import inf
 
+from cranberrywick.addresses import parse_address
 from cranberrywick.errors import (
     AmbiguousSend,
     AnswerLost,
@@ -238,13 +239,12 @@
 
 async def refuses_connections(address: str) -> bool:
     """Whether nothing listens at ``ip:port``, as the VM there answers itself."""
-    host, _, port = address.rpartition(":")
     try:
         async with asyncio.timeout(CONNECT_SECONDS):
-            _, writer = await asyncio.open_connection(host, int(port))
+            _, writer = await asyncio.open_connection(*parse_address(address))
     except ConnectionRefusedError:
         return True
-    except (OSError, TimeoutError):
+    except (OSError, TimeoutError, ValueError):
         return False  # Its VM or the way there may be lost: that shows no crash.
     writer.transport.abort()
     return False
--- a/cranberrywick/gateway/endpoint_tracker.py
+++ b/cranberrywick/gateway/endpoint_tracker.py
@@ -5,7 +5,9 @@
 from enum import Enum, auto
 from typing import NamedTuple
 
+from cranberrywick.addresses import is_address
 from cranberrywick.gateway.endpoint_snapshot import NO_DELTA, Applied, EndpointSnapshot
+from cranberrywick.gateway.unusable_records import UnusableRecords
 from cranberrywick.logs import EventLog, id_lists
 from cranberrywick.routing.drain_notices import DrainNotices
 from cranberrywick.routing.model import EndpointDelta, EndpointView
@@ -62,7 +64,7 @@
         # Packed once for all peers that request it.
         self._full_snapshot: EndpointSnapshot | None = None
         self._changed_at_by_id: dict[str, float] = {}
-        self._unusable_ids: frozenset[str] = frozenset()
+        self._unusable = UnusableRecords("endpoint", log)
 
     @property
     def position(self) -> StorePosition:
@@ -80,6 +82,7 @@
         delta = view.delta_from(known)
         digest = known.digest_with_delta(delta, base)
         changed = self._apply(Applied(view, delta), digest, read_at, now)
+        self._unusable.record(view.unusable_reasons_by_id, view.revision)
         if base_view is None:
             return StoreSnapshotOutcome(changed, None)
         if self._digest == base:
@@ -137,7 +140,10 @@
         applied = snapshot.applied_to(self._view, self._digest)
         if applied is None:
             return PeerSnapshotOutcome.MISSED
-        if self._apply(applied, snapshot.digest, read_at, now):
+        # A daemon of an earlier version sends records that this one reads as unusable.
+        # They are part of the digest, but not tracked.
+        usable = applied._replace(delta=_usable(applied.delta))
+        if self._apply(usable, snapshot.digest, read_at, now):
             return PeerSnapshotOutcome.CHANGED
         return PeerSnapshotOutcome.SAME
 
@@ -182,7 +188,6 @@
         if self._view is not None and digest != self._digest:
             self._record_changes(delta, now)
         self._view, self._digest = view, digest
-        self._log_unusable(view)
         self._log_changes(changes, view.revision, now - read_at)
         return bool(changes)
 
@@ -210,11 +215,13 @@
                     age=age,
                 )
 
-    def _log_unusable(self, view: EndpointView) -> None:
-        """Log records that can't be read, each once until it can or is removed."""
-        unusable = frozenset(view.unusable_ids)
-        for endpoint_id in sorted(unusable - self._unusable_ids):
-            self._log.warning(
-                "endpoint_record_unusable", endpoint=endpoint_id, revision=view.revision
-            )
-        self._unusable_ids = unusable
+
+def _usable(delta: EndpointDelta) -> EndpointDelta:
+    """Return a delta in which endpoints without an address are gone."""
+    unusable_ids = [
+        record.endpoint_id for record in delta.changed if not is_address(record.address)
+    ]
+    if not unusable_ids:
+        return delta
+    changed = [each for each in delta.changed if each.endpoint_id not in unusable_ids]
+    return EndpointDelta(tuple(changed), (*delta.gone_ids, *unusable_ids))
--- a/cranberrywick/gateway/fleet_link.py
+++ b/cranberrywick/gateway/fleet_link.py
@@ -9,6 +9,7 @@
 import struct
 from collections.abc import Callable, Iterable
 
+from cranberrywick.addresses import parse_address
 from cranberrywick.errors import PeerMessageInvalid
 from cranberrywick.gateway.endpoint_snapshot import EndpointSnapshot
 from cranberrywick.gateway.heartbeat_rows import HeartbeatBatch
@@ -65,6 +66,7 @@
         self._invalid = ThrottledLog(log, self._loop.time)
         self._invalid_rows = ThrottledLog(log, self._loop.time)
         self._too_long = ThrottledLog(log, self._loop.time)
+        self._unusable = ThrottledLog(log, self._loop.time)
         self._served = 0
 
     async def start(self, ip: str, port: int) -> None:
@@ -96,9 +98,15 @@
             return
         datagrams = self._datagrams(message, scope)
         for address in addresses:
-            host, _, port = address.rpartition(":")
+            try:
+                target = parse_address(address)
+            except ValueError as error:
+                self._unusable.warning(
+                    "peer_address_unusable", peer=address, error=error
+                )
+                continue
             for data in datagrams:
-                self._udp.sendto(data, (host, int(port)))
+                self._udp.sendto(data, target)
 
     def _datagrams(self, message: Message, scope: Scope) -> list[bytes]:
         """Return a message's datagrams: several for a batch too long for one."""
@@ -139,7 +147,12 @@
         try:
             async with asyncio.timeout(FETCH_SECONDS):
                 return await self._fetch(address, request)
-        except (OSError, TimeoutError, asyncio.IncompleteReadError) as error:
+        except (
+            OSError,
+            TimeoutError,
+            ValueError,
+            asyncio.IncompleteReadError,
+        ) as error:
             self._log.warning("peer_fetch_failed", peer=address, error=error)
         except PeerMessageInvalid as error:
             self._record_invalid(error)
@@ -148,8 +161,7 @@
     async def _fetch(
         self, address: str, request: SnapshotRequest
     ) -> EndpointSnapshot | OperatorSnapshot | None:
-        host, _, port = address.rpartition(":")
-        reader, writer = await asyncio.open_connection(host, int(port))
+        reader, writer = await asyncio.open_connection(*parse_address(address))
         try:
             _write(writer, encode_message(request, self._loop.time()))
             message = decode_message(await _read(reader), self._loop.time()).message
--- a/cranberrywick/gateway/heartbeat_rows.py
+++ b/cranberrywick/gateway/heartbeat_rows.py
@@ -9,13 +9,14 @@
 compared: each side adds them to its own clock.
 """
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from types import MappingProxyType
 from typing import Annotated, NamedTuple
 
 from msgspec import Meta
 from msgspec.msgpack import Decoder, Encoder
 
+from cranberrywick.addresses import is_address
 from cranberrywick.routing.crash_statement import NOTHING_STATED, CrashStatement
 from cranberrywick.routing.drain_notices import DrainNotice
 from cranberrywick.routing.endpoint_limits import LimitReport
@@ -160,6 +161,7 @@
     demand_by_position: Mapping[int, DemandStatement] = MappingProxyType({}),
     crashes_by_position: Mapping[int, CrashStatement] = MappingProxyType({}),
     answers_by_position: Mapping[int, AnswerStatement] = MappingProxyType({}),
+    row_dropped: Callable[[str], None] = lambda error: None,
 ) -> HeartbeatBatch:
     """Return the heartbeats in these bytes.
 
@@ -167,7 +169,8 @@
     what the heartbeats state about the store, ``reach_by_position`` what they state
     about reached endpoints, ``demand_by_position`` what they state about demand,
     ``crashes_by_position`` what they state about crashes, and ``answers_by_position``
-    what they state about answers.
+    what they state about answers. Rows of daemons without usable addresses are left
+    out, and ``row_dropped`` is called with the reason.
     Raises ValueError for bytes that are not rows of the declared types and bounds.
     """
     relay_id, relay_domain, rows = _DECODER.decode(data)
@@ -182,10 +185,21 @@
             answers_by_position.get(position, _NO_ANSWERS),
         )
         for position, row in enumerate(rows)
+        if _has_addresses(row, row_dropped)
     )
     return HeartbeatBatch(relay_id, relay_domain, heartbeats)
 
 
+def _has_addresses(row: _HeartbeatRow, row_dropped: Callable[[str], None]) -> bool:
+    """Whether a daemon's addresses can be used; callers are told that of its entry."""
+    if is_address(row.peer_address) and (
+        not row.entry_address or is_address(row.entry_address)
+    ):
+        return True
+    row_dropped(f"an address of {row.daemon_id!a:.40} can't be used")
+    return False
+
+
 def _heartbeat_row(relayed: RelayedHeartbeat, now: float) -> _HeartbeatRow:
     beat = relayed.heartbeat
     return _HeartbeatRow(
--- a/cranberrywick/gateway/log_output.py
+++ b/cranberrywick/gateway/log_output.py
@@ -55,10 +55,17 @@
                 dropped, self._dropped = self._dropped, 0
                 text += f"event=log_lines_dropped level=warning count={dropped}\n"
             try:
-                self._stream.write(text)
+                self._write(text)
                 if self._lines.empty():
                     self._stream.flush()
                     self._idle.set()
             except (OSError, ValueError):
                 # The output is closed, and there is nowhere else to report it.
                 return
+
+    def _write(self, text: str) -> None:
+        try:
+            self._stream.write(text)
+        except UnicodeError:
+            # The output's encoding lacks a character.
+            self._stream.write(text.encode("ascii", "backslashreplace").decode())
--- a/cranberrywick/gateway/messages.py
+++ b/cranberrywick/gateway/messages.py
@@ -222,6 +222,7 @@
             demand.values_by_position,
             crashes.values_by_position,
             answers.values_by_position,
+            row_dropped,
         )
         if which == "batch":
             return batch
--- a/cranberrywick/gateway/operator_tracker.py
+++ b/cranberrywick/gateway/operator_tracker.py
@@ -11,6 +11,9 @@
 
 __all__ = ["OperatorTracker"]
 
+# Largest number of unusable entries of a configuration that are logged with a reason.
+MAX_LOGGED_REASONS = 5
+
 
 class OperatorTracker:
     """Keeps the newest operators' view; older views change nothing.
@@ -225,6 +228,14 @@
             )
         self.table = table
         self.document_in_force = view.document
+        unusable = configuration.unusable.reasons
+        if unusable:
+            self._log.error(
+                "configuration_entries_unusable",
+                version=configuration.version,
+                count=len(unusable),
+                reasons="; ".join(unusable[:MAX_LOGGED_REASONS]),
+            )
         self._log.info(
             "configuration_applied",
             version=configuration.version,
--- a/cranberrywick/gateway/upstream.py
+++ b/cranberrywick/gateway/upstream.py
@@ -13,6 +13,7 @@
 
 import h11
 
+from cranberrywick.addresses import parse_address
 from cranberrywick.errors import (
     AmbiguousSend,
     AnswerLost,
@@ -98,8 +99,7 @@
     ):
         self._caller_buffers = caller_buffers
         self._buffers: ConnectionBuffers | Unbudgeted = NO_BUDGET
-        self._host, _, port = address.rpartition(":")
-        self._port = int(port)
+        self._address = address
         self._http = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
@@ -137,15 +137,14 @@
     async def open(self, timeout: float) -> None:
         """Connect within ``timeout`` seconds.
 
-        Raises `EndpointRefused` on failure: nothing has been sent, so the request has
-        not run.
+        Raises `EndpointRefused` on failure, also if its address is none: nothing has
+        been sent, so the request has not run.
         """
         try:
+            address = parse_address(self._address)
             async with asyncio.timeout(timeout):
-                self._reader, self._writer = await asyncio.open_connection(
-                    self._host, self._port
-                )
-        except (OSError, TimeoutError) as error:
+                self._reader, self._writer = await asyncio.open_connection(*address)
+        except (OSError, TimeoutError, ValueError) as error:
             raise EndpointRefused(
                 f"no connection: {type(error).__name__}",
                 reason=EndpointRefusal.UNREACHABLE,
@@ -165,18 +164,42 @@
     ) -> None:
         """Write a complete request, without waiting until it has been sent.
 
-        The endpoint may answer before it has read the whole request.
+        The endpoint may answer before it has read the whole request. Raises
+        `EndpointRefused` if nothing of it can be written.
+        """
+        self.write_request(self.encode_request(method, target, headers, body))
+
+    def encode_request(
+        self,
+        method: bytes,
+        target: bytes,
+        headers: list[tuple[bytes, bytes]],
+        body: bytes,
+    ) -> bytes:
+        """Return the bytes of the request that is to be sent.
+
+        Raises `EndpointRefused` if it can't be sent with these headers.
         """
         self._method = method
         framing = [(b"Connection", b"close")]
         if body or method not in (b"GET", b"HEAD"):
             framing.append((b"Content-Length", str(len(body)).encode()))
-        request = h11.Request(method=method, target=target, headers=headers + framing)
-        data = self._http.send(request)
+        try:
+            request = h11.Request(
+                method=method, target=target, headers=headers + framing
+            )
+            data = self._http.send(request)
+        except h11.LocalProtocolError as error:
+            raise EndpointRefused(
+                f"the request can't be sent: {error!s:.80}",
+                reason=EndpointRefusal.UNREACHABLE,
+            ) from error
         if body:
             data += self._http.send(h11.Data(data=body))
-        data += self._http.send(h11.EndOfMessage())
-        # After the first byte the endpoint may be able to run the request.
+        return data + self._http.send(h11.EndOfMessage())
+
+    def write_request(self, data: bytes) -> None:
+        """Write the bytes of a request; the endpoint may be able to run it from now."""
         self.sent = True
         self._write(data)
 
--- a/cranberrywick/platform/headers.py
+++ b/cranberrywick/platform/headers.py
@@ -322,10 +322,10 @@
 
 
 def _decode_load(value: bytes | None) -> tuple[int, int]:
-    parts = (_decode_text(value) or "").split(",")
-    if len(parts) < 2 or not all(part.strip().isdigit() for part in parts[:2]):
+    running, waiting = map(_decode_number, ((value or b"").split(b",", 2) + [b""])[:2])
+    if running is None or waiting is None:
         return -1, -1
-    return int(parts[0]), int(parts[1])
+    return running, waiting
 
 
 def _decode_rate_limit(status: int, headers: Mapping[bytes, bytes]) -> float | None:
--- a/cranberrywick/platform/store.py
+++ b/cranberrywick/platform/store.py
@@ -8,6 +8,7 @@
 from cranberrywick.external.exchange import PlatformClient, Reply
 from cranberrywick.external.key_value import LeaseLapsed
 from cranberrywick.gateway.store_reader import Registered
+from cranberrywick.gateway.unusable_records import UnusableRecords
 from cranberrywick.logs import EventLog
 from cranberrywick.platform.documents import (
     CONFIGURATION_KEY,
@@ -59,6 +60,7 @@
 
     def __init__(self, address: str, log: EventLog):
         self._epochs = StoreEpochs(log)
+        self._unusable_members = UnusableRecords("daemon", log)
         self._client = PlatformClient(
             (f"http://{address}",),
             read_timeout=READ_TIMEOUT_SECONDS,
@@ -80,8 +82,8 @@
             decoded_by_id[endpoint_id] = decoded
         self._decoded_by_id = decoded_by_id
         records = {i: d.record for i, d in decoded_by_id.items() if d.record}
-        unusable = tuple(i for i, d in decoded_by_id.items() if d.record is None)
-        return EndpointView(position.revision, records, unusable, position.epoch)
+        reasons = {i: d.reason for i, d in decoded_by_id.items() if d.record is None}
+        return EndpointView(position.revision, records, reasons, position.epoch)
 
     def read_operator(self) -> OperatorView:
         """Return a snapshot of what operators have written; it is never stale."""
@@ -92,7 +94,10 @@
             if item["key"] == CONFIGURATION_KEY:
                 document = _decode_value(item)
             elif item["key"].startswith(EVACUATION_PREFIX):
-                domains.add(item["key"].removeprefix(EVACUATION_PREFIX))
+                domain = item["key"].removeprefix(EVACUATION_PREFIX)
+                # No endpoint is in a domain with a name that none can have.
+                if domain.isprintable():
+                    domains.add(domain)
         return OperatorView.of(
             position.revision, document, frozenset(domains), position.epoch
         )
@@ -104,14 +109,17 @@
         of a current one; heartbeats show which daemons are alive.
         """
         _, items = self._read_items(MEMBERS_PREFIX, serializable=True)
-        members = {}
+        addresses_by_id = {}
+        reasons_by_id = {}
         for item in items:
+            daemon_id = item["key"].removeprefix(MEMBERS_PREFIX)
             try:
-                daemon_id = item["key"].removeprefix(MEMBERS_PREFIX)
-                members[daemon_id] = decode_member(_decode_value(item))
-            except InvalidConfiguration:
-                continue
-        return members
+                address = decode_member(daemon_id, _decode_value(item))
+                addresses_by_id[daemon_id] = address
+            except InvalidConfiguration as error:
+                reasons_by_id[daemon_id] = error.message
+        self._unusable_members.record(reasons_by_id)
+        return addresses_by_id
 
     def register(
         self, daemon_id: str, peer_address: str, ttl_seconds: float
@@ -238,20 +246,21 @@
 
 
 class _Decoded(NamedTuple):
-    """The endpoint that a value describes; None if it describes no usable one.
+    """The endpoint that a value describes; None, and why, if that is no usable one.
 
     Items are compared by their values, since the store can give out a revision again.
     """
 
     value: str | None
     record: EndpointRecord | None
+    reason: str = ""
 
 
 def _decode_record(endpoint_id: str, item: dict[str, Any]) -> _Decoded:
     try:
         record = decode_endpoint(endpoint_id, _decode_value(item))
-    except InvalidConfiguration:
-        record = None
+    except InvalidConfiguration as error:
+        return _Decoded(item.get("value"), None, error.message)
     return _Decoded(item.get("value"), record)
 
 
--- a/cranberrywick/routing/model.py
+++ b/cranberrywick/routing/model.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterable, Mapping
 from enum import StrEnum
 from hashlib import blake2b
+from types import MappingProxyType
 from typing import NamedTuple
 
 from cranberrywick.routing.store_position import UNKNOWN_EPOCH, StorePosition
@@ -26,6 +27,7 @@
     "Route",
     "RouteKind",
     "Service",
+    "UnusableEntries",
     "VmLimits",
 ]
 
@@ -46,6 +48,7 @@
     ``gap_target_seconds`` the longest pause between events that is on time.
     ``max_endpoints`` is the largest number of endpoints to which one request may be
     sent. ``resumable`` says that a stream can be continued at another endpoint.
+    Requests on a route that isn't usable are refused: its entry can't be read.
     """
 
     name: str
@@ -60,6 +63,7 @@
     max_endpoints: int
     public: bool
     resumable: bool
+    is_usable: bool = True
 
     @property
     def idempotent(self) -> bool:
@@ -122,6 +126,18 @@
     priority: int | None
 
 
+class UnusableEntries(NamedTuple):
+    """What of a configuration can't be read.
+
+    ``reasons`` has a line for each entry; the requests for the ``services`` and with
+    the ``keys`` of such entries are refused.
+    """
+
+    reasons: tuple[str, ...] = ()
+    services: frozenset[str] = frozenset()
+    keys: frozenset[str] = frozenset()
+
+
 class GatewayConfiguration(NamedTuple):
     """One version of the operators' configuration; versions only grow."""
 
@@ -130,6 +146,7 @@
     services_by_name: Mapping[str, Service]
     limits: RequestLimits
     organisations_by_key: Mapping[str, Organisation] | None
+    unusable: UnusableEntries = UnusableEntries()
 
 
 class EndpointRecord(NamedTuple):
@@ -236,15 +253,15 @@
 class EndpointView(NamedTuple):
     """A snapshot of all registered endpoints at one revision of the store.
 
-    ``epoch`` is the store's, `UNKNOWN_EPOCH` if it states none. ``unusable_ids`` are
-    the ids of records that could not be decoded as an endpoint.
+    ``epoch`` is the store's, `UNKNOWN_EPOCH` if it states none.
+    ``unusable_reasons_by_id`` says of records that describe no usable endpoint why.
     Two snapshots with the same ``digest`` are equal, except for how long endpoints stay
     cold.
     """
 
     revision: int
     records_by_id: Mapping[str, EndpointRecord]
-    unusable_ids: tuple[str, ...] = ()
+    unusable_reasons_by_id: Mapping[str, str] = MappingProxyType({})
     epoch: int = UNKNOWN_EPOCH
 
     @property
--- a/tests/test_gateway_attempt.py
+++ b/tests/test_gateway_attempt.py
@@ -136,6 +136,7 @@
     with make_handler("info", stream).applicationbound():
         tracker = EndpointTracker(EventLog())
         for revision in (1, 2, 3):
-            view = EndpointView(revision, {}, unusable_ids=("e9",))
+            view = EndpointView(revision, {}, {"e9": "state is unknown"})
             tracker.apply_store_snapshot(view, float(revision), float(revision))
-    assert stream.getvalue().count("event=endpoint_record_unusable endpoint=e9") == 1
+    line = 'event=endpoint_record_unusable endpoint=e9 reason="state is unknown"'
+    assert stream.getvalue().count(line) == 1
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -133,4 +133,4 @@
     for _ in range(2):
         view = store.read_endpoints()
         assert view.records_by_id.keys() == {"e1"}
-        assert view.unusable_ids == ("e2",)
+        assert view.unusable_reasons_by_id == {"e2": "state is unknown"}
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -8,7 +8,7 @@
 
 from cranberrywick.errors import NotFound, Unauthorised
 from cranberrywick.gateway.events import EventSplitter
-from cranberrywick.platform.documents import decode_configuration
+from cranberrywick.platform.configuration import decode_configuration
 from cranberrywick.routing.directory import choose_addresses
 from cranberrywick.routing.engine_model import DELAY_PRICE, forecast, prefill_time
 from cranberrywick.routing.freshness import RefreshPolicy
