A demand for an endpoint that has left the list costs the others no grants

What daemons saw: the steward's answer to a peer's demand ended with KeyError (controller_call_failed) while the peer didn't know yet that one of the endpoints had left the list; the peer got no grants for the others of that demand, until its next one.

Cause: the ledger of an endpoint outlives its place among the shards, and only the ledger was asked for. It gets the answer of an unknown endpoint now.

--- a/cranberrywick/controllers/grants.py
+++ b/cranberrywick/controllers/grants.py
@@ -241,9 +241,11 @@
         self, holder: str, round: int, entry: DemandEntry, now: float
     ) -> tuple[float, GrantEntry]:
         ledger = self._ledgers_by_id.get(entry.endpoint_id)
-        if ledger is None:
+        shard = self._shard_by_endpoint.get(entry.endpoint_id)
+        # A peer may not know yet that the endpoint has left the list.
+        if ledger is None or shard is None:
             return 0.0, GrantEntry(entry.endpoint_id, 0, False, None)
-        until = self._authority.held_until(self._shard_by_endpoint[entry.endpoint_id])
+        until = self._authority.held_until(shard)
         limit = ledger.limit
         granted = ledger.demand(holder, round, entry, now, until)
         if ledger.limit < limit or ledger.is_short(now):
