An odd VM leaves the list of VMs to be followed, and serve to the others

What operators of systems like this one saw, looked for in serve: one entry of the list of VMs that is nested deeply, or has a number of 5,000 digits, made the whole list unreadable, so that no change of it was followed. Reports of endpoints had numbers of any size.

Change: what the library can't read of a JSON object is None, and the rest is read; a text that is cut or no JSON is still refused. VMs have addresses, names and states that can be used, else the log says which one isn't and why; the same checks as for the gateway (fields.py, addresses.py, unusable_records.py stand above both now). Reports, orders, lists of holdings, claims and stored configurations that can't be read are failures of that kind. The gateway's ports in its settings file are checked, too.

--- a/cranberrywick/claims/bucket.py
+++ b/cranberrywick/claims/bucket.py
@@ -23,6 +23,7 @@
     RecordedResult,
     Unknown,
 )
+from cranberrywick.fields import FIELD_ERRORS
 
 __all__ = ["AcquireClaim", "Bucket", "Operation", "RecordResult", "Release"]
 
@@ -121,7 +122,7 @@
         try:
             stored = json.loads(text)["claims"]
             well_formed = all(map(_is_well_formed, stored.values()))
-        except (AttributeError, KeyError, TypeError, ValueError) as error:
+        except FIELD_ERRORS as error:
             raise ClaimsUnreadable(f"stored claims: {error!r}") from error
         if not well_formed:
             raise ClaimsUnreadable("stored claims are malformed")
--- a/cranberrywick/configuration/envelope.py
+++ b/cranberrywick/configuration/envelope.py
@@ -5,6 +5,7 @@
 
 from cranberrywick.configuration.document import EMPTY, Configuration, check
 from cranberrywick.errors import InvalidConfiguration
+from cranberrywick.fields import FIELD_ERRORS
 
 __all__ = [
     "NOTHING_ACCEPTED",
@@ -59,7 +60,7 @@
         change_id = str(fields["change_id"])
         document = fields["document"]
         changes = tuple(Change(*change) for change in fields.get("changes", ()))
-    except (KeyError, TypeError, ValueError) as error:
+    except FIELD_ERRORS as error:
         raise InvalidConfiguration(f"stored configuration: {error!r}") from error
     return AcceptedConfiguration(version, change_id, document, check(document), changes)
 
--- a/cranberrywick/configuration/settings.py
+++ b/cranberrywick/configuration/settings.py
@@ -144,7 +144,7 @@
         document = json.loads(text)
     except OSError as error:
         raise InvalidSettings(f"{path}: can't be read: {error.strerror}") from error
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise InvalidSettings(f"{path}: is not JSON: {error}") from error
     return check_settings(document)
 
--- a/cranberrywick/controllers/endpoints.py
+++ b/cranberrywick/controllers/endpoints.py
@@ -19,6 +19,7 @@
 from cranberrywick.external.vms import Vm, VmList, VmRole, VmState
 from cranberrywick.logs import EventLog
 from cranberrywick.model import Endpoint, EndpointLoad, EndpointRefusal
+from cranberrywick.unusable_records import UnusableRecords
 
 __all__ = ["EndpointBoard", "EndpointController"]
 
@@ -91,6 +92,7 @@
         self._announced_leaving: frozenset[str] = frozenset()
         self._vms_by_id: Mapping[str, Vm] = {}
         self._phases = EndpointPhases()
+        self._unusable = UnusableRecords("vm", log)
         self._polling: set[str] = set()
         self._pollers = ThreadPoolExecutor(LOAD_THREADS, "load-poll")
 
@@ -124,6 +126,7 @@
             # its older list would bring back endpoints that have left.
             return
         self._revision = listing.revision
+        self._unusable.record(listing.unusable_reasons_by_id, listing.revision)
         self._vms_by_id = listing.vms_by_id
         self._publish()
 
--- a/cranberrywick/controllers/fleet_versions.py
+++ b/cranberrywick/controllers/fleet_versions.py
@@ -47,5 +47,5 @@
             redirect=False,
         )
         return int(json.loads(answer.data)["configuration_version"])
-    except (HTTPError, OSError, ValueError, TypeError, KeyError):
+    except (HTTPError, OSError, ValueError, TypeError, KeyError, RecursionError):
         return NO_VERSION
--- a/cranberrywick/daemon.py
+++ b/cranberrywick/daemon.py
@@ -32,6 +32,7 @@
 from cranberrywick.external.key_value import open_key_value_store
 from cranberrywick.external.vms import VmList
 from cranberrywick.external.weights import WeightStore
+from cranberrywick.fields import FIELD_ERRORS
 from cranberrywick.filters.chain import Filter, FilterChain
 from cranberrywick.filters.completion import CompletionFilter
 from cranberrywick.filters.dispatch import DispatchFilter
@@ -253,14 +254,13 @@
             self._configuration.offer_from_peer(
                 version, fields["change_id"], fields["document"]
             )
-        except (CranberrywickError, ValueError, TypeError, KeyError) as error:
+        except (CranberrywickError, *FIELD_ERRORS) as error:
             self._log.warning("configuration_from_peer_unusable", error=error)
 
     def _endpoints_listed(self, board: EndpointBoard) -> None:
         self._peers.set_endpoints(board.endpoints_by_id)
-        self._peers.set_seeds(
-            [vm.peer_address for vm in board.entry_vms if vm.peer_address]
-        )
+        seeds = [vm.peer_address for vm in board.entry_vms if vm.peer_address]
+        self._peers.set_seeds(seeds)
 
     def _endpoint_leaving(self, leaving: LeavingEndpoint) -> None:
         self._endpoints.mark_leaving(leaving.endpoint_id, leaving.incarnation)
--- a/cranberrywick/endpoints/connection.py
+++ b/cranberrywick/endpoints/connection.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from io import BufferedReader
 
+from cranberrywick.addresses import parse_address
 from cranberrywick.errors import CallerGone, EndpointRefused, TimedOut
 from cranberrywick.external.bounded_http import BoundedConnection
 from cranberrywick.model import EndpointRefusal, Executed
@@ -107,11 +108,15 @@
     deadline passes first; both state that the request did not run, since none of
     its bytes were sent.
     """
-    host, port = address.rsplit(":", 1)
-    host = host.strip("[]")
     remaining = deadline - time.monotonic()
     if remaining <= 0:
         raise TimedOut("no time left to connect", executed=Executed.NO)
+    try:
+        host, port = parse_address(address, allows_ipv6=True)
+    except ValueError as error:
+        raise EndpointRefused(
+            f"no connection: {error}", reason=EndpointRefusal.UNREACHABLE
+        ) from error
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
     sock = _DeadlineSocket(family, socket.SOCK_STREAM)
     sock.deadline = deadline
@@ -119,7 +124,7 @@
     try:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.settimeout(min(remaining, CONNECT_SECONDS))
-        sock.connect((host, int(port)))
+        sock.connect((host, port))
     except OSError as error:
         sock.close()
         if time.monotonic() >= deadline:
@@ -127,4 +132,4 @@
         raise EndpointRefused(
             f"no connection to {address}: {error}", reason=EndpointRefusal.UNREACHABLE
         ) from error
-    return EndpointConnection(host, int(port), sock)
+    return EndpointConnection(host, port, sock)
--- a/cranberrywick/endpoints/holdings.py
+++ b/cranberrywick/endpoints/holdings.py
@@ -11,6 +11,7 @@
 from cranberrywick.decisions.orphans import Listed, ListedKind
 from cranberrywick.endpoints.connection import connect
 from cranberrywick.errors import AnswerLost, EndpointRefused
+from cranberrywick.fields import FIELD_ERRORS
 
 __all__ = ["list_holdings", "release", "reserve"]
 
@@ -78,7 +79,7 @@
             items += [
                 _parse_item(endpoint_id, kind, item) for item in answer[kind.value]
             ]
-        except (KeyError, TypeError, ValueError) as error:
+        except FIELD_ERRORS as error:
             raise AnswerLost("the engine's list can't be read") from error
     return items
 
@@ -103,7 +104,7 @@
         response = connection.getresponse()
         data = response.read(MAX_LIST_BYTES)
         answer = json.loads(data) if data else {}
-    except (OSError, HTTPException, HTTPError, ValueError) as error:
+    except (OSError, HTTPException, HTTPError, *FIELD_ERRORS) as error:
         raise AnswerLost(f"no answer to {method} {path}: {error}") from error
     finally:
         connection.close()
--- a/cranberrywick/endpoints/load.py
+++ b/cranberrywick/endpoints/load.py
@@ -7,7 +7,8 @@
 from urllib3.exceptions import HTTPError
 
 from cranberrywick.endpoints.connection import connect
-from cranberrywick.errors import AnswerLost
+from cranberrywick.errors import AnswerLost, InvalidConfiguration
+from cranberrywick.fields import FIELD_ERRORS, check_name, integer, number
 from cranberrywick.model import Endpoint, EndpointLoad, EndpointPhase
 
 __all__ = ["fetch_load"]
@@ -16,6 +17,10 @@
 # use, since the next one is due by then.
 LOAD_TIMEOUT_SECONDS = 1.0
 MAX_REPORT_BYTES = 64 * 1024
+# Largest count in a report; the messages between daemons have no larger one.
+MAX_COUNT = 2**31 - 1
+# Longest age of a report, in seconds.
+MAX_AGE_SECONDS = 1e6
 
 
 def fetch_load(endpoint: Endpoint, clock: Callable[[], float]) -> EndpointLoad:
@@ -33,7 +38,7 @@
         return _read_report(endpoint.endpoint_id, fields, asked_at)
     except (OSError, HTTPException, HTTPError) as error:
         raise AnswerLost(f"no load report: {error}") from error
-    except (KeyError, TypeError, ValueError) as error:
+    except (InvalidConfiguration, *FIELD_ERRORS) as error:
         raise AnswerLost(f"malformed load report: {error!r}") from error
     finally:
         connection.close()
@@ -44,12 +49,19 @@
     # report delayed by the network does not look more recent than it is.
     return EndpointLoad(
         endpoint_id=endpoint_id,
-        incarnation=int(fields["incarnation"]),
+        incarnation=integer(fields, "incarnation", least=0),
         phase=EndpointPhase(fields["phase"]),
-        reported_at=asked_at - max(0.0, float(fields.get("age_seconds", 0.0))),
-        running=int(fields.get("running", 0)),
-        waiting=int(fields.get("waiting", 0)),
-        prefill_tokens_waiting=int(fields.get("prefill_tokens_waiting", 0)),
-        cache_tokens_used=int(fields.get("cache_tokens_used", 0)),
-        models=tuple(str(model) for model in fields.get("models", ())),
+        reported_at=asked_at
+        - max(0.0, number(fields, "age_seconds", 0.0, most=MAX_AGE_SECONDS)),
+        running=_count(fields, "running"),
+        waiting=_count(fields, "waiting"),
+        prefill_tokens_waiting=_count(fields, "prefill_tokens_waiting"),
+        cache_tokens_used=_count(fields, "cache_tokens_used"),
+        models=tuple(
+            check_name(model, "a model") for model in fields.get("models", ())
+        ),
     )
+
+
+def _count(fields: dict, key: str) -> int:
+    return integer(fields, key, 0, least=0, most=MAX_COUNT)
--- a/cranberrywick/endpoints/orders.py
+++ b/cranberrywick/endpoints/orders.py
@@ -33,6 +33,7 @@
     RevisionConflict,
 )
 from cranberrywick.external.weights import WeightStore
+from cranberrywick.fields import FIELD_ERRORS
 from cranberrywick.model import Endpoint
 
 __all__ = [
@@ -56,7 +57,7 @@
 ENDPOINT_TIMEOUT_SECONDS = 5.0
 ANSWER_LIMIT_BYTES = 1 << 20
 
-_REQUEST_ERRORS = (OSError, http.client.HTTPException, KeyError, ValueError)
+_REQUEST_ERRORS = (OSError, http.client.HTTPException, *FIELD_ERRORS)
 
 
 @dataclass(frozen=True)
@@ -130,7 +131,7 @@
             frozenset(str(adapter) for adapter in fields.get("adapters", ())),
             fields.get("role"),
         )
-    except (*_REQUEST_ERRORS, AttributeError, TypeError) as error:
+    except _REQUEST_ERRORS as error:
         raise AnswerLost(f"no state of {endpoint.endpoint_id}: {error!r}") from error
     finally:
         connection.close()
--- a/cranberrywick/external/exchange.py
+++ b/cranberrywick/external/exchange.py
@@ -14,6 +14,7 @@
 
 from cranberrywick.errors import PlatformUnavailable
 from cranberrywick.external.bounded_http import bounded_pool_manager
+from cranberrywick.external.readable_json import load_readable
 
 __all__ = [
     "AmbiguousWrite",
@@ -181,8 +182,8 @@
     if status >= 500:
         raise no_answer_error(method, f"{url}: status {status}")
     try:
-        fields = json.loads(data)
-    except (ValueError, RecursionError) as error:
+        fields = load_readable(data)
+    except ValueError as error:
         raise no_answer_error(method, f"{url}: answer is not JSON") from error
     if not isinstance(fields, dict):
         raise no_answer_error(method, f"{url}: answer is not a JSON object")
--- a/cranberrywick/external/key_value.py
+++ b/cranberrywick/external/key_value.py
@@ -17,6 +17,7 @@
     Reply,
     no_answer_error,
 )
+from cranberrywick.fields import FIELD_ERRORS
 
 __all__ = [
     "KEY_VALUE_STORES",
@@ -274,7 +275,7 @@
     """Return what ``read`` makes of an answer; a malformed one counts as no answer."""
     try:
         return read(*args)
-    except (KeyError, TypeError, ValueError) as error:
+    except FIELD_ERRORS as error:
         raise no_answer_error(method, f"malformed answer: {error!r}") from error
 
 
--- /dev/null
+++ b/cranberrywick/external/readable_json.py
@@ -0,0 +1,75 @@
+"""JSON of which a part can't be read.
+
+Lists of the platform's services have entries that others wrote. The library reads none
+of a text in which one value is nested too deeply or has too many digits.
+"""
+
+import json
+import re
+from typing import Any
+
+__all__ = ["load_readable"]
+
+# A string, or a character between values.
+_TOKEN = re.compile(r'"[^"\\]*(?:\\.[^"\\]*)*"|[\[\]{},]', re.DOTALL)
+
+
+def load_readable(data: bytes) -> Any:
+    """Return what a JSON text says.
+
+    Of a text that is beyond the library's bounds, it is the object with None in place
+    of the members, and of the entries of lists among them, that can't be read. Raises
+    ValueError for a text that isn't JSON, or no object beyond these bounds.
+
+    >>> load_readable(b'{"entries": [7, %s]}' % (b"[" * 9999 + b"]" * 9999))
+    {'entries': [7, None]}
+    """
+    try:
+        return json.loads(data)
+    except json.JSONDecodeError:
+        raise
+    except (ValueError, RecursionError):
+        text = data.decode()
+    members = {}
+    for member in _split(text, "{"):
+        key, _, value = member.partition(":")
+        members[json.loads(key)] = _load_member(value.strip())
+    return members
+
+
+def _load_member(text: str) -> Any:
+    if text.startswith("["):
+        return [_load_entry(entry) for entry in _split(text, "[")]
+    return _load_entry(text)
+
+
+def _load_entry(text: str) -> Any:
+    try:
+        return json.loads(text)
+    except json.JSONDecodeError:
+        raise
+    except (ValueError, RecursionError):
+        return None
+
+
+def _split(text: str, opening: str) -> list[str]:
+    """Return the texts between the commas of the value that a text is."""
+    text = text.strip()
+    parts: list[str] = []
+    depth = start = 0
+    for token in _TOKEN.finditer(text):
+        mark = token[0]
+        if mark in ("[", "{"):
+            depth += 1
+            if depth == 1:
+                start = token.end()
+        elif mark in ("]", "}"):
+            depth -= 1
+        if not depth or (mark == "," and depth == 1):
+            parts.append(text[start : token.start()])
+            start = token.end()
+        if not depth:
+            break
+    if depth or not text.startswith(opening) or text[start:]:
+        raise ValueError("not a whole JSON value")
+    return [] if len(parts) == 1 and not parts[0].strip() else parts
--- a/cranberrywick/external/weights.py
+++ b/cranberrywick/external/weights.py
@@ -35,5 +35,5 @@
             raise NotFound(f"no weights for {model} {version}")
         try:
             return ModelWeights(model, version, int(reply.fields["bytes"]))
-        except (KeyError, TypeError, ValueError) as error:
+        except (KeyError, OverflowError, TypeError, ValueError) as error:
             raise PlatformUnavailable(f"malformed answer: {error!r}") from error
--- a/cranberrywick/fields.py
+++ b/cranberrywick/fields.py
@@ -12,6 +12,7 @@
 from cranberrywick.errors import InvalidConfiguration
 
 __all__ = [
+    "FIELD_ERRORS",
     "address",
     "boolean",
     "check_name",
@@ -24,6 +25,11 @@
     "strings",
 ]
 
+# What reading JSON, and fields of it that may be of any type, raises.
+FIELD_ERRORS = (
+    *(AttributeError, KeyError, OverflowError),
+    *(RecursionError, TypeError, ValueError),
+)
 # Longest name of anything, in characters. Names are sent to peers in datagrams and to
 # endpoints in headers.
 MAX_NAME_CHARACTERS = 200
@@ -92,11 +98,11 @@
     return check_name(string(fields, key, default), key)
 
 
-def address(fields: Mapping[str, Any], key: str) -> str:
+def address(fields: Mapping[str, Any], key: str, allows_ipv6: bool = False) -> str:
     """Return a string that is an address, as ``ip:port``."""
     text = string(fields, key)
     try:
-        parse_address(text)
+        parse_address(text, allows_ipv6)
     except ValueError as error:
         raise InvalidConfiguration(f"{key}: {error}") from error
     return text
--- a/cranberrywick/gateway/endpoint_tracker.py
+++ b/cranberrywick/gateway/endpoint_tracker.py
@@ -7,12 +7,12 @@
 
 from cranberrywick.addresses import is_address
 from cranberrywick.gateway.endpoint_snapshot import NO_DELTA, Applied, EndpointSnapshot
-from cranberrywick.gateway.unusable_records import UnusableRecords
 from cranberrywick.logs import EventLog, id_lists
 from cranberrywick.routing.drain_notices import DrainNotices
 from cranberrywick.routing.model import EndpointDelta, EndpointView
 from cranberrywick.routing.registry import EndpointChange, EndpointRegistry
 from cranberrywick.routing.store_position import UNKNOWN_EPOCH, StorePosition
+from cranberrywick.unusable_records import UnusableRecords
 
 __all__ = ["EndpointTracker", "PeerSnapshotOutcome", "StoreSnapshotOutcome"]
 
--- a/cranberrywick/peers/transport.py
+++ b/cranberrywick/peers/transport.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 
+from cranberrywick.addresses import parse_address
 from cranberrywick.peers.codec import MAX_DATAGRAM_BYTES, MAX_STREAM_BYTES
 
 __all__ = ["Transport", "TransportCounts", "split_address"]
@@ -134,7 +135,8 @@
             self.counts.datagrams_dropped += 1
             return
         try:
-            self._udp.sendto(frame, socket.MSG_DONTWAIT, split_address(address))
+            target = parse_address(address)
+            self._udp.sendto(frame, socket.MSG_DONTWAIT, target)
         except (OSError, ValueError):
             # The buffer is full, the network is unreachable or the address in the VM
             # list is malformed. All these count as loss, which the protocol tolerates.
@@ -191,8 +193,11 @@
         """
         if self.is_cut(address):
             raise ConnectionRefusedError("cut by the test")
-        host_and_port = split_address(address)
-        with socket.create_connection(host_and_port, timeout=seconds) as connection:
+        try:
+            target = parse_address(address)
+        except ValueError as error:
+            raise ConnectionRefusedError(f"no address: {error}") from error
+        with socket.create_connection(target, timeout=seconds) as connection:
             _write_frame(connection, frame)
             answer = _read_frame(connection, MAX_STREAM_BYTES)
         self.counts.bytes_received += len(answer)
--- a/cranberrywick/platform/configuration.py
+++ b/cranberrywick/platform/configuration.py
@@ -10,8 +10,7 @@
 from typing import Any, TypeVar
 
 from cranberrywick.errors import InvalidConfiguration
-from cranberrywick.platform.documents import decode_object
-from cranberrywick.platform.fields import (
+from cranberrywick.fields import (
     boolean,
     integer,
     mapping,
@@ -20,6 +19,7 @@
     number,
     string,
 )
+from cranberrywick.platform.documents import decode_object
 from cranberrywick.routing.model import (
     EngineProfile,
     GatewayConfiguration,
--- a/cranberrywick/platform/documents.py
+++ b/cranberrywick/platform/documents.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from cranberrywick.errors import InvalidConfiguration
-from cranberrywick.platform.fields import (
+from cranberrywick.fields import (
     address,
     check_name,
     integer,
--- a/cranberrywick/platform/settings.py
+++ b/cranberrywick/platform/settings.py
@@ -6,8 +6,9 @@
 from pathlib import Path
 from typing import Any
 
+from cranberrywick.addresses import MAX_PORT
 from cranberrywick.errors import InvalidConfiguration, InvalidSettings
-from cranberrywick.platform.fields import mapping, number, string, strings
+from cranberrywick.fields import integer, mapping, number, string, strings
 from cranberrywick.routing.model import BoundsSettings, GatewaySettings, VmLimits
 
 __all__ = ["SETTINGS_VARIABLE", "decode_settings", "load_settings"]
@@ -29,7 +30,7 @@
         raise InvalidSettings(f"{SETTINGS_VARIABLE} is not set")
     try:
         fields = json.loads(Path(path).read_text())
-    except (OSError, ValueError) as error:
+    except (OSError, ValueError, RecursionError) as error:
         raise InvalidSettings(f"{path}: {error}") from error
     if not isinstance(fields, dict):
         raise InvalidSettings(f"{path}: not a JSON object")
@@ -48,6 +49,8 @@
     ports = fields.get("internalPorts")
     if not isinstance(ports, list) or len(ports) != 2:
         raise InvalidConfiguration("internalPorts is not a pair")
+    pair = dict(enumerate(ports))
+    first_port, last_port = (integer(pair, each, None, 1, MAX_PORT) for each in pair)
     pressure = PRESSURE_CONTRACT in strings(fields, "contracts")
     return GatewaySettings(
         daemon_id=string(fields, "nodeName"),
@@ -56,8 +59,8 @@
         entry_address=string(listen, "front", ""),
         directory_address=string(listen, "directory", ""),
         ready_address=string(listen, "ready", ""),
-        internal_ports=(int(ports[0]), int(ports[1])),
-        metrics_address=f"{string(fields, 'ip')}:{int(ports[1])}",
+        internal_ports=(first_port, last_port),
+        metrics_address=f"{string(fields, 'ip')}:{last_port}",
         store_address=string(mapping(fields, "platform"), "address"),
         seeds=strings(fields, "seeds"),
         bounds=_decode_bounds(mapping(fields, "bounds")),
--- a/cranberrywick/platform/store.py
+++ b/cranberrywick/platform/store.py
@@ -8,7 +8,6 @@
 from cranberrywick.external.exchange import PlatformClient, Reply
 from cranberrywick.external.key_value import LeaseLapsed
 from cranberrywick.gateway.store_reader import Registered
-from cranberrywick.gateway.unusable_records import UnusableRecords
 from cranberrywick.logs import EventLog
 from cranberrywick.platform.documents import (
     CONFIGURATION_KEY,
@@ -24,6 +23,7 @@
 from cranberrywick.platform.store_epoch import StoreEpochs
 from cranberrywick.routing.model import EndpointRecord, EndpointView, OperatorView
 from cranberrywick.routing.store_position import StorePosition
+from cranberrywick.unusable_records import UnusableRecords
 
 __all__ = ["PlatformStore"]
 
--- a/tests/test_cut_heads.py
+++ b/tests/test_cut_heads.py
@@ -270,7 +270,7 @@
         with pytest.raises(AnswerLost):
             fetch_engine_state(endpoint)
         with pytest.raises(CranberrywickError):
-            fetch_load(endpoint, lambda: 0.0)
+            fetch_load(endpoint, time.monotonic)
     service.answer = whole
     assert fetch_engine_state(endpoint).role is None
 
@@ -335,8 +335,8 @@
         assert statuses[200] > SERVE_CALLS / 2
 
 
-def send_to_serve(daemon, number):
-    """Make a call or send a prompt to a daemon of ``serve``."""
+def send_to_serve(daemon, number, key=""):
+    """Make a call, by odd numbers, or send a prompt to a daemon of ``serve``."""
     path, body = (
         (BOOKING_PATH, {"tube": 7}) if number % 2 else (COMPLETIONS_PATH, PROMPT)
     )
@@ -346,7 +346,7 @@
         body=json.dumps(body).encode(),
         headers={
             "Authorization": f"Bearer {CALLER_KEY}",
-            "Idempotency-Key": f"key-{number}",
+            "Idempotency-Key": key or f"key-{number}",
         },
         retries=False,
         timeout=70.0,
