--- a/tests/odd_entries.py
+++ b/tests/odd_entries.py
@@ -52,6 +52,8 @@
     "surrogate": "\ud800:80",
     "long label": f"{'a' * 70}.example:80",
     "long": f"{'1' * 100_000}:80",
+    "long and an address": f"{' ' * 64}127.0.0.1:80",
+    "scope": "[fe80::1%\0]:80",
 }
 VALUES = {
     "empty": b"",
