--- a/cranberrywick/platform/configuration.py
+++ b/cranberrywick/platform/configuration.py
@@ -144,7 +144,7 @@
 def _decode_route(row: Mapping[str, Any]) -> Route:
     timeout = number(row, "timeoutMs", least=0, most=MAX_MS)
     return Route(
-        name=name(row, "name", ""),
+        name=_decode_route_name(row),
         host=string(row, "host").lower(),
         prefix=string(row, "prefix"),
         kind=_decode_kind(row),
@@ -178,6 +178,14 @@
     )
 
 
+def _decode_route_name(row: Mapping[str, Any]) -> str:
+    """Return what logs and metrics call a route; nothing else depends on it."""
+    try:
+        return name(row, "name", "")
+    except InvalidConfiguration:
+        return ""
+
+
 def _decode_kind(row: Mapping[str, Any]) -> RouteKind:
     try:
         return RouteKind(string(row, "kind"))
