--- a/tests/stop_series.py
+++ b/tests/stop_series.py
@@ -28,11 +28,7 @@
 
 import click
 from directory_callers import DEADLINE_SECONDS, DirectoryCaller, Sent
-from gateway_fleet import (
-    Fleet,
-    configuration,
-    wait_for,
-)
+from gateway_fleet import Fleet, configuration, wait_for
 
 GRACE_SECONDS = 8.0
 # A call that nobody ran crosses the close, unless its caller waited for longer.
@@ -131,6 +127,8 @@
         self.stops.append(Stop(gateway.name, at, time.time(), status))
         time.sleep(RESTART_SECONDS)
         self.fleet.gateways[index] = self.fleet.restart(gateway)
+        # A process that is still starting ends at a signal at once.
+        self.fleet.wait_ready(self.fleet.gateways[index])
 
     def _replace_endpoints(self) -> None:
         """End endpoints, at once or after they have announced it, and add others."""
