The turn that ends the reading of serve still reads: it is waited for

What a caller saw: a request that came to `serve` in the poll that also ended its reading was read, queued, and dropped as the threads ended.

Cause: the step that ends reading runs in the midst of a turn of the loop, which then reads the connections that its poll has found. The last look for requests was made beside that.

Change: the turn is waited for before the look.

--- a/cranberrywick/http_server.py
+++ b/cranberrywick/http_server.py
@@ -116,6 +116,8 @@
         takes no longer than `LAST_ANSWERS_SECONDS`.
         """
         self._run_on_loop(self._stop_reading)
+        # The turn that has taken this step still reads what its poll has found.
+        self._run_on_loop(lambda: None)
         self.wait_until_idle(LAST_ANSWERS_SECONDS)
         self._stopping.set()
         self._server.pull_trigger()
