Calls that come to a stopping daemon late get their error in time, too

Cause: the errors for what has no answer are due 7.35 s after the signal, and were given once, after the first wait. If that had ended since there were no requests, later ones were served until connections are closed at 7.6 s, and got their errors after that. A decision of one look held for the rest of the stop.

Change: each of the two waits, before and after the listeners are closed, gives the errors at 7.35 s if requests are left. A daemon without requests goes from its third look on to close its listeners, as docs/design/stop.md says, not from its sixth.

--- a/cranberrywick/gateway/app.py
+++ b/cranberrywick/gateway/app.py
@@ -227,16 +227,13 @@
         window = DrainWindow.of_grace(started, self._settings.bounds.grace_seconds)
         earliest = started + LEAVE_SECONDS
         self._step(self._begin_drain, window)
-        await self._requests.wait_until_idle(earliest, window.answer_by)
-        unanswered = self._drain.unanswered
-        self._give_up_unanswered()
-        await self._requests.wait_until_idle(earliest, window.close_at)
+        unanswered = await self._serve_rest(earliest, window)
         # What was accepted before is read and served; nothing new comes.
         for ingress in self._served:
             self._step(ingress.stop_listening)
         for _ in range(ACCEPT_TURNS):
             await asyncio.sleep(0)
-        await self._requests.wait_until_idle(earliest, window.close_at)
+        unanswered = max(unanswered, await self._serve_rest(earliest, window))
         # From the last look on nothing else runs until all connections are closed, or
         # nothing more is read from them.
         if self._requests.busy:
@@ -244,6 +241,18 @@
         self._step(self._requests.record_end, unanswered)
         await self._close()
 
+    async def _serve_rest(self, earliest: float, window: DrainWindow) -> int:
+        """Serve until no request is left, or until connections have to be closed.
+
+        Returns how many requests had no answer when the time for it was over.
+        """
+        if await self._requests.wait_until_idle(earliest, window.answer_by):
+            return 0
+        unanswered = self._drain.unanswered
+        self._give_up_unanswered()
+        await self._requests.wait_until_idle(earliest, window.close_at)
+        return unanswered
+
     def _step(self, step: Callable[..., object], *arguments: object) -> None:
         """Take a step of the stop; one that fails doesn't keep the others from theirs.
 
--- a/cranberrywick/gateway/served_requests.py
+++ b/cranberrywick/gateway/served_requests.py
@@ -36,10 +36,11 @@
             self._log.error("stop_step_failed", step="look", error=error)
             return False
 
-    async def wait_until_idle(self, earliest: float, latest: float) -> None:
+    async def wait_until_idle(self, earliest: float, latest: float) -> bool:
         """Wait until no request is left, from ``earliest`` to ``latest``.
 
-        Returns right after the last look, so that what is done next meets what it saw.
+        Returns whether none is left, right after the last look, so that what is done
+        next meets what it saw.
         """
         loop = asyncio.get_running_loop()
         idle_polls = 0
@@ -47,8 +48,9 @@
             is_idle = loop.time() >= earliest and self.is_idle
             idle_polls = idle_polls + 1 if is_idle else 0
             if idle_polls == IDLE_POLLS:
-                return
+                return True
             await asyncio.sleep(IDLE_POLL_SECONDS)
+        return False
 
     def record_end(self, unanswered: int) -> None:
         """Log what is left as the connections are closed.
