Tests: an endpoint that closes plainly after a cut answer has read the request

The stand-in of test_cut_heads closed with the request's body mostly unread, which the kernel turns into a reset. Whole answers may be lost by it, too.

--- a/tests/test_cut_heads.py
+++ b/tests/test_cut_heads.py
@@ -52,6 +52,7 @@
 MISSING = (1, 15, 17, 20, 36)
 ECHOED = ("X-Request-Id", "X-Attempt")
 REQUEST_ID = "request-0000"
+LENGTH = b"content-length:"
 GONE = re.compile(r"endpoint=\S*(?:desk|pool)-1\S* what=gone")
 
 
@@ -151,9 +152,11 @@
                 return  # It was stopped.
             with connection:
                 connection.settimeout(5.0)
-                data = b""
-                while b"\r\n\r\n" not in data and (part := connection.recv(65536)):
-                    data += part
+                # What is left unread would turn the close into a reset.
+                with connection.makefile("rb") as file:
+                    lines = list(iter(file.readline, b"\r\n"))
+                    lengths = [x for x in lines if x.lower().startswith(LENGTH)]
+                    file.read(sum(int(x[len(LENGTH) :]) for x in lengths))
                 connection.sendall(self.answer)
 
     def stop(self):
