Chunks are decoded however their header is written, or the answer is refused

Callers of serve got a 200 with the chunks as body (5, whole, 0), or a part of them as whole.

Cause: the HTTP library decodes chunks only if Transfer-Encoding is that one word. With a space after it, identity before it or an unknown coding it reads to the end of the connection, while has_marked_end looked for the word anywhere. A length beside it bounded the chunks.

--- a/cranberrywick/external/bounded_http.py
+++ b/cranberrywick/external/bounded_http.py
@@ -1,13 +1,20 @@
 """HTTP connections that take no answer for whole whose head has no end.
 
-Two things that the HTTP library accepts are refused. A faulty endpoint or service sends
-interim responses, such as 100 (Continue), without end: the library skips them for as
-long as they come, so that no timeout of a read ever fires. Or it closes in the middle
-of a head: the library takes the end of the connection for that of the headers, and what
-is left of them, without a length, for those of a whole and empty answer.
+Three things that the HTTP library accepts are refused. A faulty endpoint or service
+sends interim responses, such as 100 (Continue), without end: the library skips them for
+as long as they come, so that no timeout of a read ever fires. Or it closes in the
+middle of a head: the library takes the end of the connection for that of the headers,
+and what is left of them, without a length, for those of a whole and empty answer. Or it
+names a transfer coding besides chunks: the library then takes the chunks for the body.
 """
 
-from http.client import BadStatusLine, HTTPResponse, IncompleteRead
+from collections.abc import Iterable
+from http.client import (
+    BadStatusLine,
+    HTTPResponse,
+    IncompleteRead,
+    UnknownTransferEncoding,
+)
 from io import BufferedReader
 from typing import Any
 
@@ -60,7 +67,8 @@
 class BoundedResponse(HTTPResponse):
     """A response that raises `IncompleteRead` if its head has no end.
 
-    After too many interim responses it raises `BadStatusLine`.
+    After too many interim responses it raises `BadStatusLine`, and for a transfer
+    coding that isn't decoded `UnknownTransferEncoding`.
     """
 
     _status_lines = 0
@@ -75,6 +83,17 @@
             raise BadStatusLine("too many interim responses")
         return super()._read_status()
 
+    def begin(self) -> None:
+        """Read the head; called by the library."""
+        super().begin()
+        # The library decodes chunks only if the header says nothing else, not even a
+        # space; else it forwards them as they come, to wherever the connection ends.
+        codings = _transfer_codings(self.headers.get_all("Transfer-Encoding", ()))
+        if not self.chunked and codings:
+            if codings != ["chunked"]:
+                raise UnknownTransferEncoding(", ".join(codings))
+            self.chunked, self.chunk_left, self.length = True, None, None
+
 
 class BoundedConnection(HTTPConnection):
     """A connection to one address."""
@@ -103,13 +122,18 @@
     return manager
 
 
+def _transfer_codings(values: Iterable[str]) -> list[str]:
+    names = [name.strip().lower() for value in values for name in value.split(",")]
+    return [name for name in names if name not in ("", "identity")]
+
+
 def has_marked_end(response: BaseHTTPResponse) -> bool:
     """Return whether the end of a body is marked, so that a cut is noticed.
 
     A body that ends when the connection closes looks whole wherever it breaks, and so
     does one whose length can't be read.
     """
-    if "chunked" in response.headers.get("Transfer-Encoding", "").lower():
+    if _transfer_codings([response.headers.get("Transfer-Encoding", "")]):
         return True
     length = response.headers.get("Content-Length", "")
     return length.isascii() and length.isdigit()
--- /dev/null
+++ b/tests/test_cut_framing.py
@@ -0,0 +1,42 @@
+"""Answers whose framing is written in other ways than usual, whole and cut.
+
+Guards against a 200 whose body is a part of the answer, or its chunks as they came, and
+against sound answers that count as cut.
+"""
+
+import pytest
+from test_cut_heads import call_of, head_of, service
+
+from cranberrywick.endpoints.client import send
+from cranberrywick.errors import AmbiguousSend, AnswerLost
+
+__all__ = ["service"]
+
+CHUNKS = b"5\r\nwhole\r\n0\r\n\r\n"
+CHUNKED = ("chunked", "Chunked", "chunked ", "identity, chunked")
+UNREAD = ("xchunked", "gzip, chunked", "chunked, chunked", "chunked;q=1")
+
+
+def read(service, answer):
+    """Return the body that `serve` reads of an answer."""
+    service.answer = answer
+    received = send(service.address, call_of())
+    try:
+        return b"".join(received.chunks())
+    finally:
+        received.close_connection()
+
+
+@pytest.mark.parametrize("coding", [*CHUNKED, *UNREAD])
+@pytest.mark.parametrize("more", [(), ("Content-Length: 9",)])
+def test_chunks_are_decoded_or_refused(service, coding, more):
+    """Guards against chunks that are forwarded as a body, and cut without notice."""
+    whole = head_of("200 OK", f"Transfer-Encoding: {coding}", *more) + CHUNKS
+    for size in range(len(whole)):
+        with pytest.raises((AnswerLost, AmbiguousSend)):
+            pytest.fail(f"whole: {read(service, whole[:size])!r}")
+    if coding in CHUNKED:
+        assert read(service, whole) == b"whole"
+    else:
+        with pytest.raises((AnswerLost, AmbiguousSend)):
+            read(service, whole)
