A length that is written in another way doesn't refuse a sound answer

Callers of serve got 502 for a whole answer whose length had a space after it, was folded, or came twice; passed these on. Lengths with a sign or that differ stay refused.

Evidence: test_a_length_is_read_however_it_is_written, cut after each byte and whole: 4 of 4 failed before, none after.

--- a/cranberrywick/external/bounded_http.py
+++ b/cranberrywick/external/bounded_http.py
@@ -135,5 +135,6 @@
     """
     if _transfer_codings([response.headers.get("Transfer-Encoding", "")]):
         return True
-    length = response.headers.get("Content-Length", "")
-    return length.isascii() and length.isdigit()
+    # The library refuses several lengths unless they are the same.
+    lengths = response.headers.get("Content-Length", "").split(",")
+    return all(each.strip().isascii() and each.strip().isdigit() for each in lengths)
--- a/tests/test_cut_framing.py
+++ b/tests/test_cut_framing.py
@@ -40,3 +40,20 @@
     else:
         with pytest.raises((AnswerLost, AmbiguousSend)):
             read(service, whole)
+
+
+@pytest.mark.parametrize("length", ["5 ", "5, 5", "\r\n 5", "5\r\nContent-Length: 5"])
+def test_a_length_is_read_however_it_is_written(service, length):
+    """Guards against sound answers that are refused for how their length is written."""
+    whole = head_of("200 OK", f"Content-Length: {length}") + b"whole"
+    for size in range(len(whole)):
+        with pytest.raises((AnswerLost, AmbiguousSend)):
+            pytest.fail(f"whole: {read(service, whole[:size])!r}")
+    assert read(service, whole) == b"whole"
+
+
+@pytest.mark.parametrize("length", ["+5", "-5", "5_0", "5, 6", "", "5;a", "0x5"])
+def test_a_length_that_is_none_marks_no_end(service, length):
+    """Guards against a body that counts as whole by a length that can't be read."""
+    with pytest.raises((AnswerLost, AmbiguousSend)):
+        read(service, head_of("200 OK", f"Content-Length: {length}") + b"whole")
