A command takes an answer that has no body for whole

Callers that use ask or Caller got answer_lost for a call that was answered 204, which has no length; returned it.

--- a/cranberrywick/cli/answers.py
+++ b/cranberrywick/cli/answers.py
@@ -45,7 +45,8 @@
 
     A body whose end isn't marked may have been cut.
     """
-    if not has_marked_end(response):
+    # Nothing is to come also after 204, 304 and the request method HEAD.
+    if response.length_remaining != 0 and not has_marked_end(response):
         raise AnswerLost("nothing tells a whole answer from a cut one")
     try:
         return response.read()
--- a/tests/test_cut_framing.py
+++ b/tests/test_cut_framing.py
@@ -7,8 +7,10 @@
 import pytest
 from test_cut_heads import call_of, head_of, service
 
+from cranberrywick.cli.answers import read_body
 from cranberrywick.endpoints.client import send
 from cranberrywick.errors import AmbiguousSend, AnswerLost
+from cranberrywick.external.bounded_http import BoundedPool
 
 __all__ = ["service"]
 
@@ -57,3 +59,17 @@
     """Guards against a body that counts as whole by a length that can't be read."""
     with pytest.raises((AnswerLost, AmbiguousSend)):
         read(service, head_of("200 OK", f"Content-Length: {length}") + b"whole")
+
+
+@pytest.mark.parametrize(
+    "method, status", [("DELETE", 204), ("GET", 304), ("HEAD", 200)]
+)
+def test_an_answer_without_a_body_is_whole_for_the_command_line(
+    service, method, status
+):
+    """Guards against calls that count as failed though they were answered."""
+    host, _, port = service.address.rpartition(":")
+    service.answer = head_of(f"{status} Done")
+    pool = BoundedPool(host, int(port), maxsize=1)
+    answer = pool.urlopen(method, "/", retries=False, preload_content=False)
+    assert read_body(answer) == b""
