An answer that breaks off is reset for a caller of HTTP/1.0

Callers of HTTP/1.0 got a 200 with a part of a stream, or of a long body without a length, framed as whole: they know no chunks, and the gateway closed plainly where the end hadn't been sent.

Evidence: tests/test_cut_callers.py, at the ingress alone: the broken answer was read as whole before and ends with a reset now; the whole one is read as before. The platform's callers use HTTP/1.1, which this doesn't concern.

--- a/cranberrywick/gateway/caller_connection.py
+++ b/cranberrywick/gateway/caller_connection.py
@@ -260,11 +260,18 @@
             self._http.start_next_cycle()
             self._set_timer(self._ingress.limits.idle_seconds, self.close_if_idle)
             self._read_events()
+        elif self._http.our_state is h11.SEND_BODY and self._reads_to_close:
+            self._cut()
         else:
             # The body's end has not been sent, so the caller sees that the answer is
             # incomplete.
             self._transport.close()
 
+    @property
+    def _reads_to_close(self) -> bool:
+        """Whether the caller knows no chunks, so that a close may end its answers."""
+        return self._http.their_http_version < b"1.1"
+
     async def send_head(
         self, status: int, reason: bytes, headers: list[tuple[bytes, bytes]]
     ) -> None:
