--- a/cranberrywick/endpoints/relay.py
+++ b/cranberrywick/endpoints/relay.py
@@ -85,7 +85,7 @@
         self._on_gap = on_gap
         self._payload = _PayloadBuffer()
         self._received = 0
-        chunked = "chunked" in answer.headers.get("Transfer-Encoding", "")
+        chunked = "chunked" in answer.headers.get("Transfer-Encoding", "").lower()
         self._receiver = ChunkedReceiver(self._payload) if chunked else None
 
     def read(self) -> bool:
--- a/tests/test_cut_framing.py
+++ b/tests/test_cut_framing.py
@@ -4,11 +4,14 @@
 against sound answers that count as cut.
 """
 
+import json
+
 import pytest
-from test_cut_heads import call_of, head_of, service
+from test_cut_heads import REQUEST_ID, call_of, head_of, service
 
 from cranberrywick.cli.answers import read_body
 from cranberrywick.endpoints.client import send
+from cranberrywick.endpoints.relay import Relay
 from cranberrywick.errors import AmbiguousSend, AnswerLost
 from cranberrywick.external.bounded_http import BoundedPool
 
@@ -73,3 +76,24 @@
     pool = BoundedPool(host, int(port), maxsize=1)
     answer = pool.urlopen(method, "/", retries=False, preload_content=False)
     assert read_body(answer) == b""
+
+
+@pytest.mark.parametrize("coding", CHUNKED)
+def test_a_stream_in_chunks_is_relayed(service, coding):
+    """Guards against sound streams that are lost for how their header is written."""
+    answer_id = f"{REQUEST_ID}.1"
+    usage = json.dumps({"id": answer_id, "usage": {"completion_tokens": 1}})
+    events = f"id: 0\ndata: {usage}\n\ndata: [DONE]\n\n".encode()
+    lines = ("Content-Type: text/event-stream", f"Transfer-Encoding: {coding}")
+    service.answer = head_of("200 OK", *lines)
+    service.answer += b"%x\r\n%s\r\n0\r\n\r\n" % (len(events), events)
+    relay = Relay()
+    relay.start()
+    written = []
+    answer = send(service.address, call_of(stream=True))
+    try:
+        relay.pump(answer, written.append, lambda: False)
+    finally:
+        answer.close_connection()
+        relay.stop()
+    assert b"".join(written) == events
