A change whose answer is no JSON may have been accepted

Cause: the parsing of answers made no difference between changes and reads.

Evidence: test_a_change_whose_answer_is_cut_may_have_been_accepted, failed before.

--- a/cranberrywick/cli/operator_client.py
+++ b/cranberrywick/cli/operator_client.py
@@ -109,7 +109,7 @@
                     ),
                     redirect=False,
                 )
-                return _parse_answer(response)
+                return _parse_answer(response, is_change=fields is not None)
             except urllib3.exceptions.NewConnectionError as error:
                 last_problem = f"{daemon}: {error}"
             except HTTPError as error:
@@ -119,13 +119,15 @@
         raise OperatorRequestFailed(last_problem, exit_code, {})
 
 
-def _parse_answer(response: urllib3.BaseHTTPResponse) -> dict:
+def _parse_answer(response: urllib3.BaseHTTPResponse, is_change: bool) -> dict:
     try:
         answer = response.json()
         error = answer.get("error")
     except (ValueError, AttributeError) as failure:
         message = f"status {response.status}, not JSON"
-        raise OperatorRequestFailed(message, ExitCode.UNAVAILABLE, {}) from failure
+        # It may have been cut, or be that of something in between.
+        exit_code = ExitCode.UNKNOWN if is_change else ExitCode.UNAVAILABLE
+        raise OperatorRequestFailed(message, exit_code, {}) from failure
     if error is None and response.status == 200:
         return answer
     error_fields = (
--- a/tests/test_cut_framing.py
+++ b/tests/test_cut_framing.py
@@ -10,6 +10,11 @@
 from test_cut_heads import REQUEST_ID, call_of, head_of, service
 
 from cranberrywick.cli.answers import read_body
+from cranberrywick.cli.operator_client import (
+    ExitCode,
+    OperatorClient,
+    OperatorRequestFailed,
+)
 from cranberrywick.endpoints.client import send
 from cranberrywick.endpoints.relay import Relay
 from cranberrywick.errors import AmbiguousSend, AnswerLost
@@ -97,3 +102,18 @@
         answer.close_connection()
         relay.stop()
     assert b"".join(written) == events
+
+
+def test_a_change_whose_answer_is_cut_may_have_been_accepted(service):
+    """Guards against a cut answer by which no daemon seems to have had the change."""
+    head, body = b"HTTP/1.1 200 OK\r\n\r\n", b'{"version": 7}'
+    client = OperatorClient((f"http://{service.address}",), "key")
+    for size in range(len(head + body)):
+        service.answer = (head + body)[:size]
+        with pytest.raises(OperatorRequestFailed) as failure:
+            client.post("/configuration", {"change_id": "c"})
+        assert failure.value.exit_code == ExitCode.UNKNOWN, service.answer
+    service.answer = head + body[:-1]
+    with pytest.raises(OperatorRequestFailed) as failure:
+        client.get("/configuration")
+    assert failure.value.exit_code == ExitCode.UNAVAILABLE
