Rows of a peer that are nested deeply are dropped alone

Seen: a datagram with a row of 50,000 nested lists beside the heartbeat, in any of knowledge, reach, demand, crashes and answers, gave callback_failed (5 of 5 datagrams), and the sender's heartbeat was lost with it. The same in an answer to a fetch raises in the task that asked (read only).

Cause: msgspec skips elements that it has no type for by recursion and raises RecursionError, which is no MsgspecError.

Now the rows are left out and logged as peer_row_invalid, like others that can't be read.

--- a/cranberrywick/gateway/row_lists.py
+++ b/cranberrywick/gateway/row_lists.py
@@ -16,6 +16,8 @@
 Value = TypeVar("Value")
 
 _ROWS_DECODER = Decoder(list[Raw])
+# A RecursionError is raised for elements that are nested deeply, whatever their type.
+_ROW_ERRORS = (MsgspecError, RecursionError)
 
 
 class DecodedRows(NamedTuple):
@@ -31,13 +33,13 @@
         return DecodedRows({}, "")
     try:
         rows = _ROWS_DECODER.decode(data)
-    except MsgspecError as error:
+    except _ROW_ERRORS as error:
         return DecodedRows({}, str(error))
     values_by_position = {}
     invalid = ""
     for position, row in enumerate(rows):
         try:
             values_by_position[position] = decode(bytes(row))
-        except MsgspecError as error:
+        except _ROW_ERRORS as error:
             invalid = str(error)
     return DecodedRows(values_by_position, invalid)
