--- a/cranberrywick/addresses.py
+++ b/cranberrywick/addresses.py
@@ -60,6 +60,9 @@
         return "its host isn't an IP address"
     if ip.version == 6 and not allows_ipv6:
         return "its host isn't an IPv4 address"
-    if ip.is_unspecified or ip.is_multicast or ip.is_reserved:
+    ip = getattr(ip, "ipv4_mapped", None) or ip
+    # Of IPv6, the blocks that count as reserved include loopback and translated ones.
+    is_reserved = ip.version == 4 and ip.is_reserved
+    if ip.is_unspecified or ip.is_multicast or is_reserved:
         return "its host isn't the address of one VM"
     return Address(host, port)
