Names with joiners, no-break and wide blanks inside are names

Seen: an endpoint, a service, a route or an evacuation whose name has a zero-width joiner or non-joiner, as Persian and Hindi words do, a soft hyphen, a no-break or an ideographic space was unusable: 503 to each request for the service, where served. An evacuation of such a domain was dropped.

Cause: str.isprintable() asks what repr() escapes, and these are among it.

Now control characters, surrogates and separators of lines are refused, which no header, message or log line can have. Shown: 5 tests failed before.

--- a/cranberrywick/fields.py
+++ b/cranberrywick/fields.py
@@ -7,6 +7,7 @@
 from collections.abc import Mapping
 from math import inf
 from typing import Any
+from unicodedata import category
 
 from cranberrywick.addresses import parse_address
 from cranberrywick.errors import InvalidConfiguration
@@ -17,6 +18,7 @@
     "boolean",
     "check_name",
     "integer",
+    "is_text",
     "mapping",
     "mappings",
     "name",
@@ -33,6 +35,8 @@
 # Longest name of anything, in characters. Names are sent to peers in datagrams and to
 # endpoints in headers.
 MAX_NAME_CHARACTERS = 200
+# Categories of Unicode: control characters, surrogates, and separators of lines.
+_NO_TEXT = frozenset(("Cc", "Cs", "Zl", "Zp"))
 # Largest integer: a signed one of 64 bits, as in the messages between daemons.
 MAX_INTEGER = 2**63 - 1
 
@@ -88,11 +92,20 @@
     """
     if len(text) > MAX_NAME_CHARACTERS:
         raise InvalidConfiguration(f"{what} has over {MAX_NAME_CHARACTERS} characters")
-    if not text.isprintable() or text != text.strip():
+    if not is_text(text) or text != text.strip():
         raise InvalidConfiguration(f"{what} has characters that no name has")
     return text
 
 
+def is_text(text: str) -> bool:
+    """Whether a text is one line of characters that have an encoding.
+
+    >>> is_text("Zone Ä"), is_text("a\\r\\nb")
+    (True, False)
+    """
+    return text.isprintable() or _NO_TEXT.isdisjoint(map(category, text))
+
+
 def name(fields: Mapping[str, Any], key: str, default: str | None = None) -> str:
     """Return a string that is a name, as `check_name` does."""
     return check_name(string(fields, key, default), key)
--- a/cranberrywick/platform/store.py
+++ b/cranberrywick/platform/store.py
@@ -7,6 +7,7 @@
 from cranberrywick.errors import InvalidConfiguration, PlatformUnavailable
 from cranberrywick.external.exchange import PlatformClient, Reply
 from cranberrywick.external.key_value import LeaseLapsed
+from cranberrywick.fields import is_text
 from cranberrywick.gateway.store_reader import Registered
 from cranberrywick.logs import EventLog
 from cranberrywick.platform.documents import (
@@ -96,7 +97,7 @@
             elif item["key"].startswith(EVACUATION_PREFIX):
                 domain = item["key"].removeprefix(EVACUATION_PREFIX)
                 # No endpoint is in a domain with a name that none can have.
-                if domain.isprintable():
+                if is_text(domain):
                     domains.add(domain)
         return OperatorView.of(
             position.revision, document, frozenset(domains), position.epoch
--- a/tests/test_unusual_entries.py
+++ b/tests/test_unusual_entries.py
@@ -6,6 +6,19 @@
 import pytest
 
 from cranberrywick.addresses import parse_address
+from cranberrywick.errors import InvalidConfiguration
+from cranberrywick.fields import check_name
+
+# Letters that are joined or kept apart by characters without a width, and blanks at
+# which no line ends.
+NAMES = (
+    "Zone Ä 1",
+    "می\u200cخواهم",
+    "zone\u00a01",
+    "क्\u200dष",
+    "東\u3000京",
+    "a\u00adb",
+)
 
 
 @pytest.mark.parametrize(
@@ -21,3 +34,16 @@
     """Guards against addresses at which the own VM answers, or several do."""
     with pytest.raises(ValueError):
         parse_address(text, allows_ipv6=True)
+
+
+@pytest.mark.parametrize("text", NAMES)
+def test_names_of_any_script_are_read(text):
+    """Guards against a domain whose endpoints get nothing for a letter of its name."""
+    assert check_name(text, "zone") == text
+
+
+@pytest.mark.parametrize("text", ["a\0", "a\x85b", "a\u2028b", "a\x7f", "\ud800", " a"])
+def test_names_that_cannot_be_passed_on_are_not_read(text):
+    """Guards against names that end a header, a message or a log line."""
+    with pytest.raises(InvalidConfiguration):
+        check_name(text, "zone")
