--- a/cranberrywick/platform/configuration.py
+++ b/cranberrywick/platform/configuration.py
@@ -233,13 +233,9 @@
         except InvalidConfiguration as error:
             reasons.append(f"tenants[{index}]: {error.message}")
             continue
+        priority = _decode_priority(row, f"tenants[{index}]", reasons)
         try:
-            organisation = Organisation(
-                name(row, "name"),
-                integer(row, "priority", 0, 0, MAX_COUNT)
-                if row.get("priority") is not None
-                else None,
-            )
+            organisation = Organisation(name(row, "name"), priority)
         except InvalidConfiguration as error:
             reasons.append(f"tenants[{index}]: {error.message}")
             unusable_keys.update(keys)
@@ -248,6 +244,19 @@
     return by_key, unusable_keys - by_key.keys()
 
 
+def _decode_priority(
+    row: Mapping[str, Any], entry: str, reasons: list[str]
+) -> int | None:
+    """Return an organisation's priority; None leaves it to the routes."""
+    if row.get("priority") is None:
+        return None
+    try:
+        return integer(row, "priority", None, 0, MAX_COUNT)
+    except InvalidConfiguration as error:
+        reasons.append(f"{entry}: {error.message}")
+        return None
+
+
 def _decode_keys(row: Any, entry: str, reasons: list[str]) -> list[str]:
     if not isinstance(row, dict):
         raise InvalidConfiguration("not an object")
--- a/tests/test_unusual_entries.py
+++ b/tests/test_unusual_entries.py
@@ -3,11 +3,17 @@
 Guards against entries of which requests were served that are refused as odd ones.
 """
 
+import json
+
 import pytest
+from gateway_fleet import (
+    configuration,
+)
 
 from cranberrywick.addresses import parse_address
 from cranberrywick.errors import InvalidConfiguration
 from cranberrywick.fields import check_name
+from cranberrywick.platform.configuration import decode_configuration
 
 # Letters that are joined or kept apart by characters without a width, and blanks at
 # which no line ends.
@@ -47,3 +53,15 @@
     """Guards against names that end a header, a message or a log line."""
     with pytest.raises(InvalidConfiguration):
         check_name(text, "zone")
+
+
+@pytest.mark.parametrize("priority", [1.5, -1, "high", [], 2**31])
+def test_a_priority_that_is_none_leaves_an_organisation_its_keys(priority):
+    """Guards against 503 to a whole organisation since its priority is odd."""
+    fields = configuration()
+    fields["tenants"][0]["priority"] = priority
+    decoded = decode_configuration(json.dumps(fields).encode())
+    (organisation,) = decoded.organisations_by_key.values()
+    assert organisation == ("kask", None)
+    assert "priority" in decoded.unusable.reasons[0]
+    assert not decoded.unusable.keys
