A key that the configuration writes as a number is its digits again

Seen: 401 to callers with the key 77 where apiKeys has the number 77, live; served them. The reason was logged, but callers take 401 for final.

Shown: the new test failed before.

--- a/cranberrywick/platform/configuration.py
+++ b/cranberrywick/platform/configuration.py
@@ -263,7 +263,8 @@
     keys = row.get("apiKeys") or []
     if not isinstance(keys, list):
         raise InvalidConfiguration("apiKeys is not a list")
-    texts = [key for key in keys if isinstance(key, str)]
+    # A key of digits alone may be written as a number.
+    texts = [str(key) for key in keys if isinstance(key, str) or type(key) is int]
     if len(texts) < len(keys):
         reasons.append(f"{entry}: a key is not a string")
     return texts
--- a/tests/test_unusual_entries.py
+++ b/tests/test_unusual_entries.py
@@ -65,3 +65,11 @@
     assert organisation == ("kask", None)
     assert "priority" in decoded.unusable.reasons[0]
     assert not decoded.unusable.keys
+
+
+def test_a_key_that_is_a_number_is_its_digits():
+    """Guards against 401 to callers with a key that the configuration has."""
+    fields = configuration()
+    fields["tenants"][0]["apiKeys"] = [1234, True, "k"]
+    decoded = decode_configuration(json.dumps(fields).encode())
+    assert decoded.organisations_by_key.keys() == {"1234", "k"}
