A target of nothing doesn't crash requests

Cause: latenesses and slowdowns are multiples of the target.

Now a target has a millisecond at least. Shown: test_unusual_entries_are_served, with gateways; it failed before (on the names as well).

--- a/cranberrywick/platform/configuration.py
+++ b/cranberrywick/platform/configuration.py
@@ -36,6 +36,8 @@
 # Largest count of anything in a configuration, and longest time, in milliseconds.
 MAX_COUNT = 2**31 - 1
 MAX_MS = 1e12
+# Shortest target for an answer, in milliseconds: latenesses are multiples of it.
+MIN_TARGET_MS = 1.0
 # Slowest reading of prompts, in tokens a second.
 MIN_PREFILL_RATE = 1e-3
 # The limits of requests where the configuration states none that can be read.
@@ -150,7 +152,10 @@
         kind=_decode_kind(row),
         weights_by_service=_decode_split(row),
         timeout_seconds=timeout / 1000,
-        target_seconds=number(row, "targetLatencyMs", timeout, 0, MAX_MS) / 1000,
+        target_seconds=max(
+            MIN_TARGET_MS, number(row, "targetLatencyMs", timeout, 0, MAX_MS)
+        )
+        / 1000,
         gap_target_seconds=number(row, "gapAimMs", 1000, 0, MAX_MS) / 1000,
         priority=integer(row, "priority", DEFAULT_PRIORITY, 0, MAX_COUNT),
         max_endpoints=integer(row, "maxAttempts", 1, 0, MAX_COUNT),
--- a/tests/test_unusual_entries.py
+++ b/tests/test_unusual_entries.py
@@ -7,8 +7,13 @@
 
 import pytest
 from gateway_fleet import (
+    PROMPT_HEADERS,
     configuration,
+    route,
+    running_gateways,
+    wait_for,
 )
+from test_odd_entries import call_all, failures
 
 from cranberrywick.addresses import parse_address
 from cranberrywick.errors import InvalidConfiguration
@@ -73,3 +78,37 @@
     fields["tenants"][0]["apiKeys"] = [1234, True, "k"]
     decoded = decode_configuration(json.dumps(fields).encode())
     assert decoded.organisations_by_key.keys() == {"1234", "k"}
+
+
+def test_unusual_entries_are_served(tmp_path):
+    """Guards against requests that crash by a target of nothing, or by no tokens."""
+    with running_gateways(tmp_path, 2) as fleet:
+        gateway, peer = fleet.gateways
+        fields = configuration(2)
+        stream = {"streamResume": True, "stickySessions": True, "gapAimMs": 0}
+        for number, target in enumerate((0, 5e-324)):
+            odd = {"targetLatencyMs": target}
+            fields["routes"] += [
+                route(f"call-{number}", "safe", "desk", **odd),
+                route(f"stream-{number}", "streaming", "pool", **stream, **odd),
+            ]
+        for number, name in enumerate(NAMES):
+            fields["routes"].append(route(f"name-{number}", "safe", name))
+            fields["services"].append({"name": name})
+            fleet.add_endpoint(f"named-{number}", name, name)
+        fleet.configure(fields)
+        last = f"/name-{len(NAMES) - 1}/1"
+        for each in (gateway, peer):
+            wait_for(
+                lambda each=each: fleet.call(each, "GET", last).status == 200, "them"
+            )
+            for number in range(2):
+                answer = fleet.call(each, "GET", f"/call-{number}/1")
+                assert answer.status == 200
+                target = f"/stream-{number}/1"
+                answer = fleet.call(each, "POST", target, headers=PROMPT_HEADERS)
+                assert answer.status == 200
+            for number in range(len(NAMES)):
+                assert fleet.call(each, "GET", f"/name-{number}/1").status == 200
+            assert call_all(fleet, each) == {200}
+        assert [*failures(gateway), *failures(peer)] == []
