A prompt of no tokens is placed

Seen: request_crashed (ZeroDivisionError in placement.py) and 502 to a stream whose caller states Token-Count: 0,0.

Now it has one engine. Shown: test_unusual_entries_are_served.

--- a/cranberrywick/routing/placement.py
+++ b/cranberrywick/routing/placement.py
@@ -214,7 +214,8 @@
         engines = [
             self._engine(demand, profile, sensitive_gap, c, now) for c in candidates
         ]
-        holders = ceil(prompt.total / profile.memory_tokens)
+        # A prompt that states no tokens has an engine too.
+        holders = max(1, ceil(prompt.total / profile.memory_tokens))
         share = ceil(prompt.total / holders)
         value = _value(profile, prompt)
         best: tuple[Choice, Work, Split] | None = None
--- a/tests/test_unusual_entries.py
+++ b/tests/test_unusual_entries.py
@@ -110,5 +110,9 @@
                 assert answer.status == 200
             for number in range(len(NAMES)):
                 assert fleet.call(each, "GET", f"/name-{number}/1").status == 200
+            for count in ("0,0", "0,5", "1,0"):
+                headers = {**PROMPT_HEADERS, "Cranberrywick-Token-Count": count}
+                answer = fleet.call(each, "POST", "/prompts/1", headers=headers)
+                assert answer.status == 200, count
             assert call_all(fleet, each) == {200}
         assert [*failures(gateway), *failures(peer)] == []
