A configuration is read beside values that can't be

Seen: one value in op/config that is nested 100,000 deep or has 5,000 digits, also in a field that nobody reads, and the whole version did not apply; a daemon that started then had no configuration. Each entry was said to be read by itself.

Cause: json.loads reads none of such a text.

Now the document is read part by part where the library gives up, as lists of VMs are, down to the fields of an engine; what can't be read is None, and its entry is judged as with any other value of a wrong type.

--- a/cranberrywick/external/readable_json.py
+++ b/cranberrywick/external/readable_json.py
@@ -14,12 +14,13 @@
 _TOKEN = re.compile(r'"[^"\\]*(?:\\.[^"\\]*)*"|[\[\]{},]', re.DOTALL)
 
 
-def load_readable(data: bytes) -> Any:
+def load_readable(data: bytes, levels: int = 2) -> Any:
     """Return what a JSON text says.
 
     Of a text that is beyond the library's bounds, it is the object with None in place
-    of the members, and of the entries of lists among them, that can't be read. Raises
-    ValueError for a text that isn't JSON, or no object beyond these bounds.
+    of what can't be read. Objects and lists are read part by part on so many
+    ``levels``: on two, the members of the object and the entries of lists among
+    them. Raises ValueError for a text that is neither JSON nor such an object.
 
     >>> load_readable(b'{"entries": [7, %s]}' % (b"[" * 9999 + b"]" * 9999))
     {'entries': [7, None]}
@@ -29,27 +30,29 @@
     except json.JSONDecodeError:
         raise
     except (ValueError, RecursionError):
-        text = data.decode()
+        return _load_members(data.decode(), levels)
+
+
+def _load_members(text: str, levels: int) -> dict[str, Any]:
     members = {}
     for member in _split(text, "{"):
         key, _, value = member.partition(":")
-        members[json.loads(key)] = _load_member(value.strip())
+        members[json.loads(key)] = _load(value, levels - 1)
     return members
 
 
-def _load_member(text: str) -> Any:
-    if text.startswith("["):
-        return [_load_entry(entry) for entry in _split(text, "[")]
-    return _load_entry(text)
-
-
-def _load_entry(text: str) -> Any:
+def _load(text: str, levels: int) -> Any:
     try:
         return json.loads(text)
     except json.JSONDecodeError:
         raise
     except (ValueError, RecursionError):
-        return None
+        opening = text.lstrip()[:1]
+    if levels and opening == "[":
+        return [_load(entry, levels - 1) for entry in _split(text, "[")]
+    if levels and opening == "{":
+        return _load_members(text, levels)
+    return None
 
 
 def _split(text: str, opening: str) -> list[str]:
--- a/cranberrywick/platform/configuration.py
+++ b/cranberrywick/platform/configuration.py
@@ -33,6 +33,8 @@
 
 __all__ = ["decode_configuration"]
 
+# Levels of a document down to the fields of an engine, which are read one by one.
+ENTRY_LEVELS = 4
 # Largest count of anything in a configuration, and longest time, in milliseconds.
 MAX_COUNT = 2**31 - 1
 MAX_MS = 1e12
@@ -55,7 +57,7 @@
     Raises `InvalidConfiguration` for a document without a version, or without lists of
     entries.
     """
-    fields = decode_object(value)
+    fields = decode_object(value, ENTRY_LEVELS)
     reasons: list[str] = []
     unusable_names: set[str] = set()
     version = integer(fields, "version", least=0)
--- a/cranberrywick/platform/documents.py
+++ b/cranberrywick/platform/documents.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from cranberrywick.errors import InvalidConfiguration
+from cranberrywick.external.readable_json import load_readable
 from cranberrywick.fields import (
     address,
     check_name,
@@ -83,10 +84,13 @@
     return json.dumps({"peerAddress": peer_address}).encode()
 
 
-def decode_object(value: bytes) -> dict[str, Any]:
-    """Return the JSON object in some bytes; raises `InvalidConfiguration`."""
+def decode_object(value: bytes, levels: int = 0) -> dict[str, Any]:
+    """Return the JSON object in some bytes; raises `InvalidConfiguration`.
+
+    On so many ``levels`` of it, what can't be read is None, as for `load_readable`.
+    """
     try:
-        fields = json.loads(value)
+        fields = load_readable(value, levels) if levels else json.loads(value)
     except (ValueError, RecursionError) as error:
         raise InvalidConfiguration(f"not JSON: {error!s:.100}") from error
     if not isinstance(fields, dict):
