Tests: odd reports are odd in the field that they are about

test_an_odd_report_of_an_endpoint_is_none passed whatever its odd field was: the report had the phase ready, which no endpoint has, and is none for that. It has the phase warm now, and is as strict otherwise; its 14 cases pass with it.

Seen while a test of a sound report with the same phase failed.

--- a/tests/test_odd_vms.py
+++ b/tests/test_odd_vms.py
@@ -123,7 +123,7 @@
 )
 def test_an_odd_report_of_an_endpoint_is_none(service, fields):
     """Guards against a report whose numbers no message to peers has."""
-    report = {"incarnation": 1, "phase": "ready", **fields}
+    report = {"incarnation": 1, "phase": "warm", **fields}
     answer_with(service, json.dumps(report))
 
     class Endpoint:
