Counts that an engine writes as 3.0 are counts again

Seen: a load report with running 3.0 is none since (AnswerLost: running is not a whole number); read it. An endpoint without a report gets no new phase.

Now a count may have a fraction, which is dropped, within the same bounds. Shown: tests/test_odd_vms.py, the new test failed before.

--- a/cranberrywick/endpoints/load.py
+++ b/cranberrywick/endpoints/load.py
@@ -64,4 +64,4 @@
 
 
 def _count(fields: dict, key: str) -> int:
-    return integer(fields, key, 0, least=0, most=MAX_COUNT)
+    return int(number(fields, key, 0, least=0, most=MAX_COUNT))
--- a/tests/test_odd_vms.py
+++ b/tests/test_odd_vms.py
@@ -189,3 +189,15 @@
     """Make a call of the plain service; return its status."""
     number = 2 * next(_numbers) + 1
     return send_to_serve(daemon, number, f"follow-{number}").status
+
+
+def test_counts_with_a_fraction_of_nothing_are_read(service):
+    """Guards against an engine without a report since its counts are written 3.0."""
+    counts = {"running": 3.0, "waiting": 1.0, "cache_tokens_used": 2e6}
+    answer_with(service, json.dumps({"incarnation": 1, "phase": "warm", **counts}))
+
+    class Endpoint:
+        endpoint_id, address = "e1", service.address
+
+    load = fetch_load(Endpoint, time.monotonic)
+    assert (load.running, load.waiting, load.cache_tokens_used) == (3, 1, 2_000_000)
