An odd entry for a route's prefix leaves the route that is there

Seen: of two entries for one host and prefix the last one counts, so that an unusable one behind the sound one refused its requests with 503. Services and keys of which one entry is sound were served already.

Now an unusable entry counts only where no other one has its prefix.

--- a/cranberrywick/routing/table.py
+++ b/cranberrywick/routing/table.py
@@ -22,7 +22,9 @@
         self._routes_by_prefix_by_host: dict[str, dict[str, Route]] = {}
         for route in configuration.routes:
             by_prefix = self._routes_by_prefix_by_host.setdefault(route.host, {})
-            by_prefix[route.prefix] = route
+            # An unusable entry refuses requests that no other one allows.
+            if route.is_usable or route.prefix not in by_prefix:
+                by_prefix[route.prefix] = route
         self._targets_by_rank_by_service = _contended_targets(configuration)
 
     @property
--- a/tests/test_unreadable_values.py
+++ b/tests/test_unreadable_values.py
@@ -16,6 +16,7 @@
 
 from cranberrywick.errors import InvalidConfiguration
 from cranberrywick.platform.configuration import decode_configuration
+from cranberrywick.routing.table import RouteTable
 
 UNREADABLE = {"deep": "[" * DEEP + "]" * DEEP, "digits": LONG}
 
@@ -72,3 +73,12 @@
             for path in ("odd-1", "odd-2"):
                 assert fleet.call(each, "GET", f"/{path}/1").status == 503
             assert failures(each) == []
+
+
+@pytest.mark.parametrize("position", [0, 3])
+def test_an_odd_entry_beside_the_route_itself_leaves_the_route(position):
+    """Guards against 503 to a route since another entry for its prefix is odd."""
+    fields = configuration()
+    fields["routes"].insert(position, route("reads", "safe", "desk", timeoutMs="odd"))
+    table = RouteTable(decode_configuration(json.dumps(fields).encode()))
+    assert table.match(fields["routes"][1]["host"], "/reads/1").is_usable
