The simulated network has addresses of VMs

Now a daemon's address is drawn from its name. The tests that named addresses take them from daemon_address. Not run: the whole of these files, and fleet_news.

--- a/cranberrywick/bench/simulated_network.py
+++ b/cranberrywick/bench/simulated_network.py
@@ -8,6 +8,7 @@
 from itertools import count
 from math import inf
 from types import SimpleNamespace
+from zlib import crc32
 
 from cranberrywick.gateway.endpoint_snapshot import EndpointSnapshot
 from cranberrywick.gateway.messages import (
@@ -25,7 +26,7 @@
 from cranberrywick.routing.members import Heartbeat
 from cranberrywick.routing.store_knowledge import StoreKnowledge
 
-__all__ = ["SimulatedDaemon", "SimulatedNetwork"]
+__all__ = ["SimulatedDaemon", "SimulatedNetwork", "daemon_address"]
 
 # Delay of a datagram between two daemons, in seconds.
 HOP_SECONDS = 0.001
@@ -65,6 +66,13 @@
             loop.call_later(HOP_SECONDS, daemon.receive, data, source)
 
 
+def daemon_address(name: str) -> str:
+    """Return the peer address of the simulated daemon with a name."""
+    # Daemons accept no addresses but those of VMs.
+    _, *numbers = crc32(name.encode()).to_bytes(4)
+    return f"10.{'.'.join(map(str, numbers))}:7000"
+
+
 class SimulatedDaemon:
     """The peer updates of one daemon, which is their link to the network as well.
 
@@ -81,7 +89,8 @@
     ):
         self.name = name
         self.domain = domain
-        self.address = f"{name}:7000"
+        self.address = daemon_address(name)
+        ip = self.address.partition(":")[0]
         self.network = network
         self.snapshots: list[EndpointSnapshot] = []
         self.newcomers: list[str] = []
@@ -90,9 +99,9 @@
         self.sending_seconds = 0.0
         settings = SimpleNamespace(
             daemon_id=name,
-            ip=name,
+            ip=ip,
             failure_domain=domain,
-            entry_address=f"{name}:80",
+            entry_address=f"{ip}:80",
             internal_ports=(7000, 7010),
             seeds=seeds,
             bounds=SimpleNamespace(contact_seconds=3.0),
--- a/tests/limited_fleet.py
+++ b/tests/limited_fleet.py
@@ -15,7 +15,11 @@
 import random
 from collections.abc import Callable, Coroutine
 
-from cranberrywick.bench.simulated_network import SimulatedDaemon, SimulatedNetwork
+from cranberrywick.bench.simulated_network import (
+    SimulatedDaemon,
+    SimulatedNetwork,
+    daemon_address,
+)
 from cranberrywick.bench.virtual_time import run_in_virtual_time
 from cranberrywick.gateway.ticker import Ticker
 from cranberrywick.logs import EventLog
@@ -128,7 +132,7 @@
         await daemon.peer_updates.start(ticker)
         names = (f"d{other:03}" for other in range(self._size) if other != number)
         daemon.peer_updates.set_registered_addresses(
-            {name: f"{name}:7000" for name in names}
+            {name: daemon_address(name) for name in names}
         )
         return daemon
 
--- a/tests/outbreak_fleet.py
+++ b/tests/outbreak_fleet.py
@@ -11,7 +11,11 @@
 from collections.abc import Callable, Coroutine
 from typing import NamedTuple
 
-from cranberrywick.bench.simulated_network import SimulatedDaemon, SimulatedNetwork
+from cranberrywick.bench.simulated_network import (
+    SimulatedDaemon,
+    SimulatedNetwork,
+    daemon_address,
+)
 from cranberrywick.bench.virtual_time import run_in_virtual_time
 from cranberrywick.gateway.ticker import Ticker
 from cranberrywick.logs import EventLog
@@ -104,7 +108,7 @@
         await daemon.peer_updates.start(ticker)
         others = (f"d{other:03}" for other in range(self._size) if other != number)
         daemon.peer_updates.set_registered_addresses(
-            {other: f"{other}:7000" for other in others}
+            {other: daemon_address(other) for other in others}
         )
         if daemon.address not in self.network.cut:
             self._in_contact_since_by_name[name] = self._loop.time() + CONTACT_SECONDS
--- a/tests/test_fleet_limits.py
+++ b/tests/test_fleet_limits.py
@@ -9,6 +9,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, rule
 from limited_fleet import DOMAINS, WINDOW_SECONDS, LimitedFleet, run_scenario
 
+from cranberrywick.bench.simulated_network import daemon_address
 from cranberrywick.bench.virtual_time import suspend_loop, virtual_loop
 
 # Callers send three times as many requests as the endpoints accept.
@@ -300,7 +301,7 @@
 
     @rule(number=st.integers(0, 8))
     def freeze_or_thaw(self, number):
-        address = f"d{number:03}:7000"
+        address = daemon_address(f"d{number:03}")
         if address in self.fleet.network.frozen:
             self.run(self.thaw(address))
         else:
--- a/tests/test_peer_updates.py
+++ b/tests/test_peer_updates.py
@@ -4,7 +4,11 @@
 
 import pytest
 
-from cranberrywick.bench.simulated_network import SimulatedDaemon, SimulatedNetwork
+from cranberrywick.bench.simulated_network import (
+    SimulatedDaemon,
+    SimulatedNetwork,
+    daemon_address,
+)
 from cranberrywick.bench.virtual_time import run_in_virtual_time
 from cranberrywick.gateway.endpoint_snapshot import EndpointSnapshot
 from cranberrywick.gateway.messages import (
@@ -238,12 +242,12 @@
 
     async def scene(network, daemons):
         seeds = daemons[9:12]
-        addresses = tuple(f"{seed.name}:9000" for seed in seeds)
+        addresses = tuple(seed.address.replace(":7000", ":9000") for seed in seeds)
         newcomer = SimulatedDaemon(network, "d999", "fd-b", addresses)
         ticker = Ticker(EventLog())
         await newcomer.peer_updates.start(ticker)
         await asyncio.sleep(0.1)
-        assert any("d999:7000" in seed.newcomers for seed in seeds)
+        assert any(daemon_address("d999") in seed.newcomers for seed in seeds)
         await asyncio.sleep(2.0)
         ticker.stop()
         now = asyncio.get_running_loop().time()
