--- a/cranberrywick/platform/configuration.py
+++ b/cranberrywick/platform/configuration.py
@@ -33,9 +33,13 @@
 
 __all__ = ["decode_configuration"]
 
+# Levels of a document down to the fields of an engine, which are read one by one.
+ENTRY_LEVELS = 4
 # Largest count of anything in a configuration, and longest time, in milliseconds.
 MAX_COUNT = 2**31 - 1
 MAX_MS = 1e12
+# Shortest target for an answer, in milliseconds: latenesses are multiples of it.
+MIN_TARGET_MS = 1.0
 # Slowest reading of prompts, in tokens a second.
 MIN_PREFILL_RATE = 1e-3
 # The limits of requests where the configuration states none that can be read.
@@ -53,7 +57,7 @@
     Raises `InvalidConfiguration` for a document without a version, or without lists of
     entries.
     """
-    fields = decode_object(value)
+    fields = decode_object(value, ENTRY_LEVELS)
     reasons: list[str] = []
     unusable_names: set[str] = set()
     version = integer(fields, "version", least=0)
@@ -150,7 +154,10 @@
         kind=_decode_kind(row),
         weights_by_service=_decode_split(row),
         timeout_seconds=timeout / 1000,
-        target_seconds=number(row, "targetLatencyMs", timeout, 0, MAX_MS) / 1000,
+        target_seconds=max(
+            MIN_TARGET_MS, number(row, "targetLatencyMs", timeout, 0, MAX_MS)
+        )
+        / 1000,
         gap_target_seconds=number(row, "gapAimMs", 1000, 0, MAX_MS) / 1000,
         priority=integer(row, "priority", DEFAULT_PRIORITY, 0, MAX_COUNT),
         max_endpoints=integer(row, "maxAttempts", 1, 0, MAX_COUNT),
@@ -241,13 +248,9 @@
         except InvalidConfiguration as error:
             reasons.append(f"tenants[{index}]: {error.message}")
             continue
+        priority = _decode_priority(row, f"tenants[{index}]", reasons)
         try:
-            organisation = Organisation(
-                name(row, "name"),
-                integer(row, "priority", 0, 0, MAX_COUNT)
-                if row.get("priority") is not None
-                else None,
-            )
+            organisation = Organisation(name(row, "name"), priority)
         except InvalidConfiguration as error:
             reasons.append(f"tenants[{index}]: {error.message}")
             unusable_keys.update(keys)
@@ -256,13 +259,27 @@
     return by_key, unusable_keys - by_key.keys()
 
 
+def _decode_priority(
+    row: Mapping[str, Any], entry: str, reasons: list[str]
+) -> int | None:
+    """Return an organisation's priority; None leaves it to the routes."""
+    if row.get("priority") is None:
+        return None
+    try:
+        return integer(row, "priority", None, 0, MAX_COUNT)
+    except InvalidConfiguration as error:
+        reasons.append(f"{entry}: {error.message}")
+        return None
+
+
 def _decode_keys(row: Any, entry: str, reasons: list[str]) -> list[str]:
     if not isinstance(row, dict):
         raise InvalidConfiguration("not an object")
     keys = row.get("apiKeys") or []
     if not isinstance(keys, list):
         raise InvalidConfiguration("apiKeys is not a list")
-    texts = [key for key in keys if isinstance(key, str)]
+    # A key of digits alone may be written as a number.
+    texts = [str(key) for key in keys if isinstance(key, str) or type(key) is int]
     if len(texts) < len(keys):
         reasons.append(f"{entry}: a key is not a string")
     return texts
