--- a/tests/stop_series.py
+++ b/tests/stop_series.py
@@ -6,9 +6,9 @@
 and send short calls that may not run twice. All gateways are stopped, one a second or
 all at once, and started again, while endpoints end or not. A call is lost if an
 endpoint ran it, or its caller waited for over `LOSS_SECONDS`, and its connection ended
-without a whole answer, though its endpoint and its deadline allowed one. For each lost
-call the log of its gateway tells what ended it. ``--program`` is the root of the source
-tree that the gateways run from.
+without a whole answer, though its endpoint and its deadline allowed one. For each call
+without a whole answer the log of its gateway tells what ended it. ``--program`` is the
+root of the source tree that the gateways run from.
 """
 
 import os
@@ -79,8 +79,10 @@
         self._desks = count(100)
         # The requests that endpoints had as they ended.
         self.ended_at_work: set[str] = set()
-        # What `describe` and `summary` return, once the run is over.
+        # What `describe` returns for lost calls, and for others without a whole answer,
+        # and what `summary` does, once the run is over.
         self.lines: list[str] = []
+        self.others: list[str] = []
         self.line = ""
 
     def new_id(self) -> str:
@@ -156,6 +158,12 @@
         """The calls that were lost."""
         return [each for each in self.sent if self._is_lost(each)]
 
+    @property
+    def unanswered(self) -> list[Sent]:
+        """The calls without a whole answer that don't count as lost."""
+        unanswered = [each for each in self.sent if not each.answer.whole]
+        return [each for each in unanswered if not self._is_lost(each)]
+
     def _is_lost(self, sent: Sent) -> bool:
         waited = sent.ended_at - sent.sent_at
         is_late = waited > DEADLINE_SECONDS - 0.05
@@ -261,6 +269,7 @@
         series = StopSeries(fleet, scene, random.Random(seed))
         series.run(rounds, callers, pause)
         series.lines = [series.describe(each) for each in series.lost]
+        series.others = [series.describe(each) for each in series.unanswered]
         series.line = series.summary()
         return series
     finally:
@@ -279,7 +288,9 @@
     with tempfile.TemporaryDirectory() as path:
         series = run_series(Path(path), scene, rounds, callers, pause, program, seed)
         for line in series.lines:
-            click.echo(line)
+            click.echo(f"lost: {line}")
+        for line in series.others:
+            click.echo(f"unanswered: {line}")
         click.echo(f"{scene}: {series.line}")
     raise SystemExit(1 if series.lines else 0)
 
