--- a/tests/contended_fleet.py
+++ b/tests/contended_fleet.py
@@ -61,6 +61,7 @@
             weights_by_service=((service, 1.0),),
             priority=rank,
             target_seconds=kind.target_seconds,
+            is_usable=True,
         )
         for kind, rank in zip(KINDS, ranks, strict=True)
     ]
