--- a/tests/test_store_knowledge.py
+++ b/tests/test_store_knowledge.py
@@ -17,7 +17,12 @@
 from cranberrywick.gateway.knowledge_rows import pack_knowledge, unpack_knowledge
 from cranberrywick.gateway.operator_tracker import OperatorTracker
 from cranberrywick.logs import EventLog
-from cranberrywick.routing.model import EndpointRecord, EndpointView, OperatorView
+from cranberrywick.routing.model import (
+    EndpointRecord,
+    EndpointView,
+    OperatorView,
+    UnusableEntries,
+)
 from cranberrywick.routing.registry import EndpointRegistry
 from cranberrywick.routing.store_knowledge import (
     RETAIN_DOMAIN_SECONDS,
@@ -54,6 +59,7 @@
 
     routes = ()
     services_by_name = {}
+    unusable = UnusableEntries()
 
     def __init__(self, document):
         self.version = int(document)
