Tests: daemons of the simulated network are told apart by their addresses again

With addresses of VMs, the number in a name can't be cut out of an address: the functions that divide a fleet raised ValueError in callbacks, so that nothing was delivered at all (TestLimitsMachine failed by it). The number is looked up now.

--- a/tests/test_fleet_limits.py
+++ b/tests/test_fleet_limits.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, rule
 from limited_fleet import DOMAINS, WINDOW_SECONDS, LimitedFleet, run_scenario
+from simulated_daemons import number_of
 
 from cranberrywick.bench.simulated_network import daemon_address
 from cranberrywick.bench.virtual_time import suspend_loop, virtual_loop
@@ -151,7 +152,7 @@
         await asyncio.sleep(4.0)
 
         def part(address):
-            return int(address[1:4]) % parts
+            return number_of(address) % parts
 
         fleet.network.is_cut = lambda source, target: part(source) != part(target)
         await asyncio.sleep(12.0)
@@ -171,7 +172,7 @@
         await asyncio.sleep(4.0)
 
         def domain(address):
-            return DOMAINS[int(address[1:4]) % 3]
+            return DOMAINS[number_of(address) % 3]
 
         apart = {DOMAINS[0], DOMAINS[1]}
         fleet.network.is_cut = lambda source, target: (
@@ -325,7 +326,7 @@
     @rule(parts=st.sampled_from([1, 2, 3]))
     def divide(self, parts):
         self.fleet.network.is_cut = lambda source, target: (
-            int(source[1:4]) % parts != int(target[1:4]) % parts
+            number_of(source) % parts != number_of(target) % parts
         )
 
 
--- a/tests/test_peer_updates.py
+++ b/tests/test_peer_updates.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import pytest
+from simulated_daemons import number_of
 
 from cranberrywick.bench.simulated_network import (
     SimulatedDaemon,
@@ -124,7 +125,7 @@
 
     async def scene(network, daemons):
         def part(address):
-            return int(address[1:4]) % parts
+            return number_of(address) % parts
 
         network.is_cut = lambda source, target: part(source) != part(target)
         await asyncio.sleep(20.0)
