After a last read: one tuple of errors, a pool that is closed, one record of an endpoint

What reading JSON fields raises stood in four more places beside FIELD_ERRORS. The pool that asks a daemon for its version is closed after the call. Log values are encoded only if they aren't ASCII. A port of the settings that is none is named as internalPorts. Tests write an endpoint's record in one place.

--- a/cranberrywick/controllers/fleet_versions.py
+++ b/cranberrywick/controllers/fleet_versions.py
@@ -8,6 +8,7 @@
 
 from cranberrywick.decisions.membership import Member
 from cranberrywick.external.bounded_http import bounded_pool_manager
+from cranberrywick.fields import FIELD_ERRORS
 
 __all__ = ["fetch_versions"]
 
@@ -39,13 +40,14 @@
 
 def _fetch_version(member: Member) -> int:
     try:
-        answer = bounded_pool_manager().request(
-            "GET",
-            f"http://{member.entry_address}/readyz",
-            timeout=TIMEOUT_SECONDS,
-            retries=False,
-            redirect=False,
-        )
+        with bounded_pool_manager() as pool:
+            answer = pool.request(
+                "GET",
+                f"http://{member.entry_address}/readyz",
+                timeout=TIMEOUT_SECONDS,
+                retries=False,
+                redirect=False,
+            )
         return int(json.loads(answer.data)["configuration_version"])
-    except (HTTPError, OSError, ValueError, TypeError, KeyError, RecursionError):
+    except (HTTPError, OSError, *FIELD_ERRORS):
         return NO_VERSION
--- a/cranberrywick/endpoints/client.py
+++ b/cranberrywick/endpoints/client.py
@@ -22,6 +22,7 @@
     EndpointRefused,
 )
 from cranberrywick.external.bounded_http import has_marked_end
+from cranberrywick.fields import FIELD_ERRORS
 from cranberrywick.model import EndpointRefusal
 from cranberrywick.routing.answer_limits import MAX_ANSWER_BYTES
 
@@ -249,7 +250,7 @@
     connection.close()
     try:
         reason = _REFUSALS.get(json.loads(body)["error"]["type"])
-    except (ValueError, TypeError, KeyError, RecursionError):
+    except FIELD_ERRORS:
         reason = None
     if reason is None:
         raise AmbiguousSend("the endpoint answered 503 without saying why")
--- a/cranberrywick/external/vms.py
+++ b/cranberrywick/external/vms.py
@@ -7,7 +7,7 @@
 
 from cranberrywick.errors import InvalidConfiguration, PlatformUnavailable
 from cranberrywick.external.exchange import PlatformClient
-from cranberrywick.fields import address, name
+from cranberrywick.fields import FIELD_ERRORS, address, name
 
 __all__ = ["Vm", "VmList", "VmListing", "VmRole", "VmState"]
 
@@ -71,7 +71,7 @@
         try:
             revision = int(fields["revision"])
             rows = list(fields["vms"])
-        except (KeyError, OverflowError, TypeError, ValueError) as error:
+        except FIELD_ERRORS as error:
             raise PlatformUnavailable(f"malformed VM list: {error!r}") from error
         vms_by_id: dict[str, Vm] = {}
         reasons_by_id: dict[str, str] = {}
--- a/cranberrywick/external/weights.py
+++ b/cranberrywick/external/weights.py
@@ -5,6 +5,7 @@
 
 from cranberrywick.errors import NotFound, PlatformUnavailable
 from cranberrywick.external.exchange import PlatformClient
+from cranberrywick.fields import FIELD_ERRORS
 
 __all__ = ["ModelWeights", "WeightStore"]
 
@@ -35,5 +36,5 @@
             raise NotFound(f"no weights for {model} {version}")
         try:
             return ModelWeights(model, version, int(reply.fields["bytes"]))
-        except (KeyError, OverflowError, TypeError, ValueError) as error:
+        except FIELD_ERRORS as error:
             raise PlatformUnavailable(f"malformed answer: {error!r}") from error
--- a/cranberrywick/logs.py
+++ b/cranberrywick/logs.py
@@ -177,8 +177,9 @@
     if len(text) > MAX_VALUE_CHARACTERS:
         text = f"{text[:MAX_VALUE_CHARACTERS]}…"
     text = SECRET_VALUE.sub(rf"\1 {REDACTED}", text)
-    # JSON can name characters that no encoding has; an output would fail by them.
-    text = text.encode(errors="backslashreplace").decode()
+    if not text.isascii():
+        # JSON can name characters that no encoding has; an output would fail by them.
+        text = text.encode(errors="backslashreplace").decode()
     if PLAIN_VALUE.fullmatch(text):
         return text
     return json.dumps(text, ensure_ascii=False)
--- a/cranberrywick/platform/settings.py
+++ b/cranberrywick/platform/settings.py
@@ -49,8 +49,10 @@
     ports = fields.get("internalPorts")
     if not isinstance(ports, list) or len(ports) != 2:
         raise InvalidConfiguration("internalPorts is not a pair")
-    pair = dict(enumerate(ports))
-    first_port, last_port = (integer(pair, each, None, 1, MAX_PORT) for each in pair)
+    first_port, last_port = (
+        integer({"internalPorts": port}, "internalPorts", None, 1, MAX_PORT)
+        for port in ports
+    )
     pressure = PRESSURE_CONTRACT in strings(fields, "contracts")
     return GatewaySettings(
         daemon_id=string(fields, "nodeName"),
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -81,6 +81,22 @@
     }
 
 
+def endpoint_record(**fields: object) -> dict:
+    """Return the record of a ready endpoint, as it writes it to the store."""
+    return {
+        "service": "desk",
+        "address": "127.0.0.1:9",
+        "zone": "a",
+        "version": "v1",
+        "slots": 8,
+        "state": "ready",
+        "coldRemainingMs": 0,
+        "sequence": 1,
+        "born": 1,
+        **fields,
+    }
+
+
 class Gateway(NamedTuple):
     """One gateway process, its settings and its log file."""
 
@@ -184,18 +200,10 @@
         self, endpoint_id: str, service: str, zone: str = "a", **fields: object
     ) -> None:
         """Write an endpoint's record to the store."""
-        record = {
-            "service": service,
-            "address": self.endpoints[endpoint_id].address,
-            "zone": zone,
-            "version": "v1",
-            "slots": 8,
-            "state": "ready",
-            "coldRemainingMs": 0,
-            "sequence": 1,
-            "born": 1,
-            **fields,
-        }
+        address = self.endpoints[endpoint_id].address
+        record = endpoint_record(
+            **{"service": service, "address": address, "zone": zone, **fields}
+        )
         self.addresses_by_id[endpoint_id] = record["address"]
         self.on_loop(self.store.put_json, f"servers/{endpoint_id}", record)
 
--- a/tests/odd_entries.py
+++ b/tests/odd_entries.py
@@ -2,6 +2,8 @@
 
 import json
 
+from gateway_fleet import endpoint_record
+
 DEEP = 100_000
 HUGE = 10**400
 LONG = "9" * 5000
@@ -9,19 +11,7 @@
 
 def _endpoint(**fields: object) -> bytes:
     """Return a record of an endpoint of the plain service, with other fields."""
-    record = {
-        "service": "desk",
-        "address": "127.0.0.1:9",
-        "zone": "a",
-        "version": "v1",
-        "slots": 8,
-        "state": "ready",
-        "coldRemainingMs": 0,
-        "sequence": 1,
-        "born": 1,
-        **fields,
-    }
-    return json.dumps(record).encode()
+    return json.dumps(endpoint_record(**fields)).encode()
 
 
 def _nested(key: str) -> bytes:
