An answer that has begun goes on until the time of its request is over

Callers saw streams closed some milliseconds before the timeout of their route: the margin of 10 ms, which lets an error answer arrive before the timeout, was taken off running answers, too, and a second time by a peer. A stream that runs beside a stop was thus cut by the daemon while its deadline and its timeout allowed more; endpoints were told of less time than there is.

Now the margin holds for requests without an answer only, as an error is what it is for. Once an answer begins its timeout is moved to the end of its time, which peers and endpoints are told.

--- a/cranberrywick/gateway/answer_forwarding.py
+++ b/cranberrywick/gateway/answer_forwarding.py
@@ -198,6 +198,7 @@
         if answer.has_length:
             length = answer.headers_by_name[b"content-length"]
             headers.append((b"Content-Length", length))
+        exchange.use_whole_time()
         await exchange.caller.send_head(answer.status, answer.reason, headers)
         received = body.held + len(part)
         await exchange.await_caller(_send_held(body, exchange.caller))
@@ -262,6 +263,7 @@
     async def _send_head(self, answer: EndpointAnswer, meta: ResponseMeta) -> None:
         self._exchange.weights_version = meta.weights_version
         headers = _forwarded_headers(answer)
+        self._exchange.use_whole_time()
         await self._exchange.caller.send_head(answer.status, answer.reason, headers)
 
 
--- a/cranberrywick/gateway/attempt.py
+++ b/cranberrywick/gateway/attempt.py
@@ -180,7 +180,7 @@
         headers = endpoint_headers(
             exchange.request.raw_headers,
             SetHeaders(
-                remaining_seconds=exchange.deadline - self._loop.time(),
+                remaining_seconds=exchange.expires_at - self._loop.time(),
                 endpoint_id=placement.endpoint_id,
                 organisation=organisation.name if organisation else None,
                 helpers=self._helpers(reservations),
--- a/cranberrywick/gateway/exchange.py
+++ b/cranberrywick/gateway/exchange.py
@@ -74,7 +74,8 @@
     ``resumed_id`` is the id of the last event that the caller had before this daemon
     got the request. A peer that forwarded it may have sent events of it, ``has_begun``,
     and ends at ``cut_at``.
-    ``timeout`` ends it at its ``deadline``.
+    ``timeout`` ends it at its ``deadline`` with an error, or at ``expires_at``, when
+    its time is over, once its answer has begun.
     ``traits`` are what the request has in common with others, and ``refused_for`` says
     for which one it was refused.
     ``peer_id`` is the peer of the last attempt, empty if that was direct.
@@ -111,7 +112,7 @@
         self.service: Service | None = None
         self.priority = 0
         self.version = 0
-        self.deadline = float("inf")
+        self.deadline = self.expires_at = inf
         self.timeout: asyncio.Timeout | None = None
         self.tried_ids: set[str] = set()
         self.sent_ids: set[str] = set()
@@ -170,6 +171,11 @@
         self.endpoint_id = ""
         self.in_flight = True
 
+    def use_whole_time(self) -> None:
+        """Let an answer that begins go on until the request's time is over."""
+        if self.timeout is not None and not self.timeout.expired():
+            self.timeout.reschedule(self.expires_at)
+
     async def lift_deadline(self) -> None:
         """Let the caller take an answer that is whole, also after the deadline.
 
--- a/cranberrywick/gateway/forwarder.py
+++ b/cranberrywick/gateway/forwarder.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import random
+from math import inf
 
 from cranberrywick.errors import (
     AmbiguousSend,
@@ -116,10 +117,14 @@
     def _route(self, exchange: Exchange) -> None:
         """Set the route and the deadline of a request, and count it."""
         route_request(exchange, self._state, self._rng)
-        allowed = exchange.route.timeout_seconds - TIMEOUT_MARGIN_SECONDS
-        if exchange.meta.deadline_seconds is not None:
-            allowed = min(allowed, exchange.meta.deadline_seconds)
-        exchange.deadline = exchange.request.arrived + allowed
+        route_seconds = exchange.route.timeout_seconds
+        own_seconds = exchange.meta.deadline_seconds
+        if own_seconds is None:
+            own_seconds = inf
+        arrived = exchange.request.arrived
+        exchange.expires_at = arrived + min(route_seconds, own_seconds)
+        answer_seconds = min(route_seconds - TIMEOUT_MARGIN_SECONDS, own_seconds)
+        exchange.deadline = arrived + answer_seconds
         self._budget.record_request(exchange.service.name, self._loop.time())
 
     async def _serve(self, exchange: Exchange) -> None:
--- a/cranberrywick/gateway/peer_attempts.py
+++ b/cranberrywick/gateway/peer_attempts.py
@@ -206,7 +206,7 @@
         return RequestStatement(
             self._daemon_id,
             now - exchange.request.arrived,
-            min(exchange.deadline, ends_at) - now,
+            min(exchange.expires_at, ends_at) - now,
             exchange.version,
             exchange.service.name,
             tuple(sorted(exchange.sent_ids)),
--- a/cranberrywick/gateway/peer_requests.py
+++ b/cranberrywick/gateway/peer_requests.py
@@ -155,7 +155,9 @@
         exchange = PeerExchange(
             request, PeerCaller(connection), decode_request(headers)
         )
-        exchange.deadline = stated_at + stated.remaining - TIMEOUT_MARGIN_SECONDS
+        exchange.expires_at = stated_at + stated.remaining
+        # The peer answers its caller that much before the time is over.
+        exchange.deadline = exchange.expires_at - 2 * TIMEOUT_MARGIN_SECONDS
         exchange.has_begun = stated.last_event_id != exchange.resumed_id
         exchange.last_event_id = exchange.resumed_id = stated.last_event_id
         if stated.ends:
--- a/cranberrywick/platform/headers.py
+++ b/cranberrywick/platform/headers.py
@@ -235,7 +235,7 @@
         for name, value in end_to_end_headers(raw)
         if name.lower() not in _SET_BY_GATEWAY
     ]
-    milliseconds = max(1, int(own.remaining_seconds * 1000))
+    milliseconds = max(1, ceil(own.remaining_seconds * 1000))
     forwarded.append((b"Cranberrywick-Deadline-Ms", str(milliseconds).encode()))
     forwarded.append((b"Cranberrywick-Expect-Instance", own.endpoint_id.encode()))
     if own.organisation is not None:
