Log for how long a daemon had not run as it saw its signal to stop

Streams were cut before the last sixth of the grace period where a process was suspended beside its signal. The log didn't tell a signal that came during the suspension from one that came after it, nor a suspension from an event loop that is busy. drain_started states both: for how long the process had not run (uncertain), and how long the loop took from the signal to the stop (delay). The window is still counted as before.

--- a/cranberrywick/gateway/app.py
+++ b/cranberrywick/gateway/app.py
@@ -3,8 +3,8 @@
 import asyncio
 import contextlib
 import random
-import signal
 from collections.abc import Callable
+from signal import SIGHUP
 
 from cranberrywick.gateway.buffer_budget import buffer_budget
 from cranberrywick.gateway.caller_connection import CallerConnection
@@ -19,6 +19,7 @@
 from cranberrywick.gateway.reservations import wait_for_releases
 from cranberrywick.gateway.served_requests import ServedRequests
 from cranberrywick.gateway.state import FleetState
+from cranberrywick.gateway.stop_signal import StopSignal
 from cranberrywick.gateway.ticker import Ticker
 from cranberrywick.gateway.waiting import WaitingRequests
 from cranberrywick.gateway.weighted_directory import WeightedDirectory
@@ -135,6 +136,7 @@
                 settings, peer_updates, self._ticker, self._rng, log
             )
         self._stopping = asyncio.Event()
+        self._stop_signal = StopSignal(self._ticker)
         self._signalled_at = 0.0
 
     def _request_limits(self):
@@ -148,9 +150,8 @@
         Requests that are being served may end first, within the grace period.
         """
         loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self._ask_to_stop)
-        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        self._stop_signal.listen(self._ask_to_stop)
+        loop.add_signal_handler(SIGHUP, self._reload)
         loop.set_exception_handler(self._record_failure)
         await self.start()
         await self._stopping.wait()
@@ -271,11 +272,15 @@
         for ingress in (*self._served, *self._internal):
             self._step(ingress.drain)
         self._step(self.state.leave)
+        now = asyncio.get_running_loop().time()
+        signalled = self._stop_signal.moment
         self._log.info(
             "drain_started",
             busy=self._requests.busy,
             waiting=len(self._waiting),
-            grace=window.close_at - asyncio.get_running_loop().time(),
+            grace=window.close_at - now,
+            uncertain=signalled.latest - signalled.earliest,
+            delay=now - signalled.latest,
         )
 
     def _give_up_unanswered(self) -> None:
--- a/cranberrywick/gateway/ticker.py
+++ b/cranberrywick/gateway/ticker.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from cranberrywick.logs import EventLog
+from cranberrywick.routing.drain_window import SignalMoment
 
 __all__ = ["Ticker"]
 
@@ -42,6 +43,13 @@
             return self._suspended_at
         return now
 
+    def signal_moment(self, now: float) -> SignalMoment:
+        """Return between which moments a signal came that the process sees now.
+
+        It came after the last moment at which the process is known to have run.
+        """
+        return SignalMoment(min(self._ran_at, now), now)
+
     def running_since(self, moment: float, now: float) -> float:
         """Return from when on events have been seen as they came, since a moment.
 
--- a/cranberrywick/routing/drain_window.py
+++ b/cranberrywick/routing/drain_window.py
@@ -20,6 +20,7 @@
 __all__ = [
     "DrainWindow",
     "HeldTimes",
+    "SignalMoment",
     "gets_no_turn",
     "seconds_until_room",
 ]
@@ -40,6 +41,13 @@
 MAX_SERVICES = 500
 
 
+class SignalMoment(NamedTuple):
+    """Between which moments of the event loop's clock a signal came."""
+
+    earliest: float
+    latest: float
+
+
 class DrainWindow(NamedTuple):
     """When a stopping daemon ends; moments of the event loop's clock.
 
