The stop counts from both ends of the time in which its signal came

Callers lost streams that ran: of a gateway that is suspended for 1 to 3 s beside SIGTERM they were cut 4.6 to 6.6 s after the signal, before the last sixth of graceS. The event loop's first look after a pause of over 0.5 s took the pause's beginning for the signal's moment, for 0.1 s, and the whole window moved with it; also its idle daemons ended so much too early.

The signal came between the last moment at which the process is known to have run, and the one at which a handler that interrupts the loop's turn noted it. Errors, the close and the moment from which streams are late count from the first; what runs is cut no earlier than in the last sixth counted from the second, and the daemon stays for callers that still have its address from the second.

--- a/cranberrywick/gateway/app.py
+++ b/cranberrywick/gateway/app.py
@@ -17,7 +17,7 @@
 from cranberrywick.gateway.lazy_metrics import LazyMetrics
 from cranberrywick.gateway.peer_requests import PeerRequests
 from cranberrywick.gateway.reservations import wait_for_releases
-from cranberrywick.gateway.served_requests import ServedRequests
+from cranberrywick.gateway.served_requests import IDLE_POLL_SECONDS, ServedRequests
 from cranberrywick.gateway.state import FleetState
 from cranberrywick.gateway.stop_signal import StopSignal
 from cranberrywick.gateway.ticker import Ticker
@@ -137,7 +137,6 @@
             )
         self._stopping = asyncio.Event()
         self._stop_signal = StopSignal(self._ticker)
-        self._signalled_at = 0.0
 
     def _request_limits(self):
         """Return the configured limits of requests, None before a configuration."""
@@ -208,15 +207,8 @@
         )
 
     def _ask_to_stop(self) -> None:
-        """Let `run` stop the daemon.
-
-        A signal that comes while the process is suspended is seen when it goes on, but
-        the grace period has begun before.
-        """
-        if not self._stopping.is_set():
-            now = asyncio.get_running_loop().time()
-            self._signalled_at = self._ticker.seen_since(now)
-            self._stopping.set()
+        """Let `run` stop the daemon."""
+        self._stopping.set()
 
     async def _stop(self) -> None:
         """Leave the directory, serve until no request is left, and close.
@@ -224,9 +216,9 @@
         A request that can't be finished within the grace period is refused as soon as
         that is known; the others are answered by its end, if only with an error.
         """
-        started = self._signalled_at
-        window = DrainWindow.of_grace(started, self._settings.bounds.grace_seconds)
-        earliest = started + LEAVE_SECONDS
+        signalled = self._stop_signal.moment()
+        window = DrainWindow.of_grace(signalled, self._settings.bounds.grace_seconds)
+        earliest = signalled.latest + LEAVE_SECONDS
         self._step(self._begin_drain, window)
         unanswered = await self._serve_rest(earliest, window)
         # What was accepted before is read and served; nothing new comes.
@@ -239,6 +231,7 @@
         # nothing more is read from them.
         if self._requests.busy:
             await self._answer_rest()
+            await self._serve_begun(window.cut_at)
         self._step(self._requests.record_end, unanswered)
         await self._close()
 
@@ -273,7 +266,7 @@
             self._step(ingress.drain)
         self._step(self.state.leave)
         now = asyncio.get_running_loop().time()
-        signalled = self._stop_signal.moment
+        signalled = self._stop_signal.moment()
         self._log.info(
             "drain_started",
             busy=self._requests.busy,
@@ -303,6 +296,17 @@
         while loop.time() < latest and any(each.unanswered for each in self._served):
             await asyncio.sleep(REST_SECONDS / 10)
 
+    async def _serve_begun(self, latest: float) -> None:
+        """Go on with the answers that have begun; close all other connections."""
+        loop = asyncio.get_running_loop()
+        seconds = latest - loop.time()
+        if seconds > 0:
+            self._log.info("drain_prolonged", busy=self._requests.busy, seconds=seconds)
+        while loop.time() < latest and self._requests.busy:
+            for ingress in self._served:
+                self._step(ingress.close)
+            await asyncio.sleep(IDLE_POLL_SECONDS)
+
     async def _close(self) -> None:
         """Close the connections, and end all that outlives a request.
 
--- a/cranberrywick/gateway/served_requests.py
+++ b/cranberrywick/gateway/served_requests.py
@@ -6,7 +6,7 @@
 from cranberrywick.gateway.ingress import Ingress
 from cranberrywick.logs import EventLog
 
-__all__ = ["ServedRequests"]
+__all__ = ["IDLE_POLL_SECONDS", "ServedRequests"]
 
 # Interval at which a stopping daemon checks whether requests are left, in seconds.
 IDLE_POLL_SECONDS = 0.02
--- a/cranberrywick/gateway/stop_signal.py
+++ b/cranberrywick/gateway/stop_signal.py
@@ -27,20 +27,17 @@
         self._loop = asyncio.get_running_loop()
         self._moment: SignalMoment | None = None
 
-    @property
-    def moment(self) -> SignalMoment:
-        """When the signal came; the present if none has."""
-        return self._moment or self._ticker.signal_moment(self._loop.time())
-
     def listen(self, callback: Callable[[], None]) -> None:
         """Call ``callback`` on the event loop at each signal from now on."""
         for number in STOP_SIGNALS:
             self._loop.add_signal_handler(number, callback)
             # The loop's handler wakes it, and does nothing else. This one runs at once,
             # in the middle of a turn, too.
-            signal.signal(number, self._note)
+            signal.signal(number, lambda *_: self.moment())
             signal.siginterrupt(number, False)
 
-    def _note(self, *_: object) -> None:
+    def moment(self) -> SignalMoment:
+        """Return when the signal came; that is noted at the first call."""
         if self._moment is None:
             self._moment = self._ticker.signal_moment(self._loop.time())
+        return self._moment
--- a/cranberrywick/gateway/ticker.py
+++ b/cranberrywick/gateway/ticker.py
@@ -10,8 +10,8 @@
 __all__ = ["Ticker"]
 
 
-# A loop on which no callback has run for this long was suspended, in seconds. The
-# timers of a daemon fire several times a second.
+# A loop that is known to have run neither a timer nor a look at an answer for this long
+# was suspended, or as late, in seconds. The timers fire several times a second.
 SUSPENDED_SECONDS = 0.5
 # For how long after that events are seen that came during it, in seconds.
 RESUMED_SECONDS = 0.1
@@ -30,18 +30,7 @@
         self._tasks: list[asyncio.Task] = []
         # Moments of the event loop's clock.
         self._ran_at = float("inf")
-        self._suspended_at = self._resumed_at = float("-inf")
-
-    def seen_since(self, now: float) -> float:
-        """Return the earliest time at which an event that is seen now may have come.
-
-        That is ``now``, or the beginning of a time in which the process was suspended
-        if that has just ended.
-        """
-        self._record_run(now)
-        if now - self._resumed_at < RESUMED_SECONDS:
-            return self._suspended_at
-        return now
+        self._resumed_at = float("-inf")
 
     def signal_moment(self, now: float) -> SignalMoment:
         """Return between which moments a signal came that the process sees now.
@@ -57,13 +46,12 @@
         began earlier shows nothing of what was waited for: it is too long or, between
         two events that came meanwhile, too short.
         """
-        if now - self._ran_at > SUSPENDED_SECONDS:
-            self._record_run(now)
+        self._record_run(now)
         return max(moment, self._resumed_at + RESUMED_SECONDS)
 
     def _record_run(self, now: float) -> None:
         if now - self._ran_at > SUSPENDED_SECONDS:
-            self._suspended_at, self._resumed_at = self._ran_at, now
+            self._resumed_at = now
         self._ran_at = now
 
     def every(
--- a/cranberrywick/routing/drain_window.py
+++ b/cranberrywick/routing/drain_window.py
@@ -34,6 +34,11 @@
 # meanwhile might hold it up until the end, or though it might be longer than those so
 # far, in seconds. Most are not, and while all daemons stop nobody else serves them.
 EARLY_SECONDS = 3.0
+# Part of the time allowed for a stop after which an answer that has begun may be cut.
+CUT_SHARE = 5 / 6
+# Longest time between the moment at which a signal counts as sent and that at which the
+# process sees it, in seconds: for the way of an order to the VM and back.
+SIGNAL_DELAY_SECONDS = 0.05
 # Number of requests of a service from which the time that they hold a slot is known.
 RECENT_REQUESTS = 16
 # Largest number of services of which it is kept. The one that has been without a
@@ -42,7 +47,10 @@
 
 
 class SignalMoment(NamedTuple):
-    """Between which moments of the event loop's clock a signal came."""
+    """Between which moments of the event loop's clock a signal came.
+
+    A process that was suspended, or not scheduled, can't know it more closely.
+    """
 
     earliest: float
     latest: float
@@ -52,23 +60,33 @@
     """When a stopping daemon ends; moments of the event loop's clock.
 
     By ``answer_by`` every request has its answer, or an error in its place, and at
-    ``close_at`` the connections are closed. What is sent from ``late_from`` on is sent
-    only if it ends in time whatever else is served, even a long prompt at its engine.
+    ``close_at`` the connections are closed, but for those with an answer that has
+    begun: that is cut at ``cut_at``. What is sent from ``late_from`` on is sent only if
+    it ends by ``close_at`` whatever else is served, even a long prompt at its engine.
 
-    >>> DrainWindow.of_grace(100.0, grace_seconds=8.0)
-    DrainWindow(answer_by=107.35, close_at=107.6, late_from=103.0)
+    >>> DrainWindow.of_grace(SignalMoment(98.0, 100.0), grace_seconds=6.0)
+    DrainWindow(answer_by=103.35, close_at=103.6, late_from=100.95, cut_at=105.05)
     """
 
     answer_by: float
     close_at: float
     late_from: float = float("inf")
+    cut_at: float = float("inf")
 
     @classmethod
-    def of_grace(cls, signalled_at: float, grace_seconds: float) -> "DrainWindow":
-        """Return the window of a daemon that is killed after ``grace_seconds``."""
-        close_at = signalled_at + max(0.0, grace_seconds - STOP_MARGIN_SECONDS)
-        answer_by = max(signalled_at, close_at - ANSWER_MARGIN_SECONDS)
-        return cls(answer_by, close_at, signalled_at + EARLY_SECONDS)
+    def of_grace(cls, signalled: SignalMoment, grace_seconds: float) -> "DrainWindow":
+        """Return the window of a daemon that is killed after ``grace_seconds``.
+
+        What must not come too late counts from the earliest moment of the signal, and a
+        cut, which must not come too early, from the latest one. The process may be
+        killed before that, which cuts the same answers, and later.
+        """
+        earliest, latest = signalled
+        close_at = earliest + max(0.0, grace_seconds - STOP_MARGIN_SECONDS)
+        answer_by = max(earliest, close_at - ANSWER_MARGIN_SECONDS)
+        late_from = earliest + EARLY_SECONDS - SIGNAL_DELAY_SECONDS
+        cut_at = latest + grace_seconds * CUT_SHARE + SIGNAL_DELAY_SECONDS
+        return cls(answer_by, close_at, late_from, max(close_at, cut_at))
 
 
 class HeldTimes:
--- /dev/null
+++ b/tests/test_stop_signal.py
@@ -0,0 +1,51 @@
+"""The moment at which a daemon's signal to stop came.
+
+Guards against a moment that is that at which a busy daemon gets to the signal.
+"""
+
+import asyncio
+import os
+import signal
+import threading
+import time
+
+import pytest
+
+from cranberrywick.gateway.stop_signal import StopSignal
+from cranberrywick.gateway.ticker import Ticker
+from cranberrywick.logs import EventLog
+
+BUSY_SECONDS = 0.6
+
+
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT])
+def test_a_signal_within_a_long_turn_of_the_loop_came_then(number):
+    """Guards against a busy loop that is taken for a suspended process."""
+
+    async def main():
+        loop = asyncio.get_running_loop()
+        stop_signal = StopSignal(Ticker(EventLog()))
+        calls = []
+        stop_signal.listen(lambda: calls.append(loop.time()))
+        sent_at = []
+
+        def send():
+            sent_at.append(time.monotonic())
+            os.kill(os.getpid(), number)
+
+        sender = threading.Timer(BUSY_SECONDS / 3, send)
+        sender.start()
+        until = time.monotonic() + BUSY_SECONDS
+        while time.monotonic() < until:
+            sum(range(1000))
+        sender.join()
+        assert not calls
+        os.kill(os.getpid(), number)  # Only the first one counts.
+        await asyncio.sleep(0.01)
+        assert calls
+        moment = stop_signal.moment()
+        assert moment == stop_signal.moment()
+        assert moment.earliest <= moment.latest
+        assert sent_at[0] <= moment.latest < sent_at[0] + BUSY_SECONDS / 3
+
+    asyncio.run(main())
