A permit whose answer a late loop has read after its moment is asked for again

A steward grants a permit for a moment, and a daemon may use it up to 0.2 s later. The daemon counted that moment from when it read the answer: a loop that was late by 0.3 s used the permit 0.3 s after it, while the steward had granted the next ones to others.

The time since the request bounds the permit's age. One that may be over 0.2 s old is asked for again, once: a loop that is always late would never get one. The new test failed before (one request in place of two).

--- a/cranberrywick/gateway/permits.py
+++ b/cranberrywick/gateway/permits.py
@@ -73,11 +73,17 @@
         """
         until = self._loop.time() + longest_wait
         steward_id = ""
+        was_late = False
         while (rate := self._limits.rate(endpoint_id)) < inf:
-            left = max(0.0, until - self._loop.time())
+            requested_at = self._loop.time()
+            left = max(0.0, until - requested_at)
             steward_id, permit = await self._request_permit(endpoint_id, left)
             if not permit.granted:
                 return Admission(False, steward_id)
+            if self._is_outdated(requested_at) and not was_late:
+                # Only once: a loop that is always late would get no permit at all.
+                was_late = True
+                continue
             if await self._wait(endpoint_id, rate, steward_id, permit):
                 break
         return Admission(True, steward_id)
@@ -136,6 +142,10 @@
         finally:
             del self._pending_by_number[request.number]
 
+    def _is_outdated(self, requested_at: float) -> bool:
+        """Whether an answer may have waited for this loop past the permit's moment."""
+        return self._loop.time() - requested_at > MAX_USE_DELAY_SECONDS
+
     async def _wait(
         self, endpoint_id: str, rate: float, steward_id: str, permit: Permit
     ) -> bool:
--- /dev/null
+++ b/tests/test_late_permits.py
@@ -0,0 +1,44 @@
+"""Permits for endpoints with a rate limit, on an event loop that is late."""
+
+import asyncio
+import time
+from types import SimpleNamespace
+
+from cranberrywick.gateway.messages import PermitResponse
+from cranberrywick.gateway.permits import MAX_USE_DELAY_SECONDS, EndpointPermits
+from cranberrywick.logs import EventLog
+from cranberrywick.routing.fleet_limits import Permit
+
+
+def test_a_permit_whose_answer_was_read_late_is_not_used():
+    """Guards against permits of one moment that a late daemon uses at a later one."""
+
+    async def main() -> int:
+        loop = asyncio.get_running_loop()
+        limits = SimpleNamespace(
+            rate=lambda endpoint_id: 5.0,
+            steward=lambda endpoint_id, now: SimpleNamespace(
+                daemon_id="d2", peer_address="10.0.0.2:1"
+            ),
+            terms=lambda endpoint_id, longest_wait, now: None,
+            report=lambda endpoint_id: SimpleNamespace(endpoint_id=endpoint_id),
+            record_permit=lambda endpoint_id, permit, now: None,
+        )
+        requests = []
+
+        def send(request, addresses):
+            requests.append(request)
+            loop.call_soon(answer, request)
+
+        def answer(request):
+            if len(requests) == 1:
+                # The steward has answered, and the loop doesn't read it.
+                time.sleep(MAX_USE_DELAY_SECONDS + 0.1)
+            permits.handle_response(PermitResponse(request.number, permit))
+
+        permit = Permit(True, 0.0, 0.2)
+        permits = EndpointPermits("d1", limits, send, EventLog())
+        assert (await permits.admit("e1", longest_wait=1.0)).granted
+        return len(requests)
+
+    assert asyncio.run(main()) == 2
