A busy event loop's lag is no endpoint's pace

Since the stop counts from both ends, each event of a stream showed that the process runs, so that a turn of the loop of over half a second in which events were read no longer counted as one in which it lagged, and the pause over it would be taken for the endpoint's. What shows that the process runs, for the moment of a signal, and what shows that the loop is in time, its timers, are kept apart. The test of the ticker failed before.

--- a/cranberrywick/gateway/ticker.py
+++ b/cranberrywick/gateway/ticker.py
@@ -10,8 +10,8 @@
 __all__ = ["Ticker"]
 
 
-# A loop that is known to have run neither a timer nor a look at an answer for this long
-# was suspended, or as late, in seconds. The timers fire several times a second.
+# A loop on which no timer has fired for this long was suspended, or as late as if it had
+# been, in seconds. The timers of a daemon fire several times a second.
 SUSPENDED_SECONDS = 0.5
 # For how long after that events are seen that came during it, in seconds.
 RESUMED_SECONDS = 0.1
@@ -28,8 +28,9 @@
         self._log = log
         self._rng = random.Random()
         self._tasks: list[asyncio.Task] = []
-        # Moments of the event loop's clock.
-        self._ran_at = float("inf")
+        # When the process is known to have run, when a timer has fired, and when the
+        # loop went on after it was suspended; moments of its clock.
+        self._ran_at = self._ticked_at = float("inf")
         self._resumed_at = float("-inf")
 
     def signal_moment(self, now: float) -> SignalMoment:
@@ -46,13 +47,15 @@
         began earlier shows nothing of what was waited for: it is too long or, between
         two events that came meanwhile, too short.
         """
-        self._record_run(now)
+        self._ran_at = now
+        if now - self._ticked_at > SUSPENDED_SECONDS:
+            self._record_tick(now)
         return max(moment, self._resumed_at + RESUMED_SECONDS)
 
-    def _record_run(self, now: float) -> None:
-        if now - self._ran_at > SUSPENDED_SECONDS:
+    def _record_tick(self, now: float) -> None:
+        if now - self._ticked_at > SUSPENDED_SECONDS:
             self._resumed_at = now
-        self._ran_at = now
+        self._ticked_at = self._ran_at = now
 
     def every(
         self, seconds: float, callback: Callable[[], None], jitter: float = 0.0
@@ -92,7 +95,7 @@
         loop = asyncio.get_running_loop()
         while True:
             await asyncio.sleep(pause())
-            self._record_run(loop.time())
+            self._record_tick(loop.time())
             try:
                 callback()
             except Exception as error:
--- a/tests/test_ticker.py
+++ b/tests/test_ticker.py
@@ -106,3 +106,22 @@
         ticker.stop()
 
     run_in_virtual_time(main())
+
+
+def test_a_turn_in_which_many_events_are_seen_is_no_pace():
+    """Guards against a busy loop whose lag is taken for an endpoint's pace."""
+
+    async def main():
+        loop = asyncio.get_running_loop()
+        ticker = Ticker(EventLog())
+        ticker.every(0.3, lambda: None)
+        await asyncio.sleep(1.0)
+        began = loop.time()
+        for _ in range(8):
+            suspend_loop(0.1)
+            ticker.running_since(loop.time(), loop.time())
+        assert ticker.running_since(began, loop.time()) > began + 0.5
+        assert ticker.signal_moment(loop.time() + 0.1).earliest == loop.time()
+        ticker.stop()
+
+    run_in_virtual_time(main())
