A signal within a long turn of the event loop has its own moment

4,000 requests at once keep the loop busy for two seconds, and SIGTERM that comes 1.2 s after them was handled up to 1.8 s later. If a timer had fired in between, the window counted from then: streams were to be cut, and what had no answer to get its error, over a second after the kill.

--- a/cranberrywick/gateway/forwarder.py
+++ b/cranberrywick/gateway/forwarder.py
@@ -82,6 +82,7 @@
         Failures become error answers. The task is cancelled when the caller closes
         its connection, and at the end of the process.
         """
+        self._state.ticker.record_run(self._loop.time())
         exchange = Exchange(request, caller, decode_request(request.headers))
         outcome = "internal_error"
         try:
--- a/cranberrywick/gateway/ticker.py
+++ b/cranberrywick/gateway/ticker.py
@@ -10,8 +10,8 @@
 __all__ = ["Ticker"]
 
 
-# A loop on which no timer has fired for this long was suspended, or as late as if it had
-# been, in seconds. The timers of a daemon fire several times a second.
+# A loop on which no timer has fired for this long was suspended, or busy, in seconds.
+# The timers of a daemon fire several times a second.
 SUSPENDED_SECONDS = 0.5
 # For how long after that events are seen that came during it, in seconds.
 RESUMED_SECONDS = 0.1
@@ -47,11 +47,15 @@
         began earlier shows nothing of what was waited for: it is too long or, between
         two events that came meanwhile, too short.
         """
-        self._ran_at = now
+        self.record_run(now)
         if now - self._ticked_at > SUSPENDED_SECONDS:
             self._record_tick(now)
         return max(moment, self._resumed_at + RESUMED_SECONDS)
 
+    def record_run(self, now: float) -> None:
+        """Record that the process runs, in the middle of a turn, too."""
+        self._ran_at = now
+
     def _record_tick(self, now: float) -> None:
         if now - self._ticked_at > SUSPENDED_SECONDS:
             self._resumed_at = now
