A daemon that is late again and again learns how fast its endpoints are

A pause between two events that touches a stall of over 0.5 s showed nothing, as after a suspension.

Each such pause is wrong by no more than the stall, and so is the sum of several in a row. Once they last four times as long as the longest, the mean counts.

--- a/cranberrywick/gateway/observations.py
+++ b/cranberrywick/gateway/observations.py
@@ -10,7 +10,7 @@
 from cranberrywick.logs import EventLog
 from cranberrywick.platform.headers import ResponseMeta
 from cranberrywick.routing.drain_notices import DrainNotice
-from cranberrywick.routing.slowdown import StreamPauses, call_slowdown
+from cranberrywick.routing.slowdown import LatePauses, StreamPauses, call_slowdown
 
 __all__ = ["EndpointObservations"]
 
@@ -113,6 +113,7 @@
         declared = profile.stride * profile.step_seconds if profile else 0.0
         pauses = StreamPauses(declared)
         paces = self._state.peer_updates.answers.paces
+        late = LatePauses()
 
         def record(endpoint_id: str, seconds: float, events: int) -> None:
             nonlocal blocked_before
@@ -121,8 +122,12 @@
             now = self._loop.time()
             began_at = now - seconds
             # While its caller doesn't read, a stream shows nothing of the endpoint.
-            is_blocked = blocked >= MAX_BLOCKED_SECONDS
-            if is_blocked or self._state.ticker.running_since(began_at, now) > began_at:
+            if blocked >= MAX_BLOCKED_SECONDS:
+                return
+            if self._state.ticker.running_since(began_at, now) > began_at:
+                mean = late.record(seconds, events)
+                if mean is not None:
+                    paces.record(endpoint_id, exchange.service.name, *mean, now)
                 return
             paces.record(endpoint_id, exchange.service.name, seconds, events, now)
             # The prefill that the engine is known to have to do also lengthens the
--- a/cranberrywick/routing/slowdown.py
+++ b/cranberrywick/routing/slowdown.py
@@ -12,11 +12,22 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-__all__ = ["EndpointSlowdown", "EndpointSlowdowns", "StreamPauses", "call_slowdown"]
+__all__ = [
+    "EndpointSlowdown",
+    "EndpointSlowdowns",
+    "LatePauses",
+    "StreamPauses",
+    "call_slowdown",
+]
 
 # Number of pauses in a row that must all be too long: one or two may be caused by the
 # prefill of a prompt.
 MIN_PAUSES = 3
+# A daemon that is late for less than this counts as in time, in seconds.
+LATE_SECONDS = 0.5
+# How many times the longest of some late pauses they have to last together, so that
+# their mean is that of the endpoint.
+LATE_PAUSES_FACTOR = 4.0
 # An engine counts as slow from this many times the declared pass on. One that is full
 # of answers with long contexts takes about 1.3 times as long and is not slow.
 SLOW_FACTOR = 2.0
@@ -59,6 +70,40 @@
         return max(1.0, min(self._pauses) / self._pass_seconds)
 
 
+class LatePauses:
+    """The pauses of one stream that this daemon's own lateness has changed.
+
+    Each may be too long, or too short, by the time for which the daemon was late, but
+    their sum is wrong by no more than that.
+
+    >>> pauses = LatePauses()
+    >>> [pauses.record(0.6, events=3) for _ in range(4)]
+    [None, None, None, (2.4, 12)]
+    """
+
+    def __init__(self) -> None:
+        self._seconds = self._longest = 0.0
+        self._events = 0
+
+    def record(self, seconds: float, events: int) -> tuple[float, int] | None:
+        """Record a pause in seconds and how many events came after it.
+
+        Returns the sums of both once their ratio shows how fast the endpoint is.
+        """
+        if not self._events and seconds < LATE_SECONDS:
+            # The daemon was late before the stream's first event was seen.
+            return None
+        self._seconds += seconds
+        self._events += events
+        self._longest = max(self._longest, seconds)
+        if self._seconds < LATE_PAUSES_FACTOR * self._longest:
+            return None
+        sums = self._seconds, self._events
+        self._seconds = self._longest = 0.0
+        self._events = 0
+        return sums
+
+
 def call_slowdown(seconds: float, target_seconds: float) -> float:
     """Return the slowdown of an endpoint that a plain call shows.
 
--- a/tests/test_slowdown.py
+++ b/tests/test_slowdown.py
@@ -13,8 +13,10 @@
 from cranberrywick.routing.model import EndpointRecord, PromptSize, Service
 from cranberrywick.routing.placement import Placer
 from cranberrywick.routing.slowdown import (
+    LATE_PAUSES_FACTOR,
     EndpointSlowdown,
     EndpointSlowdowns,
+    LatePauses,
     StreamPauses,
     call_slowdown,
 )
@@ -32,6 +34,41 @@
     assert [pauses.record(0.25) for _ in range(4)] == [None, None, 5.0, 5.0]
 
 
+@pytest.mark.parametrize("pace", [0.05, 0.2, 0.35])
+def test_a_daemon_that_is_late_all_the_time_learns_the_pace(pace):
+    """Guards against a pace that is not known since each pause is a late one."""
+    pauses, learned = LatePauses(), []
+    seen_at, ran_at = 0.0, 0.0
+    events = 0
+    for number in range(1, 400):
+        came_at = number * pace
+        # It runs for a moment each 0.6 s, and sees all that has come until then.
+        if came_at > ran_at:
+            if events:
+                mean = pauses.record(ran_at - seen_at, events)
+                learned += [mean] if mean else []
+                seen_at, events = ran_at, 0
+            while ran_at < came_at:
+                ran_at += 0.6
+        events += 1
+    assert learned
+    for seconds, number in learned:
+        assert seconds / number == pytest.approx(pace, rel=1 / LATE_PAUSES_FACTOR)
+
+
+def test_one_suspension_shows_no_pace():
+    """Guards against a pace that is that of a suspended process."""
+    pauses = LatePauses()
+    assert pauses.record(1.5, 1) is None
+    assert all(pauses.record(0.001, 1) is None for _ in range(50))
+
+
+def test_events_that_came_while_the_first_was_waited_for_show_no_pace():
+    """Guards against an engine that counts as fast since its events were read late."""
+    pauses = LatePauses()
+    assert all(pauses.record(0.001, 1) is None for _ in range(50))
+
+
 def test_a_slow_engine_is_reported_and_tried_again():
     """Short prompts try a slow engine again after two seconds, long ones much later."""
     slowdowns, peers = EndpointSlowdowns(), EndpointSlowdowns()
