--- a/cranberrywick/gateway/app.py
+++ b/cranberrywick/gateway/app.py
@@ -3,8 +3,8 @@
 import asyncio
 import contextlib
 import random
-import signal
 from collections.abc import Callable
+from signal import SIGHUP
 
 from cranberrywick.gateway.buffer_budget import buffer_budget
 from cranberrywick.gateway.caller_connection import CallerConnection
@@ -17,8 +17,9 @@
 from cranberrywick.gateway.lazy_metrics import LazyMetrics
 from cranberrywick.gateway.peer_requests import PeerRequests
 from cranberrywick.gateway.reservations import wait_for_releases
-from cranberrywick.gateway.served_requests import ServedRequests
+from cranberrywick.gateway.served_requests import IDLE_POLL_SECONDS, ServedRequests
 from cranberrywick.gateway.state import FleetState
+from cranberrywick.gateway.stop_signal import StopSignal
 from cranberrywick.gateway.ticker import Ticker
 from cranberrywick.gateway.waiting import WaitingRequests
 from cranberrywick.gateway.weighted_directory import WeightedDirectory
@@ -135,7 +136,7 @@
                 settings, peer_updates, self._ticker, self._rng, log
             )
         self._stopping = asyncio.Event()
-        self._signalled_at = 0.0
+        self._stop_signal = StopSignal(self._ticker)
 
     def _request_limits(self):
         """Return the configured limits of requests, None before a configuration."""
@@ -148,9 +149,8 @@
         Requests that are being served may end first, within the grace period.
         """
         loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self._ask_to_stop)
-        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        self._stop_signal.listen(self._ask_to_stop)
+        loop.add_signal_handler(SIGHUP, self._reload)
         loop.set_exception_handler(self._record_failure)
         await self.start()
         await self._stopping.wait()
@@ -207,15 +207,8 @@
         )
 
     def _ask_to_stop(self) -> None:
-        """Let `run` stop the daemon.
-
-        A signal that comes while the process is suspended is seen when it goes on, but
-        the grace period has begun before.
-        """
-        if not self._stopping.is_set():
-            now = asyncio.get_running_loop().time()
-            self._signalled_at = self._ticker.seen_since(now)
-            self._stopping.set()
+        """Let `run` stop the daemon."""
+        self._stopping.set()
 
     async def _stop(self) -> None:
         """Leave the directory, serve until no request is left, and close.
@@ -223,9 +216,9 @@
         A request that can't be finished within the grace period is refused as soon as
         that is known; the others are answered by its end, if only with an error.
         """
-        started = self._signalled_at
-        window = DrainWindow.of_grace(started, self._settings.bounds.grace_seconds)
-        earliest = started + LEAVE_SECONDS
+        signalled = self._stop_signal.moment()
+        window = DrainWindow.of_grace(signalled, self._settings.bounds.grace_seconds)
+        earliest = signalled.latest + LEAVE_SECONDS
         self._step(self._begin_drain, window)
         unanswered = await self._serve_rest(earliest, window)
         # What was accepted before is read and served; nothing new comes.
@@ -238,6 +231,7 @@
         # nothing more is read from them.
         if self._requests.busy:
             await self._answer_rest()
+            await self._serve_begun(window.cut_at)
         self._step(self._requests.record_end, unanswered)
         await self._close()
 
@@ -271,11 +265,15 @@
         for ingress in (*self._served, *self._internal):
             self._step(ingress.drain)
         self._step(self.state.leave)
+        now = asyncio.get_running_loop().time()
+        signalled = self._stop_signal.moment()
         self._log.info(
             "drain_started",
             busy=self._requests.busy,
             waiting=len(self._waiting),
-            grace=window.close_at - asyncio.get_running_loop().time(),
+            grace=window.close_at - now,
+            uncertain=signalled.latest - signalled.earliest,
+            delay=now - signalled.latest,
         )
 
     def _give_up_unanswered(self) -> None:
@@ -298,6 +296,17 @@
         while loop.time() < latest and any(each.unanswered for each in self._served):
             await asyncio.sleep(REST_SECONDS / 10)
 
+    async def _serve_begun(self, latest: float) -> None:
+        """Go on with the answers that have begun; close all other connections."""
+        loop = asyncio.get_running_loop()
+        seconds = latest - loop.time()
+        if seconds > 0:
+            self._log.info("drain_prolonged", busy=self._requests.busy, seconds=seconds)
+        while loop.time() < latest and self._requests.busy:
+            for ingress in self._served:
+                self._step(ingress.close)
+            await asyncio.sleep(IDLE_POLL_SECONDS)
+
     async def _close(self) -> None:
         """Close the connections, and end all that outlives a request.
 
