serve answers what it reads after the last look of a drain, however long that takes

A drain waited until nothing ran and returned; connections were still read until the stop, which waits half a second for the last answers. A call on a kept connection that came in between was dispatched, and its connection closed after 1.5 s, without an answer. A loop or threads that are late need less than a long call for that.

The drain now ends reading itself, and waits for what was read before, within its own limit; the stop's half second is left for a stop without a drain. The new test failed before (status 0 in place of 200) and passes.

--- a/cranberrywick/daemon.py
+++ b/cranberrywick/daemon.py
@@ -381,7 +381,7 @@
         time.sleep(wait)
         self._server.stop_accepting()
         self._closed = True
-        idle = self._server.wait_until_idle(DRAIN_LIMIT_SECONDS)
+        idle = self._server.finish(DRAIN_LIMIT_SECONDS)
         self._log.info("drain_ended", idle=idle)
 
     def stop(self) -> None:
--- a/cranberrywick/http_server.py
+++ b/cranberrywick/http_server.py
@@ -37,7 +37,7 @@
     Waitress's own `run` ends its application threads as soon as it has to stop,
     which cuts the streams that they are writing. This class runs the event loop
     itself instead: `stop_accepting` closes the listener, `wait_until_idle` waits for
-    the running requests, and `stop` ends the loop.
+    the running requests, `finish` also lets no more come, and `stop` ends the loop.
     """
 
     def __init__(self, application: Callable, listen: str, threads: int):
@@ -102,6 +102,22 @@
             time.sleep(IDLE_CHECK_SECONDS)
         return True
 
+    def finish(self, seconds: float) -> bool:
+        """Serve what comes until nothing is left, and read nothing more from then on.
+
+        What was read after the last look is served, too. Return whether all requests
+        ended within ``seconds``.
+        """
+        deadline = time.monotonic() + seconds
+        self.wait_until_idle(seconds)
+        self._end_reading()
+        return self.wait_until_idle(max(0.0, deadline - time.monotonic()))
+
+    def _end_reading(self) -> None:
+        self._run_on_loop(self._stop_reading)
+        # The turn that has taken this step still reads what its poll has found.
+        self._run_on_loop(lambda: None)
+
     @property
     def _n_running(self) -> int:
         channels = list(self._server.active_channels.values())
@@ -115,9 +131,7 @@
         Nothing is read any more, and what has been read gets its answer before, if that
         takes no longer than `LAST_ANSWERS_SECONDS`.
         """
-        self._run_on_loop(self._stop_reading)
-        # The turn that has taken this step still reads what its poll has found.
-        self._run_on_loop(lambda: None)
+        self._end_reading()
         self.wait_until_idle(LAST_ANSWERS_SECONDS)
         self._stopping.set()
         self._server.pull_trigger()
--- a/tests/test_serve_stop.py
+++ b/tests/test_serve_stop.py
@@ -3,14 +3,19 @@
 import socket
 import threading
 import time
+from types import SimpleNamespace
 
 from gateway_fleet import read_answer, wait_for
 
-from cranberrywick.http_server import HttpServer
+from cranberrywick.daemon import Daemon
+from cranberrywick.http_server import LAST_ANSWERS_SECONDS, POLL_SECONDS, HttpServer
+from cranberrywick.logs import EventLog
 
 CALLERS = 3
 # How long each read and each request take, in seconds.
 READ_SECONDS, WORK_SECONDS = 0.01, 0.1
+# How long a call takes that outlasts the last answers of a stop, in seconds.
+LONG_WORK_SECONDS = 1.0 + POLL_SECONDS + LAST_ANSWERS_SECONDS
 
 
 def test_what_is_read_in_the_turn_that_ends_reading_is_answered(monkeypatch):
@@ -63,3 +68,38 @@
             except OSError:
                 answered.append(0)
     assert answered == [200] * CALLERS
+
+
+def test_what_is_read_after_the_last_look_of_a_drain_is_answered(monkeypatch):
+    """Guards against calls that a daemon cuts half a second after their dispatch."""
+
+    def application(environ, start_response):
+        time.sleep(LONG_WORK_SECONDS)
+        start_response("200 OK", [("Content-Length", "2")])
+        return [b"ok"]
+
+    server = HttpServer(application, "127.0.0.1:0", threads=1)
+    server.start()
+    host, _, port = server.address.rpartition(":")
+    caller = socket.create_connection((host, int(port)))
+    wait_for(lambda: server._server.active_channels, "the connection")
+    look = server.wait_until_idle
+
+    def send_after_look(seconds):
+        is_idle = look(seconds)
+        monkeypatch.setattr(server, "wait_until_idle", look)
+        caller.sendall(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+        wait_for(lambda: server._n_running, "the request to be read")
+        return is_idle
+
+    monkeypatch.setattr(server, "wait_until_idle", send_after_look)
+    daemon = SimpleNamespace(
+        _server=server,
+        _peers=SimpleNamespace(leave=lambda: None),
+        _log=EventLog(),
+        _drain_wait=0.0,
+    )
+    Daemon.drain(daemon)
+    server.stop()
+    with caller:
+        assert read_answer(caller).status == 200
