A peer's reading that waited for a late loop counts as old as that

Readings of the endpoints state their age, and a daemon counted it from when it handled them. One that had waited a second for a loop that stood still looked a second newer: the daemon read the store later itself, and an endpoint that left meanwhile, the last of its service, could get work until two seconds after that.

The age now has the time since the process is last known to have run, if that is longer than its timers usually leave. The new test failed before (0.1 s in place of 1.1 s).

--- a/cranberrywick/gateway/peer_updates.py
+++ b/cranberrywick/gateway/peer_updates.py
@@ -46,6 +46,8 @@
 # Interval between two checks for silent daemons, in seconds; a tenth of the shortest
 # time after which a daemon counts as silent.
 SILENCE_CHECK_SECONDS = 0.2
+# The timers of a daemon whose event loop is in time leave no longer pauses, in seconds.
+IN_TIME_SECONDS = 1.5 * SILENCE_CHECK_SECONDS
 # Longest delay of the update that a job is decoding or has ended, in seconds for each
 # known daemon. In a larger fleet the update goes to more daemons, and a slot that
 # counts as occupied for a moment longer costs less than a datagram to each of them.
@@ -99,9 +101,11 @@
         # Ids of peers whose first heartbeat was received and is not logged yet.
         self._new_ids: list[str] = []
         self._next_heartbeat: asyncio.TimerHandle | None = None
+        self._ticker: Ticker | None = None
 
     async def start(self, ticker: Ticker) -> None:
         """Start to receive and to send updates."""
+        self._ticker = ticker
         await self.link.start(self._settings.ip, self._settings.internal_ports[0])
         self.send_heartbeat()
         ticker.every(SILENCE_CHECK_SECONDS, self._check_members)
@@ -272,12 +276,21 @@
         elif isinstance(message, EndpointSnapshot):
             if scope is Scope.DOMAIN:
                 self.link.send(message, self._recipients.domain_peers())
-            self._listener.endpoints_received(message)
+            age = message.age + self._waited(now)
+            self._listener.endpoints_received(message._replace(age=age))
         elif isinstance(message, PermitRequest):
             self.permits.handle_request(message, source)
         elif isinstance(message, PermitResponse):
             self.permits.handle_response(message)
 
+    def _waited(self, now: float) -> float:
+        """Return how long a message may have waited for this daemon's event loop.
+
+        It is 0 while timers run as often as usual.
+        """
+        late = now - self._ticker.last_run(now) if self._ticker else 0.0
+        return late if late > IN_TIME_SECONDS else 0.0
+
     def _receive_directly(self, heartbeat: Heartbeat, scope: Scope, now: float) -> None:
         known = self.members.members_by_id.get(heartbeat.daemon_id)
         # A restarted daemon has lost its state, though its id is known here.
--- a/cranberrywick/gateway/ticker.py
+++ b/cranberrywick/gateway/ticker.py
@@ -37,7 +37,11 @@
 
         It came after the last moment at which the process is known to have run.
         """
-        return SignalMoment(min(self._ran_at, now), now)
+        return SignalMoment(self.last_run(now), now)
+
+    def last_run(self, now: float) -> float:
+        """Return the last moment at which the process is known to have run."""
+        return min(self._ran_at, now)
 
     def running_since(self, moment: float, now: float) -> float:
         """Return from when on events have been seen as they came, since a moment.
--- a/tests/test_link_backlog.py
+++ b/tests/test_link_backlog.py
@@ -6,14 +6,20 @@
 
 from gateway_fleet import free_ports
 
+from cranberrywick.bench.simulated_network import SimulatedDaemon, SimulatedNetwork
+from cranberrywick.gateway.endpoint_snapshot import EndpointSnapshot
 from cranberrywick.gateway.fleet_link import FleetLink
 from cranberrywick.gateway.messages import PermitResponse, encode_message
+from cranberrywick.gateway.ticker import Ticker
 from cranberrywick.logs import EventLog
 from cranberrywick.routing.fleet_limits import Permit
 
 MESSAGES = 60
 # How long each turn of the late loop takes, in seconds, and how many there are.
 TURN_SECONDS, TURNS = 0.05, 10
+# The age of a reading as a peer sends it, and for how long a loop stands still, in
+# seconds.
+READ_SECONDS, LATE_SECONDS = 0.1, 1.0
 
 
 def test_a_late_loop_hears_what_its_peers_have_sent():
@@ -38,3 +44,28 @@
         return len(received)
 
     assert asyncio.run(main()) == MESSAGES
+
+
+def test_a_reading_that_waited_for_a_late_loop_is_as_old_as_that():
+    """Guards against work for endpoints that left while a loop was late."""
+
+    async def main() -> float:
+        loop = asyncio.get_running_loop()
+        daemon = SimulatedDaemon(SimulatedNetwork(), "d1", "fd-a")
+        link = FleetLink(daemon.peer_updates._receive, None, EventLog())
+        (port,) = free_ports(1)
+        await link.start("127.0.0.1", port)
+        ticker = Ticker(EventLog())
+        await daemon.peer_updates.start(ticker)
+        await asyncio.sleep(0.5)
+        reading = EndpointSnapshot(revision=1, age=READ_SECONDS, digest=1)
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as peer:
+            peer.sendto(encode_message(reading, loop.time()), ("127.0.0.1", port))
+        time.sleep(LATE_SECONDS)
+        await asyncio.sleep(0.05)
+        ticker.stop()
+        link.close()
+        (received,) = daemon.snapshots
+        return received.age
+
+    assert asyncio.run(main()) >= READ_SECONDS + LATE_SECONDS
