--- a/cranberrywick/cli/gateway.py
+++ b/cranberrywick/cli/gateway.py
@@ -33,7 +33,7 @@
     output = BoundedOutput(sys.stdout)
     set_up_logs(log_level, output)
     try:
-        run_gateway(settings)
+        run_gateway(settings, output)
     except InvalidSettings as error:
         click.echo(f"{error.type}: {error.message}", err=True)
         raise SystemExit(EXIT_INVALID_SETTINGS) from error
--- a/cranberrywick/gateway/app.py
+++ b/cranberrywick/gateway/app.py
@@ -15,6 +15,7 @@
 from cranberrywick.gateway.http_request import HttpRequest
 from cranberrywick.gateway.ingress import Ingress
 from cranberrywick.gateway.lazy_metrics import LazyMetrics
+from cranberrywick.gateway.log_output import BoundedOutput
 from cranberrywick.gateway.peer_requests import PeerRequests
 from cranberrywick.gateway.reservations import wait_for_releases
 from cranberrywick.gateway.served_requests import ServedRequests
@@ -61,14 +62,24 @@
 class Gateway:
     """One daemon of the fleet.
 
-    ``state`` is what the daemon knows of the fleet.
+    ``state`` is what the daemon knows of the fleet. The metrics have the backlog of
+    ``output``, if it is given.
     """
 
-    def __init__(self, settings: GatewaySettings, log: EventLog):
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        log: EventLog,
+        output: BoundedOutput | None = None,
+    ):
         self._settings = settings
         self._log = log
         self._rng = random.Random()
         self._metrics = LazyMetrics(settings.daemon_id)
+        if output is not None:
+            self._metrics.observe_log(
+                lambda: output.backlog()._asdict(), output.dropped
+            )
         self._ticker = Ticker(log)
         store = PlatformStore(settings.store_address, log)
         self.state = FleetState(
@@ -361,17 +372,21 @@
         await caller.answer(200, headers, rendered.body)
 
 
-async def _run(settings: GatewaySettings, log: EventLog) -> None:
+async def _run(
+    settings: GatewaySettings, log: EventLog, output: BoundedOutput | None
+) -> None:
     with contextlib.suppress(asyncio.CancelledError):
-        await Gateway(settings, log).run()
+        await Gateway(settings, log, output).run()
 
 
-def run_gateway(settings_path: str | None = None) -> None:
+def run_gateway(
+    settings_path: str | None = None, output: BoundedOutput | None = None
+) -> None:
     """Run the daemon until SIGTERM or SIGINT stops it.
 
-    ``settings_path`` is the settings file. Raises `InvalidSettings` if it can't be
-    used.
+    ``settings_path`` is the settings file, ``output`` what the log is written to.
+    Raises `InvalidSettings` if the settings can't be used.
     """
     settings = load_settings(settings_path)
     log = EventLog(daemon=settings.daemon_id)
-    asyncio.run(_run(settings, log))
+    asyncio.run(_run(settings, log, output))
--- a/cranberrywick/gateway/lazy_metrics.py
+++ b/cranberrywick/gateway/lazy_metrics.py
@@ -143,6 +143,17 @@
         long = ("answers_too_long", "Answers that exceeded a bound.", "bound")
         self._record(methodcaller("observe_counter", *long, read_long))
 
+    def observe_log(
+        self,
+        read_backlog: Callable[[], dict[str, float]],
+        read_dropped: Callable[[], dict[str, float]],
+    ) -> None:
+        """Publish how far the log's output is behind, and the dropped lines."""
+        backlog = ("log_backlog", "Log lines that are not written yet.", "unit")
+        self._record(methodcaller("observe_gauge", *backlog, read_backlog))
+        dropped = ("log_lines_dropped", "Log lines that were dropped.", "level")
+        self._record(methodcaller("observe_counter", *dropped, read_dropped))
+
     def refused_early(self, service: str) -> None:
         """Count a request that was refused since its forecast was far too late."""
         self._record(methodcaller("refused_early", service))
