--- a/tests/test_log_output.py
+++ b/tests/test_log_output.py
@@ -7,26 +7,57 @@
 import asyncio
 import os
 import re
+import select
+import struct
+import subprocess
+import sys
 import time
 from contextlib import contextmanager
+from pathlib import Path
 
-from gateway_fleet import running_gateways, wait_for
+from gateway_fleet import POLL_SECONDS, ROOT, running_gateways, wait_for
 
 from cranberrywick.gateway.lazy_metrics import LazyMetrics
 from cranberrywick.gateway.log_output import BoundedOutput
 
+# More lines than an output keeps and a pipe holds.
+MANY_LINES = 8000
+# Writes lines without ever waiting, and tells the number of the last and the processor
+# time at which it was written in the file that is named.
+BUSY_WRITER = """
+import mmap, struct, sys, time
+from cranberrywick.gateway.log_output import BoundedOutput
+with open(sys.argv[1], "r+b") as file:
+    shared = mmap.mmap(file.fileno(), 16)
+output = BoundedOutput(sys.stdout)
+number = 0
+while True:
+    number += 1
+    now = time.process_time()
+    output.write(f"level=info n={number} at={now:.6f} {'x' * 400}\\n")
+    shared[:] = struct.pack("qd", number, now)
+    while time.process_time() < now + 0.0002:
+        pass
+"""
+# Processor time that the last lines of a process that is killed may be from, in
+# seconds: some turns of a thread, which each come after 5 ms at most.
+LOST_SECONDS = 0.05
+
+
+# Outputs whose threads may still wait for a pipe, so that nothing closes it.
+_OUTPUTS: list[BoundedOutput] = []
+
 
 @contextmanager
 def piped_output():
-    """Yield an output that writes to a pipe, and the pipe's other end."""
+    """Yield an output that writes to a pipe, and the pipe's two ends."""
     reader, writer = os.pipe()
-    stream = os.fdopen(writer, "w")
+    output = BoundedOutput(os.fdopen(writer, "w"))
+    _OUTPUTS.append(output)
     try:
-        yield BoundedOutput(stream), reader
+        yield output, reader, writer
     finally:
         os.close(reader)
-        # The output's thread may still wait for the pipe, so that nothing closes it.
-        stream.detach()
 
 
 def line(number: int, level: str = "info") -> str:
@@ -34,6 +65,26 @@
     return f"time=2026-12-05T10:51:21.009Z level={level} n={number} {'x' * 400}\n"
 
 
+def read_lines(reader: int, last: bytes) -> list[bytes]:
+    """Read whole lines from a pipe until one holds ``last``."""
+    data = b""
+
+    def read():
+        nonlocal data
+        if select.select([reader], [], [], POLL_SECONDS)[0]:
+            data += os.read(reader, 65536)
+        return last in data and data.endswith(b"\n")
+
+    wait_for(read, f"a line with {last}")
+    return data.splitlines()
+
+
+def numbers(lines: list[bytes], level: str = "info") -> list[int]:
+    """Return the numbers of the lines of one level that `line` has made."""
+    pattern = rb"level=%s n=(\d+) x{400}$" % level.encode()
+    return [int(found[1]) for each in lines if (found := re.search(pattern, each))]
+
+
 def test_the_backlog_and_dropped_lines_are_in_the_metrics():
     """Guards against lines that are missing without a figure that tells it."""
 
@@ -42,8 +93,8 @@
         metrics.observe_log(lambda: output.backlog()._asdict(), output.dropped)
         return (await metrics.render()).body.decode()
 
-    with piped_output() as (output, _):
-        for number in range(8000):
+    with piped_output() as (output, _, _):
+        for number in range(MANY_LINES):
             output.write(line(number))
         rendered = asyncio.run(render(output))
     values = dict(re.findall(r"^(cranberrywick_log_\S+) (\S+)$", rendered, re.M))
@@ -63,17 +114,126 @@
 
 def test_lines_that_are_written_late_are_told():
     """Guards against a log whose lag behind its daemon can't be seen."""
-    with piped_output() as (output, reader):
+    with piped_output() as (output, reader, _):
         for number in range(200):  # More than the pipe holds.
             output.write(line(number))
         time.sleep(0.3)
-        data = b""
+        lines = read_lines(reader, b"event=log_written_late")
+    text = b"\n".join(lines)
+    (seconds,) = re.findall(rb"event=log_written_late .*seconds=(\S+)", text)
+    assert float(seconds) > 0.1
 
-        def read():
-            nonlocal data
-            data += os.read(reader, 65536)
-            return b"event=log_written_late" in data
 
-        wait_for(read, "the lag to be told")
-    (seconds,) = re.findall(rb"event=log_written_late .*seconds=(\S+)", data)
-    assert float(seconds) > 0.1
+def test_the_last_lines_are_kept_if_nobody_reads():
+    """Guards against logs without the end, as the newest lines are dropped."""
+    with piped_output() as (output, reader, _):
+        for number in range(MANY_LINES):
+            output.write(line(number))
+        lines = read_lines(reader, b"n=%d " % (MANY_LINES - 1))
+        found = numbers(lines)
+        assert found == sorted(found) and found[0] == 0
+        assert len(found) < MANY_LINES
+        assert output.wait_written(5.0)
+
+
+def test_warnings_are_kept_before_other_lines():
+    """Guards against warnings that are dropped for lines of normal operation."""
+    with piped_output() as (output, reader, _):
+        output.write(line(0, "warning"))
+        output.write(line(0, "error"))
+        for number in range(MANY_LINES):
+            output.write(line(number))
+        for number in range(1, 200):
+            output.write(line(number, "warning"))
+        for number in range(MANY_LINES, 2 * MANY_LINES):
+            output.write(line(number))
+        lines = read_lines(reader, b"n=%d " % (2 * MANY_LINES - 1))
+    assert numbers(lines, "warning") == list(range(200))
+    assert numbers(lines, "error") == [0]
+
+
+def test_dropped_lines_are_counted_by_level():
+    """Guards against gaps in a log of which nobody can tell what is missing."""
+    with piped_output() as (output, reader, _):
+        for number in range(MANY_LINES):
+            output.write(line(number))
+        for number in range(MANY_LINES):
+            output.write(line(number, "warning"))
+        lines = read_lines(reader, b"n=%d " % (MANY_LINES - 1))
+        while output.backlog().lines:
+            lines += read_lines(reader, b"\n")
+        output.write(line(MANY_LINES))
+        lines += read_lines(reader, b"n=%d " % MANY_LINES)
+    for level, written in (("info", MANY_LINES + 1), ("warning", MANY_LINES)):
+        told = sum(
+            int(count)
+            for each in lines
+            if b"event=log_lines_dropped" in each
+            for count in re.findall(rb" %s=(\d+)" % level.encode(), each)
+        )
+        assert told == written - len(numbers(lines, level))
+        assert told == output.dropped()[level] > 0
+
+
+def test_an_output_that_is_full_for_a_moment_goes_on():
+    """Guards against a log that ends as another process makes the pipe non-blocking."""
+    with piped_output() as (output, reader, writer):
+        os.set_blocking(writer, False)
+        for number in range(300):  # More than the pipe holds.
+            output.write(line(number))
+        time.sleep(0.2)
+        assert numbers(read_lines(reader, b"n=299 ")) == list(range(300))
+
+
+def test_a_reader_that_comes_back_gets_the_log(tmp_path):
+    """Guards against a log that ends for good as its reader is started again."""
+    path = tmp_path / "log"
+    os.mkfifo(path)
+    reader = os.open(path, os.O_RDONLY | os.O_NONBLOCK)
+    with path.open("w") as stream:
+        output = BoundedOutput(stream)
+        output.write(line(1))
+        assert output.wait_written(5.0)
+        os.close(reader)
+        output.write(line(2))
+        time.sleep(0.2)
+        reader = os.open(path, os.O_RDONLY)
+        output.write(line(3))
+        assert numbers(read_lines(reader, b"n=3 "))[-1] == 3
+        os.close(reader)
+
+
+def test_waiting_includes_lines_that_came_meanwhile(tmp_path):
+    """Guards against an end that is early, since a line came as another was written."""
+    with (tmp_path / "log").open("w") as stream:
+        output = BoundedOutput(stream)
+        size = 0
+        for number in range(3000):
+            size += output.write(line(number))
+            time.sleep(number % 50 / 1e6)
+            size += output.write(line(number))
+            assert output.wait_written(5.0)
+            assert os.fstat(stream.fileno()).st_size == size
+
+
+def test_a_killed_process_has_written_all_but_its_last_milliseconds(tmp_path):
+    """Guards against seconds of the log that are lost as a busy process is killed."""
+    shared, log = tmp_path / "shared", tmp_path / "log"
+    for _ in range(3):
+        shared.write_bytes(bytes(16))
+        with log.open("w") as file:
+            process = subprocess.Popen(
+                [sys.executable, "-c", BUSY_WRITER, str(shared)], cwd=ROOT, stdout=file
+            )
+        try:
+            wait_for(lambda: told_by(shared)[1] > 1.5, "lines of some time")
+        finally:
+            process.kill()
+            process.wait()
+        *_, (number, at) = re.findall(r"n=(\d+) at=(\S+) x{400}\n", log.read_text())
+        assert told_by(shared)[1] - float(at) < LOST_SECONDS
+
+
+def told_by(shared: Path) -> tuple[int, float]:
+    """Return what `BUSY_WRITER` tells."""
+    return struct.unpack("qd", shared.read_bytes())
