Log output: all queued lines are written at once, and the last ones are kept

What callers of support saw: logs without the end of a daemon.

Causes, in the output's thread and queue: - It wrote a line in a turn of the interpreter, through a buffer of 8 KB. A thread beside a busy event loop gets a turn each 5 ms, so that the log fell behind by seconds, which a kill took with it. - Any OSError ended the thread for good, EAGAIN of a pipe that another process had made non-blocking, too, and EPIPE of a FIFO whose reader is started again. - A full queue dropped the newest lines, whatever their level. - A line that came during a flush was taken for written, so that the end didn't wait.

The thread now takes all queued lines, up to what the pipe takes whole, and passes them to the kernel by one write; a failed one is tried again and told. A full queue drops the oldest lines of normal operation, then the oldest ones; the notice counts them by level.

The text of the test of characters without an encoding goes to a file, since nothing is written by the stream's methods any more; it is tried in ASCII, too. The backlog is in bytes in place of characters.

--- a/tests/test_log_output.py
+++ b/tests/test_log_output.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import errno
 import os
 import re
 import select
@@ -99,7 +100,7 @@
         rendered = asyncio.run(render(output))
     values = dict(re.findall(r"^(cranberrywick_log_\S+) (\S+)$", rendered, re.M))
     assert float(values['cranberrywick_log_backlog{unit="lines"}']) > 1000
-    assert float(values['cranberrywick_log_backlog{unit="characters"}']) > 400_000
+    assert float(values['cranberrywick_log_backlog{unit="bytes"}']) > 400_000
     assert float(values['cranberrywick_log_backlog{unit="seconds"}']) > 0
     assert float(values['cranberrywick_log_lines_dropped_total{level="info"}']) > 1000
 
@@ -203,6 +204,33 @@
         os.close(reader)
 
 
+def test_a_short_write_leaves_no_line_torn(monkeypatch):
+    """Guards against lines of which a part is missing, on a disk without room."""
+    written = []
+    write_really = os.write
+    rooms = [100, OSError(errno.ENOSPC, "no space"), 100_000, 100_000]
+
+    def write(descriptor, data):
+        if descriptor != writer:
+            return write_really(descriptor, data)
+        room = rooms.pop(0)
+        if isinstance(room, OSError):
+            raise room
+        written.append(bytes(data[:room]))
+        return len(written[-1])
+
+    with piped_output() as (output, _, writer):
+        monkeypatch.setattr(os, "write", write)
+        output.write(line(1))
+        wait_for(lambda: len(rooms) < 3, "the failure")
+        output.write(line(2))
+        assert output.wait_written(5.0)
+        monkeypatch.undo()
+    log = b"".join(written)
+    assert numbers(log.splitlines()) == [1, 2]
+    assert b'event=log_output_failed error="OSError: [Errno 28] no space"' in log
+
+
 def test_waiting_includes_lines_that_came_meanwhile(tmp_path):
     """Guards against an end that is early, since a line came as another was written."""
     with (tmp_path / "log").open("w") as stream:
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import io
 import json
 import re
 import socket
@@ -361,9 +360,10 @@
     assert tracker.registry.tracked_by_id.keys() == {"e1"}
 
 
-def test_text_without_an_encoding_is_logged():
+@pytest.mark.parametrize("encoding", ["utf-8", "ascii"])
+def test_text_without_an_encoding_is_logged(tmp_path, encoding):
     """Guards against a log that ends with a character that no encoding has."""
-    stream = io.TextIOWrapper(io.BytesIO(), encoding="utf-8")
+    stream = (tmp_path / "log").open("w", encoding=encoding)
     output = BoundedOutput(stream)
     with make_handler("info", output).applicationbound():
         EventLog().info("odd", name="i-\ud800")
@@ -371,6 +371,6 @@
     output.write("\ud801 and plain\n")
     output.write("last\n")
     assert output.wait_written(5.0)
-    written = stream.buffer.getvalue().decode()
+    written = (tmp_path / "log").read_text(encoding)
     assert "i-\\ud800" in written.replace("\\\\", "\\") and "event=next" in written
     assert written.endswith("\\ud801 and plain\nlast\n")
