End of the process: the log is waited for as long as the grace period allows

What support saw: the log of a daemon that had stopped ended before its signal.

The process waited at most 0.05 s for its last lines, although it mostly had seconds left. A gateway whose full pipe was read 1 s after its close left neither drain_started nor gateway_stopped.

--- a/cranberrywick/cli/gateway.py
+++ b/cranberrywick/cli/gateway.py
@@ -2,6 +2,7 @@
 
 import os
 import sys
+import time
 
 import click
 
@@ -13,7 +14,8 @@
 __all__ = ["gateway"]
 
 EXIT_INVALID_SETTINGS = 2
-# Longest time that the end of the process waits for its last log lines, in seconds.
+# Shortest time that the end of the process leaves for its last log lines, in seconds.
+# A reader that is there takes them within milliseconds.
 LAST_LINES_SECONDS = 0.05
 
 
@@ -33,11 +35,11 @@
     output = BoundedOutput(sys.stdout)
     set_up_logs(log_level, output)
     try:
-        run_gateway(settings, output)
+        end_by = run_gateway(settings, output)
     except InvalidSettings as error:
         click.echo(f"{error.type}: {error.message}", err=True)
         raise SystemExit(EXIT_INVALID_SETTINGS) from error
-    output.wait_written(LAST_LINES_SECONDS)
+    output.finish(max(LAST_LINES_SECONDS, end_by - time.monotonic()))
     # The interpreter takes up to 0.4 s to take itself down on a busy machine, which may
     # be longer than the platform waits before it kills the process.
     os._exit(os.EX_OK)
--- a/cranberrywick/gateway/app.py
+++ b/cranberrywick/gateway/app.py
@@ -51,6 +51,8 @@
 ACCEPT_TURNS = 8
 # Longest time in which the last requests without an answer get an error, in seconds.
 REST_SECONDS = 0.05
+# How long before it would be killed the process ends, in seconds.
+MARGIN_SECONDS = 0.2
 # Longest description of a callback in a log line, in characters.
 MAX_SOURCE = 300
 # Interval at which the health and rate limits of removed endpoints are dropped, in
@@ -62,8 +64,7 @@
 class Gateway:
     """One daemon of the fleet.
 
-    ``state`` is what the daemon knows of the fleet. The metrics have the backlog of
-    ``output``, if it is given.
+    ``state`` is what the daemon knows of the fleet, ``output`` what its log goes to.
     """
 
     def __init__(
@@ -77,9 +78,7 @@
         self._rng = random.Random()
         self._metrics = LazyMetrics(settings.daemon_id)
         if output is not None:
-            self._metrics.observe_log(
-                lambda: output.backlog()._asdict(), output.dropped
-            )
+            self._metrics.observe_log(output)
         self._ticker = Ticker(log)
         store = PlatformStore(settings.store_address, log)
         self.state = FleetState(
@@ -153,6 +152,11 @@
         table = self.state.table
         return table.configuration.limits if table else None
 
+    @property
+    def end_by(self) -> float:
+        """When the process has to have ended, of the event loop's clock."""
+        return self._signalled_at + self._settings.bounds.grace_seconds - MARGIN_SECONDS
+
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then stop.
 
@@ -374,19 +378,21 @@
 
 async def _run(
     settings: GatewaySettings, log: EventLog, output: BoundedOutput | None
-) -> None:
+) -> float:
+    gateway = Gateway(settings, log, output)
     with contextlib.suppress(asyncio.CancelledError):
-        await Gateway(settings, log, output).run()
+        await gateway.run()
+    return gateway.end_by
 
 
 def run_gateway(
     settings_path: str | None = None, output: BoundedOutput | None = None
-) -> None:
-    """Run the daemon until SIGTERM or SIGINT stops it.
+) -> float:
+    """Run the daemon until SIGTERM or SIGINT stops it; return when it has to end.
 
-    ``settings_path`` is the settings file, ``output`` what the log is written to.
-    Raises `InvalidSettings` if the settings can't be used.
+    That is a moment of `time.monotonic`. ``settings_path`` is the settings file,
+    ``output`` what the log goes to. Raises `InvalidSettings` if the file can't be used.
     """
     settings = load_settings(settings_path)
     log = EventLog(daemon=settings.daemon_id)
-    asyncio.run(_run(settings, log, output))
+    return asyncio.run(_run(settings, log, output))
--- a/cranberrywick/gateway/lazy_metrics.py
+++ b/cranberrywick/gateway/lazy_metrics.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
+    from cranberrywick.gateway.log_output import BoundedOutput
     from cranberrywick.metrics import Metrics
 
 __all__ = ["LazyMetrics", "Rendered"]
@@ -143,16 +144,16 @@
         long = ("answers_too_long", "Answers that exceeded a bound.", "bound")
         self._record(methodcaller("observe_counter", *long, read_long))
 
-    def observe_log(
-        self,
-        read_backlog: Callable[[], dict[str, float]],
-        read_dropped: Callable[[], dict[str, float]],
-    ) -> None:
+    def observe_log(self, output: "BoundedOutput") -> None:
         """Publish how far the log's output is behind, and the dropped lines."""
         backlog = ("log_backlog", "Log lines that are not written yet.", "unit")
-        self._record(methodcaller("observe_gauge", *backlog, read_backlog))
+
+        def read() -> dict[str, float]:
+            return output.backlog()._asdict()
+
+        self._record(methodcaller("observe_gauge", *backlog, read))
         dropped = ("log_lines_dropped", "Log lines that were dropped.", "level")
-        self._record(methodcaller("observe_counter", *dropped, read_dropped))
+        self._record(methodcaller("observe_counter", *dropped, output.dropped))
 
     def refused_early(self, service: str) -> None:
         """Count a request that was refused since its forecast was far too late."""
--- a/tests/test_log_output.py
+++ b/tests/test_log_output.py
@@ -91,7 +91,7 @@
 
     async def render(output):
         metrics = LazyMetrics("e1")
-        metrics.observe_log(lambda: output.backlog()._asdict(), output.dropped)
+        metrics.observe_log(output)
         return (await metrics.render()).body.decode()
 
     with piped_output() as (output, _, _):
