--- a/tests/test_log_end.py
+++ b/tests/test_log_end.py
@@ -5,6 +5,7 @@
 
 import fcntl
 import os
+import re
 import signal
 import struct
 import subprocess
@@ -40,6 +41,18 @@
         )
 
 
+class ClosedFleet(Fleet):
+    """Gateways whose standard output is closed."""
+
+    def start_process(self, settings: Path, log: Path) -> subprocess.Popen:
+        return subprocess.Popen(
+            ["sh", "-c", 'exec "$0" -m cranberrywick gateway >&-', sys.executable],
+            cwd=ROOT,
+            env={**os.environ, "CRANBERRYWICK_CONFIG": str(settings)},
+            stderr=log.open("a"),
+        )
+
+
 def fill_pipe(fleet: Fleet, gateway: Gateway) -> None:
     """Send calls until a gateway's log fills the pipe that it is written to."""
     while True:
@@ -113,5 +126,15 @@
         finally:
             failing.process.kill()
             failing.process.wait()
-        assert "level=error event=gateway_failed" in gateway.log
-        assert "address already in use" in gateway.log
+        failed = 'level=error event=gateway_failed error=.*Address already in use"'
+        assert re.search(failed, gateway.log)
+
+
+def test_a_daemon_without_an_output_serves(tmp_path):
+    """Guards against log lines that are written to the socket of a caller."""
+    with running_gateways(tmp_path, fleet_type=ClosedFleet) as fleet:
+        (gateway,) = fleet.gateways
+        for _ in range(20):
+            assert fleet.call(gateway, "GET", "/reads/1").status == 200
+        gateway.process.send_signal(signal.SIGTERM)
+        assert gateway.process.wait(GRACE_SECONDS) == 0
