--- a/cranberrywick/gateway/app.py
+++ b/cranberrywick/gateway/app.py
@@ -15,6 +15,7 @@
 from cranberrywick.gateway.http_request import HttpRequest
 from cranberrywick.gateway.ingress import Ingress
 from cranberrywick.gateway.lazy_metrics import LazyMetrics
+from cranberrywick.gateway.log_output import BoundedOutput
 from cranberrywick.gateway.peer_requests import PeerRequests
 from cranberrywick.gateway.reservations import wait_for_releases
 from cranberrywick.gateway.served_requests import IDLE_POLL_SECONDS, ServedRequests
@@ -51,6 +52,8 @@
 ACCEPT_TURNS = 8
 # Longest time in which the last requests without an answer get an error, in seconds.
 REST_SECONDS = 0.05
+# How long before it would be killed the process ends, in seconds.
+MARGIN_SECONDS = 0.2
 # Longest description of a callback in a log line, in characters.
 MAX_SOURCE = 300
 # Interval at which the health and rate limits of removed endpoints are dropped, in
@@ -62,14 +65,21 @@
 class Gateway:
     """One daemon of the fleet.
 
-    ``state`` is what the daemon knows of the fleet.
+    ``state`` is what the daemon knows of the fleet, ``output`` what its log goes to.
     """
 
-    def __init__(self, settings: GatewaySettings, log: EventLog):
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        log: EventLog,
+        output: BoundedOutput | None = None,
+    ):
         self._settings = settings
         self._log = log
         self._rng = random.Random()
         self._metrics = LazyMetrics(settings.daemon_id)
+        if output is not None:
+            self._metrics.observe_log(output)
         self._ticker = Ticker(log)
         store = PlatformStore(settings.store_address, log)
         self.state = FleetState(
@@ -143,6 +153,11 @@
         table = self.state.table
         return table.configuration.limits if table else None
 
+    @property
+    def end_by(self) -> float:
+        """When the process has to have ended, of the event loop's clock."""
+        return self._signalled_at + self._settings.bounds.grace_seconds - MARGIN_SECONDS
+
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then stop.
 
@@ -370,17 +385,23 @@
         await caller.answer(200, headers, rendered.body)
 
 
-async def _run(settings: GatewaySettings, log: EventLog) -> None:
+async def _run(
+    settings: GatewaySettings, log: EventLog, output: BoundedOutput | None
+) -> float:
+    gateway = Gateway(settings, log, output)
     with contextlib.suppress(asyncio.CancelledError):
-        await Gateway(settings, log).run()
+        await gateway.run()
+    return gateway.end_by
 
 
-def run_gateway(settings_path: str | None = None) -> None:
-    """Run the daemon until SIGTERM or SIGINT stops it.
+def run_gateway(
+    settings_path: str | None = None, output: BoundedOutput | None = None
+) -> float:
+    """Run the daemon until SIGTERM or SIGINT stops it; return when it has to end.
 
-    ``settings_path`` is the settings file. Raises `InvalidSettings` if it can't be
-    used.
+    That is a moment of `time.monotonic`. ``settings_path`` is the settings file,
+    ``output`` what the log goes to. Raises `InvalidSettings` if the file can't be used.
     """
     settings = load_settings(settings_path)
     log = EventLog(daemon=settings.daemon_id)
-    asyncio.run(_run(settings, log))
+    return asyncio.run(_run(settings, log, output))
