--- a/cranberrywick/gateway/app.py
+++ b/cranberrywick/gateway/app.py
@@ -156,7 +156,8 @@
     @property
     def end_by(self) -> float:
         """When the process has to have ended, of the event loop's clock."""
-        return self._signalled_at + self._settings.bounds.grace_seconds - MARGIN_SECONDS
+        grace_seconds = self._settings.bounds.grace_seconds
+        return self._stop_signal.moment().earliest + grace_seconds - MARGIN_SECONDS
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then stop.
