Lag of the event loop: measured, a metric, in drain_started and gateway_stopped

A daemon that is short of processor time keeps none of its promises by the clock, and neither its log nor its metrics showed it: TimerDelay has the mean lateness only, and only with weights. How late a timer fired and how long a turn of the event loop took at most, of the last three seconds, are now cranberrywick_loop_lag_seconds and the fields lag and turn.

Test: tests/test_loop_lag.py.

--- a/cranberrywick/gateway/app.py
+++ b/cranberrywick/gateway/app.py
@@ -15,6 +15,7 @@
 from cranberrywick.gateway.http_request import HttpRequest
 from cranberrywick.gateway.ingress import Ingress
 from cranberrywick.gateway.lazy_metrics import LazyMetrics
+from cranberrywick.gateway.loop_lag import LoopLag
 from cranberrywick.gateway.peer_requests import PeerRequests
 from cranberrywick.gateway.reservations import wait_for_releases
 from cranberrywick.gateway.served_requests import ServedRequests
@@ -70,6 +71,8 @@
         self._rng = random.Random()
         self._metrics = LazyMetrics(settings.daemon_id)
         self._ticker = Ticker(log)
+        self._lag = LoopLag(self._ticker)
+        self._metrics.observe_loop_lag(self._lag.read)
         store = PlatformStore(settings.store_address, log)
         self.state = FleetState(
             settings, store, decode_configuration, self._ticker, self._metrics, log
@@ -120,7 +123,7 @@
         self._peer_requests = PeerRequests(self.state, direct, self._drain, budget, log)
         self._peer_ingress = self._peer_requests.ingress
         self._served = (self._ingress, self._peer_ingress)
-        self._requests = ServedRequests(self._served, log)
+        self._requests = ServedRequests(self._served, self._lag, log)
         self._internal_ingresses = [
             (address, Ingress(handler, budget=budget))
             for address, handler in (
@@ -171,6 +174,7 @@
             ip, port = self._settings.ip, self._settings.forwarding_port
             await self._peer_ingress.start(f"{ip}:{port}")
         self._ticker.every(FORGET_SECONDS, self._forget_gone)
+        self._lag.start()
         if self._weighted_directory is not None:
             self._weighted_directory.start()
         self._log.info("gateway_started", address=self._settings.entry_address)
@@ -276,6 +280,8 @@
             busy=self._requests.busy,
             waiting=len(self._waiting),
             grace=window.close_at - asyncio.get_running_loop().time(),
+            lag=self._lag.timer_seconds,
+            turn=self._lag.turn_seconds,
         )
 
     def _give_up_unanswered(self) -> None:
--- a/cranberrywick/gateway/lazy_metrics.py
+++ b/cranberrywick/gateway/lazy_metrics.py
@@ -143,6 +143,13 @@
         long = ("answers_too_long", "Answers that exceeded a bound.", "bound")
         self._record(methodcaller("observe_counter", *long, read_long))
 
+    def observe_loop_lag(self, read: Callable[[], dict[str, float]]) -> None:
+        """Publish how far the event loop lags; ``read`` returns seconds by kind."""
+        description = "Lag of the event loop lately, in seconds."
+        self._record(
+            methodcaller("observe_gauge", "loop_lag_seconds", description, "kind", read)
+        )
+
     def refused_early(self, service: str) -> None:
         """Count a request that was refused since its forecast was far too late."""
         self._record(methodcaller("refused_early", service))
--- a/cranberrywick/gateway/served_requests.py
+++ b/cranberrywick/gateway/served_requests.py
@@ -4,6 +4,7 @@
 from collections.abc import Sequence
 
 from cranberrywick.gateway.ingress import Ingress
+from cranberrywick.gateway.loop_lag import LoopLag
 from cranberrywick.logs import EventLog
 
 __all__ = ["ServedRequests"]
@@ -18,8 +19,9 @@
 class ServedRequests:
     """Looks for requests of callers and of peers, here and in the kernel."""
 
-    def __init__(self, ingresses: Sequence[Ingress], log: EventLog):
+    def __init__(self, ingresses: Sequence[Ingress], lag: LoopLag, log: EventLog):
         self._ingresses = ingresses
+        self._lag = lag
         self._log = log
 
     @property
@@ -64,4 +66,6 @@
             unanswered=unanswered,
             unread=sum(ingress.unread for ingress in self._ingresses),
             unsent=sum(ingress.unsent for ingress in self._ingresses),
+            lag=self._lag.timer_seconds,
+            turn=self._lag.turn_seconds,
         )
--- /dev/null
+++ b/tests/test_loop_lag.py
@@ -0,0 +1,75 @@
+"""The measured lag of the event loop."""
+
+import asyncio
+
+import pytest
+
+from cranberrywick.bench.virtual_time import run_in_virtual_time, suspend_loop
+from cranberrywick.gateway.lazy_metrics import LazyMetrics
+from cranberrywick.gateway.loop_lag import RECENT_SECONDS, LoopLag
+from cranberrywick.gateway.ticker import Ticker
+from cranberrywick.logs import EventLog
+
+
+def run_measured(scene):
+    """Run a coroutine function with a started measurement; return its result."""
+
+    async def main():
+        ticker = Ticker(EventLog())
+        lag = LoopLag(ticker)
+        lag.start()
+        result = await scene(lag)
+        ticker.stop()
+        return result
+
+    return run_in_virtual_time(main())
+
+
+def test_a_late_timer_counts_for_some_seconds():
+    """Guards against promises by the clock that take the loop for punctual."""
+
+    async def scene(lag):
+        await asyncio.sleep(0.25)
+        on_time = lag.timer_seconds
+        suspend_loop(0.8)
+        during = lag.timer_seconds
+        await asyncio.sleep(1.0)
+        after = lag.timer_seconds
+        await asyncio.sleep(RECENT_SECONDS)
+        return on_time, during, after, lag.timer_seconds
+
+    on_time, during, after, later = run_measured(scene)
+    assert on_time == pytest.approx(0.0, abs=1e-6)
+    # It was due at some time within the 0.8 s, also before it has fired.
+    assert 0.7 <= during <= after <= 0.8
+    assert later == pytest.approx(0.0, abs=1e-6)
+
+
+def test_a_long_turn_is_measured():
+    """Guards against a loop that counts as punctual while each turn takes long."""
+
+    async def scene(lag):
+        async def work():
+            while True:
+                await asyncio.sleep(0)
+                suspend_loop(0.04)
+
+        worker = asyncio.create_task(work())
+        await asyncio.sleep(0.5)
+        worker.cancel()
+        return lag.turn_seconds
+
+    assert run_measured(scene) >= 0.04
+
+
+def test_the_lag_is_a_metric():
+    """Guards against a VM short of processor time that no metric shows."""
+
+    async def main():
+        metrics = LazyMetrics("e1")
+        metrics.observe_loop_lag(lambda: {"timer": 0.25, "turn": 0.125})
+        return (await metrics.render()).body
+
+    body = asyncio.run(main()).decode()
+    assert 'cranberrywick_loop_lag_seconds{kind="timer"} 0.25' in body
+    assert 'cranberrywick_loop_lag_seconds{kind="turn"} 0.125' in body
--- a/tests/test_stop_end.py
+++ b/tests/test_stop_end.py
@@ -25,7 +25,9 @@
 )
 
 from cranberrywick.gateway.ingress import Ingress
+from cranberrywick.gateway.loop_lag import LoopLag
 from cranberrywick.gateway.served_requests import ServedRequests
+from cranberrywick.gateway.ticker import Ticker
 from cranberrywick.http_server import HttpServer
 from cranberrywick.logs import EventLog, make_handler
 
@@ -249,7 +251,9 @@
             while len(ingress.connections) < 2 or not ingress.unsent:
                 await asyncio.sleep(0)
             late.sendall(READ_REQUEST)
-            ServedRequests((ingress,), EventLog()).record_end(0)
+            ServedRequests(
+                (ingress,), LoopLag(Ticker(EventLog())), EventLog()
+            ).record_end(0)
             ingress.close()
 
     with make_handler("info", stream).applicationbound():
