Retry-After of a stopping daemon: grows with what it has just refused

Callers who heed it came back at once: the spread counted the requests without an answer only, and those refused a moment before have none any more. The refusals of the last second count now, too, up to the same 2 s.

Test: test_the_more_come_back_the_later_they_return; the callers that are spread in the test before it are refused 2 s apart.

--- a/cranberrywick/gateway/drain.py
+++ b/cranberrywick/gateway/drain.py
@@ -378,4 +378,4 @@
         now = self._loop.time()
         closes_in = 0.0 if self._window is None else self._window.close_at - now
         has_peers = any(self._state.members.serving(now))
-        return self._returns.retry_seconds(self.unanswered, has_peers, closes_in)
+        return self._returns.retry_seconds(self.unanswered, has_peers, closes_in, now)
--- a/cranberrywick/routing/retry_after.py
+++ b/cranberrywick/routing/retry_after.py
@@ -11,6 +11,7 @@
 """
 
 import random
+from collections import deque
 
 __all__ = [
     "MIN_SECONDS_WITHOUT_STORE",
@@ -43,6 +44,8 @@
 # Number of callers of one stopping daemon that return each second, if that takes no
 # longer than the largest span.
 RETURNS_PER_SECOND = 100
+# Number of refusals from which on their callers return over the largest span.
+MOST_REFUSED = round(MAX_SPREAD_SECONDS * RETURNS_PER_SECOND)
 # Earliest return of a caller to another daemon, in seconds.
 MIN_RETRY_SECONDS = 0.1
 # How long a daemon that has ended takes to start again, in seconds.
@@ -131,23 +134,28 @@
     """Spreads the retries of callers that a stopping daemon has refused.
 
     >>> returns = DrainReturns(random.Random())
-    >>> returns.retry_seconds(refused=10, others_serve=True, closes_in=6.0)
+    >>> returns.retry_seconds(refused=10, others_serve=True, closes_in=6.0, now=10.0)
     0.31
     """
 
     def __init__(self, rng: random.Random):
         self._rng = rng
+        self._refused_at: deque[float] = deque(maxlen=MOST_REFUSED)
 
     def retry_seconds(
-        self, refused: int, others_serve: bool, closes_in: float
+        self, refused: int, others_serve: bool, closes_in: float, now: float
     ) -> float:
         """Return after how many seconds a caller should retry.
 
         ``refused`` is how many callers may be refused at the same time, and
         ``closes_in`` the seconds until the daemon ends. While no other daemon serves,
-        callers return after that, when it may have started again.
+        callers return after that, when it may have started again. Those who were
+        refused in the last second may all come back, and count, too.
         """
-        spread = refused / RETURNS_PER_SECOND
+        while self._refused_at and self._refused_at[0] <= now - 1.0:
+            self._refused_at.popleft()
+        self._refused_at.append(now)
+        spread = max(refused, len(self._refused_at)) / RETURNS_PER_SECOND
         spread = min(max(MIN_SPREAD_SECONDS, spread), MAX_SPREAD_SECONDS)
         restarted_in = max(0.0, closes_in) + RESTART_SECONDS
         earliest = MIN_RETRY_SECONDS if others_serve else restarted_in
--- a/tests/test_drain_window.py
+++ b/tests/test_drain_window.py
@@ -126,9 +126,23 @@
 def test_refused_callers_are_spread_and_return_when_somebody_serves():
     """Guards against callers that all return at once, or to nobody."""
     returns = DrainReturns(random.Random(1))
-    few = [returns.retry_seconds(1, True, 5.0) for _ in range(100)]
-    many = [returns.retry_seconds(500, True, 5.0) for _ in range(100)]
-    alone = [returns.retry_seconds(1, False, 5.0) for _ in range(100)]
+    few = [returns.retry_seconds(1, True, 5.0, 2.0 * n) for n in range(100)]
+    many = [returns.retry_seconds(500, True, 5.0, 2.0 * n) for n in range(100)]
+    alone = [returns.retry_seconds(1, False, 5.0, 2.0 * n) for n in range(100)]
     assert 0.1 <= min(few) < max(few) < 0.4
     assert 0.1 <= min(many) < 0.3 < 1.8 < max(many) < 2.2
     assert 6.0 <= min(alone)
+
+
+def test_the_more_come_back_the_later_they_return():
+    """Guards against a stopping daemon that the callers it refuses keep busy."""
+    returns = DrainReturns(random.Random(1))
+
+    def longest(first, pause):
+        moments = [first + pause * n for n in range(400)]
+        return max(returns.retry_seconds(1, True, 5.0, now) for now in moments)
+
+    assert longest(0.0, 0.1) < 0.4
+    assert longest(100.0, 0.01) > 0.9
+    assert longest(200.0, 0.001) > 1.8
+    assert longest(300.0, 0.1) < 0.4
