A stopping daemon that lags answers all that it has read, and ends in time

Cause: the moments of the window were timers on a loop that was late by half a second and more. A refusal cost the whole way of a request, those refused came back at once, a turn accepted up to 512 connections and handled every ready socket, and the close reset what was still waiting to be accepted or read.

Now the end of the intake begins earlier by the measured lag and by the work that is there, and the clock is read at each request. It accepts all that waits, closes the listeners, reads each connection once more, refuses with prebuilt bytes, without a route or a task, and closes what is idle; running answers go on until the close as before. The last waits are shortened by the lag.

asyncio's server accepts no more for the daemon: as it is closed, it drops the connections that it has just accepted.

--- a/cranberrywick/gateway/app.py
+++ b/cranberrywick/gateway/app.py
@@ -14,6 +14,7 @@
 from cranberrywick.gateway.forwarder import Forwarder
 from cranberrywick.gateway.http_request import HttpRequest
 from cranberrywick.gateway.ingress import Ingress
+from cranberrywick.gateway.last_phase import LastPhase
 from cranberrywick.gateway.lazy_metrics import LazyMetrics
 from cranberrywick.gateway.loop_lag import LoopLag
 from cranberrywick.gateway.peer_requests import PeerRequests
@@ -21,6 +22,7 @@
 from cranberrywick.gateway.served_requests import ServedRequests
 from cranberrywick.gateway.state import FleetState
 from cranberrywick.gateway.ticker import Ticker
+from cranberrywick.gateway.turn_limit import new_event_loop
 from cranberrywick.gateway.waiting import WaitingRequests
 from cranberrywick.gateway.weighted_directory import WeightedDirectory
 from cranberrywick.logs import EventLog
@@ -123,6 +125,10 @@
         self._peer_requests = PeerRequests(self.state, direct, self._drain, budget, log)
         self._peer_ingress = self._peer_requests.ingress
         self._served = (self._ingress, self._peer_ingress)
+        self._refusers = (
+            (self._ingress, self._drain),
+            (self._peer_ingress, self._peer_requests),
+        )
         self._requests = ServedRequests(self._served, self._lag, log)
         self._internal_ingresses = [
             (address, Ingress(handler, budget=budget))
@@ -230,31 +236,37 @@
         started = self._signalled_at
         window = DrainWindow.of_grace(started, self._settings.bounds.grace_seconds)
         earliest = started + LEAVE_SECONDS
+        phase = LastPhase(self._refusers, self._lag, window, self._step, self._log)
         self._step(self._begin_drain, window)
-        unanswered = await self._serve_rest(earliest, window)
+        unanswered = await self._serve_rest(earliest, phase)
         # What was accepted before is read and served; nothing new comes.
         for ingress in self._served:
             self._step(ingress.stop_listening)
         for _ in range(ACCEPT_TURNS):
             await asyncio.sleep(0)
-        unanswered = max(unanswered, await self._serve_rest(earliest, window))
+        unanswered = max(unanswered, await self._serve_rest(earliest, phase))
         # From the last look on nothing else runs until all connections are closed, or
         # nothing more is read from them.
         if self._requests.busy:
             await self._answer_rest()
         self._step(self._requests.record_end, unanswered)
-        await self._close()
+        await self._close(phase)
 
-    async def _serve_rest(self, earliest: float, window: DrainWindow) -> int:
+    async def _serve_rest(self, earliest: float, phase: LastPhase) -> int:
         """Serve until no request is left, or until connections have to be closed.
 
         Returns how many requests had no answer when the time for it was over.
         """
-        if await self._requests.wait_until_idle(earliest, window.answer_by):
+        if await self._requests.wait_until_idle(earliest, phase.refuse_from):
+            return 0
+        phase.end_intake()
+        if await self._requests.wait_until_idle(
+            earliest, lambda: phase.answer_by(self._drain.unanswered)
+        ):
             return 0
         unanswered = self._drain.unanswered
         self._give_up_unanswered()
-        await self._requests.wait_until_idle(earliest, window.close_at)
+        await self._requests.wait_until_idle(earliest, phase.close_at)
         return unanswered
 
     def _step(self, step: Callable[..., object], *arguments: object) -> None:
@@ -288,10 +300,7 @@
         """End the requests whose answers have not begun, and refuse half read ones."""
         self._step(self.state.end_start)
         self._step(self._drain.end_unanswered)
-        for ingress, requests in (
-            (self._ingress, self._drain),
-            (self._peer_ingress, self._peer_requests),
-        ):
+        for ingress, requests in self._refusers:
             self._step(ingress.refuse_unread, requests.refuse_unread)
 
     async def _answer_rest(self) -> None:
@@ -304,7 +313,7 @@
         while loop.time() < latest and any(each.unanswered for each in self._served):
             await asyncio.sleep(REST_SECONDS / 10)
 
-    async def _close(self) -> None:
+    async def _close(self, phase: LastPhase) -> None:
         """Close the connections, and end all that outlives a request.
 
         Requests that are left are cancelled here and not by the end of the event loop,
@@ -317,8 +326,8 @@
             task.cancel()
         tasks += [task for ingress in self._internal for task in ingress.tasks]
         if tasks:
-            await asyncio.wait(tasks, timeout=CLOSE_SECONDS)
-        await wait_for_releases(CLOSE_SECONDS)
+            await asyncio.wait(tasks, timeout=phase.seconds_to_close(CLOSE_SECONDS))
+        await wait_for_releases(phase.seconds_to_close(CLOSE_SECONDS))
         self._step(self.state.reach.stop)
         self._step(self._ticker.stop)
         self._step(self.state.peer_updates.link.close)
@@ -380,4 +389,5 @@
     """
     settings = load_settings(settings_path)
     log = EventLog(daemon=settings.daemon_id)
-    asyncio.run(_run(settings, log))
+    with asyncio.Runner(loop_factory=new_event_loop) as runner:
+        runner.run(_run(settings, log))
--- a/cranberrywick/gateway/caller_connection.py
+++ b/cranberrywick/gateway/caller_connection.py
@@ -12,9 +12,14 @@
 
 import h11
 
-from cranberrywick.gateway.buffer_budget import NO_BUDGET, BodyRefusal
-from cranberrywick.gateway.http_request import HttpRequest, head_bytes
-from cranberrywick.gateway.tcp_options import abort_with_reset, enable_keepalive
+from cranberrywick.gateway.buffer_budget import BodyRefusal
+from cranberrywick.gateway.http_request import (
+    HttpRequest,
+    encode_refusal,
+    head_bytes,
+)
+from cranberrywick.gateway.tcp_connection import TcpConnection
+from cranberrywick.gateway.tcp_options import enable_keepalive
 
 if TYPE_CHECKING:
     from cranberrywick.gateway.ingress import Ingress
@@ -34,19 +39,17 @@
 RefuseUnread = Callable[[list[tuple[bytes, bytes]]], BodyRefusal]
 
 
-class CallerConnection(asyncio.Protocol):
+class CallerConnection(TcpConnection):
     """One connection of a caller, and the answer to its current request.
 
-    ``answer_started`` says whether the head of that answer has been sent, ``buffers``
-    counts what is held for the connection. The methods that send raise
-    `ConnectionError` if the connection is closed.
+    ``answer_started`` says whether the head of that answer has been sent. The methods
+    that send raise `ConnectionError` if the connection is closed.
     """
 
     def __init__(self, ingress: "Ingress", handle: Handler):
         self._ingress = ingress
         self._handle = handle
-        self._loop = asyncio.get_running_loop()
-        self._transport: asyncio.Transport | None = None
+        super().__init__()
         limits = ingress.limits
         self._http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.header_bytes
@@ -56,13 +59,8 @@
         self._body_bytes = 0
         self._head_received_at = 0.0
         self._task: asyncio.Task | None = None
-        self._timer: asyncio.TimerHandle | None = None
-        self._can_write = asyncio.Event()
-        self._can_write.set()
-        self._closed = False
         self._refused = False
         self.answer_started = False
-        self.buffers = NO_BUDGET
 
     @property
     def busy(self) -> bool:
@@ -80,74 +78,28 @@
         """Whether a request is being served whose answer has not begun."""
         return self._task is not None and not self.answer_started
 
-    @property
-    def reads(self) -> bool:
-        """Whether what the caller sends is read."""
-        return self._transport is not None and self._transport.is_reading()
-
-    def fileno(self) -> int:
-        """Return the descriptor of the connection's socket."""
-        return self._transport.get_extra_info("socket").fileno()
-
-    def stop_reading(self) -> None:
-        """Read nothing more that the caller sends."""
-        if self.reads:
-            self._transport.pause_reading()
-
-    @property
-    def unsent(self) -> int:
-        """Bytes that wait for the caller to read."""
-        return self._transport.get_write_buffer_size() if self._transport else 0
-
     @property
     def task(self) -> asyncio.Task | None:
         """The task that serves the current request; None without one."""
         return self._task
 
-    @property
-    def gone(self) -> bool:
-        """Whether the caller has closed the connection."""
-        return self._closed
-
-    @property
-    def caller_ip(self) -> str:
-        """The address that the caller connected from, empty if it is not known."""
-        peer = self._transport.get_extra_info("peername") if self._transport else None
-        return peer[0] if peer else ""
-
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Start the idle timer of a new connection; called by asyncio."""
-        self._transport = transport
+        super().connection_made(transport)
         enable_keepalive(transport)
         self.buffers = self._ingress.budget.connection(transport, self._cut)
         self._ingress.connections.add(self)
         self._set_timer(self._ingress.limits.idle_seconds, self.close_if_idle)
+        if self._ingress.refuse is not None:
+            self._loop.call_soon(self.end_intake)
 
     def connection_lost(self, error: Exception | None) -> None:
         """Cancel the request that is being served; called by asyncio."""
-        self._closed = True
-        self.buffers.closed()
+        super().connection_lost(error)
         self._ingress.connections.discard(self)
-        self._clear_timer()
-        self._can_write.set()
         if self._task is not None:
             self._task.cancel()
 
-    def eof_received(self) -> bool:
-        """Close the connection of a caller that has closed its sending side.
-
-        Called by asyncio. A half-closed connection counts as one that was closed.
-        """
-        return False
-
-    def pause_writing(self) -> None:
-        """Make sends wait: the caller reads too slowly. Called by asyncio."""
-        self._can_write.clear()
-
-    def resume_writing(self) -> None:
-        """Let sends go on: the caller reads again. Called by asyncio."""
-        self._can_write.set()
-
     def data_received(self, data: bytes) -> None:
         """Parse what the caller sent; called by asyncio."""
         if self._refused:
@@ -165,6 +117,16 @@
                 self._set_timer(limits.header_seconds, self._timed_out)
             self._read_events()
 
+    def end_intake(self) -> None:
+        """Refuse what the caller has sent so far; close the connection if it is idle.
+
+        A request that is being served goes on.
+        """
+        if self._task is None:
+            self.read_waiting()
+            if not self.busy:
+                self._transport.close()
+
     def close_if_idle(self) -> None:
         """Close the connection unless a request is being read or served."""
         if self._task is None and self._request is None and self._transport:
@@ -174,15 +136,41 @@
         """Refuse the request that is being read, if one is."""
         is_read = self._request is not None or self._has_part_of_head
         if is_read and self._task is None and not self._refused:
-            headers = list(self._request.headers) if self._request else []
-            try:
-                refusal = refuse(headers)
-            except Exception as error:  # Others are refused after it.
-                context = {"message": "no refusal", "exception": error}
-                self._loop.call_exception_handler(context)
-                refusal = BodyRefusal([], b"")
+            refusal = self._refusal(refuse)
             self._refuse(503, refusal.headers, refusal.body)
 
+    def _refusal(self, refuse: RefuseUnread) -> BodyRefusal:
+        headers = list(self._request.headers) if self._request else []
+        try:
+            return refuse(headers)
+        except Exception as error:  # Others are refused after it.
+            context = {"message": "no refusal", "exception": error}
+            self._loop.call_exception_handler(context)
+            return BodyRefusal([], b"")
+
+    def _refuse_whole(self, refuse: RefuseUnread) -> None:
+        """Refuse a request that has been read, without a task for it.
+
+        The connection is closed unless others are behind it.
+        """
+        refusal = self._refusal(refuse)
+        body = b"" if self._request.method == b"HEAD" else refusal.body
+        self._body = bytearray()
+        self._request = None
+        self.buffers.request_ended()
+        is_kept = self._http.their_state is h11.DONE and self._http.trailing_data[0]
+        try:
+            if is_kept:
+                self._send_whole(503, refusal.headers, body)
+                self._http.start_next_cycle()
+                return
+            self._write(encode_refusal(refusal.headers, body))
+        except ConnectionResetError:
+            self._abort()
+            return
+        self._refused = True
+        self._transport.close()
+
     def _read_events(self) -> None:
         try:
             while self._task is None and not self._closed and not self._refused:
@@ -224,20 +212,18 @@
             self._body += event.data
         elif isinstance(event, h11.EndOfMessage):
             self._clear_timer()
-            self._start_task()
+            refuse = self._ingress.refuse
+            if refuse is None:
+                self._start_task()
+            else:
+                self._refuse_whole(refuse)
         elif isinstance(event, h11.ConnectionClosed):
             self._transport.close()
             self._closed = True
 
     def _start_task(self) -> None:
-        head = self._request
-        request = HttpRequest(
-            method=bytes(head.method),
-            target=bytes(head.target),
-            headers=[(bytes(n), bytes(v)) for n, v in head.headers],
-            raw_headers=[(bytes(n), bytes(v)) for n, v in head.headers.raw_items()],
-            body=bytes(self._body),
-            arrived=self._head_received_at,
+        request = HttpRequest.of_head(
+            self._request, bytes(self._body), self._head_received_at
         )
         self._body = bytearray()
         self.answer_started = False
@@ -325,11 +311,7 @@
         except h11.LocalProtocolError as error:
             raise ConnectionResetError(str(error)) from error
         if data:
-            self.buffers.record_unread()
-            self._transport.write(data)
-            self.buffers.written()
-            if self._closed:
-                raise ConnectionResetError("the connection has been cut")
+            self._write(data)
 
     def _refuse_body(self, refusal: BodyRefusal) -> None:
         """Answer a request whose body would take too much memory."""
@@ -346,13 +328,8 @@
         self._refused = True
         self._clear_timer()
         self._body = bytearray()
-        length = (b"Content-Length", str(len(body)).encode())
-        headers = [*headers, length, (b"Connection", b"close")]
         try:
-            self._send(h11.Response(status_code=status, headers=headers))
-            if body:
-                self._send(h11.Data(data=body))
-            self._send(h11.EndOfMessage())
+            self._send_whole(status, [*headers, (b"Connection", b"close")], body)
         except ConnectionResetError:
             self._abort()
             return
@@ -360,23 +337,14 @@
         self.buffers.request_ended()
         self._set_timer(linger, self._abort)
 
+    def _send_whole(
+        self, status: int, headers: Iterable[tuple[bytes, bytes]], body: bytes
+    ) -> None:
+        length = (b"Content-Length", str(len(body)).encode())
+        self._send(h11.Response(status_code=status, headers=[*headers, length]))
+        if body:
+            self._send(h11.Data(data=body))
+        self._send(h11.EndOfMessage())
+
     def _timed_out(self) -> None:
         self._refuse(408)
-
-    def _abort(self) -> None:
-        if self._transport is not None:
-            self._transport.abort()
-
-    def _cut(self) -> None:
-        """Close at once, so that a started answer does not look complete."""
-        self._closed = True
-        abort_with_reset(self._transport)
-
-    def _set_timer(self, seconds: float, callback: Callable[[], None]) -> None:
-        self._clear_timer()
-        self._timer = self._loop.call_later(seconds, callback)
-
-    def _clear_timer(self) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
--- a/cranberrywick/gateway/drain.py
+++ b/cranberrywick/gateway/drain.py
@@ -30,7 +30,7 @@
 from cranberrywick.routing.placement import Placement
 from cranberrywick.routing.retry_after import DrainReturns
 
-__all__ = ["FIRST_REFUSAL_SECONDS", "Drain"]
+__all__ = ["FIRST_REFUSAL_SECONDS", "NO_TIME", "Drain"]
 
 # How long after the signal what waits is refused first, in seconds. By then it is known
 # which peers are stopping, too.
@@ -41,6 +41,8 @@
 # How long an early stream may take from its first event on while no other daemon would
 # serve it, in seconds, though longer ones can't be ruled out.
 UNKNOWN_STREAM_SECONDS = 4.0
+# Why a request is refused that comes in the last moments.
+NO_TIME = "no time is left"
 
 
 class _Pending(NamedTuple):
@@ -110,7 +112,7 @@
         Raises `TimeoutError` then, and `Draining` if that time has come already.
         """
         if self._loop.time() >= self.answer_by:
-            raise self._refusal(exchange.meta.request_id, "no time is left")
+            raise self._refusal(exchange.meta.request_id, NO_TIME)
         async with asyncio.timeout_at(exchange.deadline) as timeout:
             self._pending_by_key[exchange.key] = _Pending(exchange, timeout)
             exchange.timeout = timeout
@@ -255,10 +257,17 @@
         request_id = decode_request(headers).request_id
         return body_refusal(error, request_id, error.retry_after)
 
-    def refusal_of_unread(self, headers: list[tuple[bytes, bytes]]) -> Draining:
-        """Return the error for a request whose end has not come in time."""
+    def refuse_late(self, headers: list[tuple[bytes, bytes]]) -> BodyRefusal:
+        """Return the answer to a request that has come too late to be served."""
         request_id = decode_request(headers).request_id
-        return self._refusal(request_id, "its end has not come")
+        error = self._refusal(request_id, NO_TIME)
+        return body_refusal(error, request_id, error.retry_after)
+
+    def refusal_of_unread(
+        self, headers: list[tuple[bytes, bytes]], reason: str = "its end has not come"
+    ) -> Draining:
+        """Return the error for a request that is not served."""
+        return self._refusal(decode_request(headers).request_id, reason)
 
     def _ends_before(self, demand: Demand) -> bool:
         """Whether this daemon, or the one that has the caller, ends before a request.
--- a/cranberrywick/gateway/http_request.py
+++ b/cranberrywick/gateway/http_request.py
@@ -6,7 +6,7 @@
 
 from cranberrywick.routing.model import RequestLimits
 
-__all__ = ["DEFAULT_LIMITS", "HttpRequest", "head_bytes"]
+__all__ = ["DEFAULT_LIMITS", "HttpRequest", "encode_refusal", "head_bytes"]
 
 # In force until the first configuration has been read.
 DEFAULT_LIMITS = RequestLimits(
@@ -29,6 +29,18 @@
     body: bytes
     arrived: float
 
+    @classmethod
+    def of_head(cls, head: h11.Request, body: bytes, arrived: float) -> "HttpRequest":
+        """Return the request with a head that h11 has read."""
+        return cls(
+            method=bytes(head.method),
+            target=bytes(head.target),
+            headers=[(bytes(n), bytes(v)) for n, v in head.headers],
+            raw_headers=[(bytes(n), bytes(v)) for n, v in head.headers.raw_items()],
+            body=body,
+            arrived=arrived,
+        )
+
     def header(self, name: bytes) -> bytes | None:
         """Return the value of the first header with a lower case name, or None."""
         for key, value in self.headers:
@@ -41,3 +53,13 @@
     """Return about how many bytes the method, the target and the headers have."""
     lines = sum(len(name) + len(value) + 4 for name, value in head.headers)
     return len(head.method) + len(head.target) + lines
+
+
+def encode_refusal(headers: list[tuple[bytes, bytes]], body: bytes) -> bytes:
+    """Return a whole answer with status 503, after which its connection is closed."""
+    lines = b"".join(b"%s: %s\r\n" % header for header in headers)
+    return b"HTTP/1.1 503 \r\n%sContent-Length: %d\r\nConnection: close\r\n\r\n%s" % (
+        lines,
+        len(body),
+        body,
+    )
--- a/cranberrywick/gateway/ingress.py
+++ b/cranberrywick/gateway/ingress.py
@@ -2,7 +2,10 @@
 
 import asyncio
 import select
-from collections.abc import Callable
+import socket
+from asyncio.trsock import TransportSocket
+from collections.abc import Callable, Sequence
+from math import inf
 
 from cranberrywick.gateway.buffer_budget import NO_BUDGET, BufferBudget, Unbudgeted
 from cranberrywick.gateway.caller_connection import (
@@ -10,6 +13,11 @@
     Handler,
     RefuseUnread,
 )
+from cranberrywick.gateway.direct_transport import (
+    DirectTransport,
+    accept_waiting,
+    length_of_queue,
+)
 from cranberrywick.gateway.http_request import DEFAULT_LIMITS
 from cranberrywick.routing.model import RequestLimits
 
@@ -18,6 +26,13 @@
 # Length of the listening socket's queue of connections to accept: callers may connect
 # in a burst.
 BACKLOG = 512
+# Most connections that one turn of the event loop accepts, so that the next turn isn't
+# late.
+ACCEPTED_PER_TURN = 16
+
+
+# When connections are accepted again after that has failed, in seconds.
+ACCEPT_RETRY_SECONDS = 1.0
 
 
 class Ingress:
@@ -46,12 +61,25 @@
         self._server: asyncio.Server | None = None
         self.connections: set[CallerConnection] = set()
         self.draining = False
+        self._refuses_from = inf
+        self._refuse: RefuseUnread | None = None
+        self._refusal_begins: Callable[[], None] = lambda: None
+        self._accepted: list[socket.socket] = []
+        self._making: set[asyncio.Task] = set()
 
     @property
     def limits(self) -> RequestLimits:
         """The limits that apply now."""
         return self._limits() or DEFAULT_LIMITS
 
+    @property
+    def refuse(self) -> RefuseUnread | None:
+        """What refuses a request that has just been read; None if it is served."""
+        if self._refuse is None or self._loop.time() < self._refuses_from:
+            return None
+        self._refusal_begins()
+        return self._refuse
+
     @property
     def busy(self) -> int:
         """How many connections have a request, or an answer that is not sent yet."""
@@ -61,12 +89,12 @@
     def unread(self) -> int:
         """How many sockets have connections to accept, or bytes of callers to read."""
         poll = select.poll()
-        for listener in self._server.sockets if self._server else ():
+        for listener in self._listeners:
             poll.register(listener.fileno(), select.POLLIN)
         for connection in self.connections:
             if connection.reads:
                 poll.register(connection.fileno(), select.POLLIN)
-        return len(poll.poll(0))
+        return len(poll.poll(0)) + len(self._making)
 
     @property
     def unsent(self) -> int:
@@ -96,19 +124,91 @@
         Raises `OSError` if the address can't be used.
         """
         host, _, port = address.rpartition(":")
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            lambda: CallerConnection(self, self._handle),
+        self._loop = asyncio.get_running_loop()
+        self._server = await self._loop.create_server(
+            self._make_connection,
             host,
             int(port),
-            backlog=BACKLOG,
             reuse_address=True,
+            start_serving=False,
         )
+        for listener in self._listeners:
+            with listener.dup() as same:
+                same.listen(BACKLOG)
+            self._accept_from(listener)
+
+    def _accept_from(self, listener: TransportSocket) -> None:
+        if listener.fileno() >= 0:  # It has not been closed meanwhile.
+            self._loop.add_reader(listener.fileno(), self._accept, listener)
+
+    def _accept(self, listener: TransportSocket) -> None:
+        # The server of asyncio accepts as many as wait in one turn, and drops those
+        # that it has just accepted as it is closed.
+        try:
+            for caller in accept_waiting(listener, ACCEPTED_PER_TURN):
+                making = self._loop.connect_accepted_socket(
+                    self._make_connection, caller
+                )
+                task = self._loop.create_task(making)
+                self._making.add(task)
+                task.add_done_callback(self._making.discard)
+        except OSError as error:  # There are no descriptors, for example.
+            context = {"message": "no connection is accepted", "exception": error}
+            self._loop.call_exception_handler(context)
+            self._loop.remove_reader(listener.fileno())
+            self._loop.call_later(ACCEPT_RETRY_SECONDS, self._accept_from, listener)
+
+    def _make_connection(self) -> CallerConnection:
+        return CallerConnection(self, self._handle)
 
     def drain(self) -> None:
         """Close each connection after its next answer; new ones are still accepted."""
         self.draining = True
 
+    def refuse_from(
+        self, moment: float, refuse: RefuseUnread, begins: Callable[[], None]
+    ) -> None:
+        """Refuse the requests that are read from a moment on, without serving them.
+
+        The clock is read at each of them, since timers may be late. ``begins`` is
+        called as one is refused.
+        """
+        self._refuses_from, self._refuse = moment, refuse
+        self._refusal_begins = begins
+
+    def accept_waiting(self) -> None:
+        """Accept all connections that wait for it, for `intake_steps`."""
+        for listener in self._listeners:
+            self._accepted += accept_waiting(listener, BACKLOG)
+
+    def intake_steps(self) -> list[Callable[[], None]]:
+        """Return what refuses all that callers have sent so far, and closes the rest.
+
+        Each step is for one connection. Requests that are being served go on.
+        """
+        steps = [each.end_intake for each in self.connections]
+        return steps + [self._refuse_accepted] * len(self._accepted)
+
+    def _refuse_accepted(self) -> None:
+        with self._accepted.pop() as caller:
+            connection = self._make_connection()
+            connection.connection_made(DirectTransport(caller))
+            try:
+                connection.end_intake()
+                if self._refuse is not None:
+                    connection.refuse_unread(self._refuse)
+            finally:
+                connection.connection_lost(None)
+
+    @property
+    def _listeners(self) -> Sequence[TransportSocket]:
+        return self._server.sockets if self._server else ()
+
+    @property
+    def waiting(self) -> int:
+        """How many connections wait to be accepted."""
+        return sum(length_of_queue(listener) for listener in self._listeners)
+
     def refuse_unread(self, refuse: RefuseUnread) -> None:
         """Refuse the requests that are still being read."""
         for connection in list(self.connections):
--- a/cranberrywick/gateway/peer_requests.py
+++ b/cranberrywick/gateway/peer_requests.py
@@ -24,7 +24,7 @@
 )
 from cranberrywick.gateway.caller_connection import CallerConnection
 from cranberrywick.gateway.direct_attempts import DirectAttempts
-from cranberrywick.gateway.drain import Drain
+from cranberrywick.gateway.drain import NO_TIME, Drain
 from cranberrywick.gateway.exchange import Exchange
 from cranberrywick.gateway.forwarded_statements import (
     STATEMENT_HEADER,
@@ -241,9 +241,11 @@
 
     def refuse_unread(self, headers: list[tuple[bytes, bytes]]) -> BodyRefusal:
         """Return the answer to a request whose body has not come in time."""
-        error = self._drain.refusal_of_unread(headers)
-        value = encode_answer_statement(AnswerStatement(error=error))
-        return BodyRefusal([(STATEMENT_HEADER, value)], b"")
+        return _stated(self._drain.refusal_of_unread(headers))
+
+    def refuse_late(self, headers: list[tuple[bytes, bytes]]) -> BodyRefusal:
+        """Return the answer to a request that has come too late to be served."""
+        return _stated(self._drain.refusal_of_unread(headers, NO_TIME))
 
     def _limits(self) -> RequestLimits:
         """Return the limits of callers' requests, with room for the statement."""
@@ -268,3 +270,8 @@
             stated_version=stated.version,
             endpoints_age=self._state.registry.age(self._loop.time()),
         )
+
+
+def _stated(error: CranberrywickError) -> BodyRefusal:
+    value = encode_answer_statement(AnswerStatement(error=error))
+    return BodyRefusal([(STATEMENT_HEADER, value)], b"")
--- a/cranberrywick/gateway/served_requests.py
+++ b/cranberrywick/gateway/served_requests.py
@@ -1,7 +1,7 @@
 """The requests that a stopping daemon still has, and when it has none."""
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from cranberrywick.gateway.ingress import Ingress
 from cranberrywick.gateway.loop_lag import LoopLag
@@ -38,15 +38,17 @@
             self._log.error("stop_step_failed", step="look", error=error)
             return False
 
-    async def wait_until_idle(self, earliest: float, latest: float) -> bool:
-        """Wait until no request is left, from ``earliest`` to ``latest``.
+    async def wait_until_idle(
+        self, earliest: float, latest: Callable[[], float]
+    ) -> bool:
+        """Wait until no request is left, from ``earliest`` to what ``latest`` returns.
 
         Returns whether none is left, right after the last look, so that what is done
         next meets what it saw.
         """
         loop = asyncio.get_running_loop()
         idle_polls = 0
-        while loop.time() < latest:
+        while loop.time() < latest():
             is_idle = loop.time() >= earliest and self.is_idle
             idle_polls = idle_polls + 1 if is_idle else 0
             if idle_polls == IDLE_POLLS:
--- a/tests/busy_stops.py
+++ b/tests/busy_stops.py
@@ -15,6 +15,7 @@
 import asyncio
 import os
 import random
+import re
 import signal
 import socket
 import subprocess
@@ -423,7 +424,7 @@
             click.echo(f"{scene} seed {seed + number}: {stops.summary()}")
             for gateway in stops.fleet.gateways:
                 for line in gateway.log.splitlines():
-                    if "event=gateway_stopped" in line:
+                    if re.search("event=(intake_ended|gateway_stopped)", line):
                         click.echo(line)
             failed |= bool(stops.lost or stops.killed)
     raise SystemExit(1 if failed else 0)
--- /dev/null
+++ b/tests/test_last_phase.py
@@ -0,0 +1,191 @@
+"""The last moments of a stopping daemon, whose event loop may lag."""
+
+import asyncio
+import socket
+import time
+
+import pytest
+
+from cranberrywick.gateway.buffer_budget import BodyRefusal
+from cranberrywick.gateway.ingress import Ingress
+from cranberrywick.gateway.last_phase import COVERED_SECONDS, LastPhase
+from cranberrywick.gateway.turn_limit import EVENTS_PER_TURN, new_event_loop
+from cranberrywick.logs import EventLog
+from cranberrywick.routing.drain_window import DrainWindow
+
+REQUEST = b"GET /1 HTTP/1.1\r\nHost: h\r\n\r\n"
+HALF_REQUEST = b"POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\n123"
+
+
+class Lag:
+    timer_seconds = turn_seconds = 0.0
+
+
+class Refuser:
+    """Counts what is refused."""
+
+    refused = 0
+
+    def refuse_late(self, headers):
+        self.refused += 1
+        return BodyRefusal([(b"Retry-After", b"1")], b"refused")
+
+
+def play(scene):
+    """Run a scene with an ingress that serves nothing in time, and its last phase."""
+
+    async def main():
+        async def handle(request, caller):
+            await asyncio.sleep(0.2)
+            await caller.answer(200, [], b"served")
+
+        ingress, refuser, lag = Ingress(handle), Refuser(), Lag()
+        await ingress.start("127.0.0.1:0")
+        now = asyncio.get_running_loop().time()
+        window = DrainWindow(now + 100.0, now + 100.25)
+        phase = LastPhase(
+            ((ingress, refuser),), lag, window, lambda step: step(), EventLog()
+        )
+        return await scene(ingress, phase, lag, window)
+
+    with asyncio.Runner(loop_factory=new_event_loop) as runner:
+        return runner.run(main())
+
+
+def connect(ingress):
+    host, _, port = ingress.address.rpartition(":")
+    caller = socket.create_connection((host, int(port)), 5.0)
+    return caller
+
+
+def read_all(caller):
+    """Return what a caller receives until its connection is closed."""
+    data = b""
+    while part := caller.recv(65536):
+        data += part
+    return data
+
+
+def test_all_that_was_sent_is_refused_as_the_intake_ends():
+    """Guards against requests that were sent, and are reset as a daemon ends."""
+
+    async def scene(ingress, phase, lag, window):
+        kept, idle = connect(ingress), connect(ingress)
+        while len(ingress.connections) < 2:
+            await asyncio.sleep(0.01)
+        # The event loop reads and accepts nothing meanwhile.
+        waiting = [connect(ingress) for _ in range(40)]
+        unsent, half = connect(ingress), connect(ingress)
+        half.sendall(HALF_REQUEST)
+        for caller in (kept, *waiting):
+            caller.sendall(REQUEST)
+        assert ingress.waiting == 42
+        phase.end_intake()
+        await asyncio.sleep(0.01)
+        for caller in (kept, half, *waiting):
+            assert read_all(caller).startswith(b"HTTP/1.1 503")
+        assert read_all(idle) == read_all(unsent) == b""
+        with pytest.raises(ConnectionRefusedError):
+            address = kept.getpeername()
+            socket.create_connection(address, 5.0)
+
+    play(scene)
+
+
+def test_a_request_that_is_served_goes_on_and_those_behind_it_are_refused():
+    """Guards against answers cut by the end of the intake, and pipelined requests."""
+
+    async def scene(ingress, phase, lag, window):
+        caller = connect(ingress)
+        caller.sendall(3 * REQUEST)
+        while not ingress.tasks:
+            await asyncio.sleep(0.01)
+        phase.end_intake()
+        await asyncio.sleep(0.3)
+        answers = read_all(caller)
+        assert answers.count(b"HTTP/1.1 200") == 1
+        assert answers.count(b"HTTP/1.1 503") == 2
+        assert answers.count(b"onnection: close") == 1
+
+    play(scene)
+
+
+def test_a_turn_that_takes_too_long_serves_nothing_that_is_late():
+    """Guards against requests that are taken in late since a timer is."""
+
+    async def scene(ingress, phase, lag, window):
+        caller = connect(ingress)
+        while not ingress.connections:
+            await asyncio.sleep(0.01)
+        lag.timer_seconds = 99.9 + COVERED_SECONDS  # It counts for two seconds only.
+        assert phase.refuse_from() == pytest.approx(window.answer_by - 2.0)
+        (refuser,) = [each for _, each in phase._refusers]
+        moment = asyncio.get_running_loop().time() + 0.05
+        ingress.refuse_from(moment, refuser.refuse_late, phase.end_intake)
+        caller.sendall(REQUEST)
+        time.sleep(0.1)  # Timers are late.
+        await asyncio.sleep(0)
+        await asyncio.sleep(0.01)
+        assert not ingress.tasks and refuser.refused == 1
+        assert read_all(caller).startswith(b"HTTP/1.1 503")
+        assert phase.refuse_from() < 0
+
+    play(scene)
+
+
+def test_the_end_begins_earlier_by_the_lag_and_the_work():
+    """Guards against a window that holds for an event loop in time only."""
+
+    async def scene(ingress, phase, lag, window):
+        assert phase.refuse_from() == phase.answer_by(1000) == window.answer_by
+        lag.timer_seconds, lag.turn_seconds = 0.3, 0.1
+        earlier = 0.3 - COVERED_SECONDS
+        assert phase.refuse_from() == pytest.approx(window.answer_by - earlier)
+        turn = phase.answer_by(EVENTS_PER_TURN)
+        assert turn == pytest.approx(window.answer_by - earlier - 0.1)
+        assert phase.close_at() == window.close_at
+
+
+def test_the_waits_after_the_close_leave_time_for_the_lag():
+    """Guards against a process that is killed as it waits for its last tasks."""
+
+    async def scene(ingress, phase, lag, window):
+        assert phase.seconds_to_close(0.1) == 0.1
+        window = window._replace(close_at=asyncio.get_running_loop().time())
+        phase = LastPhase((), lag, window, lambda step: step(), EventLog())
+        assert 0.05 < phase.seconds_to_close(0.1) <= 0.1
+        lag.timer_seconds = 0.08
+        assert phase.seconds_to_close(0.1) <= 0.02
+        lag.timer_seconds = 0.3
+        assert phase.seconds_to_close(0.1) == 0.0
+
+    play(scene)
+
+
+def test_each_ready_socket_gets_its_turn():
+    """Guards against sockets that are never handled beside many busy ones."""
+
+    async def main():
+        loop = asyncio.get_running_loop()
+        pairs = [socket.socketpair() for _ in range(3 * EVENTS_PER_TURN)]
+        handled, turns = [], []
+
+        def handle(number):
+            handled.append(number)  # It stays ready.
+
+        for number, (ours, theirs) in enumerate(pairs):
+            theirs.send(b"1")
+            loop.add_reader(ours, handle, number)
+        for _ in range(4):
+            before = len(handled)
+            await asyncio.sleep(0)
+            turns.append(len(handled) - before)
+        for ours, theirs in pairs:
+            loop.remove_reader(ours)
+            ours.close()
+            theirs.close()
+        assert max(turns) == EVENTS_PER_TURN
+        assert len(set(handled)) == len(pairs)
+
+    with asyncio.Runner(loop_factory=new_event_loop) as runner:
+        runner.run(main())
