Limits of a caller's time hold for what has come, also after a bounded turn

Callers got 408, or their connection was reset, though they had sent their request in time: a turn of the event loop handles 32 sockets and then the timers that are due, so that after a pause the limit of the head, the body or the idle time fired for the connections that were left out. asyncio's own turn reads them first.

A limit that fires now reads the connection, and counts only if nothing there outdates it.

--- a/cranberrywick/gateway/caller_connection.py
+++ b/cranberrywick/gateway/caller_connection.py
@@ -89,7 +89,7 @@
         enable_keepalive(transport)
         self.buffers = self._ingress.budget.connection(transport, self._cut)
         self._ingress.connections.add(self)
-        self._set_timer(self._ingress.limits.idle_seconds, self.close_if_idle)
+        self._set_timer(self._ingress.limits.idle_seconds, self._idled_out)
         if self._ingress.refuse is not None:
             self._loop.call_soon(self.end_intake)
 
@@ -244,7 +244,7 @@
         """Prepare for the next request, or close after an incomplete exchange."""
         if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
             self._http.start_next_cycle()
-            self._set_timer(self._ingress.limits.idle_seconds, self.close_if_idle)
+            self._set_timer(self._ingress.limits.idle_seconds, self._idled_out)
             self._read_events()
         elif self._http.our_state is h11.SEND_BODY and self._reads_to_close:
             self._cut()
@@ -347,4 +347,18 @@
         self._send(h11.EndOfMessage())
 
     def _timed_out(self) -> None:
-        self._refuse(408)
+        if not self._reads_in_time():
+            self._refuse(408)
+
+    def _idled_out(self) -> None:
+        if not self._reads_in_time():
+            self.close_if_idle()
+
+    def _reads_in_time(self) -> bool:
+        """Whether the timer that has fired is outdated by what the caller has sent.
+
+        A turn of the event loop has a bound, so that timers may fire before it reads.
+        """
+        timer = self._timer
+        self.read_waiting()
+        return self._timer is not timer or self._transport.is_closing()
