Stops of suspended gateways: only a kill is excused, no other exit

Where a gateway sees its signal so late that it may be killed, the scene of stalls and the soak excused any exit status. A crash (1, or a signal such as 11) beside a stall of 3 s passed; both accept SIGKILL's alone now.

--- a/tests/stop_soak.py
+++ b/tests/stop_soak.py
@@ -23,7 +23,7 @@
 import time
 from collections.abc import Callable
 from pathlib import Path
-from signal import SIGCONT, SIGHUP, SIGINT, SIGSTOP, SIGTERM
+from signal import SIGCONT, SIGHUP, SIGINT, SIGKILL, SIGSTOP, SIGTERM
 from typing import NamedTuple
 
 import click
@@ -207,7 +207,8 @@
             code = gateway.process.returncode
             seen_at = self._seen_at.get(gateway.name, 0.0)
             late = max(0.0, seen_at - self._signalled_at[gateway.name])
-            if code != 0 and not may_be_killed(late):
+            was_killed = code == -SIGKILL and may_be_killed(late)
+            if code != 0 and not was_killed:
                 lines.append(f"{gateway.name} ended with {code} after {took:.2f} s")
         for sent in self._sent:
             lines += self._broken_by(sent)
--- a/tests/stop_stalls.py
+++ b/tests/stop_stalls.py
@@ -18,7 +18,7 @@
 from collections import Counter
 from collections.abc import Sequence
 from pathlib import Path
-from signal import SIGCONT, SIGSTOP, SIGTERM
+from signal import SIGCONT, SIGKILL, SIGSTOP, SIGTERM
 from subprocess import TimeoutExpired
 from typing import NamedTuple
 
@@ -81,7 +81,8 @@
             for each in self.streams
             if each.is_refused and each.ended_at > GRACE_SECONDS
         ]
-        if self.status and not self._may_be_killed:
+        was_killed = self.status == -SIGKILL and self._may_be_killed
+        if self.status and not was_killed:
             faults.append(f"{self.gateway} ended with {self.status}")
         return faults
 
