A bounded turn handles the sockets first that have waited longest

A turn took the next 32 of the ready sockets by their place in the list, which others join and leave: a socket that was ready all the time could be passed over.

Each ready socket is now handled before others come a second time. The new test failed before: 12 turns, in place of at most 3, for 96 sockets.

--- a/cranberrywick/gateway/turn_limit.py
+++ b/cranberrywick/gateway/turn_limit.py
@@ -20,16 +20,24 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self._first = 0
+        self._turn = 0
+        # In which turn each descriptor was last returned beside others that were not.
+        self._turn_by_fd: dict[int, int] = {}
 
     def select(self, timeout: float | None = None) -> Events:
         ready = super().select(timeout)
         if len(ready) <= EVENTS_PER_TURN:
             return ready
-        # Sockets that are left out are still ready at the next call.
-        first = self._first % len(ready)
-        self._first = first + EVENTS_PER_TURN
-        return (ready[first:] + ready[:first])[:EVENTS_PER_TURN]
+        # Sockets that are left out are still ready at the next call, and come before
+        # those that are not.
+        ready.sort(key=self._last_turn)
+        del ready[EVENTS_PER_TURN:]
+        self._turn += 1
+        self._turn_by_fd.update((key.fd, self._turn) for key, _ in ready)
+        return ready
+
+    def _last_turn(self, event: tuple[selectors.SelectorKey, int]) -> int:
+        return self._turn_by_fd.get(event[0].fd, 0)
 
 
 def new_event_loop() -> asyncio.AbstractEventLoop:
--- a/tests/test_turn_limit.py
+++ b/tests/test_turn_limit.py
@@ -1,6 +1,8 @@
 """Connections of callers on an event loop whose turns have a bound."""
 
 import asyncio
+import random
+import selectors
 import socket
 import time
 from collections import Counter
@@ -54,6 +56,34 @@
     assert statuses == {200: CALLERS}
 
 
+def test_a_socket_waits_for_no_more_turns_than_others_fill():
+    """Guards against signals and peers that wait while other sockets come twice."""
+    loop = new_event_loop()
+    selector, rng = loop._selector, random.Random(1)
+    pairs = [socket.socketpair() for _ in range(CALLERS)]
+    for reader, _ in pairs:
+        selector.register(reader, selectors.EVENT_READ)
+    waits = dict.fromkeys((reader for reader, _ in pairs), 0)
+    longest = 0
+    for _ in range(2000):
+        for reader, writer in rng.sample(pairs, rng.randint(CALLERS // 2, CALLERS)):
+            if not waits[reader]:
+                writer.send(b"x")
+                waits[reader] = 1
+        for key, _ in selector.select(0):
+            longest = max(longest, waits[key.fileobj])
+            key.fileobj.recv(1)
+            waits[key.fileobj] = 0
+        for reader in waits:
+            waits[reader] += bool(waits[reader])
+    for reader, writer in pairs:
+        selector.unregister(reader)
+        reader.close()
+        writer.close()
+    loop.close()
+    assert longest <= CALLERS / EVENTS_PER_TURN
+
+
 def _status(caller: socket.socket) -> int:
     try:
         return read_answer(caller).status
