A stop isn't idle while connections wait for their refusal

The end of the intake accepts all that waits, and refuses it in batches. What is accepted and not yet refused was neither busy nor unread, so that a look took the daemon for idle beside it: in a trial with 450 such connections and 1 ms for each refusal, two of the three looks that end a stop were idle with 258 and 66 still to refuse. No caller lost its refusal in that trial.

It counts as unread now. The new test failed before (0 in place of 1).

--- a/cranberrywick/gateway/ingress.py
+++ b/cranberrywick/gateway/ingress.py
@@ -87,14 +87,17 @@
 
     @property
     def unread(self) -> int:
-        """How many sockets have connections to accept, or bytes of callers to read."""
+        """How many sockets have connections to accept, or bytes of callers to read.
+
+        Connections that have been accepted count until they are read.
+        """
         poll = select.poll()
         for listener in self._listeners:
             poll.register(listener.fileno(), select.POLLIN)
         for connection in self.connections:
             if connection.reads:
                 poll.register(connection.fileno(), select.POLLIN)
-        return len(poll.poll(0)) + len(self._making)
+        return len(poll.poll(0)) + len(self._making) + len(self._accepted)
 
     @property
     def unsent(self) -> int:
--- a/tests/test_last_phase.py
+++ b/tests/test_last_phase.py
@@ -162,6 +162,24 @@
     play(scene)
 
 
+def test_connections_that_are_accepted_to_be_refused_are_not_idle():
+    """Guards against a stop that ends before the last of them has its refusal."""
+
+    async def scene(ingress, phase, lag, window):
+        with connect(ingress) as caller:
+            caller.sendall(REQUEST)
+            while not ingress.waiting:
+                time.sleep(0.001)
+            ingress.accept_waiting()
+            ingress.stop_listening()
+            assert ingress.unread == 1
+            for step in ingress.intake_steps():
+                step()
+            assert ingress.unread == 0
+
+    play(scene)
+
+
 def test_what_a_late_cut_leaves_is_waited_for():
     """Guards against memory of streams cut after the close that is never released."""
 
