A permit that has come and is not read yet is no refusal

With other sockets busy, a turn of the event loop may leave out the one of the peers while the timers for a steward's answer fire: in a trial with 200 busy connections 8 of 32 requests for a permit were refused that the steward had granted at once, and none of 32 on an unbounded loop. They got 503 from the limits of endpoints that had room.

What has come is read before an answer counts as missing: none of 24 were refused in the same trial, and the new test failed before.

--- a/cranberrywick/gateway/peer_updates.py
+++ b/cranberrywick/gateway/peer_updates.py
@@ -93,7 +93,11 @@
             listener.declared_rate,
         )
         self.permits = EndpointPermits(
-            settings.daemon_id, self.limits, self._send_to_peers, log
+            settings.daemon_id,
+            self.limits,
+            self._send_to_peers,
+            log,
+            lambda: self.link.receive_waiting(),
         )
         self._recipients = Recipients(
             settings, self.members, self._is_leaving, self._loop.time
--- a/cranberrywick/gateway/permits.py
+++ b/cranberrywick/gateway/permits.py
@@ -40,7 +40,8 @@
 class EndpointPermits:
     """Requests permits from stewards, and grants them where this daemon is the steward.
 
-    ``send`` sends a message to addresses of peers. Everything runs on the event loop.
+    ``send`` sends a message to addresses of peers, and ``receive`` receives what they
+    have sent, which the event loop may not have read yet. Everything runs on it.
 
     >>> permits = EndpointPermits("d1", limits, link.send, log)
     >>> (await permits.admit("e1", longest_wait=0.3)).granted
@@ -53,7 +54,9 @@
         limits: FleetLimits,
         send: Callable[[Message, list[str]], None],
         log: EventLog,
+        receive: Callable[[], object] = lambda: None,
     ):
+        self._receive = receive
         self._daemon_id = daemon_id
         self._limits = limits
         self._send = send
@@ -135,8 +138,10 @@
         try:
             for seconds in (FIRST_ANSWER_SECONDS, SECOND_ANSWER_SECONDS):
                 self._send(request, [address])
-                done, _ = await asyncio.wait([pending], timeout=seconds)
-                if done:
+                await asyncio.wait([pending], timeout=seconds)
+                if not pending.done():
+                    self._receive()
+                if pending.done():
                     return pending.result()
             return None
         finally:
--- a/tests/test_late_permits.py
+++ b/tests/test_late_permits.py
@@ -42,3 +42,32 @@
         return len(requests)
 
     assert asyncio.run(main()) == 2
+
+
+def test_a_permit_that_has_come_and_is_not_read_is_no_refusal():
+    """Guards against refusals since other sockets were read before the peers'."""
+
+    async def main() -> bool:
+        limits = SimpleNamespace(
+            rate=lambda endpoint_id: 5.0,
+            steward=lambda endpoint_id, now: SimpleNamespace(
+                daemon_id="d2", peer_address="10.0.0.2:1"
+            ),
+            terms=lambda endpoint_id, longest_wait, now: None,
+            report=lambda endpoint_id: SimpleNamespace(endpoint_id=endpoint_id),
+            record_permit=lambda endpoint_id, permit, now: None,
+            record_unanswered=lambda endpoint_id, now: None,
+        )
+        unread = []
+
+        def send(request, addresses):
+            unread.append(PermitResponse(request.number, Permit(True, 0.0, 0.2)))
+
+        def receive():
+            while unread:
+                permits.handle_response(unread.pop())
+
+        permits = EndpointPermits("d1", limits, send, EventLog(), receive)
+        return (await permits.admit("e1", longest_wait=1.0)).granted
+
+    assert asyncio.run(main())
