--- a/cranberrywick/gateway/last_phase.py
+++ b/cranberrywick/gateway/last_phase.py
@@ -90,12 +90,8 @@
         """Return how long to wait for a step after the close, at most ``most``.
 
         The wait ends late by the lag, and the process has to end before it is killed.
-        Streams that went on after the close are cut when that may have come already.
         """
-        now = self._loop.time()
-        window = self._window
-        closed_at = window.cut_at if now >= window.cut_at else window.close_at
-        left = closed_at + most - now
+        left = self._window.close_at + most - self._loop.time()
         return min(max(0.0, left - self._lag.timer_seconds), most)
 
     def _needed(self, turns: float) -> float:
