A signal right after a suspension may have come within it

Once in some 70 stops with stalls of 3 s, beside other work on the machine, three streams that were sent 5.0 to 5.4 s after a signal at the stall's beginning were sent to an endpoint and cut by the kill. It didn't come back in 56 more such stops, and its log was lost; suspected, not shown: a signal that waits for a suspended process is taken by whichever of its threads goes on first, and if the log's thread takes it and is kept waiting, the event loop runs before the handler, so that the signal seems to have come after the suspension. The earliest moment is therefore the suspension's beginning for 0.1 s after its end, as it was before; the latest stays exact, so that nothing is cut early for it.

--- a/cranberrywick/gateway/ticker.py
+++ b/cranberrywick/gateway/ticker.py
@@ -32,13 +32,19 @@
         # loop went on after it was suspended; moments of its clock.
         self._ran_at = self._ticked_at = float("inf")
         self._resumed_at = float("-inf")
+        # When the last suspension began and ended.
+        self._suspension = (float("-inf"), float("-inf"))
 
     def signal_moment(self, now: float) -> SignalMoment:
         """Return between which moments a signal came that the process sees now.
 
-        It came after the last moment at which the process is known to have run.
+        It came after the last moment at which the process is known to have run. Right
+        after a suspension that is the one before it: another thread may have taken a
+        signal that waited, and get to its handler later than the loop goes on.
         """
-        return SignalMoment(min(self._ran_at, now), now)
+        began, ended = self._suspension
+        ran_at = began if now - ended < RESUMED_SECONDS else self._ran_at
+        return SignalMoment(min(ran_at, now), now)
 
     def running_since(self, moment: float, now: float) -> float:
         """Return from when on events have been seen as they came, since a moment.
@@ -54,12 +60,15 @@
 
     def record_run(self, now: float) -> None:
         """Record that the process runs, in the middle of a turn, too."""
+        if now - self._ran_at > SUSPENDED_SECONDS:
+            self._suspension = (self._ran_at, now)
         self._ran_at = now
 
     def _record_tick(self, now: float) -> None:
         if now - self._ticked_at > SUSPENDED_SECONDS:
             self._resumed_at = now
-        self._ticked_at = self._ran_at = now
+        self._ticked_at = now
+        self.record_run(now)
 
     def every(
         self, seconds: float, callback: Callable[[], None], jitter: float = 0.0
