--- a/tests/late_stops.py
+++ b/tests/late_stops.py
@@ -37,8 +37,9 @@
 LOSS_SECONDS = 0.2
 # The usual pause between two events, in seconds, and the largest slowdown of it.
 EVENT_SECONDS, SLOWEST = 0.043, 8.0
-# For how long a gateway is suspended, and the mean pause between two times in seconds.
-STALL_SECONDS, STALL_PAUSE_SECONDS = (0.2, 0.45), 0.3
+# For how long a gateway is suspended at least, and the mean pause between two times, in
+# seconds.
+STALL_SECONDS, STALL_PAUSE_SECONDS = 0.2, 0.3
 # Which of the usable cores the gateways run on, if there are so many.
 CORE = 2
 BUSY = """
@@ -99,15 +100,17 @@
         """Return the gateways that callers have the addresses of."""
         return [each for each in self.fleet.gateways if each.name not in self._closed]
 
-    def play(self, stops: int, gap: float, callers: int, stalls: bool) -> None:
+    def play(self, stops: int, gap: float, callers: int, stall: float) -> None:
         """Stop gateways in turn while callers send streams."""
         until = time.monotonic() + 10.0 + stops * gap + GRACE_SECONDS
         thread = threading.Thread(target=self._run_callers, args=(callers, until))
         thread.start()
         pace = threading.Thread(target=self._change_paces, args=(until,), daemon=True)
         pace.start()
-        if stalls:
-            threading.Thread(target=self._stall, args=(until,), daemon=True).start()
+        if stall:
+            stalls = threading.Thread(target=self._stall, args=(until, stall))
+            stalls.daemon = True
+            stalls.start()
         time.sleep(8.0)
         ends = []
         for number in range(stops):
@@ -148,14 +151,14 @@
                 continue
             self.ready_seconds.append(time.monotonic() - began_at)
 
-    def _stall(self, until: float) -> None:
+    def _stall(self, until: float, longest: float) -> None:
         """Suspend gateways now and then, as a busy machine lets them wait."""
         rng = random.Random(self._rng.random())
         while time.monotonic() < until:
             time.sleep(rng.uniform(0.0, 2 * STALL_PAUSE_SECONDS))
             gateway = rng.choice(self.fleet.gateways)
             gateway.process.send_signal(signal.SIGSTOP)
-            time.sleep(rng.uniform(*STALL_SECONDS))
+            time.sleep(rng.uniform(STALL_SECONDS, longest))
             gateway.process.send_signal(signal.SIGCONT)
 
     def _change_paces(self, until: float) -> None:
@@ -284,7 +287,7 @@
     engines: int = 6,
     slowest: float = SLOWEST,
     is_stated: bool = False,
-    stalls: bool = False,
+    stall: float = 0.0,
 ) -> LateStops:
     """Play a scene and return what became of the streams."""
     cores = sorted(os.sched_getaffinity(0))
@@ -316,7 +319,7 @@
         )
         scene = LateStops(fleet, core, seed, slowest, is_stated)
         with busy_core(core, busy):
-            scene.play(stops, gap, callers, stalls)
+            scene.play(stops, gap, callers, stall)
         return scene
     finally:
         fleet.close()
@@ -331,10 +334,10 @@
 @click.option("--engines", default=6, show_default=True)
 @click.option("--slowest", default=SLOWEST, show_default=True)
 @click.option("--stated", is_flag=True, help="Streams state how many events they have.")
-@click.option("--stalls", is_flag=True, help="Gateways are suspended now and then.")
+@click.option("--stall", default=0.0, help="Gateways are suspended for so long.")
 @click.option("--seed", default=1, show_default=True)
 def main(
-    stops, gap, busy, callers, gateways, engines, slowest, stated, stalls, seed
+    stops, gap, busy, callers, gateways, engines, slowest, stated, stall, seed
 ) -> None:
     """Play a scene; exits with 1 if a stream was lost."""
     with tempfile.TemporaryDirectory() as path:
@@ -349,7 +352,7 @@
             engines,
             slowest,
             stated,
-            stalls,
+            stall,
         )
         for sent in scene.lost:
             click.echo(scene.describe(sent))
