--- a/cranberrywick/gateway/app.py
+++ b/cranberrywick/gateway/app.py
@@ -1,9 +1,8 @@
-"""The gateway daemon: its components, its start and its graceful stop."""
+"""The gateway daemon: its components and its start."""
 
 import asyncio
 import contextlib
 import random
-from collections.abc import Callable
 from signal import SIGHUP
 
 from cranberrywick.gateway.buffer_budget import buffer_budget
@@ -12,15 +11,17 @@
 from cranberrywick.gateway.direct_attempts import DirectAttempts
 from cranberrywick.gateway.drain import Drain
 from cranberrywick.gateway.forwarder import Forwarder
+from cranberrywick.gateway.graceful_stop import GracefulStop
 from cranberrywick.gateway.http_request import HttpRequest
 from cranberrywick.gateway.ingress import Ingress
 from cranberrywick.gateway.lazy_metrics import LazyMetrics
+from cranberrywick.gateway.log_output import BoundedOutput
+from cranberrywick.gateway.loop_lag import LoopLag
 from cranberrywick.gateway.peer_requests import PeerRequests
-from cranberrywick.gateway.reservations import wait_for_releases
-from cranberrywick.gateway.served_requests import IDLE_POLL_SECONDS, ServedRequests
 from cranberrywick.gateway.state import FleetState
 from cranberrywick.gateway.stop_signal import StopSignal
 from cranberrywick.gateway.ticker import Ticker
+from cranberrywick.gateway.turn_limit import new_event_loop
 from cranberrywick.gateway.waiting import WaitingRequests
 from cranberrywick.gateway.weighted_directory import WeightedDirectory
 from cranberrywick.logs import EventLog
@@ -33,24 +34,14 @@
 from cranberrywick.platform.settings import load_settings
 from cranberrywick.platform.store import PlatformStore
 from cranberrywick.routing.directory import ANSWER_SECONDS, choose_addresses
-from cranberrywick.routing.drain_window import DrainWindow
 from cranberrywick.routing.health import EndpointHealth
 from cranberrywick.routing.model import GatewaySettings
 from cranberrywick.routing.placement import Placer
 
 __all__ = ["Gateway", "run_gateway"]
 
-# Shortest time for which a stopping daemon goes on serving, in seconds. Some callers
-# use an answer of the directory three times as long as it says, and some are just
-# connecting.
-LEAVE_SECONDS = 3 * ANSWER_SECONDS + 0.2
-# Longest time for answers of the daemon itself, and for releases of memory at
-# endpoints, once the connections are closed, in seconds.
-CLOSE_SECONDS = 0.1
-# Turns of the event loop in which a connection that was accepted is read.
-ACCEPT_TURNS = 8
-# Longest time in which the last requests without an answer get an error, in seconds.
-REST_SECONDS = 0.05
+# How long before it would be killed the process ends, in seconds.
+MARGIN_SECONDS = 0.2
 # Longest description of a callback in a log line, in characters.
 MAX_SOURCE = 300
 # Interval at which the health and rate limits of removed endpoints are dropped, in
@@ -62,15 +53,24 @@
 class Gateway:
     """One daemon of the fleet.
 
-    ``state`` is what the daemon knows of the fleet.
+    ``state`` is what the daemon knows of the fleet, ``output`` what its log goes to.
     """
 
-    def __init__(self, settings: GatewaySettings, log: EventLog):
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        log: EventLog,
+        output: BoundedOutput | None = None,
+    ):
         self._settings = settings
         self._log = log
         self._rng = random.Random()
         self._metrics = LazyMetrics(settings.daemon_id)
+        if output is not None:
+            self._metrics.observe_log(output)
         self._ticker = Ticker(log)
+        self._lag = LoopLag(self._ticker)
+        self._metrics.observe_loop_lag(self._lag.read)
         store = PlatformStore(settings.store_address, log)
         self.state = FleetState(
             settings, store, decode_configuration, self._ticker, self._metrics, log
@@ -97,31 +97,29 @@
             self.state.members.count,
             self._rng,
         )
-        self._drain = Drain(self.state, self._metrics, log)
-        self._waiting = WaitingRequests(self.state, placer, contention, self._drain)
-        peer_updates.answers.running = self._drain.running.streams
-        peer_updates.answers.running_calls = self._drain.running.calls
-        self.state.changed = self._waiting.schedule_placing
+        drain = Drain(self.state, self._metrics, log)
+        waiting = WaitingRequests(self.state, placer, contention, drain)
+        peer_updates.answers.running = drain.running.streams
+        peer_updates.answers.running_calls = drain.running.calls
+        self.state.changed = waiting.schedule_placing
         self.state.reach.regained = health.forget
         direct = DirectAttempts(
             settings,
             self.state,
-            self._waiting,
+            waiting,
             health,
             contention,
-            self._drain,
+            drain,
             self._metrics,
             log,
         )
         forwarder = Forwarder(
-            settings, self.state, self._waiting, direct, self._drain, self._metrics, log
+            settings, self.state, waiting, direct, drain, self._metrics, log
         )
         budget = buffer_budget(settings, self._metrics, log)
         self._ingress = Ingress(forwarder, self._request_limits, budget)
-        self._peer_requests = PeerRequests(self.state, direct, self._drain, budget, log)
-        self._peer_ingress = self._peer_requests.ingress
-        self._served = (self._ingress, self._peer_ingress)
-        self._requests = ServedRequests(self._served, log)
+        peer_requests = PeerRequests(self.state, direct, drain, budget, log)
+        self._peer_ingress = peer_requests.ingress
         self._internal_ingresses = [
             (address, Ingress(handler, budget=budget))
             for address, handler in (
@@ -137,12 +135,29 @@
             )
         self._stopping = asyncio.Event()
         self._stop_signal = StopSignal(self._ticker)
+        self._graceful_stop = GracefulStop(
+            self.state,
+            self._ingress,
+            peer_requests,
+            [ingress for _, ingress in self._internal_ingresses],
+            drain,
+            waiting,
+            self._lag,
+            self._ticker,
+            log,
+        )
 
     def _request_limits(self):
         """Return the configured limits of requests, None before a configuration."""
         table = self.state.table
         return table.configuration.limits if table else None
 
+    @property
+    def end_by(self) -> float:
+        """When the process has to have ended, of the event loop's clock."""
+        grace_seconds = self._settings.bounds.grace_seconds
+        return self._stop_signal.moment().earliest + grace_seconds - MARGIN_SECONDS
+
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then stop.
 
@@ -154,7 +169,8 @@
         loop.set_exception_handler(self._record_failure)
         await self.start()
         await self._stopping.wait()
-        await self._stop()
+        signalled = self._stop_signal.moment()
+        await self._graceful_stop.run(signalled, self._settings.bounds.grace_seconds)
 
     async def start(self) -> None:
         """Start to read the store and to listen on all configured addresses.
@@ -171,6 +187,7 @@
             ip, port = self._settings.ip, self._settings.forwarding_port
             await self._peer_ingress.start(f"{ip}:{port}")
         self._ticker.every(FORGET_SECONDS, self._forget_gone)
+        self._lag.start()
         if self._weighted_directory is not None:
             self._weighted_directory.start()
         self._log.info("gateway_started", address=self._settings.entry_address)
@@ -210,127 +227,6 @@
         """Let `run` stop the daemon."""
         self._stopping.set()
 
-    async def _stop(self) -> None:
-        """Leave the directory, serve until no request is left, and close.
-
-        A request that can't be finished within the grace period is refused as soon as
-        that is known; the others are answered by its end, if only with an error.
-        """
-        signalled = self._stop_signal.moment()
-        window = DrainWindow.of_grace(signalled, self._settings.bounds.grace_seconds)
-        earliest = signalled.latest + LEAVE_SECONDS
-        self._step(self._begin_drain, window)
-        unanswered = await self._serve_rest(earliest, window)
-        # What was accepted before is read and served; nothing new comes.
-        for ingress in self._served:
-            self._step(ingress.stop_listening)
-        for _ in range(ACCEPT_TURNS):
-            await asyncio.sleep(0)
-        unanswered = max(unanswered, await self._serve_rest(earliest, window))
-        # From the last look on nothing else runs until all connections are closed, or
-        # nothing more is read from them.
-        if self._requests.busy:
-            await self._answer_rest()
-            await self._serve_begun(window.cut_at)
-        self._step(self._requests.record_end, unanswered)
-        await self._close()
-
-    async def _serve_rest(self, earliest: float, window: DrainWindow) -> int:
-        """Serve until no request is left, or until connections have to be closed.
-
-        Returns how many requests had no answer when the time for it was over.
-        """
-        if await self._requests.wait_until_idle(earliest, window.answer_by):
-            return 0
-        unanswered = self._drain.unanswered
-        self._give_up_unanswered()
-        await self._requests.wait_until_idle(earliest, window.close_at)
-        return unanswered
-
-    def _step(self, step: Callable[..., object], *arguments: object) -> None:
-        """Take a step of the stop; one that fails doesn't keep the others from theirs.
-
-        Without the rest of the stop, requests that have nothing to do with the failure
-        would be dropped.
-        """
-        try:
-            step(*arguments)
-        except Exception as error:
-            self._log.error("stop_step_failed", step=step.__qualname__, error=error)
-
-    def _begin_drain(self, window: DrainWindow) -> None:
-        """Refuse what can't be finished, and let no more callers come."""
-        self._step(self._drain.begin, window)
-        self._step(self._waiting.begin_drain)
-        for ingress in (*self._served, *self._internal):
-            self._step(ingress.drain)
-        self._step(self.state.leave)
-        now = asyncio.get_running_loop().time()
-        signalled = self._stop_signal.moment()
-        self._log.info(
-            "drain_started",
-            busy=self._requests.busy,
-            waiting=len(self._waiting),
-            grace=window.close_at - now,
-            uncertain=signalled.latest - signalled.earliest,
-            delay=now - signalled.latest,
-        )
-
-    def _give_up_unanswered(self) -> None:
-        """End the requests whose answers have not begun, and refuse half read ones."""
-        self._step(self.state.end_start)
-        self._step(self._drain.end_unanswered)
-        for ingress, requests in (
-            (self._ingress, self._drain),
-            (self._peer_ingress, self._peer_requests),
-        ):
-            self._step(ingress.refuse_unread, requests.refuse_unread)
-
-    async def _answer_rest(self) -> None:
-        """Answer what has been read, if only with an error; read nothing more."""
-        loop = asyncio.get_running_loop()
-        latest = loop.time() + REST_SECONDS
-        for ingress in self._served:
-            self._step(ingress.stop_reading)
-        self._give_up_unanswered()
-        while loop.time() < latest and any(each.unanswered for each in self._served):
-            await asyncio.sleep(REST_SECONDS / 10)
-
-    async def _serve_begun(self, latest: float) -> None:
-        """Go on with the answers that have begun; close all other connections."""
-        loop = asyncio.get_running_loop()
-        seconds = latest - loop.time()
-        if seconds > 0:
-            self._log.info("drain_prolonged", busy=self._requests.busy, seconds=seconds)
-        while loop.time() < latest and self._requests.busy:
-            for ingress in self._served:
-                self._step(ingress.close)
-            await asyncio.sleep(IDLE_POLL_SECONDS)
-
-    async def _close(self) -> None:
-        """Close the connections, and end all that outlives a request.
-
-        Requests that are left are cancelled here and not by the end of the event loop,
-        so that the memory that they have reserved at endpoints is released.
-        """
-        for ingress in (*self._served, *self._internal):
-            self._step(ingress.close)
-        tasks = [task for ingress in self._served for task in ingress.tasks]
-        for task in tasks:
-            task.cancel()
-        tasks += [task for ingress in self._internal for task in ingress.tasks]
-        if tasks:
-            await asyncio.wait(tasks, timeout=CLOSE_SECONDS)
-        await wait_for_releases(CLOSE_SECONDS)
-        self._step(self.state.reach.stop)
-        self._step(self._ticker.stop)
-        self._step(self.state.peer_updates.link.close)
-
-    @property
-    def _internal(self) -> list[Ingress]:
-        """The ingresses whose requests the daemon answers itself."""
-        return [ingress for _, ingress in self._internal_ingresses]
-
     async def _answer_directory(
         self, request: HttpRequest, caller: CallerConnection
     ) -> None:
@@ -370,17 +266,24 @@
         await caller.answer(200, headers, rendered.body)
 
 
-async def _run(settings: GatewaySettings, log: EventLog) -> None:
+async def _run(
+    settings: GatewaySettings, log: EventLog, output: BoundedOutput | None
+) -> float:
+    gateway = Gateway(settings, log, output)
     with contextlib.suppress(asyncio.CancelledError):
-        await Gateway(settings, log).run()
+        await gateway.run()
+    return gateway.end_by
 
 
-def run_gateway(settings_path: str | None = None) -> None:
-    """Run the daemon until SIGTERM or SIGINT stops it.
+def run_gateway(
+    settings_path: str | None = None, output: BoundedOutput | None = None
+) -> float:
+    """Run the daemon until SIGTERM or SIGINT stops it; return when it has to end.
 
-    ``settings_path`` is the settings file. Raises `InvalidSettings` if it can't be
-    used.
+    That is a moment of `time.monotonic`. ``settings_path`` is the settings file,
+    ``output`` what the log goes to. Raises `InvalidSettings` if the file can't be used.
     """
     settings = load_settings(settings_path)
     log = EventLog(daemon=settings.daemon_id)
-    asyncio.run(_run(settings, log))
+    with asyncio.Runner(loop_factory=new_event_loop) as runner:
+        return runner.run(_run(settings, log, output))
--- a/cranberrywick/gateway/lazy_metrics.py
+++ b/cranberrywick/gateway/lazy_metrics.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
+    from cranberrywick.gateway.log_output import BoundedOutput
     from cranberrywick.metrics import Metrics
 
 __all__ = ["LazyMetrics", "Rendered"]
@@ -143,6 +144,24 @@
         long = ("answers_too_long", "Answers that exceeded a bound.", "bound")
         self._record(methodcaller("observe_counter", *long, read_long))
 
+    def observe_log(self, output: "BoundedOutput") -> None:
+        """Publish how far the log's output is behind, and the dropped lines."""
+        backlog = ("log_backlog", "Log lines that are not written yet.", "unit")
+
+        def read() -> dict[str, float]:
+            return output.backlog()._asdict()
+
+        self._record(methodcaller("observe_gauge", *backlog, read))
+        dropped = ("log_lines_dropped", "Log lines that were dropped.", "level")
+        self._record(methodcaller("observe_counter", *dropped, output.dropped))
+
+    def observe_loop_lag(self, read: Callable[[], dict[str, float]]) -> None:
+        """Publish how far the event loop lags; ``read`` returns seconds by kind."""
+        description = "Lag of the event loop lately, in seconds."
+        self._record(
+            methodcaller("observe_gauge", "loop_lag_seconds", description, "kind", read)
+        )
+
     def refused_early(self, service: str) -> None:
         """Count a request that was refused since its forecast was far too late."""
         self._record(methodcaller("refused_early", service))
