The intake ends by a timer of the event loop, not by a task that waits for it

With 200 callers and 6 busy processes, one of 6 gateways was killed: its intake ended 0.17 s before the usual moment in place of 0.8 s, since the task that looks for it goes on a turn after its timer. All requests of that stop had been answered.

Test: test_the_intake_ends_by_itself.

--- a/cranberrywick/gateway/last_phase.py
+++ b/cranberrywick/gateway/last_phase.py
@@ -63,6 +63,7 @@
         self._log = log
         self._loop = asyncio.get_running_loop()
         self._has_ended = False
+        self._timer: asyncio.TimerHandle | None = None
 
     def refuse_from(self) -> float:
         """Return when the intake ends; from then on all that is read is refused.
@@ -76,6 +77,10 @@
         moment = self._window.answer_by - self._needed(connections / STEPS_PER_TURN)
         for ingress, refuser in self._refusers:
             ingress.refuse_from(moment, refuser.refuse_late, self.end_intake)
+        # A task that waits for the moment would go on a turn later.
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = self._loop.call_at(moment, self.end_intake)
         return moment
 
     def answer_by(self, unanswered: int) -> float:
--- a/tests/test_last_phase.py
+++ b/tests/test_last_phase.py
@@ -133,6 +133,21 @@
     play(scene)
 
 
+def test_the_intake_ends_by_itself():
+    """Guards against an end that waits for a task of a loop that lags."""
+
+    async def scene(ingress, phase, lag, window):
+        caller = connect(ingress)
+        window = window._replace(answer_by=asyncio.get_running_loop().time() + 0.05)
+        (each,) = phase._refusers
+        phase = LastPhase((each,), lag, window, lambda step: step(), EventLog())
+        phase.refuse_from()
+        await asyncio.sleep(0.1)
+        assert read_all(caller) == b""
+
+    play(scene)
+
+
 def test_the_end_begins_earlier_by_the_lag_and_the_work():
     """Guards against a window that holds for an event loop in time only."""
 
