The waits after the close are as long as before, also under lag

Shortened by the lag, they ended before the releases of memory were sent: tests/test_stop_states.py::test_a_stop_releases_the_memory_of_what_it_cuts found 200,500 tokens reserved, in a run at a load average of 25 to 36.

--- a/cranberrywick/gateway/app.py
+++ b/cranberrywick/gateway/app.py
@@ -250,7 +250,7 @@
         if self._requests.busy:
             await self._answer_rest()
         self._step(self._requests.record_end, unanswered)
-        await self._close(phase)
+        await self._close()
 
     async def _serve_rest(self, earliest: float, phase: LastPhase) -> int:
         """Serve until no request is left, or until connections have to be closed.
@@ -313,7 +313,7 @@
         while loop.time() < latest and any(each.unanswered for each in self._served):
             await asyncio.sleep(REST_SECONDS / 10)
 
-    async def _close(self, phase: LastPhase) -> None:
+    async def _close(self) -> None:
         """Close the connections, and end all that outlives a request.
 
         Requests that are left are cancelled here and not by the end of the event loop,
@@ -326,8 +326,8 @@
             task.cancel()
         tasks += [task for ingress in self._internal for task in ingress.tasks]
         if tasks:
-            await asyncio.wait(tasks, timeout=phase.seconds_to_close(CLOSE_SECONDS))
-        await wait_for_releases(phase.seconds_to_close(CLOSE_SECONDS))
+            await asyncio.wait(tasks, timeout=CLOSE_SECONDS)
+        await wait_for_releases(CLOSE_SECONDS)
         self._step(self.state.reach.stop)
         self._step(self._ticker.stop)
         self._step(self.state.peer_updates.link.close)
--- a/cranberrywick/gateway/last_phase.py
+++ b/cranberrywick/gateway/last_phase.py
@@ -91,14 +91,6 @@
         """Return when the connections are closed, with the answers that run."""
         return self._window.close_at
 
-    def seconds_to_close(self, most: float) -> float:
-        """Return how long to wait for a step after the close, at most ``most``.
-
-        The wait ends late by the lag, and the process has to end before it is killed.
-        """
-        left = self._window.close_at + most - self._loop.time()
-        return min(max(0.0, left - self._lag.timer_seconds), most)
-
     def _needed(self, turns: float) -> float:
         """Return for how much longer than foreseen so many turns of the loop take."""
         needed = self._lag.timer_seconds + turns * self._lag.turn_seconds
