--- a/cranberrywick/gateway/graceful_stop.py
+++ b/cranberrywick/gateway/graceful_stop.py
@@ -89,7 +89,7 @@
             await self._answer_rest()
             await self._serve_begun(window.cut_at)
         self._step(self._requests.record_end, unanswered)
-        await self._close(phase)
+        await self._close()
 
     async def _serve_rest(self, earliest: float, phase: LastPhase) -> int:
         """Serve until no request is left, or until connections have to be closed.
@@ -166,7 +166,7 @@
                 self._step(ingress.close)
             await asyncio.sleep(IDLE_POLL_SECONDS)
 
-    async def _close(self, phase: LastPhase) -> None:
+    async def _close(self) -> None:
         """Close the connections, and end all that outlives a request.
 
         Requests that are left are cancelled here and not by the end of the event loop,
@@ -179,8 +179,8 @@
             task.cancel()
         tasks += [task for ingress in self._internal for task in ingress.tasks]
         if tasks:
-            await asyncio.wait(tasks, timeout=phase.seconds_to_close(CLOSE_SECONDS))
-        await wait_for_releases(phase.seconds_to_close(CLOSE_SECONDS))
+            await asyncio.wait(tasks, timeout=CLOSE_SECONDS)
+        await wait_for_releases(CLOSE_SECONDS)
         self._step(self._state.reach.stop)
         self._step(self._ticker.stop)
         self._step(self._state.peer_updates.link.close)
