--- a/cranberrywick/gateway/ingress.py
+++ b/cranberrywick/gateway/ingress.py
@@ -29,8 +29,6 @@
 # Most connections that one turn of the event loop accepts, so that the next turn isn't
 # late.
 ACCEPTED_PER_TURN = 16
-
-
 # When connections are accepted again after that has failed, in seconds.
 ACCEPT_RETRY_SECONDS = 1.0
 
