Drain: one way to answer requests that are not served

refuse_unread and refuse_late were copies but for their reason, and the first decoded the headers twice. Behaviour is unchanged.

--- a/cranberrywick/gateway/drain.py
+++ b/cranberrywick/gateway/drain.py
@@ -41,8 +41,9 @@
 # How long an early stream may take from its first event on while no other daemon would
 # serve it, in seconds, though longer ones can't be ruled out.
 UNKNOWN_STREAM_SECONDS = 4.0
-# Why a request is refused that comes in the last moments.
+# Why a request is refused that comes in the last moments, and one that is half read.
 NO_TIME = "no time is left"
+HALF_READ = "its end has not come"
 
 
 class _Pending(NamedTuple):
@@ -253,18 +254,21 @@
 
     def refuse_unread(self, headers: list[tuple[bytes, bytes]]) -> BodyRefusal:
         """Return the answer to a request whose end has not come in time."""
-        error = self.refusal_of_unread(headers)
-        request_id = decode_request(headers).request_id
-        return body_refusal(error, request_id, error.retry_after)
+        return self._refuse_unserved(headers, HALF_READ)
 
     def refuse_late(self, headers: list[tuple[bytes, bytes]]) -> BodyRefusal:
         """Return the answer to a request that has come too late to be served."""
+        return self._refuse_unserved(headers, NO_TIME)
+
+    def _refuse_unserved(
+        self, headers: list[tuple[bytes, bytes]], reason: str
+    ) -> BodyRefusal:
         request_id = decode_request(headers).request_id
-        error = self._refusal(request_id, NO_TIME)
+        error = self._refusal(request_id, reason)
         return body_refusal(error, request_id, error.retry_after)
 
     def refusal_of_unread(
-        self, headers: list[tuple[bytes, bytes]], reason: str = "its end has not come"
+        self, headers: list[tuple[bytes, bytes]], reason: str = HALF_READ
     ) -> Draining:
         """Return the error for a request that is not served."""
         return self._refusal(decode_request(headers).request_id, reason)
