A single suspension is no lag that a stopping daemon expects again

Cause: the last phase took the largest lateness of the last three seconds for that of the next timers. A process that was suspended once, and is punctual since, showed up to two seconds.

Now what counts is the lateness, or the turn, that was seen at least twice in that time; a loop that is short of processor is late again and again. The metric, drain_started and gateway_stopped still have the largest, intake_ended has what the moment was taken from.

--- a/cranberrywick/gateway/last_phase.py
+++ b/cranberrywick/gateway/last_phase.py
@@ -93,7 +93,8 @@
 
     def _needed(self, turns: float) -> float:
         """Return for how much longer than foreseen so many turns of the loop take."""
-        needed = self._lag.timer_seconds + turns * self._lag.turn_seconds
+        turn = self._lag.expected_turn_seconds
+        needed = self._lag.expected_timer_seconds + turns * turn
         return min(max(0.0, needed - COVERED_SECONDS), MAX_EARLIER_SECONDS)
 
     def end_intake(self) -> None:
@@ -115,8 +116,8 @@
             "intake_ended",
             connections=len(steps),
             early=self._window.answer_by - self._loop.time(),
-            lag=self._lag.timer_seconds,
-            turn=self._lag.turn_seconds,
+            lag=self._lag.expected_timer_seconds,
+            turn=self._lag.expected_turn_seconds,
         )
         self._take_some(steps)
 
--- a/tests/test_last_phase.py
+++ b/tests/test_last_phase.py
@@ -18,7 +18,7 @@
 
 
 class Lag:
-    timer_seconds = turn_seconds = 0.0
+    expected_timer_seconds = expected_turn_seconds = 0.0
 
 
 class Refuser:
@@ -117,7 +117,8 @@
         caller = connect(ingress)
         while not ingress.connections:
             await asyncio.sleep(0.01)
-        lag.timer_seconds = 99.9 + COVERED_SECONDS  # It counts for two seconds only.
+        # It counts for two seconds only.
+        lag.expected_timer_seconds = 99.9 + COVERED_SECONDS
         assert phase.refuse_from() == pytest.approx(window.answer_by - 2.0)
         (refuser,) = [each for _, each in phase._refusers]
         moment = asyncio.get_running_loop().time() + 0.05
@@ -153,7 +154,7 @@
 
     async def scene(ingress, phase, lag, window):
         assert phase.refuse_from() == phase.answer_by(1000) == window.answer_by
-        lag.timer_seconds, lag.turn_seconds = 0.3, 0.1
+        lag.expected_timer_seconds, lag.expected_turn_seconds = 0.3, 0.1
         earlier = 0.3 - COVERED_SECONDS
         assert phase.refuse_from() == pytest.approx(window.answer_by - earlier)
         turn = phase.answer_by(EVENTS_PER_TURN)
--- a/tests/test_loop_lag.py
+++ b/tests/test_loop_lag.py
@@ -62,6 +62,51 @@
     assert run_measured(scene) >= 0.04
 
 
+def test_a_single_suspension_is_not_expected_again():
+    """Guards against a stop that ends early since its process was suspended once."""
+
+    async def scene(lag):
+        await asyncio.sleep(0.25)
+        suspend_loop(2.0)
+        during = lag.expected_timer_seconds
+        await asyncio.sleep(0.5)
+        assert lag.timer_seconds > 1.8
+        return during, lag.expected_timer_seconds
+
+    assert run_measured(scene) == pytest.approx((0.0, 0.0), abs=1e-6)
+
+
+def test_a_turn_that_was_suspended_is_not_expected_again():
+    """Guards against the same where the suspension came within a measured turn."""
+
+    async def scene(lag):
+        await asyncio.sleep(0.25)
+        lag._begin_turn()
+        suspend_loop(1.0)
+        await asyncio.sleep(0)
+        assert lag.turn_seconds >= 1.0
+        return lag.expected_turn_seconds
+
+    assert run_measured(scene) == pytest.approx(0.0, abs=1e-6)
+
+
+def test_a_lateness_that_comes_again_is_expected():
+    """Guards against a loop that counts as punctual though it is late repeatedly."""
+
+    async def scene(lag):
+        for seconds in (0.7, 0.9):
+            await asyncio.sleep(0.25)
+            suspend_loop(seconds)
+        await asyncio.sleep(1.0)
+        soon = lag.expected_timer_seconds
+        await asyncio.sleep(RECENT_SECONDS)
+        return soon, lag.expected_timer_seconds
+
+    soon, later = run_measured(scene)
+    assert 0.6 <= soon <= 0.7
+    assert later == pytest.approx(0.0, abs=1e-6)
+
+
 def test_the_lag_is_a_metric():
     """Guards against a VM short of processor time that no metric shows."""
 
