A pause in which a daemon was short of processor is lag, also if it came once

Now the kernel tells the two apart: a thread that is short of processor has run or waited for a processor meanwhile, one that is suspended has done neither. A pause that was neither counts from the second one on. Where the kernel doesn't tell, all time counts, as before.

--- a/cranberrywick/gateway/loop_lag.py
+++ b/cranberrywick/gateway/loop_lag.py
@@ -6,8 +6,11 @@
 
 import asyncio
 from collections import deque
+from collections.abc import Callable
 from heapq import nlargest
+from typing import NamedTuple
 
+from cranberrywick.gateway.processor_time import busy_seconds
 from cranberrywick.gateway.ticker import Ticker
 
 __all__ = ["LoopLag"]
@@ -17,16 +20,14 @@
 # For how long a measurement counts, in seconds: time slices of a VM that is short of
 # processor time come and go within seconds.
 RECENT_SECONDS = 3.0
-# How often a lateness, or a longer one, has to be seen within that time to be expected
-# again. A process that was suspended once is as punctual as before.
-EXPECTED_FROM = 2
 
 
 class LoopLag:
     """The largest lateness of a timer, and the longest turn, of the last seconds.
 
-    What has been seen only once tells nothing of the next moments: the process may
-    have been suspended. What is to be expected of them is therefore less.
+    ``busy`` tells for how long the thread has run or waited for a processor. What is
+    expected of the next moments leaves out a pause in which it did neither, unless
+    there was another one: the process was suspended, and is as punctual as before.
 
     >>> lag = LoopLag(ticker)
     >>> lag.start()
@@ -36,82 +37,104 @@
     (0.002, 0.001)
     """
 
-    def __init__(self, ticker: Ticker):
+    def __init__(self, ticker: Ticker, busy: Callable[[], float] = busy_seconds):
         self._ticker = ticker
+        self._busy = busy
         self._loop = asyncio.get_running_loop()
         self._due_at = float("inf")
-        self._timers = _RecentValues()
-        self._turns = _RecentValues()
+        self._busy_before = 0.0
+        self._timers = _RecentDelays()
+        self._turns = _RecentDelays()
 
     @property
     def timer_seconds(self) -> float:
         """How late timers fire, also one that is due now and hasn't fired yet."""
-        return self._lateness(1)
+        now = self._loop.time()
+        return max(self._timers.largest(now), now - self._due_at, 0.0)
 
     @property
     def expected_timer_seconds(self) -> float:
-        """How late the next timers may be: a lateness that was seen repeatedly."""
-        return self._lateness(EXPECTED_FROM)
+        """How late the next timers may be."""
+        now = self._loop.time()
+        if now <= self._due_at:
+            return self._timers.expected(now)
+        return self._timers.expected(now, self._timer_delay(now))
 
     @property
     def turn_seconds(self) -> float:
         """How long a turn of the loop takes if it doesn't wait for events."""
-        return self._turns.nth_largest(1, self._loop.time())
+        return self._turns.largest(self._loop.time())
 
     @property
     def expected_turn_seconds(self) -> float:
-        """How long the next turns may take: what was seen repeatedly."""
-        return self._turns.nth_largest(EXPECTED_FROM, self._loop.time())
+        """How long the next turns may take."""
+        return self._turns.expected(self._loop.time())
 
     def start(self) -> None:
         """Start to measure."""
-        self._due_at = self._loop.time() + MEASURE_SECONDS
+        self._await_timer(self._loop.time())
         self._ticker.every(MEASURE_SECONDS, self._measure)
 
     def read(self) -> dict[str, float]:
         """Return the values of the metric, by what was measured."""
         return {"timer": self.timer_seconds, "turn": self.turn_seconds}
 
-    def _lateness(self, number: int) -> float:
-        now = self._loop.time()
-        return self._timers.nth_largest(number, now, max(0.0, now - self._due_at))
+    def _await_timer(self, now: float) -> None:
+        self._due_at = now + MEASURE_SECONDS
+        self._busy_before = self._busy()
+
+    def _timer_delay(self, now: float) -> "_Delay":
+        return _Delay.of(now - self._due_at, self._busy() - self._busy_before)
 
     def _measure(self) -> None:
         now = self._loop.time()
-        self._timers.record(max(0.0, now - self._due_at), now)
-        self._due_at = now + MEASURE_SECONDS
+        self._timers.record(self._timer_delay(now), now)
+        self._await_timer(now)
         self._loop.call_soon(self._begin_turn)
 
     def _begin_turn(self) -> None:
         # Both callbacks are the first of their turns, and the loop doesn't wait
         # between them, since the second is ready.
-        self._loop.call_soon(self._end_turn, self._loop.time())
+        self._loop.call_soon(self._end_turn, self._loop.time(), self._busy())
 
-    def _end_turn(self, began_at: float) -> None:
+    def _end_turn(self, began_at: float, busy_before: float) -> None:
         now = self._loop.time()
-        self._turns.record(now - began_at, now)
+        self._turns.record(_Delay.of(now - began_at, self._busy() - busy_before), now)
 
 
-class _RecentValues:
-    """The values that were recorded in the last `RECENT_SECONDS`."""
+class _Delay(NamedTuple):
+    """How long something took, and how much of that the thread ran or waited to run."""
 
-    def __init__(self) -> None:
-        # Pairs of a moment and a value.
-        self._values: deque[tuple[float, float]] = deque()
+    seconds: float
+    busy: float
 
-    def record(self, value: float, now: float) -> None:
-        self._values.append((now, value))
-        self._forget(now)
+    @classmethod
+    def of(cls, seconds: float, busy: float) -> "_Delay":
+        seconds = max(0.0, seconds)
+        return cls(seconds, min(seconds, busy))
 
-    def nth_largest(self, number: int, now: float, *also: float) -> float:
-        """Return the largest value, or the ``number``-th; 0 if there are fewer.
 
-        ``also`` are values that count beside those that were recorded.
-        """
-        self._forget(now)
-        values = nlargest(number, [*also, *(value for _, value in self._values)])
-        return values[-1] if len(values) == number else 0.0
+class _RecentDelays:
+    """The delays that were recorded in the last `RECENT_SECONDS`."""
 
-    def _forget(self, now: float) -> None:
-        while self._values and self._values[0][0] < now - RECENT_SECONDS:
-            self._values.popleft()
+    def __init__(self) -> None:
+        # Pairs of a moment and a delay.
+        self._delays: deque[tuple[float, _Delay]] = deque()
+
+    def record(self, delay: _Delay, now: float) -> None:
+        self._delays.append((now, delay))
+        self._recent(now)
+
+    def largest(self, now: float) -> float:
+        return max((each.seconds for each in self._recent(now)), default=0.0)
+
+    def expected(self, now: float, *also: _Delay) -> float:
+        """Return the delay to expect; ``also`` counts beside those recorded."""
+        delays = [*also, *self._recent(now)]
+        repeated = nlargest(2, (each.seconds for each in delays))[1:]
+        return max([each.busy for each in delays] + repeated, default=0.0)
+
+    def _recent(self, now: float) -> list[_Delay]:
+        while self._delays and self._delays[0][0] < now - RECENT_SECONDS:
+            self._delays.popleft()
+        return [delay for _, delay in self._delays]
--- a/tests/test_loop_lag.py
+++ b/tests/test_loop_lag.py
@@ -1,22 +1,24 @@
 """The measured lag of the event loop."""
 
 import asyncio
+import time
 
 import pytest
 
 from cranberrywick.bench.virtual_time import run_in_virtual_time, suspend_loop
 from cranberrywick.gateway.lazy_metrics import LazyMetrics
 from cranberrywick.gateway.loop_lag import RECENT_SECONDS, LoopLag
+from cranberrywick.gateway.processor_time import busy_seconds
 from cranberrywick.gateway.ticker import Ticker
 from cranberrywick.logs import EventLog
 
 
-def run_measured(scene):
+def run_measured(scene, busy=lambda: 0.0):
     """Run a coroutine function with a started measurement; return its result."""
 
     async def main():
         ticker = Ticker(EventLog())
-        lag = LoopLag(ticker)
+        lag = LoopLag(ticker, busy)
         lag.start()
         result = await scene(lag)
         ticker.stop()
@@ -90,6 +92,51 @@
     assert run_measured(scene) == pytest.approx(0.0, abs=1e-6)
 
 
+@pytest.mark.parametrize("measure", ["timer", "turn"])
+def test_a_loop_that_is_short_of_processor_is_expected_to_be_late_again(measure):
+    """Guards against a busy loop that is taken for a suspended process."""
+
+    async def scene(lag):
+        await asyncio.sleep(0.25)
+        if measure == "turn":
+            lag._begin_turn()
+        suspend_loop(1.0)
+        during = lag.expected_timer_seconds
+        await asyncio.sleep(0.1)
+        return during, lag.expected_timer_seconds, lag.expected_turn_seconds
+
+    def busy():
+        return 0.5 * asyncio.get_running_loop().time()
+
+    during, timer, turn = run_measured(scene, busy)
+    assert 0.5 <= during == timer <= 0.6
+    assert turn == (0.5 if measure == "turn" else 0.0)
+
+
+def test_what_a_thread_runs_counts_as_busy_and_what_it_sleeps_does_not():
+    """Guards against suspensions and lack of processor taken for one another."""
+    began_at, began = time.monotonic(), busy_seconds()
+    while time.monotonic() - began_at < 0.2:
+        pass
+    ran, elapsed = busy_seconds() - began, time.monotonic() - began_at
+    time.sleep(0.5)
+    slept = busy_seconds() - began - ran
+    assert ran == pytest.approx(elapsed, abs=0.05)
+    assert slept < 0.2
+
+
+def test_all_time_counts_where_the_kernel_does_not_tell(monkeypatch, tmp_path):
+    """Guards against lack of processor that is overlooked on other kernels."""
+    path = tmp_path / "schedstat"
+    monkeypatch.setattr("cranberrywick.gateway.processor_time.SCHEDULER_PATH", path)
+    for text in (None, "", "0 0 0"):
+        if text is not None:
+            path.write_text(text)
+        began_at = busy_seconds()
+        time.sleep(0.05)
+        assert busy_seconds() - began_at >= 0.05
+
+
 def test_a_lateness_that_comes_again_is_expected():
     """Guards against a loop that counts as punctual though it is late repeatedly."""
 
