A stream whose body came slowly has its time from the last byte on

Callers saw a stream that was closed before its time had passed since they had sent the request: the time of a request counted from its head, so that a body that took 0.6 s took as much from the answer.

Cause: one end of a moment that isn't known, from which the caller counts, was taken for both sides.

An error of such a request comes as early as before.

--- a/cranberrywick/gateway/caller_connection.py
+++ b/cranberrywick/gateway/caller_connection.py
@@ -223,7 +223,10 @@
 
     def _start_task(self) -> None:
         request = HttpRequest.of_head(
-            self._request, bytes(self._body), self._head_received_at
+            self._request,
+            bytes(self._body),
+            self._head_received_at,
+            self._loop.time(),
         )
         self._body = bytearray()
         self.answer_started = False
--- a/cranberrywick/gateway/forwarder.py
+++ b/cranberrywick/gateway/forwarder.py
@@ -123,7 +123,9 @@
         if own_seconds is None:
             own_seconds = inf
         arrived = exchange.request.arrived
-        exchange.expires_at = arrived + min(route_seconds, own_seconds)
+        # The caller may count its time from its first byte or from its last one.
+        received = exchange.request.received
+        exchange.expires_at = received + min(route_seconds, own_seconds)
         answer_seconds = min(route_seconds - TIMEOUT_MARGIN_SECONDS, own_seconds)
         exchange.deadline = arrived + answer_seconds
         self._budget.record_request(exchange.service.name, self._loop.time())
--- a/cranberrywick/gateway/http_request.py
+++ b/cranberrywick/gateway/http_request.py
@@ -19,7 +19,7 @@
 
     ``target`` is the request target as the caller encoded it. ``headers`` have lower
     case names, ``raw_headers`` the caller's spelling. ``arrived`` is the event loop's
-    time, in seconds, when the head was complete.
+    time, in seconds, when the head was complete, and ``received`` when all of it was.
     """
 
     method: bytes
@@ -28,9 +28,12 @@
     raw_headers: list[tuple[bytes, bytes]]
     body: bytes
     arrived: float
+    received: float
 
     @classmethod
-    def of_head(cls, head: h11.Request, body: bytes, arrived: float) -> "HttpRequest":
+    def of_head(
+        cls, head: h11.Request, body: bytes, arrived: float, received: float
+    ) -> "HttpRequest":
         """Return the request with a head that h11 has read."""
         return cls(
             method=bytes(head.method),
@@ -39,6 +42,7 @@
             raw_headers=[(bytes(n), bytes(v)) for n, v in head.headers.raw_items()],
             body=body,
             arrived=arrived,
+            received=received,
         )
 
     def header(self, name: bytes) -> bytes | None:
--- a/tests/test_gateway_attempt.py
+++ b/tests/test_gateway_attempt.py
@@ -100,7 +100,7 @@
             for endpoint_id, address in addresses_by_id.items()
         }
         meta = decode_request([(REQUEST_ID, b"r")])
-        request = HttpRequest(b"POST", b"/x", [], [], b"", arrived=0.0)
+        request = HttpRequest(b"POST", b"/x", [], [], b"", arrived=0.0, received=0.0)
         exchange = Exchange(request, SimpleNamespace(buffers=NO_BUDGET), meta)
         exchange.route = SimpleNamespace(name="prompts")
         placement = Placement("e1", (Part("e2", reserved_tokens=100),), 0.1, ())
--- a/tests/test_stream_promises.py
+++ b/tests/test_stream_promises.py
@@ -219,7 +219,7 @@
 def test_the_rest_of_a_forwarded_stream_is_no_short_answer():
     """Guards against a resumption at a peer that is taken for a whole answer."""
     headers = [(b"cranberrywick-token-count", b"2000,400")]
-    request = HttpRequest("POST", b"/prompts/1", headers, headers, b"", 0.0)
+    request = HttpRequest("POST", b"/prompts/1", headers, headers, b"", 0.0, 0.0)
     caller = SimpleNamespace(answer_started=False)
     exchange = PeerExchange(request, caller, decode_request(headers))
     exchange.route = SimpleNamespace(
--- a/tests/test_time_limits.py
+++ b/tests/test_time_limits.py
@@ -8,13 +8,21 @@
 
 import pytest
 from cut_fleet import running_cut_fleet
-from gateway_fleet import PROMPT_HEADERS, configuration, request_bytes, route
+from gateway_fleet import (
+    PROMPT_HEADERS,
+    configuration,
+    read_answer,
+    request_bytes,
+    route,
+)
 from stopping_fleet import running_stopping_fleet
 
 # The time of a request, by its caller and its route, in seconds.
 TIME_SECONDS = 2.0
 # How long after that its answer may end, in seconds.
 LATE_SECONDS = 0.25
+# How long after its head the end of a slow body comes, in seconds.
+BODY_SECONDS = 0.6
 
 
 def limited_configuration(timeout_seconds: float) -> dict:
@@ -29,10 +37,11 @@
     return fields
 
 
-def send_endless(fleet, gateway, deadline_seconds, events=200):
+def send_endless(fleet, gateway, deadline_seconds, events=200, body_seconds=0.0):
     """Send a stream of more events than its time allows.
 
-    Returns its id, the moment at which it was sent, and for how long it ran.
+    The end of its body comes ``body_seconds`` after the rest. Returns its id, the
+    moment at which all was sent, and for how long it ran.
     """
     headers = {
         **PROMPT_HEADERS,
@@ -40,10 +49,12 @@
         "X-Events": str(events),
     }
     request_id = fleet.new_id()
-    data = request_bytes("POST", "/prompts/1", b"", headers, request_id)
+    data = request_bytes("POST", "/prompts/1", b"body", headers, request_id)
     with fleet.connect(gateway) as connection:
+        connection.sendall(data[:-1])
+        time.sleep(body_seconds)
         sent_at = time.monotonic()
-        connection.sendall(data)
+        connection.sendall(data[-1:])
         received = b""
         while part := connection.recv(65536):
             received += part
@@ -52,13 +63,14 @@
     return request_id, sent_at, ended_at - sent_at
 
 
-def check_time(fleet, gateway, deadline_seconds, at=0.0):
+def check_time(fleet, gateway, deadline_seconds, at=0.0, body_seconds=0.0):
     """Assert that five streams are not ended before their time, nor long after it."""
     lasted = []
 
     def send(number):
         time.sleep(at + 0.02 * number)
-        lasted.append(send_endless(fleet, gateway, deadline_seconds)[2])
+        sent = send_endless(fleet, gateway, deadline_seconds, body_seconds=body_seconds)
+        lasted.append(sent[2])
 
     threads = [threading.Thread(target=send, args=(each,)) for each in range(5)]
     for thread in threads:
@@ -89,6 +101,38 @@
         check_time(fleet, gateway, deadline_seconds)
 
 
+def test_a_stream_has_its_time_after_a_body_that_comes_slowly(tmp_path):
+    """Guards against streams that are cut earlier by the time of their body."""
+    with running_stopping_fleet(tmp_path) as fleet:
+        (gateway,) = fleet.gateways
+        engine = fleet.endpoints["engine-1"]
+        engine.work_seconds, engine.event_seconds = 0.01, 0.05
+        fleet.configure(limited_configuration(TIME_SECONDS))
+        time.sleep(0.5)
+        threading.Timer(1.5, fleet.stop, args=(gateway,)).start()
+        check_time(fleet, gateway, TIME_SECONDS, body_seconds=BODY_SECONDS)
+
+
+def test_an_error_comes_in_time_though_the_body_came_slowly(tmp_path):
+    """Guards against errors that come later by the time of the request's body."""
+    with running_stopping_fleet(tmp_path) as fleet:
+        (gateway,) = fleet.gateways
+        for endpoint in fleet.endpoints.values():
+            endpoint.work_seconds = 30.0
+        fleet.configure(limited_configuration(TIME_SECONDS))
+        time.sleep(0.5)
+        headers = {"Cranberrywick-Deadline-Ms": str(round(1000 * TIME_SECONDS))}
+        data = request_bytes("POST", "/reads/1", b"body", headers, fleet.new_id())
+        with fleet.connect(gateway) as connection:
+            began_at = time.monotonic()
+            connection.sendall(data[:-1])
+            time.sleep(BODY_SECONDS)
+            connection.sendall(data[-1:])
+            answer = read_answer(connection)
+        assert answer.status == 504
+        assert time.monotonic() - began_at < TIME_SECONDS + LATE_SECONDS
+
+
 @pytest.mark.parametrize("timeout_seconds", [TIME_SECONDS, 20.0])
 def test_a_stream_through_a_peer_is_not_cut_before_its_time(tmp_path, timeout_seconds):
     """Guards against streams that a peer ends before the time of their callers."""
