Callers see at once that their idle connection is closed

Likely cause: a transport closes its socket in the next turn of the event loop. That the daemon reads nothing more is decided before, so that what is sent until then is reset unread; a loop that is late, or is suspended within the turn, makes that long.

Now the end of the stream is sent in the same step that reads the connection for the last time.

Evidence: tests/test_last_phase.py, two tests whose caller saw nothing within 0.5 s in which the event loop didn't go on, at the end of the intake and at the close.

--- a/cranberrywick/gateway/caller_connection.py
+++ b/cranberrywick/gateway/caller_connection.py
@@ -125,12 +125,12 @@
         if self._task is None:
             self.read_waiting()
             if not self.busy:
-                self._transport.close()
+                self._close()
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request is being read or served."""
         if self._task is None and self._request is None and self._transport:
-            self._transport.close()
+            self._close()
 
     def refuse_unread(self, refuse: RefuseUnread) -> None:
         """Refuse the request that is being read, if one is."""
--- a/cranberrywick/gateway/direct_transport.py
+++ b/cranberrywick/gateway/direct_transport.py
@@ -67,6 +67,10 @@
         with contextlib.suppress(OSError):  # The peer has closed the connection.
             self._socket.send(data)
 
+    def can_write_eof(self) -> bool:
+        """Return False: the owner closes the socket at once."""
+        return False
+
     def get_write_buffer_size(self) -> int:
         """Return 0: nothing is kept."""
         return 0
--- a/cranberrywick/gateway/tcp_connection.py
+++ b/cranberrywick/gateway/tcp_connection.py
@@ -1,6 +1,7 @@
 """What connections of callers have in common with others: transport, room and timer."""
 
 import asyncio
+import contextlib
 import os
 from collections.abc import Callable
 
@@ -106,6 +107,17 @@
         if self._closed:
             raise ConnectionResetError("the connection has been cut")
 
+    def _close(self) -> None:
+        """Close the connection, and tell the peer at once.
+
+        The transport closes the socket in the next turn of the event loop. A peer that
+        sends until then gets a reset in place of an answer.
+        """
+        if self._transport.can_write_eof():
+            with contextlib.suppress(OSError):  # The peer has closed the connection.
+                self._transport.write_eof()
+        self._transport.close()
+
     def _abort(self) -> None:
         if self._transport is not None:
             self._transport.abort()
--- a/tests/test_last_phase.py
+++ b/tests/test_last_phase.py
@@ -92,6 +92,23 @@
     play(scene)
 
 
+@pytest.mark.parametrize("step", ["end_intake", "close_if_idle"])
+def test_callers_see_at_once_that_an_idle_connection_is_closed(step):
+    """Guards against requests that are sent until a late loop closes the socket."""
+
+    async def scene(ingress, phase, lag, window):
+        caller = connect(ingress)
+        while not ingress.connections:
+            await asyncio.sleep(0.01)
+        (connection,) = ingress.connections
+        getattr(connection, step)()
+        # The event loop goes on only after that.
+        caller.settimeout(0.5)
+        assert caller.recv(1) == b""
+
+    play(scene)
+
+
 def test_a_request_that_is_served_goes_on_and_those_behind_it_are_refused():
     """Guards against answers cut by the end of the intake, and pipelined requests."""
 
