A stopping daemon reads each connection once more as it closes it

Cause: the last look and the close are one step, but a process that is suspended or gets no processor within it takes no step; what came meanwhile is reset unread.

Now each connection is read right before its caller is told that it is closed, and what has come is refused, at the end of an idle daemon as at the end of the intake. What crosses that is unseen for microseconds.

Evidence: tests/test_last_phase.py; without the step its caller got ConnectionResetError.

--- a/cranberrywick/gateway/graceful_stop.py
+++ b/cranberrywick/gateway/graceful_stop.py
@@ -85,6 +85,7 @@
         unanswered = max(unanswered, await self._serve_rest(earliest, phase))
         # From the last look on nothing else runs until all connections are closed, or
         # nothing more is read from them.
+        self._step(phase.refuse_rest)
         if self._requests.busy:
             await self._answer_rest()
             await self._serve_begun(window.cut_at)
--- a/cranberrywick/gateway/last_phase.py
+++ b/cranberrywick/gateway/last_phase.py
@@ -103,15 +103,29 @@
             self._has_ended = True
             self._loop.call_soon(self._end_intake)
 
-    def _end_intake(self) -> None:
+    def refuse_rest(self) -> None:
+        """Refuse what has come since the last look, and close what is idle.
+
+        Each connection is read right before it is closed: the process may not have run
+        for a time since it looked.
+        """
+        self._has_ended = True
+        for step in self._refusal_steps():
+            self._take(step)
+
+    def _refusal_steps(self) -> list[Step]:
         for ingress, refuser in self._refusers:
             ingress.refuse_from(-inf, refuser.refuse_late, self.end_intake)
+        return [
+            step for ingress, _ in self._refusers for step in ingress.intake_steps()
+        ]
+
+    def _end_intake(self) -> None:
+        for ingress, _ in self._refusers:
             # Those who are refused come back while the listeners are open.
             self._take(ingress.accept_waiting)
             self._take(ingress.stop_listening)
-        steps = [
-            step for ingress, _ in self._refusers for step in ingress.intake_steps()
-        ]
+        steps = self._refusal_steps()
         self._log.info(
             "intake_ended",
             connections=len(steps),
--- a/tests/test_last_phase.py
+++ b/tests/test_last_phase.py
@@ -92,6 +92,27 @@
     play(scene)
 
 
+def test_what_has_come_since_the_last_look_is_refused():
+    """Guards against requests that are reset since a process stood still meanwhile."""
+
+    async def scene(ingress, phase, lag, window):
+        kept, idle = connect(ingress), connect(ingress)
+        while len(ingress.connections) < 2:
+            await asyncio.sleep(0.01)
+        ingress.stop_listening()
+        assert not ingress.unread
+        kept.sendall(REQUEST)
+        phase.refuse_rest()
+        ingress.close()
+        for caller in (kept, idle):
+            caller.settimeout(0.5)
+        assert read_all(idle) == b""
+        await asyncio.sleep(0.01)
+        assert read_all(kept).startswith(b"HTTP/1.1 503")
+
+    play(scene)
+
+
 @pytest.mark.parametrize("step", ["end_intake", "close_if_idle"])
 def test_callers_see_at_once_that_an_idle_connection_is_closed(step):
     """Guards against requests that are sent until a late loop closes the socket."""
