Lag: all of a pause counts if the kernel told of it only at its end

Where the scheduler's statistics can't be read, busy_seconds returns the steady clock. If they can't be read once, as without a free file descriptor (seen with RLIMIT_NOFILE used up), and can be the next time, the difference was that of two unlike clocks: negative, so that lack of processor was taken for a suspension, and with no other measurement the expected lag was below 0.

A difference below 0 shows that, since both times only grow: then all time counts, as where the kernel never tells. The other order did so already.

--- a/cranberrywick/gateway/loop_lag.py
+++ b/cranberrywick/gateway/loop_lag.py
@@ -111,7 +111,8 @@
     @classmethod
     def of(cls, seconds: float, busy: float) -> "_Delay":
         seconds = max(0.0, seconds)
-        return cls(seconds, min(seconds, busy))
+        # It falls if the kernel told only at the second moment: then all time counts.
+        return cls(seconds, min(seconds, busy) if busy >= 0.0 else seconds)
 
 
 class _RecentDelays:
--- a/tests/test_loop_lag.py
+++ b/tests/test_loop_lag.py
@@ -155,6 +155,19 @@
         assert busy_seconds() - began_at >= 0.05
 
 
+@pytest.mark.parametrize("told", [(False, True), (True, False)])
+def test_a_lateness_counts_if_the_kernel_told_only_at_one_end_of_it(told):
+    """Guards against lack of processor that is overlooked without free descriptors."""
+    clocks = iter([5.0 if each else 1000.0 for each in told])
+
+    async def scene(lag):
+        await asyncio.sleep(0.05)
+        suspend_loop(1.0)
+        return lag.expected_timer_seconds
+
+    assert run_measured(scene, lambda: next(clocks)) == pytest.approx(0.95)
+
+
 def test_a_lateness_that_comes_again_is_expected():
     """Guards against a loop that counts as punctual though it is late repeatedly."""
 
