--- a/tests/test_time_limits.py
+++ b/tests/test_time_limits.py
@@ -5,6 +5,7 @@
 
 import threading
 import time
+from contextlib import contextmanager
 
 import pytest
 from cut_fleet import running_cut_fleet
@@ -37,6 +38,18 @@
     return fields
 
 
+@contextmanager
+def limited_gateway(path, timeout_seconds=TIME_SECONDS):
+    """Run a gateway whose routes have a timeout; yields its fleet and itself."""
+    with running_stopping_fleet(path) as fleet:
+        (gateway,) = fleet.gateways
+        engine = fleet.endpoints["engine-1"]
+        engine.work_seconds, engine.event_seconds = 0.01, 0.05
+        fleet.configure(limited_configuration(timeout_seconds))
+        time.sleep(0.5)
+        yield fleet, gateway
+
+
 def send_endless(fleet, gateway, deadline_seconds, events=200, body_seconds=0.0):
     """Send a stream of more events than its time allows.
 
@@ -91,36 +104,23 @@
     tmp_path, timeout_seconds, deadline_seconds
 ):
     """Guards against running streams that a stopping gateway ends before their time."""
-    with running_stopping_fleet(tmp_path) as fleet:
-        (gateway,) = fleet.gateways
-        (engine,) = [each for name, each in fleet.endpoints.items() if "engine" in name]
-        engine.work_seconds, engine.event_seconds = 0.01, 0.05
-        fleet.configure(limited_configuration(timeout_seconds))
-        time.sleep(0.5)
+    with limited_gateway(tmp_path, timeout_seconds) as (fleet, gateway):
         threading.Timer(0.5, fleet.stop, args=(gateway,)).start()
         check_time(fleet, gateway, deadline_seconds)
 
 
 def test_a_stream_has_its_time_after_a_body_that_comes_slowly(tmp_path):
     """Guards against streams that are cut earlier by the time of their body."""
-    with running_stopping_fleet(tmp_path) as fleet:
-        (gateway,) = fleet.gateways
-        engine = fleet.endpoints["engine-1"]
-        engine.work_seconds, engine.event_seconds = 0.01, 0.05
-        fleet.configure(limited_configuration(TIME_SECONDS))
-        time.sleep(0.5)
+    with limited_gateway(tmp_path) as (fleet, gateway):
         threading.Timer(1.5, fleet.stop, args=(gateway,)).start()
         check_time(fleet, gateway, TIME_SECONDS, body_seconds=BODY_SECONDS)
 
 
 def test_an_error_comes_in_time_though_the_body_came_slowly(tmp_path):
     """Guards against errors that come later by the time of the request's body."""
-    with running_stopping_fleet(tmp_path) as fleet:
-        (gateway,) = fleet.gateways
+    with limited_gateway(tmp_path) as (fleet, gateway):
         for endpoint in fleet.endpoints.values():
             endpoint.work_seconds = 30.0
-        fleet.configure(limited_configuration(TIME_SECONDS))
-        time.sleep(0.5)
         headers = {"Cranberrywick-Deadline-Ms": str(round(1000 * TIME_SECONDS))}
         data = request_bytes("POST", "/reads/1", b"body", headers, fleet.new_id())
         with fleet.connect(gateway) as connection:
@@ -149,12 +149,8 @@
 
 def test_an_endpoint_is_told_of_all_the_time_of_a_request(tmp_path):
     """Guards against endpoints that end their work before its time by our deadline."""
-    with running_stopping_fleet(tmp_path) as fleet:
-        (gateway,) = fleet.gateways
+    with limited_gateway(tmp_path) as (fleet, gateway):
         engine = fleet.endpoints["engine-1"]
-        engine.work_seconds, engine.event_seconds = 0.01, 0.05
-        fleet.configure(limited_configuration(TIME_SECONDS))
-        time.sleep(0.5)
         request_id, sent_at, _ = send_endless(fleet, gateway, TIME_SECONDS)
         (stated,) = [
             int(headers["cranberrywick-deadline-ms"]) / 1000
