A signal to stop doesn't wait for the sockets that are ready before it

Callers saw a daemon that went on as if nothing had been asked for up to 10 s after SIGTERM, beside a burst of 4,000 requests: drain_started came 7.0 to 9.96 s after the signal (`delay`), and the process ended after the grace period.

Cause: a turn of the event loop handles 32 sockets, and a signal wakes the loop by one of its own, which waited for all that were ready before it: 125 turns.

Now the signal's handler, which notes its moment in the middle of a turn, also asks for the stop there, for the next turn.

Evidence: tests/test_stop_signal.py: the callback came after 320 of 320 ready sockets, now after 64 at most.

--- a/cranberrywick/gateway/stop_signal.py
+++ b/cranberrywick/gateway/stop_signal.py
@@ -28,12 +28,21 @@
         self._moment: SignalMoment | None = None
 
     def listen(self, callback: Callable[[], None]) -> None:
-        """Call ``callback`` on the event loop at each signal from now on."""
+        """Call ``callback`` on the event loop at each signal from now on.
+
+        It is called in the next turn, however many sockets are ready before the one by
+        which a signal wakes the loop.
+        """
+
+        def handle(*_: object) -> None:
+            self.moment()
+            self._loop.call_soon_threadsafe(callback)
+
         for number in STOP_SIGNALS:
-            self._loop.add_signal_handler(number, callback)
-            # The loop's handler wakes it, and does nothing else. This one runs at once,
-            # in the middle of a turn, too.
-            signal.signal(number, lambda *_: self.moment())
+            # The loop's handler only wakes it. The other one runs at once, in the
+            # middle of a turn, too.
+            self._loop.add_signal_handler(number, lambda: None)
+            signal.signal(number, handle)
             signal.siginterrupt(number, False)
 
     def moment(self) -> SignalMoment:
