A signal that is repeated as the event loop is closed raises nothing

Cause: since the handler of a signal asks for the stop itself, which raises at a loop that is closed; the handler is removed right after. Found by reading, not seen in a run of processes.

Evidence: tests/test_stop_signal.py, RuntimeError before.

--- a/cranberrywick/gateway/stop_signal.py
+++ b/cranberrywick/gateway/stop_signal.py
@@ -36,7 +36,8 @@
 
         def handle(*_: object) -> None:
             self.moment()
-            self._loop.call_soon_threadsafe(callback)
+            if not self._loop.is_closed():
+                self._loop.call_soon_threadsafe(callback)
 
         for number in STOP_SIGNALS:
             # The loop's handler only wakes it. The other one runs at once, in the
--- a/tests/test_stop_signal.py
+++ b/tests/test_stop_signal.py
@@ -82,3 +82,14 @@
     with asyncio.Runner(loop_factory=new_event_loop) as runner:
         (served_before,) = runner.run(main())
     assert served_before <= 2 * EVENTS_PER_TURN
+
+
+def test_a_signal_as_the_event_loop_is_closed_raises_nothing():
+    """Guards against a failure as a signal is repeated at the end of a process."""
+
+    async def main():
+        StopSignal(Ticker(EventLog())).listen(lambda: None)
+        return signal.getsignal(signal.SIGTERM)
+
+    handle = asyncio.run(main())
+    handle(signal.SIGTERM, None)
