--- a/tests/late_callers.py
+++ b/tests/late_callers.py
@@ -103,18 +103,13 @@
     async def _write(self, request_id: str) -> float:
         """Send a request; return when its last byte was sent."""
         rng, way, writer = self._rng, self._way, self._writer
-        events = min(MOST_EVENTS, 1 + round(rng.expovariate(1 / (MEAN_EVENTS - 1))))
-        tokens = TOKENS_OF_EVENT * self._scene.stated(events)
+        target, own = self._draw()
         fields = {
             "Host": HOST,
             "Cranberrywick-Request-Id": request_id,
             "Cranberrywick-Deadline-Ms": str(round(DEADLINE_SECONDS * 1000)),
             "Authorization": f"Token {KEY}",
-            "Cranberrywick-Model": "m",
-            "Cranberrywick-Token-Count": f"5000,{tokens}",
-            "Cranberrywick-Prefix-Hash": f"{rng.getrandbits(32):08x}:5000",
-            "X-Events": str(events),
-            "X-Padding": "120",
+            **own,
         }
         if way in ("chunked", "expect"):
             fields["Transfer-Encoding"] = "chunked"
@@ -123,7 +118,7 @@
         if way == "expect":
             fields["Expect"] = "100-continue"
         lines = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
-        writer.write(f"POST /prompts/1 HTTP/1.1\r\n{lines}\r\n".encode())
+        writer.write(f"{target} HTTP/1.1\r\n{lines}\r\n".encode())
         body = b"x" * 400
         if way == "chunked":
             for part in (body[:100], body[100:]):
@@ -145,6 +140,23 @@
         await writer.drain()
         return time.monotonic()
 
+    def _draw(self) -> tuple[str, dict[str, str]]:
+        """Return the method and target of a request, and its own headers."""
+        rng = self._rng
+        events = min(MOST_EVENTS, 1 + round(rng.expovariate(1 / (MEAN_EVENTS - 1))))
+        return "POST /prompts/1", self._stream_headers(events)
+
+    def _stream_headers(self, events: int) -> dict[str, str]:
+        """Return the headers of a stream with so many events."""
+        tokens = TOKENS_OF_EVENT * self._scene.stated(events)
+        return {
+            "Cranberrywick-Model": "m",
+            "Cranberrywick-Token-Count": f"5000,{tokens}",
+            "Cranberrywick-Prefix-Hash": f"{self._rng.getrandbits(32):08x}:5000",
+            "X-Events": str(events),
+            "X-Padding": "120",
+        }
+
     async def _read_head(self) -> tuple[int, dict[str, str]]:
         status = int((await self._line()).split()[1])
         headers = {}
