The last line of a request tells whether its answer had begun

Callers saw streams cut at a stop; the log of them said status=0, as for a request without an answer, since the status was set after a whole answer only. It is set as the head is sent. While a daemon stops, request_ended and peer_request_ended also say when the request was sent last and when it ended, from the signal on, and how many events its caller was sent, near the beginning of the line: records of operators are cut off.

--- a/cranberrywick/gateway/answer_forwarding.py
+++ b/cranberrywick/gateway/answer_forwarding.py
@@ -103,7 +103,6 @@
             await self._forward_stream(connection, answer, meta)
         else:
             await self._forward_whole(connection, answer)
-        exchange.status = answer.status
 
     def _check_head(self, answer: EndpointAnswer, meta: ResponseMeta) -> None:
         if meta.not_executed:
@@ -161,6 +160,7 @@
         if answer.status >= 500 and exchange.route.idempotent:
             raise EndpointFailed(f"status {answer.status}", whole)
         await exchange.lift_deadline()
+        exchange.status = answer.status
         await whole.send_to(exchange.caller)
 
     async def _may_hold(
@@ -199,6 +199,7 @@
             length = answer.headers_by_name[b"content-length"]
             headers.append((b"Content-Length", length))
         exchange.use_whole_time()
+        exchange.status = answer.status
         await exchange.caller.send_head(answer.status, answer.reason, headers)
         received = body.held + len(part)
         await exchange.await_caller(_send_held(body, exchange.caller))
@@ -264,6 +265,7 @@
         self._exchange.weights_version = meta.weights_version
         headers = _forwarded_headers(answer)
         self._exchange.use_whole_time()
+        self._exchange.status = answer.status
         await self._exchange.caller.send_head(answer.status, answer.reason, headers)
 
 
--- a/cranberrywick/gateway/drain.py
+++ b/cranberrywick/gateway/drain.py
@@ -101,6 +101,21 @@
             for exchange, _ in self._pending_by_key.values()
         )
 
+    def end_fields(self, exchange: Exchange) -> dict[str, object]:
+        """Return the fields of a request's last line while the daemon stops.
+
+        That is when it was sent last and when it ended, in seconds from the signal, and
+        how many events its caller was sent.
+        """
+        if self._window is None:
+            return {}
+        signalled_at, sent_at = self._window.signalled_at, exchange.sent_at
+        return {
+            "signal_to_send": None if sent_at is None else sent_at - signalled_at,
+            "signal_to_end": self._loop.time() - signalled_at,
+            "events": exchange.events,
+        }
+
     def begin(self, window: DrainWindow) -> None:
         """Refuse from now on what can't be finished within a window."""
         self._window = window
--- a/cranberrywick/gateway/forwarder.py
+++ b/cranberrywick/gateway/forwarder.py
@@ -246,11 +246,11 @@
 
         The endpoint's answer contains more about the failure than the gateway's would.
         """
+        exchange.status = error.answer.head.status
         try:
             await error.answer.send_to(exchange.caller)
         except ConnectionError:
             return "caller_gone"
-        exchange.status = error.answer.head.status
         return error.type
 
     def _record_end(self, exchange: Exchange, outcome: str) -> None:
@@ -277,6 +277,7 @@
             **({"refused_for": exchange.refused_for} if exchange.refused_for else {}),
             outcome=outcome,
             status=exchange.status,
+            **self._drain.end_fields(exchange),
             endpoint=exchange.endpoint_id,
             peer=exchange.peer_id,
             sent=exchange.sent_count,
--- a/cranberrywick/gateway/peer_requests.py
+++ b/cranberrywick/gateway/peer_requests.py
@@ -265,6 +265,8 @@
             peer=stated.daemon_id,
             service=stated.service,
             outcome=outcome,
+            status=exchange.status,
+            **self._drain.end_fields(exchange),
             endpoint=exchange.endpoint_id,
             seconds=self._loop.time() - exchange.request.arrived,
             forwarded_after=stated.elapsed,
--- a/cranberrywick/routing/drain_window.py
+++ b/cranberrywick/routing/drain_window.py
@@ -63,15 +63,18 @@
     ``close_at`` the connections are closed, but for those with an answer that has
     begun: that is cut at ``cut_at``. What is sent from ``late_from`` on is sent only if
     it ends by ``close_at`` whatever else is served, even a long prompt at its engine.
+    ``signalled_at`` is the earliest moment of the signal.
 
-    >>> DrainWindow.of_grace(SignalMoment(98.0, 100.0), grace_seconds=6.0)
-    DrainWindow(answer_by=103.35, close_at=103.6, late_from=100.95, cut_at=105.05)
+    >>> window = DrainWindow.of_grace(SignalMoment(98.0, 100.0), grace_seconds=6.0)
+    >>> window.answer_by, window.close_at, window.late_from, window.cut_at
+    (103.35, 103.6, 100.95, 105.05)
     """
 
     answer_by: float
     close_at: float
     late_from: float = float("inf")
     cut_at: float = float("inf")
+    signalled_at: float = float("-inf")
 
     @classmethod
     def of_grace(cls, signalled: SignalMoment, grace_seconds: float) -> "DrainWindow":
@@ -86,7 +89,7 @@
         answer_by = max(earliest, close_at - ANSWER_MARGIN_SECONDS)
         late_from = earliest + EARLY_SECONDS - SIGNAL_DELAY_SECONDS
         cut_at = latest + grace_seconds * CUT_SHARE + SIGNAL_DELAY_SECONDS
-        return cls(answer_by, close_at, late_from, max(close_at, cut_at))
+        return cls(answer_by, close_at, late_from, max(close_at, cut_at), earliest)
 
 
 class HeldTimes:
