No stream that is sent late in a stop is begun before it is whole

Callers saw streams cut at the close of a planned stop: sent later than 3 s after the signal, since lengths and paces said that they would be whole, to endpoints that became several times slower after the send. Once the head of an answer is out, there is no answer left to give.

The cause is a promise that rests on a forecast. A stream that comes late is now refused at once while another daemon accepts callers, which serves it 0.1 s later event by event, unless its own time is over before the close. While none does, and if it has waited since before, it is sent with its events withheld until it is whole, so that an error can take its place by the end of the intake. So are early streams whose end isn't known to come in time, and late calls that are too long to be kept, which get an error. An attempt that breaks off while it is withheld is begun anew. What is withheld counts against the room of kept answers. The forecasts stay: they refuse at once what won't be whole. A stream's own time is that of its whole answer, which a slow body makes later than its deadline.

--- a/cranberrywick/gateway/answer_forwarding.py
+++ b/cranberrywick/gateway/answer_forwarding.py
@@ -7,6 +7,7 @@
 from cranberrywick.errors import (
     AnswerLost,
     AnswerTooLong,
+    Draining,
     EndpointFailed,
     EndpointRefused,
 )
@@ -15,7 +16,7 @@
 from cranberrywick.gateway.exchange import AnswerSource, Exchange
 from cranberrywick.gateway.held_answers import HeldAnswers, HeldBody
 from cranberrywick.gateway.upstream import EndpointAnswer, EndpointConnection
-from cranberrywick.model import EndpointRefusal
+from cranberrywick.model import EndpointRefusal, Executed
 from cranberrywick.platform.headers import (
     HOP_BY_HOP,
     ResponseMeta,
@@ -71,7 +72,8 @@
 class AnswerForwarding:
     """Checks an answer to the exchange's request and forwards it to the caller.
 
-    ``held`` has the room for what is kept of answers.
+    ``held`` has the room for what is kept of answers. Nothing of an answer that is
+    withheld is sent before it is whole.
     """
 
     def __init__(
@@ -82,6 +84,7 @@
         self._held = held
         self._loop = asyncio.get_running_loop()
         self._awaits_first_event = True
+        self._withheld: HeldBody | None = None
 
     async def forward(
         self, connection: EndpointConnection, answer: EndpointAnswer
@@ -150,6 +153,8 @@
         parts = connection.body()
         async for part in parts:
             if not await self._may_hold(answer, body, len(part)):
+                if exchange.is_withheld:
+                    raise _too_long_to_withhold()
                 await self._forward_rest(answer, body, part, parts)
                 return
             body.append(part)
@@ -224,6 +229,28 @@
         answer: EndpointAnswer,
         meta: ResponseMeta,
     ) -> None:
+        exchange = self._exchange
+        if not exchange.is_withheld:
+            await self._forward_parts(connection, answer, meta)
+            exchange.caller.end()
+            return
+        withheld = self._withheld = self._held.body()
+        try:
+            await self._forward_parts(connection, answer, meta)
+            await exchange.lift_deadline()
+            await self._send_head(answer, meta)
+            await exchange.await_caller(_send_held(withheld, exchange.caller))
+        finally:
+            withheld.release()
+        exchange.caller.end()
+
+    async def _forward_parts(
+        self,
+        connection: EndpointConnection,
+        answer: EndpointAnswer,
+        meta: ResponseMeta,
+    ) -> None:
+        """Forward the events of a stream, but not its end, or withhold them."""
         exchange = self._exchange
         splitter = EventSplitter()
         rest = self._held.body()
@@ -240,12 +267,13 @@
                 events = splitter.events - forwarded
                 forwarded = splitter.events
                 await self._forward_events(answer, meta, whole, events)
-                exchange.last_event_id = splitter.last_id or exchange.last_event_id
+                if self._withheld is None:
+                    exchange.last_event_id = splitter.last_id or exchange.last_event_id
         if splitter.flush().strip():
             raise AnswerLost("the stream ended in the middle of an event")
-        if not exchange.caller.answer_started:
+        if self._withheld is None and not exchange.caller.answer_started:
+            exchange.use_whole_time()
             await self._send_head(answer, meta)
-        exchange.caller.end()
 
     async def _forward_events(
         self, answer: EndpointAnswer, meta: ResponseMeta, whole: bytes, events: int
@@ -253,22 +281,38 @@
         pause = self._exchange.record_events(self._loop.time(), events)
         if pause is not None and not self._awaits_first_event:
             self._callbacks.on_pause(self._exchange.endpoint_id, pause, events)
-        if not self._exchange.caller.answer_started:
+        if self._withheld is None and not self._exchange.caller.answer_started:
+            self._exchange.use_whole_time()
             await self._send_head(answer, meta)
         if self._awaits_first_event:
             self._awaits_first_event = False
             self._callbacks.on_first_event(self._exchange)
         self._callbacks.on_events(self._exchange)
-        await self._exchange.await_caller(self._exchange.caller.send_body(whole))
+        if self._withheld is None:
+            await self._exchange.await_caller(self._exchange.caller.send_body(whole))
+        else:
+            await self._withhold(self._withheld, whole)
+
+    async def _withhold(self, withheld: HeldBody, whole: bytes) -> None:
+        is_long = withheld.held + len(whole) > HELD_OF_ONE_BYTES
+        if is_long or not await self._held.has_room(withheld, len(whole)):
+            raise _too_long_to_withhold()
+        withheld.append(whole)
 
     async def _send_head(self, answer: EndpointAnswer, meta: ResponseMeta) -> None:
         self._exchange.weights_version = meta.weights_version
         headers = _forwarded_headers(answer)
-        self._exchange.use_whole_time()
         self._exchange.status = answer.status
         await self._exchange.caller.send_head(answer.status, answer.reason, headers)
 
 
+def _too_long_to_withhold() -> Draining:
+    return Draining(
+        "the answer is too long to be kept until it is whole",
+        executed=Executed.UNKNOWN,
+    )
+
+
 async def _send_held(body: HeldBody, caller: CallerConnection) -> None:
     """Send what is kept of a body, each part once the caller has room for it."""
     while block := body.take():
--- a/cranberrywick/gateway/drain.py
+++ b/cranberrywick/gateway/drain.py
@@ -4,10 +4,12 @@
 import random
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from functools import partial
 from math import inf
 from typing import NamedTuple
 
 from cranberrywick.errors import CranberrywickError, Draining
+from cranberrywick.gateway.answer_forecasts import AnswerForecasts, ExpectedAnswer
 from cranberrywick.gateway.buffer_budget import BodyRefusal, body_refusal
 from cranberrywick.gateway.exchange import Exchange
 from cranberrywick.gateway.lazy_metrics import LazyMetrics
@@ -16,17 +18,8 @@
 from cranberrywick.logs import EventLog
 from cranberrywick.model import Executed
 from cranberrywick.platform.headers import decode_request
-from cranberrywick.routing.demand import (
-    Demand,
-    declared_pace,
-    min_first_event_seconds,
-)
+from cranberrywick.routing.demand import Demand, min_first_event_seconds
 from cranberrywick.routing.drain_window import DrainWindow, HeldTimes, gets_no_turn
-from cranberrywick.routing.fleet_answers import (
-    NO_READING,
-    FinishForecast,
-    PromptReading,
-)
 from cranberrywick.routing.placement import Placement
 from cranberrywick.routing.retry_after import DrainReturns
 
@@ -44,6 +37,8 @@
 # Why a request is refused that comes in the last moments, and one that is half read.
 NO_TIME = "no time is left"
 HALF_READ = "its end has not come"
+# Why a late stream is refused that another daemon can answer event by event.
+SERVED_ELSEWHERE = "another daemon serves it"
 
 
 class _Pending(NamedTuple):
@@ -54,6 +49,10 @@
 class Drain:
     """Refuses what a stopping daemon can't finish; before that it refuses nothing.
 
+    A stream that comes late is refused, so that another daemon serves it. If none does,
+    or if it came earlier and has waited, its events are withheld until it is whole:
+    whatever its endpoint does until then, an error can take its place.
+
     ``held`` has how long requests hold their slots, ``running`` what is being answered.
     Moments are those of the event loop's clock.
 
@@ -67,6 +66,7 @@
         self._log = log
         self._loop = asyncio.get_running_loop()
         self._returns = DrainReturns(random.Random())
+        self._forecasts = AnswerForecasts(state)
         self._pending_by_key: dict[str, _Pending] = {}
         self._window: DrainWindow | None = None
         self._refuses_waiting_at = -inf
@@ -84,14 +84,18 @@
         """When each request has to have an answer; infinity before the stop."""
         return inf if self._window is None else self._window.answer_by
 
-    def ends_at(self, is_stream: bool) -> float:
+    def ends_at(self, exchange: Exchange) -> float:
         """Return until when an answer may last; infinity before the stop.
 
-        The events of a stream are forwarded until the connections are closed.
+        The events of a stream are forwarded until the connections are closed, unless
+        they are withheld.
         """
+        return self._end(exchange.is_stream and not exchange.is_withheld)
+
+    def _end(self, is_forwarded: bool) -> float:
         if self._window is None:
             return inf
-        return self._window.close_at if is_stream else self._window.answer_by
+        return self._window.close_at if is_forwarded else self._window.answer_by
 
     @property
     def unanswered(self) -> int:
@@ -114,6 +118,7 @@
             "signal_to_send": None if sent_at is None else sent_at - signalled_at,
             "signal_to_end": self._loop.time() - signalled_at,
             "events": exchange.events,
+            "withheld": exchange.is_withheld,
         }
 
     def begin(self, window: DrainWindow) -> None:
@@ -125,15 +130,18 @@
     async def deadline(self, exchange: Exchange) -> AsyncIterator[None]:
         """Cancel the block at the request's deadline, or when the daemon ends.
 
-        Raises `TimeoutError` then, and `Draining` if that time has come already.
+        Raises `TimeoutError` then, and `Draining` if that time has come already, or if
+        the request comes late and another daemon serves it.
         """
         if self._loop.time() >= self.answer_by:
             raise self._refusal(exchange.meta.request_id, NO_TIME)
+        if self._is_served_elsewhere(exchange):
+            raise self._refusal(exchange.meta.request_id, SERVED_ELSEWHERE)
         async with asyncio.timeout_at(exchange.deadline) as timeout:
             self._pending_by_key[exchange.key] = _Pending(exchange, timeout)
             exchange.timeout = timeout
             try:
-                self._record_prompt(exchange)
+                self._forecasts.record_prompt(exchange, self._loop.time())
                 yield
             finally:
                 del self._pending_by_key[exchange.key]
@@ -158,12 +166,20 @@
     def _served(self) -> list[Exchange]:
         return [exchange for exchange, _ in self._pending_by_key.values()]
 
-    def _record_prompt(self, exchange: Exchange) -> None:
-        prompt, service = exchange.meta.prompt, exchange.service
-        if prompt is not None and service is not None and service.engine:
-            self._state.peer_updates.answers.record_prompt(
-                service.name, prompt.prompt_tokens, self._loop.time()
-            )
+    def _is_served_elsewhere(self, exchange: Exchange) -> bool:
+        """Whether a stream came late that its own time doesn't end before the daemon.
+
+        Its caller gets its events as they come from another daemon.
+        """
+        window, now = self._window, self._loop.time()
+        return (
+            window is not None
+            and exchange.is_stream
+            and exchange.may_go_elsewhere
+            and exchange.request.received >= window.late_from
+            and exchange.expires_at >= window.close_at
+            and self._has_others(now)
+        )
 
     def time_out(self, exchange: Exchange) -> CranberrywickError | None:
         """Return the error for a request that `end_unanswered` has cancelled.
@@ -179,53 +195,57 @@
         return error
 
     def check_placement(self, demand: Demand, placement: Placement, now: float) -> None:
-        """Raise `Draining` for a request that might be cut if it were sent now."""
+        """Raise `Draining` for a request that would not be whole in time."""
         if not self._ends_before(demand):
             return
-        pace = self._pace(demand, placement.endpoint_id, now)
-        forecast = self._forecast(demand, placement.first_event_seconds, pace, now)
-        self._check(demand, forecast, "answer takes too long", now)
+        pace = self._forecasts.pace(demand, placement.endpoint_id, now)
+        first_event = placement.first_event_seconds
+        reason = "answer takes too long"
+        expected = self._check(demand, first_event, pace, reason, now)
         self._metrics.drain_decided("sent")
         self._log.info(
             "sent_draining",
             request_id=demand.logged_id,
             endpoint=placement.endpoint_id,
             resumed=demand.answer.has_begun,
-            **self._fields(demand, forecast, now),
+            **self._fields(demand, expected, now),
         )
 
     def check_send(self, exchange: Exchange, placement: Placement) -> None:
-        """Raise `Draining` for a request that might be cut, just before it is sent.
+        """Raise `Draining` for a request that would not be whole in time.
 
-        It has waited for a connection, a permit or memory since it was placed, and the
-        daemon may have been told to stop meanwhile.
+        This is asked just before it is sent. It has waited for a connection, a permit
+        or memory since it was placed, and the daemon may have been told to stop.
         """
-        if self._window is None and exchange.cut_at == inf:
-            return
-        demand = exchange.demand("")
-        if not self._ends_before(demand):
-            return
-        now = self._loop.time()
-        pace = self._pace(demand, placement.endpoint_id, now)
-        forecast = self._forecast(demand, placement.first_event_seconds, pace, now)
-        self._check(demand, forecast, "sent too late", now)
+        first_event = placement.first_event_seconds
+        self._check_exchange(
+            exchange, placement.endpoint_id, first_event, "sent too late"
+        )
 
     def check_forwarding(self, exchange: Exchange) -> None:
-        """Raise `Draining` for a request that might be cut if a peer served it now."""
-        if self._window is None:
+        """Raise `Draining` for a request that would not be whole in time at a peer."""
+        first_event = min_first_event_seconds(exchange.demand(""))
+        self._check_exchange(exchange, "", first_event, "answer takes too long")
+
+    def _check_exchange(
+        self, exchange: Exchange, endpoint_id: str, first_event: float, reason: str
+    ) -> None:
+        exchange.is_withheld = False
+        if self._window is None and exchange.cut_at == inf:
             return
         demand = exchange.demand("")
-        if not self._ends_before(demand):
-            return
-        now = self._loop.time()
-        pace = self._pace(demand, "", now)
-        forecast = self._forecast(demand, min_first_event_seconds(demand), pace, now)
-        self._check(demand, forecast, "answer takes too long", now)
+        if self._ends_before(demand):
+            now = self._loop.time()
+            pace = self._forecasts.pace(demand, endpoint_id, now)
+            expected = self._check(demand, first_event, pace, reason, now)
+            exchange.is_withheld = expected.is_withheld
 
     def check_wait(self, demand: Demand, now: float) -> None:
         """Raise `Draining` for a request that might be cut even if it had room now."""
         if self._refuses_waiting(now) and self._ends_before(demand):
-            self._check(demand, self._least(demand, now), "no room in time", now)
+            self._check(
+                demand, *self._forecasts.least(demand, now), "no room in time", now
+            )
 
     def _refuses_waiting(self, now: float) -> bool:
         """Whether what waits may be refused: it is known which peers are stopping.
@@ -247,8 +267,9 @@
         if not self._refuses_waiting(now) or demand.answer.has_begun:
             return
         service = demand.service.name
-        forecast = self._least(demand, now)
-        last_start = self._ends_at(demand) - forecast.seconds
+        expected = self._expect(demand, *self._forecasts.least(demand, now), now)
+        forecast, is_withheld = expected
+        last_start = self._ends_at(demand, is_withheld) - forecast.seconds
         if not self._ends_before(demand):
             last_start = demand.deadline - forecast.first_event
         if gets_no_turn(
@@ -264,7 +285,7 @@
                 demand.logged_id,
                 "no turn in time",
                 ahead=ahead,
-                **self._fields(demand, forecast, now),
+                **self._fields(demand, expected, now),
             )
 
     def refuse_unread(self, headers: list[tuple[bytes, bytes]]) -> BodyRefusal:
@@ -293,101 +314,60 @@
 
         A request whose own time is over before that is served as ever.
         """
-        ends_at = self._ends_at(demand)
-        return ends_at < inf and ends_at <= demand.deadline
+        ends_at, is_stream = self._ends_at(demand), demand.answer.is_stream
+        over_at = demand.expires_at if is_stream else demand.deadline
+        return ends_at < inf and ends_at <= over_at
 
-    def _ends_at(self, demand: Demand) -> float:
-        return min(self.ends_at(demand.answer.is_stream), demand.cut_at)
+    def _ends_at(self, demand: Demand, is_withheld: bool = False) -> float:
+        is_forwarded = demand.answer.is_stream and not is_withheld
+        return min(self._end(is_forwarded), demand.cut_at)
 
     def _check(
-        self, demand: Demand, forecast: FinishForecast, reason: str, now: float
-    ) -> None:
-        """Raise `Draining` for a request whose answer the end of the daemon would cut.
+        self, demand: Demand, first_event: float, pace: float, reason: str, now: float
+    ) -> ExpectedAnswer:
+        """Return what to expect of an answer; raise `Draining` if it comes too late.
 
-        Not if its answer has begun: that would be cut now.
+        Not if it has begun: that would be to cut it now.
         """
+        expected = self._expect(demand, first_event, pace, now)
+        forecast, is_withheld = expected
         if demand.answer.has_begun:
-            return
+            return expected
         is_late = now + forecast.first_event > self.answer_by
-        if is_late or now + forecast.seconds > self._ends_at(demand):
-            fields = self._fields(demand, forecast, now)
+        if is_late or now + forecast.seconds > self._ends_at(demand, is_withheld):
+            fields = self._fields(demand, expected, now)
             raise self._refusal(demand.logged_id, reason, **fields)
+        return expected
 
-    def _forecast(
+    def _expect(
         self, demand: Demand, first_event: float, pace: float, now: float
-    ) -> FinishForecast:
-        engine = demand.service.engine
-        has_alternative = self._is_late(now) or any(self._state.members.serving(now))
-        return self._state.peer_updates.answers.forecast(
-            demand.answer,
-            demand.service.name,
-            engine.stride if engine else 0,
-            first_event,
-            pace,
-            now,
-            inf if has_alternative else UNKNOWN_STREAM_SECONDS,
-            self._reading(demand, now),
-        )
+    ) -> ExpectedAnswer:
+        foresee = partial(self._forecasts.forecast, demand, first_event, pace, now)
+        if self._is_late(now):
+            is_stopping = self._window is not None
+            is_withheld = is_stopping and not demand.answer.has_begun
+            return ExpectedAnswer(foresee(is_late=is_stopping), is_withheld)
+        forecast = foresee()
+        is_known = now + forecast.seconds <= self._ends_at(demand)
+        if demand.answer.has_begun or not demand.answer.is_stream or is_known:
+            return ExpectedAnswer(forecast, is_withheld=False)
+        if not self._has_others(now):
+            forecast = foresee(UNKNOWN_STREAM_SECONDS)
+        return ExpectedAnswer(forecast, is_withheld=True)
+
+    def _has_others(self, now: float) -> bool:
+        """Whether another daemon accepts callers."""
+        return any(self._state.members.serving(now))
 
     def _is_late(self, now: float) -> bool:
         """Whether only what is sure to end in time is sent to endpoints."""
         return self._window is None or now >= self._window.late_from
 
-    def _reading(self, demand: Demand, now: float) -> PromptReading:
-        """Return what a prompt costs a late stream that its engine reads meanwhile.
-
-        An early one has time enough for that, or has to be cut with the daemon.
-        """
-        engine = demand.service.engine
-        if engine is None or self._window is None or not self._is_late(now):
-            return NO_READING
-        service = demand.service.name
-        tokens = self._state.peer_updates.answers.longest_prompt(service, now)
-        for tracked in self._state.usable_endpoints.ready(service):
-            jobs = self._state.load.at(tracked.endpoint_id)
-            tokens = max([tokens, *(job.held_tokens for job in jobs)])
-        return PromptReading.of_prompt(engine, tokens)
-
-    def _least(self, demand: Demand, now: float) -> FinishForecast:
-        """Return the forecast for a request at the fastest endpoints, if they idle."""
-        service = demand.service
-        answers = self._state.peer_updates.answers
-        endpoints = len(self._state.usable_endpoints.ready(service.name))
-        pace = answers.least_pace(service.name, now) or declared_pace(demand)
-        first_event = min_first_event_seconds(demand, endpoints)
-        return self._forecast(demand, first_event, pace, now)
-
-    def _pace(self, demand: Demand, endpoint_id: str, now: float) -> float:
-        """Return the seconds between the events of an answer at an endpoint."""
-        updates = self._state.peer_updates
-        engine = demand.service.engine
-        own = updates.answers.paces.at(endpoint_id, now)
-        pace = updates.answers.pace(endpoint_id, demand.service.name, now)
-        if pace is None:
-            pace = declared_pace(demand)
-        if engine is not None:
-            # What was seen longer ago counts only where there is nothing newer.
-            is_old = own is None
-            slowdown = updates.slowdowns.slowdown(endpoint_id, now, is_long=is_old)
-            pace = max(pace, slowdown * engine.stride * engine.step_seconds)
-        return pace
-
     def _fields(
-        self, demand: Demand, forecast: FinishForecast, now: float
+        self, demand: Demand, expected: ExpectedAnswer, now: float
     ) -> dict[str, object]:
-        """Return the fields of a decision's line: what it was made from."""
-        return {
-            "needed": forecast.seconds,
-            "seconds_left": self._ends_at(demand) - now,
-            "first_event": forecast.first_event,
-            "events": forecast.events,
-            "pace": forecast.pace,
-            "overrun": forecast.overrun,
-            "basis": forecast.basis,
-            "answers_known": forecast.answers,
-            "output_tokens": demand.answer.tokens,
-            "hint": demand.answer.hint,
-        }
+        ends_at = self._ends_at(demand, expected.is_withheld)
+        return {"seconds_left": ends_at - now, **expected.log_fields(demand)}
 
     def _refusal(self, request_id: str, reason: str, **fields: object) -> Draining:
         retry_after = self._retry_seconds()
@@ -405,5 +385,5 @@
         """Return after how many seconds a refused caller may send its request again."""
         now = self._loop.time()
         closes_in = 0.0 if self._window is None else self._window.close_at - now
-        has_peers = any(self._state.members.serving(now))
-        return self._returns.retry_seconds(self.unanswered, has_peers, closes_in, now)
+        has_others = self._has_others(now)
+        return self._returns.retry_seconds(self.unanswered, has_others, closes_in, now)
--- a/cranberrywick/gateway/exchange.py
+++ b/cranberrywick/gateway/exchange.py
@@ -73,7 +73,8 @@
 
     ``resumed_id`` is the id of the last event that the caller had before this daemon
     got the request. A peer that forwarded it may have sent events of it, ``has_begun``,
-    and ends at ``cut_at``.
+    and ends at ``cut_at``. Its answer ``is_withheld`` until it is whole, and it
+    ``may_go_elsewhere`` if its caller can send it to another daemon.
     ``timeout`` ends it at its ``deadline`` with an error, or at ``expires_at``, when
     its time is over, once its answer has begun.
     ``traits`` are what the request has in common with others, and ``refused_for`` says
@@ -85,7 +86,8 @@
 
     ``answer_began_at`` is when the last attempt's first event came, None before it,
     ``event_batches`` in how many parts its events have come, and ``answer_is_framed``
-    whether it states its end. ``events`` is how many events the caller was sent, and
+    whether it states its end. ``events`` is how many events have come, which the caller
+    was sent unless they are withheld, and
     ``blocked_seconds`` for how long it did not take what came. ``received_at`` is when
     the last part of an answer that is no stream came, None before it.
     ``long_answers`` is how many answers counted as without an end, and ``is_cut_short``
@@ -97,6 +99,8 @@
     the event loop's clock.
     """
 
+    may_go_elsewhere = True
+
     def __init__(
         self, request: HttpRequest, caller: CallerConnection, meta: RequestMeta
     ):
@@ -146,6 +150,7 @@
         self.last_event_id = self.resumed_id = meta.last_event_id
         self.has_begun = False
         self.cut_at = inf
+        self.is_withheld = False
         self.weights_version: str | None = None
         self.endpoint_id = ""
         self.endpoint_born = 0
@@ -154,23 +159,28 @@
 
     def record_sent(self, endpoint: EndpointRecord, now: float) -> None:
         """Record that the request is being sent to an endpoint."""
-        self.sent_at = now
-        self.answer_began_at = self.received_at = None
-        self.event_batches = 0
+        self._begin_attempt(now)
         self.record_endpoint(endpoint.endpoint_id, endpoint.born)
         self.in_flight = True
 
     def record_forwarded(self, now: float) -> None:
         """Record that the request is being forwarded to a peer."""
-        self.sent_at = now
+        self._begin_attempt(now)
         self.predicted = None
-        self.answer_began_at = self.received_at = None
-        self.event_batches = 0
         if self.placed_at is None:
             self.placed_at = now
         self.endpoint_id = ""
         self.in_flight = True
 
+    def _begin_attempt(self, now: float) -> None:
+        self.sent_at = now
+        self.answer_began_at = self.received_at = None
+        self.event_batches = 0
+        if not self.caller.answer_started:
+            # What was withheld of an earlier attempt's events has been dropped.
+            self.events = 0
+            self.last_event_at = None
+
     def use_whole_time(self) -> None:
         """Let an answer that begins go on until the request's time is over."""
         if self.timeout is not None and not self.timeout.expired():
@@ -318,6 +328,7 @@
             traits=self.traits,
             answer=self.outline(),
             deadline=self.deadline,
+            expires_at=self.expires_at,
             cut_at=self.cut_at,
         )
 
--- a/cranberrywick/gateway/peer_attempts.py
+++ b/cranberrywick/gateway/peer_attempts.py
@@ -197,7 +197,7 @@
 
     def _statement(self, exchange: Exchange) -> RequestStatement:
         now = self._loop.time()
-        ends_at = self._drain.ends_at(exchange.is_stream)
+        ends_at = self._drain.ends_at(exchange)
         registry = self._state.registry
         excluded_ids = exchange.tried_ids | registry.departed_ids(
             now - DEPARTED_SECONDS
--- a/cranberrywick/gateway/peer_requests.py
+++ b/cranberrywick/gateway/peer_requests.py
@@ -104,6 +104,9 @@
 class PeerExchange(Exchange):
     """A peer's request; the answer states which endpoint has it."""
 
+    # The peer reaches no endpoint, and may know no other daemon that does.
+    may_go_elsewhere = False
+
     def record_endpoint(self, endpoint_id: str, born: int) -> None:
         """Record the endpoint that has the request, and its start."""
         super().record_endpoint(endpoint_id, born)
--- a/cranberrywick/routing/demand.py
+++ b/cranberrywick/routing/demand.py
@@ -35,8 +35,9 @@
     failed the request. Only those in ``answering_ids`` may answer it, though others may
     help; None allows all. It waits up to ``longest_wait`` seconds for the permit that
     an endpoint with a rate limit requires, or for the end of a backoff.
-    ``answer`` is what is known of its answer, ``deadline`` when its own time is over,
-    and ``cut_at`` when the daemon that forwarded it here ends; infinity if it doesn't.
+    ``answer`` is what is known of its answer. The request's own time is over at its
+    ``deadline`` if that has not begun then, else at ``expires_at``, and ``cut_at`` is
+    when the daemon that forwarded it here ends; infinity if it doesn't.
     ``is_retry`` says that it had a placement before.
     ``organisation`` is the name of the one that sent it, empty if there is none.
     ``request_id`` is unique in the daemon, ``logged_id`` the id in the caller's header.
@@ -59,6 +60,7 @@
     traits: RequestTraits | None = None
     answer: AnswerOutline = AnswerOutline()
     deadline: float = inf
+    expires_at: float = inf
     cut_at: float = inf
 
 
--- a/tests/stream_stops.py
+++ b/tests/stream_stops.py
@@ -324,6 +324,17 @@
     return signalled_at
 
 
+def stop_all_and_wait(fleet, gateway, seconds):
+    """Tell all gateways to stop, so that none serves what another one refuses.
+
+    Returns when the signal of ``gateway`` was sent, so long after it.
+    """
+    for other in fleet.gateways:
+        if other is not gateway:
+            fleet.stop(other)
+    return stop_and_wait(fleet, gateway, seconds)
+
+
 def check_whole_or_refused(fleet, callers):
     """Assert that streams were whole, or refused before they ran; return the whole."""
     whole = 0
--- a/tests/test_late_streams.py
+++ b/tests/test_late_streams.py
@@ -6,9 +6,18 @@
 import re
 import time
 
+import pytest
 from gateway_fleet import wait_for
 from stopping_fleet import GRACE_SECONDS
-from stream_stops import check_ended, quick_fleet, send_stream
+from stream_stops import (
+    check_ended,
+    check_whole_or_refused,
+    quick_fleet,
+    send_stream,
+    serve,
+    stop_and_wait,
+    stream_headers,
+)
 
 
 def field_of(line, name):
@@ -33,3 +42,89 @@
         assert field_of(line, "events") > 100
         # Records are cut off at some 300 characters.
         assert line.index(" events=") < 300
+
+
+def test_a_late_stream_that_another_gateway_serves_is_refused_at_once(tmp_path):
+    """Guards against streams that are sent as the past says that they end in time."""
+    with quick_fleet(tmp_path) as fleet:
+        gateway, other = fleet.gateways
+        serve(fleet, gateway, [10, 8, 5, 1] * 10)
+        signalled_at = stop_and_wait(fleet, gateway, 3.3)
+        sent_at = time.monotonic()
+        callers = [send_stream(fleet, gateway, 10) for _ in range(4)]
+        assert check_whole_or_refused(fleet, callers) == 0
+        assert max(each.ended_at for each in callers) - sent_at < 0.2
+        time.sleep(max(float(e.answer().headers["retry-after"]) for e in callers))
+        again = [send_stream(fleet, other, 10) for _ in callers]
+        assert check_whole_or_refused(fleet, again) == 4
+        assert max(each.ended_at for each in again) - sent_at < 2.0
+        check_ended(gateway, signalled_at)
+
+
+def test_a_late_stream_that_ends_by_its_own_deadline_is_served(tmp_path):
+    """Guards against refusals of streams that no endpoint can make too long."""
+    with quick_fleet(tmp_path) as fleet:
+        gateway, _ = fleet.gateways
+        signalled_at = stop_and_wait(fleet, gateway, 4.0)
+        short = {**stream_headers(10), "Cranberrywick-Deadline-Ms": "3000"}
+        callers = [fleet.send(gateway, "POST", "/prompts/1", short) for _ in range(4)]
+        assert check_whole_or_refused(fleet, callers) == 4
+        check_ended(gateway, signalled_at)
+
+
+def check_answered(fleet, callers):
+    """Assert that each request has a whole answer; return the statuses."""
+    answers = [each.answer() for each in callers]
+    assert all(each.whole for each in answers), [each.status for each in answers]
+    for caller, answer in zip(callers, answers, strict=True):
+        assert answer.status != 503 or fleet.runs(caller.request_id) == 0
+    return [each.status for each in answers]
+
+
+@pytest.mark.parametrize("after", [3.3, 4.5])
+@pytest.mark.parametrize("slower", [3.0, 8.0, float("inf")])
+def test_late_streams_whose_engines_become_slow_get_an_answer(tmp_path, slower, after):
+    """Guards against streams cut at the close while no other gateway serves them."""
+    with quick_fleet(tmp_path, gateways=1) as fleet:
+        (gateway,) = fleet.gateways
+        serve(fleet, gateway, [20, 16, 10, 5] * 10)
+        signalled_at = stop_and_wait(fleet, gateway, after)
+        callers = [send_stream(fleet, gateway, 18) for _ in range(6)]
+        time.sleep(0.3)
+        for endpoint_id in ("engine-1", "engine-2"):
+            fleet.endpoints[endpoint_id].event_seconds = min(0.05 * slower, 60.0)
+        assert set(check_answered(fleet, callers)) <= {200, 502}
+        assert max(each.ended_at for each in callers) - signalled_at < 7.6
+        check_ended(gateway, signalled_at)
+
+
+def test_late_streams_are_whole_while_nobody_else_serves_them(tmp_path):
+    """Guards against a stop that refuses what it can serve as well as any other."""
+    with quick_fleet(tmp_path, gateways=3) as fleet:
+        gateway = fleet.gateways[0]
+        serve(fleet, gateway, [10, 8, 5, 1] * 10)
+        signalled_at = [stop_and_wait(fleet, each, 0.0) for each in fleet.gateways][0]
+        time.sleep(signalled_at + 3.5 - time.monotonic())
+        callers = [send_stream(fleet, gateway, 10) for _ in range(8)]
+        assert check_whole_or_refused(fleet, callers) == 8
+        assert all(each.answer().body.count(b"data:") == 10 for each in callers)
+        check_ended(gateway, signalled_at)
+
+
+def test_a_withheld_stream_that_breaks_off_is_sent_again(tmp_path):
+    """Guards against events of an attempt that failed in an answer that is whole."""
+    with quick_fleet(tmp_path, gateways=1) as fleet:
+        (gateway,) = fleet.gateways
+        serve(fleet, gateway, [20, 16, 10, 5] * 10)
+        signalled_at = stop_and_wait(fleet, gateway, 3.3)
+        callers = [send_stream(fleet, gateway, 20) for _ in range(4)]
+        time.sleep(0.4)
+        for endpoint in fleet.endpoints.values():
+            endpoint.behaviour = "cut"
+        time.sleep(0.2)
+        for endpoint in fleet.endpoints.values():
+            endpoint.behaviour = "well"
+        assert check_answered(fleet, callers) == [200] * 4
+        assert all(each.answer().body.count(b"data:") == 20 for each in callers)
+        assert sum(fleet.runs(each.request_id) for each in callers) > 4
+        check_ended(gateway, signalled_at)
