--- a/tests/slow_callers.py
+++ b/tests/slow_callers.py
@@ -108,6 +108,7 @@
             return method, {}
         events = self._events = self._scene.draw_events(self._rng)
         headers = self._stream_headers(events)
+        headers["X-Padding"] = str(self._scene.padding)
         if events > 1 and self._rng.random() < RESUMED_SHARE:
             headers["Last-Event-Id"] = str(self._rng.randrange(1, events))
         return "POST /prompts/1", headers
--- a/tests/slow_stops.py
+++ b/tests/slow_stops.py
@@ -58,7 +58,8 @@
     ``slow_at`` seconds after each signal and until the end of its grace period,
     endpoints take ``factor`` times as long, or, if ``is_silent``, send nothing until
     the gateways have ended; ``slow_share`` says how many of them. The ``cut`` first
-    gateways reach no endpoint. Of the callers, ``calls`` send calls.
+    gateways reach no endpoint. Of the callers, ``calls`` send calls. An event has
+    ``padding`` bytes.
     """
 
     stops: int = 3
@@ -77,6 +78,7 @@
     slow_share: str = "all"
     is_silent: bool = False
     cut: int = 0
+    padding: int = 120
 
 
 class SlowStops(LateStops):
@@ -85,7 +87,7 @@
     def __init__(self, fleet: Fleet, scene: SlowScene, seed: int):
         super().__init__(fleet, 0, seed, scene.factor, scene.is_stated)
         self._scene = scene
-        self.stays = scene.stays
+        self.stays, self.padding = scene.stays, scene.padding
         self._stopping: set[str] = set()
         self._until = float("inf")
         # Number of callers who were refused last.
@@ -362,6 +364,7 @@
 @click.option("--slow-share", type=click.Choice(SHARES), default="all")
 @click.option("--silent", "is_silent", is_flag=True, help="Slow ones send nothing.")
 @click.option("--cut", default=0, help="Gateways that reach no endpoint.")
+@click.option("--padding", default=120, show_default=True)
 @click.option("--fresh", is_flag=True, help="The first requests follow the signal.")
 @click.option("--seed", default=1, show_default=True)
 @click.option("--keep", type=click.Path(path_type=Path), help="Where logs are kept.")
