--- a/cranberrywick/gateway/drain.py
+++ b/cranberrywick/gateway/drain.py
@@ -108,8 +108,8 @@
     def end_fields(self, exchange: Exchange) -> dict[str, object]:
         """Return the fields of a request's last line while the daemon stops.
 
-        That is when it was sent last and when it ended, in seconds from the signal, and
-        how many events its caller was sent.
+        That is when it was sent last and when it ended, in seconds from the signal, how
+        many events came, and whether these were withheld.
         """
         if self._window is None:
             return {}
--- a/cranberrywick/routing/drain_window.py
+++ b/cranberrywick/routing/drain_window.py
@@ -30,9 +30,8 @@
 # How long before the connections are closed the last requests without an answer get
 # an error, in seconds, so that hundreds of them can be written.
 ANSWER_MARGIN_SECONDS = 0.25
-# For how long after the signal a stream is served though a prompt that its engine reads
-# meanwhile might hold it up until the end, or though it might be longer than those so
-# far, in seconds. Most are not, and while all daemons stop nobody else serves them.
+# For how long after the signal a stream is forwarded event by event if it is expected
+# to end in time, in seconds. What is sent later may not be cut in the last sixth.
 EARLY_SECONDS = 3.0
 # Part of the time allowed for a stop after which an answer that has begun may be cut.
 CUT_SHARE = 5 / 6
@@ -61,9 +60,9 @@
 
     By ``answer_by`` every request has its answer, or an error in its place, and at
     ``close_at`` the connections are closed, but for those with an answer that has
-    begun: that is cut at ``cut_at``. What is sent from ``late_from`` on is sent only if
-    it ends by ``close_at`` whatever else is served, even a long prompt at its engine.
-    ``signalled_at`` is the earliest moment of the signal.
+    begun: that is cut at ``cut_at``. From ``late_from`` on no answer is begun that only
+    a forecast says will end by ``close_at``. ``signalled_at`` is the earliest moment
+    of the signal.
 
     >>> window = DrainWindow.of_grace(SignalMoment(98.0, 100.0), grace_seconds=6.0)
     >>> window.answer_by, window.close_at, window.late_from, window.cut_at
