Failing test: a long answer that comes slowly is cut at the end of a stop

What callers saw: an unsafe call, sent 4.5 s after the signal, got status 200 and 4.5 MB of 6 MB, and its connection was closed 7.6 s after it while the endpoint was sending.

Cause: a call is held until it is whole, and can get an error in place of its answer until the end. One whose answer is longer than what is kept (4 MiB, or 8 MiB if it may be repeated and declares its length) loses that: its head goes out when the bound is met, also by a gateway that may end before the rest has come.

The place to mend is `answer_forwarding.py`.

--- a/tests/test_late_promises.py
+++ b/tests/test_late_promises.py
@@ -1,5 +1,6 @@
 """Streams sent late in a stop, in every way in which a gateway sends one."""
 
+import asyncio
 import time
 from concurrent.futures import ThreadPoolExecutor
 
@@ -22,6 +23,10 @@
 EARLIER = [20, 16, 12, 8] * 10
 # The pause between events of an engine that has become slow, in seconds.
 SLOW_EVENT_SECONDS = 0.5
+# When calls are sent whose answers are longer than a gateway keeps, in seconds from the
+# signal, and how long these take.
+CALLED_SECONDS, LONG_SECONDS = 4.5, 4.0
+LONG_PARTS, PART_BYTES = 60, 100_000
 
 
 def become_slow(fleet):
@@ -93,3 +98,31 @@
                 assert not fleet.runs(caller.request_id)
         for gateway, signalled_at in zip(gateways, stops, strict=True):
             check_ended(gateway, signalled_at)
+
+
+async def answer_slowly(http, seen, writer):
+    """Send an answer in parts; the last one after the close of the gateway."""
+    request_id = seen.headers["cranberrywick-request-id"]
+    writer.write(
+        f"HTTP/1.1 200 OK\r\nCranberrywick-Request-Id: {request_id}\r\n"
+        "Cranberrywick-Response-Seal: seal.desk-1\r\n"
+        f"Content-Length: {LONG_PARTS * PART_BYTES}\r\n\r\n".encode()
+    )
+    for _ in range(LONG_PARTS):
+        writer.write(b"." * PART_BYTES)
+        await writer.drain()
+        await asyncio.sleep(LONG_SECONDS / LONG_PARTS)
+
+
+def test_a_long_answer_that_comes_slowly_is_not_cut(tmp_path):
+    """Guards against calls whose head is passed on before their answer is whole."""
+    with quick_fleet(tmp_path) as fleet:
+        gateway, _ = fleet.gateways
+        for caller in [fleet.send(gateway, "POST", "/books/1") for _ in range(20)]:
+            assert caller.answer().status == 200
+        signalled_at = stop_and_wait(fleet, gateway, CALLED_SECONDS)
+        fleet.endpoints["desk-1"]._run = answer_slowly
+        callers = [fleet.send(gateway, "POST", "/books/1") for _ in range(2)]
+        for caller in callers:
+            assert caller.answer().whole, f"{caller.request_id} was cut"
+        check_ended(gateway, signalled_at)
