A whole answer that its caller still reads survives the end of the process

What callers saw, in deployments whose VMs state their memory: a call got status 200 and a part of its answer, and the connection ended 7.6 s after the signal, though the endpoint had answered seconds before. The caller read 20 to 60 kB/s.

Cause: so that unsent bytes can be counted, `TCP_NOTSENT_LOWAT` lets the kernel take no more than 64 KiB of them. The rest stays in the transport and is lost with the process. Without that limit the kernel takes some 2.5 MB on loopback, and goes on sending them.

The limit is lifted as the connections are closed, and the event loop goes on for up to 0.1 s until the kernel has the bytes. What it has no room for is lost as before.

--- a/cranberrywick/gateway/graceful_stop.py
+++ b/cranberrywick/gateway/graceful_stop.py
@@ -23,8 +23,9 @@
 # use an answer of the directory three times as long as it says, and some are just
 # connecting.
 LEAVE_SECONDS = 3 * ANSWER_SECONDS + 0.2
-# Longest time for answers of the daemon itself, and for releases of memory at
-# endpoints, once the connections are closed, in seconds.
+# Longest time for answers of the daemon itself, for what the kernel takes of unsent
+# answers, and for releases of memory at endpoints, once the connections are closed, in
+# seconds.
 CLOSE_SECONDS = 0.1
 # Turns of the event loop in which a connection that was accepted is read.
 ACCEPT_TURNS = 8
@@ -167,6 +168,16 @@
                 self._step(ingress.close)
             await asyncio.sleep(IDLE_POLL_SECONDS)
 
+    async def _hand_over_unsent(self) -> None:
+        """Wait until the kernel has what callers haven't read, if it has room for it.
+
+        What is left in this process is lost with it.
+        """
+        loop = asyncio.get_running_loop()
+        latest = loop.time() + CLOSE_SECONDS
+        while loop.time() < latest and any(each.unsent for each in self._served):
+            await asyncio.sleep(CLOSE_SECONDS / 10)
+
     async def _close(self) -> None:
         """Close the connections, and end all that outlives a request.
 
@@ -181,6 +192,7 @@
         tasks += [task for ingress in self._internal for task in ingress.tasks]
         if tasks:
             await asyncio.wait(tasks, timeout=CLOSE_SECONDS)
+        await self._hand_over_unsent()
         await wait_for_releases(CLOSE_SECONDS)
         self._step(self._state.reach.stop)
         self._step(self._ticker.stop)
--- a/cranberrywick/gateway/ingress.py
+++ b/cranberrywick/gateway/ingress.py
@@ -228,9 +228,11 @@
     def close(self) -> None:
         """Stop listening and close the connections that have no request.
 
-        No request is read after this call.
+        No request is read after this call. Answers that are not sent yet are left to
+        the kernel.
         """
         self.stop_listening()
         self.stop_reading()
         for connection in list(self.connections):
+            connection.hand_over_unsent()
             connection.close_if_idle()
--- a/cranberrywick/gateway/tcp_connection.py
+++ b/cranberrywick/gateway/tcp_connection.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from cranberrywick.gateway.buffer_budget import NO_BUDGET
-from cranberrywick.gateway.tcp_options import abort_with_reset
+from cranberrywick.gateway.tcp_options import abort_with_reset, lift_kernel_limit
 
 __all__ = ["TcpConnection"]
 
@@ -59,6 +59,11 @@
         """Bytes that wait for the caller to read."""
         return self._transport.get_write_buffer_size() if self._transport else 0
 
+    def hand_over_unsent(self) -> None:
+        """Let the kernel send what the caller reads after the end of this process."""
+        if self.unsent:
+            lift_kernel_limit(self._transport)
+
     @property
     def gone(self) -> bool:
         """Whether the caller has closed the connection."""
--- a/cranberrywick/gateway/tcp_options.py
+++ b/cranberrywick/gateway/tcp_options.py
@@ -56,6 +56,15 @@
     _set_options(transport, option)
 
 
+def lift_kernel_limit(transport: asyncio.BaseTransport) -> None:
+    """Let the kernel take all unsent bytes that it has room for.
+
+    It goes on sending these after the end of the process.
+    """
+    # With 0, the system's default counts, which is no limit.
+    _set_options(transport, (socket.IPPROTO_TCP, TCP_NOTSENT_LOWAT, 0))
+
+
 def abort_with_reset(transport: asyncio.Transport) -> None:
     """Close at once by a reset, also dropping what the kernel has not sent.
 
