A withheld stream shows that the ids of events are their numbers

Callers that resumed a stream late in a stop were refused, though there was time for the rest, once one stream had been withheld: its last id was never recorded, so that the ids of all streams of its group counted as no numbers, and the events before a Last-Event-Id were not taken off. Peers were told so, too.

The last id is now recorded once a stream is whole, whether or not it is withheld. No other attempt follows then. The test fails on the code before: 503 in place of the rest of a stream.

--- a/cranberrywick/gateway/answer_forwarding.py
+++ b/cranberrywick/gateway/answer_forwarding.py
@@ -271,6 +271,7 @@
                     exchange.last_event_id = splitter.last_id or exchange.last_event_id
         if splitter.flush().strip():
             raise AnswerLost("the stream ended in the middle of an event")
+        exchange.last_event_id = splitter.last_id or exchange.last_event_id
         if self._withheld is None and not exchange.caller.answer_started:
             exchange.use_whole_time()
             await self._send_head(answer, meta)
--- a/tests/test_late_streams.py
+++ b/tests/test_late_streams.py
@@ -128,3 +128,18 @@
         assert all(each.answer().body.count(b"data:") == 20 for each in callers)
         assert sum(fleet.runs(each.request_id) for each in callers) > 4
         check_ended(gateway, signalled_at)
+
+
+def test_a_withheld_stream_leaves_it_known_that_ids_are_numbers(tmp_path):
+    """Guards against refusals of resumed streams once one stream was withheld."""
+    with quick_fleet(tmp_path, gateways=1) as fleet:
+        (gateway,) = fleet.gateways
+        serve(fleet, gateway, [30, 20, 10, 5] * 12)
+        signalled_at = stop_and_wait(fleet, gateway, 3.2)
+        assert send_stream(fleet, gateway, 3).answer().status == 200
+        assert "withheld=true" in gateway.log
+        time.sleep(max(0.0, signalled_at + 6.0 - time.monotonic()))
+        headers = {**stream_headers(30), "Last-Event-Id": "24"}
+        caller = fleet.send(gateway, "POST", "/prompts/1", headers)
+        assert check_whole_or_refused(fleet, [caller]) == 1
+        check_ended(gateway, signalled_at)
