A late call's long answer is withheld after a slow body, too

A caller whose body had come slowly got the first part of a long answer, which the close cut: 200, and no end, 7.6 s after the signal. The call was sent 6.3 s after it. A call whose deadline comes before the end was not withheld, since it gets an error then.

A late call whose time may last until the close is now withheld, like any other, and gets 502 if it is too long to be kept. The test fails on the code before, with a part of an answer.

--- a/cranberrywick/gateway/drain.py
+++ b/cranberrywick/gateway/drain.py
@@ -233,12 +233,15 @@
         exchange.is_withheld = False
         if self._window is None and exchange.cut_at == inf:
             return
-        demand = exchange.demand("")
+        demand, now = exchange.demand(""), self._loop.time()
         if self._ends_before(demand):
-            now = self._loop.time()
             pace = self._forecasts.pace(demand, endpoint_id, now)
             expected = self._check(demand, first_event, pace, reason, now)
             exchange.is_withheld = expected.is_withheld
+        elif not exchange.is_stream:
+            # A part of a long answer would let it go on after its deadline.
+            is_over = exchange.expires_at < self._end(is_forwarded=True)
+            exchange.is_withheld = self._is_late(now) and not is_over
 
     def check_wait(self, demand: Demand, now: float) -> None:
         """Raise `Draining` for a request that might be cut even if it had room now."""
--- a/tests/test_late_streams.py
+++ b/tests/test_late_streams.py
@@ -7,7 +7,7 @@
 import time
 
 import pytest
-from gateway_fleet import wait_for
+from gateway_fleet import read_answer, request_bytes, wait_for
 from stopping_fleet import GRACE_SECONDS
 from stream_stops import (
     check_ended,
@@ -143,3 +143,21 @@
         caller = fleet.send(gateway, "POST", "/prompts/1", headers)
         assert check_whole_or_refused(fleet, [caller]) == 1
         check_ended(gateway, signalled_at)
+
+
+def test_a_late_call_with_a_long_answer_is_not_cut_after_its_deadline(tmp_path):
+    """Guards against parts of calls whose time counts from the end of a slow body."""
+    with quick_fleet(tmp_path, gateways=1) as fleet:
+        (gateway,) = fleet.gateways
+        signalled_at = stop_and_wait(fleet, gateway, 3.1)
+        headers = {"Cranberrywick-Deadline-Ms": "4000", "X-Padding": "30000000"}
+        data = request_bytes("POST", "/books/1", b"body", headers, fleet.new_id())
+        with fleet.connect(gateway) as connection:
+            connection.sendall(data[:-1])
+            time.sleep(3.2)
+            connection.sendall(data[-1:])
+            time.sleep(1.5)
+            answer = read_answer(connection)
+        assert answer.whole
+        assert answer.status == 502
+        check_ended(gateway, signalled_at)
