Events of withheld streams count against the budget of held bytes

On VMs with little memory a daemon closes connections before what it holds exceeds its budget. A late call's answer counts there for its connection, the events of a withheld stream didn't: up to 16 MiB were held beyond the budget.

They now count until they have been taken or dropped, as those of a call do. The test fails on the code before: nothing was counted.

--- a/cranberrywick/gateway/answer_forwarding.py
+++ b/cranberrywick/gateway/answer_forwarding.py
@@ -242,6 +242,7 @@
             await exchange.await_caller(_send_held(withheld, exchange.caller))
         finally:
             withheld.release()
+            exchange.caller.buffers.hold_answer(0)
         exchange.caller.end()
 
     async def _forward_parts(
@@ -299,6 +300,7 @@
         if is_long or not await self._held.has_room(withheld, len(whole)):
             raise _too_long_to_withhold()
         withheld.append(whole)
+        self._exchange.caller.buffers.hold_answer(withheld.held)
 
     async def _send_head(self, answer: EndpointAnswer, meta: ResponseMeta) -> None:
         self._exchange.weights_version = meta.weights_version
--- a/tests/test_buffer_connections.py
+++ b/tests/test_buffer_connections.py
@@ -281,6 +281,40 @@
     assert held == ([1000] if is_retained else [1000, 0])
 
 
+def test_a_withheld_stream_counts_until_it_breaks_off():
+    """Guards against events of withheld streams that fill the memory uncounted."""
+
+    class Connection:
+        async def body(self):
+            yield b"data: a\n\n"
+            yield b"data: b\n\n"
+            raise AnswerLost("the answer broke off")
+
+    held = []
+    caller = SimpleNamespace(
+        answer_started=False, buffers=SimpleNamespace(hold_answer=held.append)
+    )
+    exchange = SimpleNamespace(
+        caller=caller,
+        is_withheld=True,
+        hold=lambda body: None,
+        record_events=lambda now, events: None,
+    )
+    callbacks = SimpleNamespace(
+        on_first_event=lambda exchange: None, on_events=lambda exchange: None
+    )
+
+    async def main():
+        answers = HeldAnswers()
+        forwarding = AnswerForwarding(exchange, callbacks, answers)
+        with pytest.raises(AnswerLost):
+            await forwarding._forward_stream(Connection(), None, None)
+        assert answers.held == 0
+
+    asyncio.run(main())
+    assert held == [9, 18, 0]
+
+
 @pytest.mark.parametrize("version", ["1.0", "1.1"])
 def test_bytes_that_follow_a_request_count(version):
     """Guards against callers who send more while their request is being served.
