Late streams are refused only if another daemon reaches their service

While a daemon stopped, its late streams got 503, and 503 again at the only other one, which reached no endpoint of the service; a daemon that stops is not asked to serve for it. The stopping one served calls meanwhile. Any daemon that accepts callers counted as one that serves the stream.

Only daemons whose heartbeats say that they reach the service count now, for early streams of unknown length, too.

--- a/cranberrywick/gateway/drain.py
+++ b/cranberrywick/gateway/drain.py
@@ -178,7 +178,7 @@
             and exchange.may_go_elsewhere
             and exchange.request.received >= window.late_from
             and exchange.expires_at >= window.close_at
-            and self._has_others(now)
+            and self._has_others(now, exchange.service.name)
         )
 
     def time_out(self, exchange: Exchange) -> CranberrywickError | None:
@@ -354,13 +354,16 @@
         is_known = now + forecast.seconds <= self._ends_at(demand)
         if demand.answer.has_begun or not demand.answer.is_stream or is_known:
             return ExpectedAnswer(forecast, is_withheld=False)
-        if not self._has_others(now):
+        if not self._has_others(now, demand.service.name):
             forecast = foresee(UNKNOWN_STREAM_SECONDS)
         return ExpectedAnswer(forecast, is_withheld=True)
 
-    def _has_others(self, now: float) -> bool:
-        """Whether another daemon accepts callers."""
-        return any(self._state.members.serving(now))
+    def _has_others(self, now: float, service: str = "") -> bool:
+        """Whether another daemon accepts callers, and reaches a service if given."""
+        return any(
+            service not in beat.reach.unreached_services
+            for beat in self._state.members.serving(now)
+        )
 
     def _is_late(self, now: float) -> bool:
         """Whether only what is sure to end in time is sent to endpoints."""
--- a/tests/test_late_streams.py
+++ b/tests/test_late_streams.py
@@ -7,6 +7,7 @@
 import time
 
 import pytest
+from cut_scenes import make_unreached
 from gateway_fleet import read_answer, request_bytes, wait_for
 from stopping_fleet import GRACE_SECONDS
 from stream_stops import (
@@ -61,6 +62,18 @@
         check_ended(gateway, signalled_at)
 
 
+def test_a_late_stream_that_no_other_gateway_can_serve_is_served(tmp_path):
+    """Guards against refusals to gateways that reach no endpoint of the service."""
+    with quick_fleet(tmp_path) as fleet:
+        gateway, other = fleet.gateways
+        serve(fleet, gateway, [10, 8, 5, 1] * 10)
+        make_unreached(fleet, other)
+        signalled_at = stop_and_wait(fleet, gateway, 3.3)
+        callers = [send_stream(fleet, gateway, 10) for _ in range(4)]
+        assert check_whole_or_refused(fleet, callers) == 4
+        check_ended(gateway, signalled_at)
+
+
 def test_a_late_stream_that_ends_by_its_own_deadline_is_served(tmp_path):
     """Guards against refusals of streams that no endpoint can make too long."""
     with quick_fleet(tmp_path) as fleet:
