--- a/tests/test_answer_limits.py
+++ b/tests/test_answer_limits.py
@@ -90,7 +90,13 @@
     assert body.held == answers.held == 0
 
 
-@pytest.mark.parametrize("idle", [b": waiting\n\n", b"\n\n", b":\r\n\r\n"])
+@pytest.mark.parametrize(
+    "idle",
+    [
+        *(b": waiting\n\n", b"\n\n", b":\r\n\r\n", b": data: x\n\n"),
+        *(b"data:\n\n", b"data: \r\n\r\n", b"id:\n\n", b"data\n\n"),
+    ],
+)
 def test_comments_without_end_are_no_stream(idle):
     """Guards against streams that go on for ever without an event."""
     splitter = EventSplitter()
@@ -108,6 +114,21 @@
     assert raised.value.bound is AnswerBound.IDLE
 
 
+@pytest.mark.parametrize("size", [1, 2, 3, 5, 8, 1000])
+def test_events_are_found_wherever_their_bytes_are_divided(size):
+    """Guards against an end of an event that is missed between two reads."""
+    stream = b"id: 1\r\ndata: a\r\n\r\nid: 2\ndata: b\n\n: c\n\ndata: d\n\nid: 3"
+    splitter = EventSplitter()
+    parts = [
+        splitter.feed(stream[start : start + size])
+        for start in range(0, len(stream), size)
+    ]
+    assert b"".join(parts) == stream[:-5] and splitter.rest_bytes == 5
+    assert all(part.endswith((b"\n\n", b"\r\n\r\n")) for part in parts if part)
+    assert (splitter.last_id, splitter.events) == ("2", 4)
+    assert splitter.flush() == b"id: 3" and not splitter.rest_bytes
+
+
 def test_bodies_of_threads_wait_for_room():
     """Guards against a daemon whose threads keep more than its memory."""
     bodies = HeldBodies(limit=1_000_000)
