The relay of serve gives up tiny chunks and comments without end

What callers saw: beside twelve streams of chunks of one byte, the events of a sound stream of the same daemon came seconds late, and beside comments without end 0.2 s late; the errors of streams whose time was over came up to 0.65 s late.

Cause: one thread decodes all streams. A read of 64 KiB with chunks of one byte takes it 77 ms, since the decoder handles chunk by chunk, and nothing bounded comments but the 64 MiB of a whole answer.

Why it works: before a read is decoded, its ends of lines are counted; more than those of chunks of five bytes are no event stream. Comments in a row have the bound of the gateway, 64 KiB.

--- a/cranberrywick/endpoints/events.py
+++ b/cranberrywick/endpoints/events.py
@@ -3,6 +3,7 @@
 import json
 
 from cranberrywick.errors import AnswerLost, CranberrywickError
+from cranberrywick.routing.answer_limits import MAX_IDLE_BYTES
 
 __all__ = ["MAX_EVENT_BYTES", "EventCheck", "error_event"]
 
@@ -40,8 +41,8 @@
     ``"usage":`` key.  Only the event with the token usage is decoded.
 
     Events that were already accepted are dropped; an engine may repeat them after a
-    resume.  A gap in the numbers, an event of another request, and ``[DONE]`` before
-    any token usage raise `AnswerLost`.
+    resume.  A gap in the numbers, an event of another request, ``[DONE]`` before any
+    token usage, and comments without an end raise `AnswerLost`.
 
     ``last_event`` is the number of the last accepted event, -1 before the first;
     ``output_tokens`` is the count from the usage event, None before it; ``ended``
@@ -60,6 +61,7 @@
         self.last_event = -1
         self.output_tokens: int | None = None
         self.ended = False
+        self._comment_bytes = 0
         self._failure: AnswerLost | None = None
 
     def feed(self, data: bytes) -> bytes:
@@ -90,6 +92,7 @@
     def restart(self) -> None:
         """Discard a partly received event and any pending failure, before a resume."""
         self._partial = b""
+        self._comment_bytes = 0
         self._failure = None
 
     def finish(self) -> None:
@@ -126,7 +129,12 @@
         if self.ended:
             raise AnswerLost("an event came after the end of the stream")
         if event.startswith(b":"):
-            return False  # an SSE comment, sent by engines as a keep-alive
+            # An SSE comment, sent by engines as a keep-alive.
+            self._comment_bytes += len(event)
+            if self._comment_bytes > MAX_IDLE_BYTES:
+                raise AnswerLost("too many comments came without an event")
+            return False
+        self._comment_bytes = 0
         if event.startswith(_DONE):
             if self.output_tokens is None:
                 raise AnswerLost("the stream ended without its token count")
--- a/cranberrywick/endpoints/relay.py
+++ b/cranberrywick/endpoints/relay.py
@@ -24,11 +24,13 @@
 from cranberrywick.endpoints.events import EventCheck
 from cranberrywick.errors import AnswerLost, CallerGone, CranberrywickError, TimedOut
 from cranberrywick.logs import EventLog
-from cranberrywick.routing.answer_limits import MAX_ANSWER_BYTES
+from cranberrywick.routing.answer_limits import MAX_ANSWER_BYTES, MIN_CHUNK_BYTES
 
 __all__ = ["MAX_UNREAD_BYTES", "Relay"]
 
 READ_BYTES = 65536
+# Size from which on the chunks of a read are counted, in bytes.
+COUNTED_BYTES = 4096
 # Interval between checks of deadlines and of callers' connections, in seconds.  It
 # bounds the delay after which a caller's disconnect during a long prefill is noticed.
 TICK_SECONDS = 0.25
@@ -109,6 +111,7 @@
         if self._received > MAX_ANSWER_BYTES:
             raise AnswerLost("the answer is larger than the limit")
         if self._receiver is not None:
+            _check_chunks(data)
             self._receiver.received(data)
             self._check_framing(self._receiver)
             data = self._payload.pop_all()
@@ -280,6 +283,18 @@
         stream.signals.put(outcome)
 
 
+def _check_chunks(data: bytes) -> None:
+    """Raise `AnswerLost` for chunks of a few bytes, before they are decoded.
+
+    That takes a hundred times as long as with long chunks, for which all other streams
+    would wait. A chunk with a short length has five bytes besides its data, and two
+    ends of lines.
+    """
+    shortest = MIN_CHUNK_BYTES + 5
+    if len(data) >= COUNTED_BYTES and data.count(b"\r\n") * shortest > 2 * len(data):
+        raise AnswerLost("the answer's chunks are too short")
+
+
 def _wait_for_end(
     stream: _Stream, on_first: Callable[[], object]
 ) -> CranberrywickError | None:
--- a/cranberrywick/routing/answer_limits.py
+++ b/cranberrywick/routing/answer_limits.py
@@ -19,6 +19,7 @@
     "MAX_IDLE_BYTES",
     "MAX_INTERIM_RESPONSES",
     "MAX_PARTS_OF_A_READ",
+    "MIN_CHUNK_BYTES",
     "AnswerBound",
     "HeldLedger",
     "is_endless",
@@ -45,6 +46,8 @@
 # Largest number of parts, such as chunks, in a read of 32 KiB. The events of a sound
 # stream have five bytes at least.
 MAX_PARTS_OF_A_READ = 3000
+# Smallest mean length of the chunks of a read, in bytes, where they are not counted.
+MIN_CHUNK_BYTES = 5
 
 
 class AnswerBound(StrEnum):
