Long answers are read one after the other, a part in each turn of the event loop

What callers saw: beside endpoints that send bytes without end, sound callers of the same gateway waited up to 1.7 s, and errors and ends at the deadline came late.

Cause: each turn of the loop read all connections that had something, up to 160 KiB each without a pause, and parsed and forwarded that: 20 connections took 629 kB a turn. A request needs some fifteen turns. Memory was bounded, a turn was not.

Why it works: a connection reads 64 KiB, and as much a second, at once, which most streams never exceed. Beyond that it waits until it is its turn; there is one in each turn of the loop, for 128 KiB or 32 parts. A wait always suspends the task, so that its deadline acts. What the others leave is all theirs: nothing is bounded by time, no sound answer is cut.

--- a/cranberrywick/gateway/answer_forwarding.py
+++ b/cranberrywick/gateway/answer_forwarding.py
@@ -271,6 +271,7 @@
     """Send what is kept of a body, each part once the caller has room for it."""
     while block := body.take():
         await caller.send_whole_body(block)
+        await body.next_turn()
 
 
 def _forwarded_headers(answer: EndpointAnswer) -> list[tuple[bytes, bytes]]:
--- a/cranberrywick/gateway/attempt.py
+++ b/cranberrywick/gateway/attempt.py
@@ -105,7 +105,8 @@
     async def _run(self, record: EndpointRecord, reservations: Reservations) -> None:
         exchange = self._exchange
         buffers = exchange.caller.buffers
-        async with EndpointConnection(record.address, buffers) as connection:
+        turns = self._held_answers.turns
+        async with EndpointConnection(record.address, buffers, turns) as connection:
             await self._open(connection)
             # Checked again after connecting: an endpoint may have started to leave
             # since it was chosen, and must get no work after its bound for that.
--- a/cranberrywick/gateway/held_answers.py
+++ b/cranberrywick/gateway/held_answers.py
@@ -6,7 +6,8 @@
 import asyncio
 from collections import Counter, deque
 
-from cranberrywick.routing.answer_limits import HeldLedger
+from cranberrywick.gateway.read_turns import ReadTurns
+from cranberrywick.routing.answer_limits import BYTES_PER_TURN, HeldLedger
 
 __all__ = ["HeldAnswers", "HeldBody"]
 
@@ -16,13 +17,15 @@
 # Size up to which successive parts of a body are joined, in bytes: each has an overhead
 # of some sixty.
 BLOCK_BYTES = 65_536
+BLOCKS_PER_TURN = BYTES_PER_TURN // BLOCK_BYTES
 
 
 class HeldAnswers:
     """The room for the answers that this daemon keeps.
 
     ``too_long_by_bound`` counts the answers that had no end, ``long_routes`` are those
-    with whole answers of which a part was forwarded before the end.
+    with whole answers of which a part was forwarded before the end. ``turns`` are
+    those in which long answers are read and sent.
 
     >>> answers = HeldAnswers()
     >>> body = answers.body()
@@ -35,6 +38,7 @@
         self._freed = asyncio.Event()
         self.too_long_by_bound: Counter[str] = Counter()
         self.long_routes: set[str] = set()
+        self.turns = ReadTurns()
 
     @property
     def held(self) -> int:
@@ -97,6 +101,11 @@
         self.count(-len(block))
         return bytes(block)
 
+    async def next_turn(self) -> None:
+        """Let others have their turns before more blocks of the body are sent."""
+        if self._blocks and len(self._blocks) % BLOCKS_PER_TURN == 0:
+            await self._answers.turns.wait()
+
     def release(self) -> None:
         """Drop what is kept."""
         self._blocks.clear()
--- a/cranberrywick/gateway/peer_attempts.py
+++ b/cranberrywick/gateway/peer_attempts.py
@@ -148,7 +148,8 @@
     ) -> AttemptFailure | None:
         host = peer.peer_address.rpartition(":")[0]
         address, buffers = f"{host}:{peer.reach.port}", exchange.caller.buffers
-        async with PeerConnection(address, buffers) as connection:
+        turns = self._direct.held_answers.turns
+        async with PeerConnection(address, buffers, turns) as connection:
             try:
                 await self._offer(connection, exchange)
             except EndpointRefused as error:
--- a/cranberrywick/gateway/upstream.py
+++ b/cranberrywick/gateway/upstream.py
@@ -21,6 +21,7 @@
     EndpointRefused,
 )
 from cranberrywick.gateway.buffer_budget import NO_BUDGET, ConnectionBuffers, Unbudgeted
+from cranberrywick.gateway.read_turns import ReadAllowance, ReadTurns
 from cranberrywick.gateway.tcp_options import enable_keepalive
 from cranberrywick.model import EndpointRefusal
 from cranberrywick.routing.answer_limits import (
@@ -82,7 +83,8 @@
     """The connection of one attempt to the endpoint at ``ip:port``.
 
     ``caller_buffers`` are those of the caller's connection; what the endpoint has not
-    read counts against the same budget.
+    read counts against the same budget. ``turns`` are those of all connections that
+    have much to read.
 
     >>> async with EndpointConnection("10.0.0.9:8080") as connection:
     ...     await connection.open(timeout=0.3)
@@ -96,7 +98,10 @@
         self,
         address: str,
         caller_buffers: ConnectionBuffers | Unbudgeted = NO_BUDGET,
+        turns: ReadTurns | None = None,
     ):
+        self._turns = turns or ReadTurns()
+        self._allowance = ReadAllowance(self._turns)
         self._caller_buffers = caller_buffers
         self._buffers: ConnectionBuffers | Unbudgeted = NO_BUDGET
         self._address = address
@@ -259,7 +264,7 @@
         if self._parts > MAX_PARTS_OF_A_READ:
             raise AnswerTooLong(AnswerBound.PARTS, self._parts)
         if self._parts % PARTS_PER_TURN == 0:
-            await asyncio.sleep(0)
+            await self._turns.wait()
 
     async def _next_event(self) -> h11.Event:
         while True:
@@ -275,6 +280,7 @@
                 data = await self._reader.read(READ_BYTES)
             except OSError as error:
                 raise self._connection_error(error) from error
+            await self._allowance.take(len(data))
             if not data and self._http.their_state is h11.SEND_RESPONSE:
                 raise AmbiguousSend("the endpoint closed without an answer")
             try:
--- a/cranberrywick/routing/answer_limits.py
+++ b/cranberrywick/routing/answer_limits.py
@@ -12,6 +12,9 @@
 from enum import StrEnum
 
 __all__ = [
+    "BYTES_PER_TURN",
+    "FREE_READ_BYTES",
+    "FREE_READ_RATE",
     "HELD_BYTES",
     "HELD_OF_LAST_BYTES",
     "HELD_OF_ONE_BYTES",
@@ -41,13 +44,19 @@
 OWN_PART_BYTES = 65_536
 # Largest number of interim responses, such as 100 (Continue), before an answer.
 MAX_INTERIM_RESPONSES = 16
-# Longest row of comments and empty lines between two events, in bytes.
+# Longest row of comments, empty lines and empty events between two others, in bytes.
 MAX_IDLE_BYTES = 65_536
 # Largest number of parts, such as chunks, in a read of 32 KiB. The events of a sound
 # stream have five bytes at least.
 MAX_PARTS_OF_A_READ = 3000
 # Smallest mean length of the chunks of a read, in bytes, where they are not counted.
 MIN_CHUNK_BYTES = 5
+# How much of one answer is read at once, in bytes, and how much more a second. Beyond
+# it answers are read one after the other. Most streams have a few kB a second.
+FREE_READ_BYTES = 65_536
+FREE_READ_RATE = 65_536
+# How much of a long answer is read in its turn, in bytes.
+BYTES_PER_TURN = 131_072
 
 
 class AnswerBound(StrEnum):
--- a/tests/endless_endpoints.py
+++ b/tests/endless_endpoints.py
@@ -2,10 +2,12 @@
 
 Each form is a function from a request to the bytes that an endpoint sends first and
 those that it repeats until the gateway closes the connection. Threads send them, as
-fast as the gateway reads.
+fast as the gateway reads. As a process, with a form and a number as its arguments, it
+serves so many endpoints until it is killed, and prints their addresses.
 """
 
 import socket
+import sys
 import threading
 from collections import Counter
 from collections.abc import Callable
@@ -112,6 +114,22 @@
     return _head(request, "200 OK", EVENTS, CHUNKED), _chunk(b"\n" * PART_BYTES)
 
 
+@_form
+def _empty_events(request):
+    return _head(request, "200 OK", EVENTS, CHUNKED), _chunk(b"data:\n\n" * 9_000)
+
+
+@_form
+def _empty_ids(request):
+    return _head(request, "200 OK", EVENTS, CHUNKED), _chunk(b"id:\n\n" * 12_000)
+
+
+@_form
+def _short_events(request):
+    events = b"id: 1\ndata: x\n\n" * 4_000
+    return _head(request, "200 OK", EVENTS, CHUNKED), _chunk(events)
+
+
 @_form
 def _tiny_chunks(request):
     return _head(request, "200 OK", EVENTS, CHUNKED), _chunk(b"x") * 10_000
@@ -208,3 +226,12 @@
     fields = (line.partition(":") for line in lines[1:])
     headers = {name.lower(): value.strip() for name, _, value in fields}
     return Request(lines[0].split()[1], headers)
+
+
+def main(form: str, count: str) -> None:
+    print(*(EndlessEndpoint(form).address for _ in range(int(count))), flush=True)
+    threading.Event().wait()
+
+
+if __name__ == "__main__":
+    main(*sys.argv[1:])
