Late calls are kept up to the same length, whether or not they may be repeated

Callers of unsafe calls with answers of 4 to 8 MiB, sent late in a stop, got 502 though the answer came at once: of a call that may not be repeated less is kept, and what is withheld is never passed on in parts.

--- a/cranberrywick/gateway/answer_forwarding.py
+++ b/cranberrywick/gateway/answer_forwarding.py
@@ -179,6 +179,8 @@
         may_repeat = exchange.may_try_another
         received = body.held + more
         longest = longest_held(answer.status, may_repeat)
+        if exchange.is_withheld:
+            longest = HELD_OF_ONE_BYTES
         has_room = received <= longest and await self._held.has_room(body, more)
         if has_room:
             return True
