Tests of a stopping daemon's last check tell that requests are calls

Since a stopping daemon asks of each request whether it is a stream. The stand-ins for requests in two tests of test_stop_failures.py didn't say so, and the tests failed with an AttributeError before they checked anything. What they check is unchanged.

--- a/tests/test_stop_failures.py
+++ b/tests/test_stop_failures.py
@@ -144,7 +144,12 @@
     async def serve(key, deadline, caller=WAITING_CALLER):
         meta = SimpleNamespace(prompt=None, request_id=key)
         exchange = SimpleNamespace(
-            key=key, caller=caller, deadline=deadline, meta=meta, service=None
+            key=key,
+            caller=caller,
+            deadline=deadline,
+            meta=meta,
+            service=None,
+            is_stream=False,
         )
         try:
             async with drain.deadline(exchange):
