--- a/cranberrywick/gateway/answer_forwarding.py
+++ b/cranberrywick/gateway/answer_forwarding.py
@@ -179,6 +179,8 @@
         may_repeat = exchange.may_try_another
         received = body.held + more
         longest = longest_held(answer.status, may_repeat)
+        if exchange.is_withheld:
+            longest = HELD_OF_ONE_BYTES
         has_room = received <= longest and await self._held.has_room(body, more)
         if has_room:
             return True
@@ -242,6 +244,7 @@
             await exchange.await_caller(_send_held(withheld, exchange.caller))
         finally:
             withheld.release()
+            exchange.caller.buffers.hold_answer(0)
         exchange.caller.end()
 
     async def _forward_parts(
@@ -271,6 +274,7 @@
                     exchange.last_event_id = splitter.last_id or exchange.last_event_id
         if splitter.flush().strip():
             raise AnswerLost("the stream ended in the middle of an event")
+        exchange.last_event_id = splitter.last_id or exchange.last_event_id
         if self._withheld is None and not exchange.caller.answer_started:
             exchange.use_whole_time()
             await self._send_head(answer, meta)
@@ -298,6 +302,7 @@
         if is_long or not await self._held.has_room(withheld, len(whole)):
             raise _too_long_to_withhold()
         withheld.append(whole)
+        self._exchange.caller.buffers.hold_answer(withheld.held)
 
     async def _send_head(self, answer: EndpointAnswer, meta: ResponseMeta) -> None:
         self._exchange.weights_version = meta.weights_version
@@ -317,6 +322,7 @@
     """Send what is kept of a body, each part once the caller has room for it."""
     while block := body.take():
         await caller.send_whole_body(block)
+        await body.next_turn()
 
 
 def _forwarded_headers(answer: EndpointAnswer) -> list[tuple[bytes, bytes]]:
--- a/cranberrywick/gateway/drain.py
+++ b/cranberrywick/gateway/drain.py
@@ -108,8 +108,8 @@
     def end_fields(self, exchange: Exchange) -> dict[str, object]:
         """Return the fields of a request's last line while the daemon stops.
 
-        That is when it was sent last and when it ended, in seconds from the signal, and
-        how many events its caller was sent.
+        That is when it was sent last and when it ended, in seconds from the signal, how
+        many events came, and whether these were withheld.
         """
         if self._window is None:
             return {}
@@ -178,7 +178,7 @@
             and exchange.may_go_elsewhere
             and exchange.request.received >= window.late_from
             and exchange.expires_at >= window.close_at
-            and self._has_others(now)
+            and self._has_others(now, exchange.service.name)
         )
 
     def time_out(self, exchange: Exchange) -> CranberrywickError | None:
@@ -233,12 +233,15 @@
         exchange.is_withheld = False
         if self._window is None and exchange.cut_at == inf:
             return
-        demand = exchange.demand("")
+        demand, now = exchange.demand(""), self._loop.time()
         if self._ends_before(demand):
-            now = self._loop.time()
             pace = self._forecasts.pace(demand, endpoint_id, now)
             expected = self._check(demand, first_event, pace, reason, now)
             exchange.is_withheld = expected.is_withheld
+        elif not exchange.is_stream:
+            # A part of a long answer would let it go on after its deadline.
+            is_over = exchange.expires_at < self._end(is_forwarded=True)
+            exchange.is_withheld = self._is_late(now) and not is_over
 
     def check_wait(self, demand: Demand, now: float) -> None:
         """Raise `Draining` for a request that might be cut even if it had room now."""
@@ -351,13 +354,16 @@
         is_known = now + forecast.seconds <= self._ends_at(demand)
         if demand.answer.has_begun or not demand.answer.is_stream or is_known:
             return ExpectedAnswer(forecast, is_withheld=False)
-        if not self._has_others(now):
+        if not self._has_others(now, demand.service.name):
             forecast = foresee(UNKNOWN_STREAM_SECONDS)
         return ExpectedAnswer(forecast, is_withheld=True)
 
-    def _has_others(self, now: float) -> bool:
-        """Whether another daemon accepts callers."""
-        return any(self._state.members.serving(now))
+    def _has_others(self, now: float, service: str = "") -> bool:
+        """Whether another daemon accepts callers, and reaches a service if given."""
+        return any(
+            service not in beat.reach.unreached_services
+            for beat in self._state.members.serving(now)
+        )
 
     def _is_late(self, now: float) -> bool:
         """Whether only what is sure to end in time is sent to endpoints."""
