Requests are late half a second earlier than they have to be

Late is now from 2.5 s after the signal on. A withheld stream that is whole frees its endpoint at once, and its first event counts from when the caller gets it.

--- a/cranberrywick/gateway/answer_forwarding.py
+++ b/cranberrywick/gateway/answer_forwarding.py
@@ -239,7 +239,9 @@
         withheld = self._withheld = self._held.body()
         try:
             await self._forward_parts(connection, answer, meta)
+            self._callbacks.on_received(exchange)
             await exchange.lift_deadline()
+            exchange.first_event_at = self._loop.time()
             await self._send_head(answer, meta)
             await exchange.await_caller(_send_held(withheld, exchange.caller))
         finally:
--- a/cranberrywick/gateway/drain.py
+++ b/cranberrywick/gateway/drain.py
@@ -366,7 +366,7 @@
         )
 
     def _is_late(self, now: float) -> bool:
-        """Whether only what is sure to end in time is sent to endpoints."""
+        """Whether no answer may begin any more that only a forecast says will end."""
         return self._window is None or now >= self._window.late_from
 
     def _fields(
--- a/cranberrywick/routing/drain_window.py
+++ b/cranberrywick/routing/drain_window.py
@@ -35,6 +35,9 @@
 EARLY_SECONDS = 3.0
 # Part of the time allowed for a stop after which an answer that has begun may be cut.
 CUT_SHARE = 5 / 6
+# By how much earlier requests are late than they have to be, in seconds: an order to
+# stop may take that long from the operator to the process.
+LATE_MARGIN_SECONDS = 0.5
 # Longest time between the moment at which a signal counts as sent and that at which the
 # process sees it, in seconds: for the way of an order to the VM and back.
 SIGNAL_DELAY_SECONDS = 0.05
@@ -66,7 +69,7 @@
 
     >>> window = DrainWindow.of_grace(SignalMoment(98.0, 100.0), grace_seconds=6.0)
     >>> window.answer_by, window.close_at, window.late_from, window.cut_at
-    (103.35, 103.6, 100.95, 105.05)
+    (103.35, 103.6, 100.5, 105.05)
     """
 
     answer_by: float
@@ -86,7 +89,7 @@
         earliest, latest = signalled
         close_at = earliest + max(0.0, grace_seconds - STOP_MARGIN_SECONDS)
         answer_by = max(earliest, close_at - ANSWER_MARGIN_SECONDS)
-        late_from = earliest + EARLY_SECONDS - SIGNAL_DELAY_SECONDS
+        late_from = earliest + EARLY_SECONDS - LATE_MARGIN_SECONDS
         cut_at = latest + grace_seconds * CUT_SHARE + SIGNAL_DELAY_SECONDS
         return cls(answer_by, close_at, late_from, max(close_at, cut_at), earliest)
 
--- a/tests/test_buffer_connections.py
+++ b/tests/test_buffer_connections.py
@@ -265,7 +265,11 @@
     )
     route = SimpleNamespace(idempotent=True)
     exchange = SimpleNamespace(
-        caller=caller, route=route, hold=lambda body: None, may_try_another=True
+        caller=caller,
+        route=route,
+        hold=lambda body: None,
+        may_try_another=True,
+        is_withheld=False,
     )
     answer = SimpleNamespace(status=500)
     callbacks = SimpleNamespace(on_received=lambda exchange: None)
