Streams of unknown length are withheld while all stop, late ones, too

The test of streams as long as engines declare expected a gateway to serve late streams while others do; these are refused at once, and the other gateway serves them, as in test_stream_stops.py.

--- a/cranberrywick/gateway/drain.py
+++ b/cranberrywick/gateway/drain.py
@@ -31,8 +31,8 @@
 # If what waits has not been looked at for longer, the process was suspended or had
 # nothing that waits, in seconds. It is looked at twice a second.
 SUSPENDED_SECONDS = 1.0
-# How long an early stream may take from its first event on while no other daemon would
-# serve it, in seconds, though longer ones can't be ruled out.
+# How long a stream may take from its first event on while no other daemon would serve
+# it, in seconds, though longer ones can't be ruled out.
 UNKNOWN_STREAM_SECONDS = 4.0
 # Why a request is refused that comes in the last moments, and one that is half read.
 NO_TIME = "no time is left"
@@ -346,16 +346,16 @@
         self, demand: Demand, first_event: float, pace: float, now: float
     ) -> ExpectedAnswer:
         foresee = partial(self._forecasts.forecast, demand, first_event, pace, now)
-        if self._is_late(now):
-            is_stopping = self._window is not None
-            is_withheld = is_stopping and not demand.answer.has_begun
-            return ExpectedAnswer(foresee(is_late=is_stopping), is_withheld)
-        forecast = foresee()
-        is_known = now + forecast.seconds <= self._ends_at(demand)
-        if demand.answer.has_begun or not demand.answer.is_stream or is_known:
+        is_withheld = self._window is not None and self._is_late(now)
+        forecast = foresee(is_late=is_withheld)
+        if demand.answer.has_begun:
             return ExpectedAnswer(forecast, is_withheld=False)
+        ends_at = self._ends_at(demand, is_withheld)
+        is_known = now + forecast.seconds <= ends_at or not demand.answer.is_stream
+        if is_known or self._window is None:
+            return ExpectedAnswer(forecast, is_withheld)
         if not self._has_others(now, demand.service.name):
-            forecast = foresee(UNKNOWN_STREAM_SECONDS)
+            forecast = foresee(UNKNOWN_STREAM_SECONDS, is_late=is_withheld)
         return ExpectedAnswer(forecast, is_withheld=True)
 
     def _has_others(self, now: float, service: str = "") -> bool:
