Tests of claims hold the write of their own key's bucket

Cause: a race of the test. A daemon writes the result of a booking up to 0.05 s after its answer, for which it shares the write with others. The fault held back the next write of any claim. If the first daemon's claim came later than the other's result of the booking before, that result was held, and the first daemon booked before it was paused.

With a pause of 0.1 s between the fault and the call the test failed at once (KeyError); with the fault set for the bucket of the key it passes with that pause and without.

--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -19,7 +19,10 @@
 import urllib3
 from fleet import CALLER_KEY, OPERATOR_KEY, Process, get, running_fleet, wait_for
 
+from cranberrywick.claims.store import BUCKETS, claim_digest
+
 CLAIMS_PATH = "/v1/keys/claims"
+ORGANISATION = "kask"
 
 
 @pytest.fixture(scope="module")
@@ -50,6 +53,12 @@
     return get(fleet.services[0], "/bookings")["by_key"]
 
 
+def claim_path(key):
+    """Return the path in the store of the bucket that has a key's claim."""
+    digest = claim_digest(ORGANISATION, key)
+    return f"{CLAIMS_PATH}/{int(digest[:8], 16) % BUCKETS:04x}"
+
+
 def wait_for_claim(daemon, key):
     """Repeat a call while the key is claimed, and return the first other answer."""
     answers = []
@@ -64,8 +73,12 @@
 
 @contextmanager
 def claim_held(fleet, key):
-    """Book at the first daemon while the store holds back the answer to its claim."""
+    """Book at the first daemon while the store holds back the answer to its claim.
+
+    Daemons write the results of earlier bookings later, into other buckets.
+    """
     answers = []
+    path = claim_path(key)
 
     def call():
         try:
@@ -73,7 +86,7 @@
         except urllib3.exceptions.HTTPError as error:
             answers.append(error)
 
-    fleet.set_fault(fleet.key_value, "hold_next_write", count=1, path=CLAIMS_PATH)
+    fleet.set_fault(fleet.key_value, "hold_next_write", count=1, path=path)
     caller = threading.Thread(target=call)
     caller.start()
     wait_for(lambda: get(fleet.key_value, "/faults")["held"], "a held claim")
