Messages to peers are dropped once the link is closed

The link is closed before the process ends, timers of heartbeats are not stopped by it, and asyncio's transport of datagrams raises (AttributeError: 'NoneType' object has no attribute 'sendto') for what is sent after its close. The link now forgets the transport as it closes it, as before its start, so that whatever still sends a message sends none.

--- a/cranberrywick/gateway/fleet_link.py
+++ b/cranberrywick/gateway/fleet_link.py
@@ -91,9 +91,10 @@
         self._tcp = await asyncio.start_server(self._serve, ip, port)
 
     def close(self) -> None:
-        """Close both sockets."""
+        """Close both sockets; messages that are sent from now on are dropped."""
         if self._udp is not None:
             self._udp.close()
+            self._udp = None
         if self._tcp is not None:
             self._tcp.close()
 
--- a/tests/test_link_backlog.py
+++ b/tests/test_link_backlog.py
@@ -93,3 +93,22 @@
         return len(daemon.snapshots)
 
     assert asyncio.run(main()) == 1
+
+
+def test_a_message_after_the_close_is_dropped():
+    """Guards against errors in the log of a sound stop, for heartbeats after it."""
+
+    async def main() -> list[dict]:
+        failures = []
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, context: failures.append(context))
+        link = FleetLink(lambda envelope, source: None, None, EventLog())
+        (port,) = free_ports(1)
+        await link.start("127.0.0.1", port)
+        link.close()
+        for _ in range(3):
+            link.send(PermitResponse(1, Permit(True, 0.0, 0.0)), [f"127.0.0.1:{port}"])
+            await asyncio.sleep(0.01)
+        return failures
+
+    assert asyncio.run(main()) == []
