Answers of the store are dropped once the loop is closed

A call to the store, such as the one that ends the registration, may get its answer after the loop is closed, and the thread that made it handed the answer to the loop all the same. The answer is dropped now if the loop is closed; any other RuntimeError is logged as before.

--- a/cranberrywick/gateway/store_calls.py
+++ b/cranberrywick/gateway/store_calls.py
@@ -57,7 +57,8 @@
         """Make a call unless the same one is under way.
 
         ``done`` is called on the event loop with the answer and the moment at which the
-        call was requested. It is not called after a failure.
+        call was requested. It is not called after a failure, nor once the loop is
+        closed.
         """
         if self.is_under_way(reader, call):
             return
@@ -66,9 +67,14 @@
         requested_at = self._loop.time()
 
         def hand_over(answer: object) -> None:
-            self._loop.call_soon_threadsafe(
-                self._answered, name, reader, answer, done, requested_at
-            )
+            try:
+                self._loop.call_soon_threadsafe(
+                    self._answered, name, reader, answer, done, requested_at
+                )
+            except RuntimeError:
+                # The daemon has ended, and nobody waits for the answer.
+                if not self._loop.is_closed():
+                    raise
 
         self._actors[reader].tell(StoreReader.call, call, hand_over)
 
--- a/tests/test_store_calls.py
+++ b/tests/test_store_calls.py
@@ -1,12 +1,14 @@
 """Calls to the store that fail in ways that nobody has foreseen."""
 
 import asyncio
+import io
 import random
+import threading
 
 import pytest
 
 from cranberrywick.gateway.store_calls import StoreCalls
-from cranberrywick.logs import EventLog
+from cranberrywick.logs import EventLog, make_handler
 
 # What answers of another form have raised, or may: lists in the place of objects, too
 # few parts, deep nesting.
@@ -39,3 +41,26 @@
         assert not calls.store_is_unavailable
 
     asyncio.run(run())
+
+
+def test_an_answer_after_the_end_of_the_loop_is_dropped():
+    """Guards against an error in the log of a sound stop, for a slow store."""
+    read, answers = threading.Event(), threading.Event()
+
+    def read_slowly():
+        read.set()
+        answers.wait(ANSWER_SECONDS)
+        return "view"
+
+    async def run():
+        calls = StoreCalls(2.0, lambda: 1, EventLog(), random.Random(1))
+        calls.make("operator", read_slowly, lambda answer, at: None)
+        assert await asyncio.to_thread(read.wait, ANSWER_SECONDS)
+        return calls
+
+    log = io.StringIO()
+    with make_handler("info", log).applicationbound():
+        calls = asyncio.run(run())
+        answers.set()
+        calls._actors["operator"].stop()
+    assert log.getvalue() == ""
