--- a/cranberrywick/gateway/ticker.py
+++ b/cranberrywick/gateway/ticker.py
@@ -46,10 +46,6 @@
         ran_at = began if now - ended < RESUMED_SECONDS else self._ran_at
         return SignalMoment(min(ran_at, now), now)
 
-    def last_run(self, now: float) -> float:
-        """Return the last moment at which the process is known to have run."""
-        return min(self._ran_at, now)
-
     def running_since(self, moment: float, now: float) -> float:
         """Return from when on events have been seen as they came, since a moment.
 
