A daemon that doesn't stop is never late

Drain._is_late also held without a window, and its callers had to exclude that. Since no caller relies on it: the other one is met without a window only for a call of a peer that ends, whose end is never after its deadline. No behaviour changes.

--- a/cranberrywick/gateway/drain.py
+++ b/cranberrywick/gateway/drain.py
@@ -346,7 +346,7 @@
         self, demand: Demand, first_event: float, pace: float, now: float
     ) -> ExpectedAnswer:
         foresee = partial(self._forecasts.forecast, demand, first_event, pace, now)
-        is_withheld = self._window is not None and self._is_late(now)
+        is_withheld = self._is_late(now)
         forecast = foresee(is_late=is_withheld)
         if demand.answer.has_begun:
             return ExpectedAnswer(forecast, is_withheld=False)
@@ -367,7 +367,7 @@
 
     def _is_late(self, now: float) -> bool:
         """Whether no answer may begin any more that only a forecast says will end."""
-        return self._window is None or now >= self._window.late_from
+        return self._window is not None and now >= self._window.late_from
 
     def _fields(
         self, demand: Demand, expected: ExpectedAnswer, now: float
