Scenes of stops: a request is sent when its last byte is written

A caller whose connection is closed while it pauses in its body goes on to write, fails, and noted the moment of its first byte as that of its last one.

The check is as strict: a request counts whose last byte was written more than 0.2 s before the connection ended. One that is closed before its last byte is none that a gateway can have read.

--- a/tests/late_callers.py
+++ b/tests/late_callers.py
@@ -39,6 +39,7 @@
         self._gateway: Gateway | None = None
         self._reader: asyncio.StreamReader | None = None
         self._writer: asyncio.StreamWriter | None = None
+        self._sent_at = 0.0
 
     async def run(self, until: float) -> None:
         while time.monotonic() < until:
@@ -73,12 +74,12 @@
     async def _send(self) -> float:
         """Send a stream; return how long to wait before the next one."""
         request_id = self._scene.new_id()
-        began_at = sent_at = time.monotonic()
+        began_at = time.monotonic()
         status, whole, headers = 0, False, {}
         # The deadline is the gateway's to keep; this only ends a test that hangs.
         try:
             async with asyncio.timeout(DEADLINE_SECONDS + 5):
-                sent_at = await self._write(request_id)
+                await self._write(request_id)
                 status, headers = await self._read_head()
                 while status == 100:
                     status, headers = await self._read_head()
@@ -90,7 +91,7 @@
             self._gateway.name,
             self._way,
             began_at,
-            sent_at,
+            self._sent_at,
             time.monotonic(),
             status,
             whole,
@@ -100,8 +101,14 @@
             self._close()
         return float(headers.get("retry-after", 0.0)) if status == 503 else 0.0
 
-    async def _write(self, request_id: str) -> float:
-        """Send a request; return when its last byte was sent."""
+    async def _write(self, request_id: str) -> None:
+        """Send a request, and note when that ended, also for one that is not whole."""
+        try:
+            await self._write_parts(request_id)
+        finally:
+            self._sent_at = time.monotonic()
+
+    async def _write_parts(self, request_id: str) -> None:
         rng, way, writer = self._rng, self._way, self._writer
         target, own = self._draw()
         fields = {
@@ -138,7 +145,6 @@
         else:
             writer.write(body)
         await writer.drain()
-        return time.monotonic()
 
     def _draw(self) -> tuple[str, dict[str, str]]:
         """Return the method and target of a request, and its own headers."""
--- a/tests/slow_callers.py
+++ b/tests/slow_callers.py
@@ -115,13 +115,13 @@
 
     async def _send(self) -> float:
         request_id = self._scene.new_id()
-        began_at = sent_at = time.monotonic()
+        began_at = time.monotonic()
         status, whole, headers = 0, False, {}
         self._first_at, self._last_event = None, 0
         # The deadline is the gateway's to keep; this only ends a test that hangs.
         try:
             async with asyncio.timeout(DEADLINE_SECONDS + 5):
-                sent_at = await self._write(request_id)
+                await self._write(request_id)
                 status, headers = await self._read_head()
                 whole = await self._read_body(headers)
         except (OSError, EOFError, ValueError, IndexError, TimeoutError):
@@ -139,7 +139,7 @@
                 self._sent_kind,
                 self._events,
                 began_at,
-                sent_at,
+                self._sent_at,
                 self._first_at,
                 time.monotonic(),
                 status,
