Connections that the kernel has opened count as open, however late the loop is

What callers saw: 503, "no endpoints that could hold the request are known", as 40 to 48 streams came at once to a gateway short of processor, its endpoints well. The endpoints were avoided for 0.5 to 2 s.

Cause: the timeout of a connection, 50 ms at least, is handled by the event loop. One that is late finds the timeout due in the turn in which it could see that the socket is connected, and cancels. A second try follows only if the timeout came half of itself late, and fails in the same way. Two endpoints that failed so leave none to a request, and, while they cool down, none to those after it.

A loop that is held up for 0.06, 0.2 and 1 s (tests/test_connect_timeout.py): refused before, connected after.

Change: at the timeout the kernel is asked whether the socket is connected. One that isn't fails as before, also while the loop is late.

--- a/cranberrywick/gateway/upstream.py
+++ b/cranberrywick/gateway/upstream.py
@@ -21,6 +21,7 @@
     EndpointRefused,
 )
 from cranberrywick.gateway.buffer_budget import NO_BUDGET, ConnectionBuffers, Unbudgeted
+from cranberrywick.gateway.connecting import open_connection
 from cranberrywick.gateway.read_turns import ReadAllowance, ReadTurns
 from cranberrywick.gateway.tcp_options import enable_keepalive
 from cranberrywick.model import EndpointRefusal
@@ -147,8 +148,7 @@
         """
         try:
             address = parse_address(self._address)
-            async with asyncio.timeout(timeout):
-                self._reader, self._writer = await asyncio.open_connection(*address)
+            self._reader, self._writer = await open_connection(address, timeout)
         except (OSError, TimeoutError, ValueError) as error:
             raise EndpointRefused(
                 f"no connection: {type(error).__name__}",
--- a/tests/cut_gateway.py
+++ b/tests/cut_gateway.py
@@ -12,17 +12,19 @@
 import asyncio
 import json
 import os
+import time
 from pathlib import Path
 
+from cranberrywick.addresses import Address
 from cranberrywick.cli.main import main
 from cranberrywick.gateway import upstream
+from cranberrywick.gateway.connecting import open_connection
 
 CUT_PATH = Path(os.environ["CUT_FILE"])
 OWN_IP = json.loads(Path(os.environ["CRANBERRYWICK_CONFIG"]).read_text())["ip"]
 POLL_SECONDS = 0.01
 SLOW_SECONDS = 0.02
 
-_open_connection = asyncio.open_connection
 _transports_by_address: dict[str, set[asyncio.Transport]] = {}
 _watchers: set[asyncio.Task] = set()
 
@@ -57,37 +59,30 @@
         paused = silent
 
 
-async def _open(host: str, port: int):
+async def _open(parsed: Address, timeout: float):
+    began = time.monotonic()
     if not _watchers:
         _watchers.add(asyncio.get_running_loop().create_task(_watch()))
-    address = f"{host}:{port}"
+    address = f"{parsed.host}:{parsed.port}"
     cut = _read_cut()
     if address in cut["addresses"]:
-        if cut["mode"] == "slow":
-            await asyncio.sleep(SLOW_SECONDS)
-        elif cut["mode"] == "hang":
-            await asyncio.Event().wait()
-        else:
-            raise ConnectionRefusedError(address)
+        async with asyncio.timeout(timeout):
+            if cut["mode"] == "slow":
+                await asyncio.sleep(SLOW_SECONDS)
+            elif cut["mode"] == "hang":
+                await asyncio.Event().wait()
+            else:
+                raise ConnectionRefusedError(address)
+    left = began + timeout - time.monotonic()
     # From the gateway's own address, by which endpoints tell gateways apart.
-    local_address = (OWN_IP, 0)
-    reader, writer = await _open_connection(host, port, local_addr=local_address)
+    reader, writer = await open_connection(parsed, left, OWN_IP)
     transports = _transports_by_address.setdefault(address, set())
     transports.difference_update([each for each in transports if each.is_closing()])
     transports.add(writer.transport)
     return reader, writer
 
 
-class _CutAsyncio:
-    """The module asyncio with connections that may be cut."""
-
-    open_connection = staticmethod(_open)
-
-    def __getattr__(self, name: str):
-        return getattr(asyncio, name)
-
-
-upstream.asyncio = _CutAsyncio()
+upstream.open_connection = _open
 
 if __name__ == "__main__":
     main()
--- a/tests/test_connect_timeout.py
+++ b/tests/test_connect_timeout.py
@@ -1,10 +1,17 @@
 """The connect timeout follows the usual duration of connections."""
 
+import asyncio
+import contextlib
 import random
+import socket
+import time
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from cranberrywick.errors import EndpointRefused
+from cranberrywick.gateway.upstream import EndpointConnection
 from cranberrywick.routing.connect_timeout import (
     MAX_SECONDS,
     MIN_SECONDS,
@@ -70,3 +77,40 @@
         else:
             timeout.answered(seconds)
         assert MIN_SECONDS <= timeout.seconds <= MAX_SECONDS
+
+
+@contextlib.contextmanager
+def listening(backlog):
+    """Yield a socket whose connections only the kernel accepts."""
+    with socket.socket() as endpoint:
+        endpoint.bind(("127.0.0.1", 0))
+        endpoint.listen(backlog)
+        yield endpoint
+
+
+async def open_while_held_up(endpoint, held_up):
+    """Open a connection, with a timeout of 50 ms, while the loop does nothing else."""
+    host, port = endpoint.getsockname()
+    async with EndpointConnection(f"{host}:{port}") as connection:
+        opening = asyncio.create_task(connection.open(0.05))
+        await asyncio.sleep(0)  # It has begun to connect.
+        time.sleep(held_up)
+        await opening
+
+
+@pytest.mark.parametrize("held_up", [0.06, 0.2, 1.0])
+def test_a_connection_accepted_while_the_loop_is_held_up_is_used(held_up):
+    """Guards against endpoints that count as unreached while the loop is late."""
+    with listening(8) as endpoint:
+        asyncio.run(open_while_held_up(endpoint, held_up))
+
+
+def test_a_connection_that_nobody_accepts_fails_also_while_the_loop_is_held_up():
+    """Guards against connections that count as open since the loop is late."""
+    with listening(0) as endpoint, contextlib.ExitStack() as stack:
+        for _ in range(4):  # The kernel accepts no more.
+            caller = stack.enter_context(socket.socket())
+            caller.setblocking(False)
+            caller.connect_ex(endpoint.getsockname())
+        with pytest.raises(EndpointRefused):
+            asyncio.run(open_while_held_up(endpoint, 0.2))
