Tests of the stop: streams whose ends are stated take as long on a busy machine

What was seen: test_a_stream_through_a_peer_that_stops_is_whole failed, with a stream that was cut after 9.35 s, at load average 37 (9.58 s before). test_an_answer_that_is_whole_at_its_endpoint_before_the_close_is_not_cut has failed once, its stream was cut, too.

Cause: the stand-in's pauses. It slept for 50 ms after each event, and each sleep ended late, so that 165 events took 9.11 s in place of 8.20 s. The stream was resumed at the other peer, and all but its end had come as its own gateway closed, 7.61 s after that gateway's signal. Both tests need streams that end before that moment.

Change: endpoints of these tests keep their pace: an event that is late shortens the pause after it. Moments and assertions are as before.

--- a/cranberrywick/standin/platform/endpoint.py
+++ b/cranberrywick/standin/platform/endpoint.py
@@ -86,24 +86,25 @@
     """One endpoint; created and used on one event loop.
 
     ``work_seconds`` is how long a call or the prefill of a prompt takes, and
-    ``event_seconds`` the pause between a stream's events. While ``rate_limit`` is set,
-    each answer states it, in requests a second; ``limit_named_at`` is the time of the
-    first such answer and ``arrived_at`` has the time of each request, both on the
-    loop's clock. ``arrivals`` has the ids, too. While ``draining`` is set, each answer
-    says so. The next requests are refused, one with each of the ``retry_afters`` as
-    value of the header; ``backoffs`` has these refusals. ``extra_headers`` are added to
-    each answer. A request's header ``X-Padding`` adds so many bytes to its answer, or
-    to each event, and ``X-Events`` states how many events its stream has.
-    ``read_pause_seconds`` is the pause before each read of a request. A stream that
-    stays unread for ``unread_seconds`` is cut off and counted in ``cut_off``. A
-    request for which ``crashes_under`` returns true crashes the endpoint
-    ``before``, ``after`` or ``within`` its event number ``crash_event``, as
-    ``crash_point`` says, and a call before its answer, or within it: the endpoint
-    closes all its connections, stops listening and calls ``crashed``. ``runs``
-    counts runs by request id, ``heads`` has the method, target, headers and body of
-    each run, ``at_work`` the request ids in progress and ``tickets`` the
-    reservations of memory by id. ``by_address`` has all endpoints of the process,
-    so that an engine can check its helpers' tickets.
+    ``event_seconds`` the pause between a stream's events. If ``keeps_pace`` is set, an
+    event that is late shortens the pause after it, so that a stream takes as long on a
+    busy machine. While ``rate_limit`` is set, each answer states it, in requests a
+    second; ``limit_named_at`` is the time of the first such answer and ``arrived_at``
+    has the time of each request, both on the loop's clock. ``arrivals`` has the ids,
+    too. While ``draining`` is set, each answer says so. The next requests are refused,
+    one with each of the ``retry_afters`` as value of the header; ``backoffs`` has these
+    refusals. ``extra_headers`` are added to each answer. A request's header
+    ``X-Padding`` adds so many bytes to its answer, or to each event, and ``X-Events``
+    states how many events its stream has. ``read_pause_seconds`` is the pause before
+    each read of a request. A stream that stays unread for ``unread_seconds`` is cut off
+    and counted in ``cut_off``. A request for which ``crashes_under`` returns true
+    crashes the endpoint ``before``, ``after`` or ``within`` its event number
+    ``crash_event``, as ``crash_point`` says, and a call before its answer, or within
+    it: the endpoint closes all its connections, stops listening and calls ``crashed``.
+    ``runs`` counts runs by request id, ``heads`` has the method, target, headers and
+    body of each run, ``at_work`` the request ids in progress and ``tickets`` the
+    reservations of memory by id. ``by_address`` has all endpoints of the process, so
+    that an engine can check its helpers' tickets.
     """
 
     by_address: dict[str, "EndpointStandIn"] = {}
@@ -120,6 +121,7 @@
         self.behaviour = "well"
         self.work_seconds = work_seconds
         self.event_seconds = event_seconds
+        self.keeps_pace = False
         self.events = events
         self.memory_tokens = memory_tokens
         self.rate_limit: float | None = None
@@ -344,6 +346,8 @@
             # In HTTP/1.0 a body without a length has no chunks either.
             http.their_http_version = b"1.0"
         writer.write(http.send(h11.Response(status_code=200, headers=stream)))
+        loop = asyncio.get_running_loop()
+        due_at = loop.time()
         for number in range(start + 1, events + 1):
             event = f"id: {number}\ndata: piece {number}".encode()
             event += _padding(headers) + b"\n\n"
@@ -358,7 +362,8 @@
                 event = event[: len(event) // 2]
             writer.write(http.send(h11.Data(data=event)))
             await self._await_reader(writer)
-            await asyncio.sleep(self.event_seconds)
+            due_at = (due_at if self.keeps_pace else loop.time()) + self.event_seconds
+            await asyncio.sleep(due_at - loop.time())
             if is_last:
                 self.crash()
                 return
--- a/tests/stopping_fleet.py
+++ b/tests/stopping_fleet.py
@@ -101,6 +101,11 @@
         self.configure(fields)
         return version
 
+    def keep_pace(self) -> None:
+        """Let streams take as long on a busy machine as on an idle one."""
+        for endpoint in self.endpoints.values():
+            endpoint.keeps_pace = True
+
     def send(
         self,
         gateway: Gateway,
--- a/tests/test_late_signals.py
+++ b/tests/test_late_signals.py
@@ -52,6 +52,7 @@
     """Guards against a close before the loop has read what endpoints have sent."""
     with quick_fleet(tmp_path, gateways=1) as fleet:
         (gateway,) = fleet.gateways
+        fleet.keep_pace()
         # They end 5.9 to 6.9 s after the signal at their endpoints.
         callers = [
             send_stream(fleet, gateway, events, tokens=51 * events)
--- a/tests/test_peer_stops.py
+++ b/tests/test_peer_stops.py
@@ -18,6 +18,7 @@
     """Guards against streams that end with the connection of a peer that stops."""
     with running_stopping_fleet(tmp_path, gateways=3) as fleet:
         quicken_engines(fleet, 2)
+        fleet.keep_pace()
         fleet.endpoints["desk-1"].work_seconds = 0.02
         gateway, *peers = fleet.gateways
         make_unreached(fleet, gateway)
