Test of calls at the last looks: they are sent as the listener is closed

What was seen: test_a_late_call_without_an_answer_gets_its_error_before_the_close failed at load average 34 since no endpoint ran any of its calls: all six gateways had ended, 3.3 to 3.4 s after their signals.

Cause: the calls were sent 3.21 to 3.31 s after the signal, by the test's clock, to meet the 40 ms between the end of the listeners and that of the connections. A sender that is late by more than that meets none.

Change: each call is sent as its gateway has closed its listener, which the test sees by binding a socket to its address. So each one that an endpoint runs came after the first errors of the end could be due, which the moments of before didn't ensure. The assertions are as before.

--- a/tests/stopping_fleet.py
+++ b/tests/stopping_fleet.py
@@ -13,7 +13,7 @@
 import threading
 import time
 from collections.abc import Iterator, Mapping
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 from itertools import count
 from pathlib import Path
 from types import MappingProxyType
@@ -21,6 +21,7 @@
 from cut_fleet import CutFleet
 from gateway_fleet import (
     PROMPT_HEADERS,
+    WAIT_SECONDS,
     Answer,
     Gateway,
     configuration,
@@ -31,6 +32,9 @@
 )
 
 GRACE_SECONDS = 8.0
+# Interval at which a listener is looked for, in seconds. Its gateway may end 40 ms
+# after it is closed.
+LOOK_SECONDS = 0.002
 # Long enough that no request here ends because of it, in milliseconds.
 DEADLINE = {"Cranberrywick-Deadline-Ms": "25000"}
 # How long the only slot of an endpoint is taken, in seconds.
@@ -155,6 +159,20 @@
         assert self.call(gateway, "GET", "/none/1").status == 404
         time.sleep(0.1)
 
+    def wait_until_unlistening(self, gateway: Gateway) -> None:
+        """Wait until a gateway has closed its listener; it sees nothing of that."""
+        host, _, port = gateway.front.rpartition(":")
+        until = time.monotonic() + WAIT_SECONDS
+        while True:
+            assert time.monotonic() < until, f"{gateway.name} still listens"
+            with socket.socket() as other:
+                other.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                # An address is taken while another socket listens there.
+                with suppress(OSError):
+                    other.bind((host, int(port)))
+                    return
+            time.sleep(LOOK_SECONDS)
+
     def stop(self, gateway: Gateway, number: int = signal.SIGTERM) -> float:
         """Send a gateway a signal; return the moment."""
         gateway.process.send_signal(number)
--- a/tests/test_stop_end.py
+++ b/tests/test_stop_end.py
@@ -39,9 +39,9 @@
 FIRST_SECONDS, LAST_SECONDS = 2.6, 8.0
 # A request without an answer by then is lost, also if nobody ran it, in seconds.
 LOSS_SECONDS = 0.2
-# When calls that get no answer are sent, in seconds from the signal: as a gateway that
-# has no requests is about to end, and connections are closed at `CLOSE_AT_SECONDS`.
-LATE_SECONDS = (3.21, 3.23, 3.25, 3.27, 3.29, 3.31)
+# Gateways that get a call as they are about to end without requests, and the pause
+# between their signals, in seconds. Connections are closed at `CLOSE_AT_SECONDS`.
+LATE_GATEWAYS, LATE_GAP_SECONDS = 6, 0.1
 CLOSE_AT_SECONDS = 7.6
 READ_REQUEST = b"GET /resolve HTTP/1.1\r\nHost: h\r\n\r\n"
 
@@ -173,18 +173,19 @@
 
 def test_a_late_call_without_an_answer_gets_its_error_before_the_close(tmp_path):
     """Guards against errors of the end that are due once, and not for later calls."""
-    with stopping_gateways(tmp_path, len(LATE_SECONDS)) as fleet:
+    with stopping_gateways(tmp_path, LATE_GATEWAYS) as fleet:
         for gateway in fleet.gateways:
             for _ in range(20):  # They show that calls are short.
                 fleet.call(gateway, "POST", "/books/1", headers=DEADLINE)
         connections = [fleet.connect(gateway) for gateway in fleet.gateways]
-        signalled_at = [fleet.stop(gateway) for gateway in fleet.gateways]
+        signalled_at = []
+        for gateway in fleet.gateways:
+            signalled_at.append(fleet.stop(gateway))
+            time.sleep(LATE_GAP_SECONDS)
         fleet.endpoints["desk-1"].work_seconds = 30.0
         callers = []
-        for connection, at, late in zip(
-            connections, signalled_at, LATE_SECONDS, strict=True
-        ):
-            time.sleep(max(0.0, at + late - time.monotonic()))
+        for gateway, connection in zip(fleet.gateways, connections, strict=True):
+            fleet.wait_until_unlistening(gateway)
             request_id = fleet.new_id()
             data = request_bytes("POST", "/books/1", b"", DEADLINE, request_id)
             callers.append(Caller(connection, request_id, data))
