Test of first streams: they are sent once the gateway knows that all stop

What was seen: test_a_few_long_answers_leave_streams_served_while_all_stop had 0 of 4 streams served, once, on a busy machine.

Cause: the streams came 0.3 s after the signals. A gateway refuses streams of unknown length while others accept callers, and a peer that is late with its signal still does, as far as this one knows. Shown by freezing the two peers for 0.6 s from before their signals on: 0 of 4 served, "answer takes too long", 140 events, 8.3 to 8.7 s needed of 7.0; once their notices had come, 4 of 4.

Change: the streams are sent 0.3 s after the signal, or as soon as the gateway's directory names no other one. A gateway that goes by the bound from few answers refuses them at that moment, too.

--- a/tests/test_first_streams.py
+++ b/tests/test_first_streams.py
@@ -6,6 +6,7 @@
 import time
 
 import pytest
+from gateway_fleet import wait_for
 from stream_stops import (
     check_ended,
     check_whole_or_refused,
@@ -21,11 +22,17 @@
 
 
 def stop_some(fleet, stopping):
-    """Tell the first gateways to stop; return the first one and the moment."""
-    signalled_at = stop_and_wait(fleet, fleet.gateways[0], 0.0)
+    """Tell the first gateways to stop; return the first one and the moment.
+
+    If all of them stop, the first one knows it then.
+    """
+    first = fleet.gateways[0]
+    signalled_at = stop_and_wait(fleet, first, 0.0)
     for other in fleet.gateways[1:stopping]:
         fleet.stop(other)
-    return fleet.gateways[0], signalled_at
+    if stopping == len(fleet.gateways):
+        wait_for(lambda: fleet.addresses(first) == [first.front], "the peers to leave")
+    return first, signalled_at
 
 
 def send_at(fleet, gateway, moment, events, tokens):
