Test of endpoints that end by themselves: it lasts for 12 s, and the share that is served counts

What was seen: test_endpoints_that_end_by_themselves_get_no_request_refused[last segment-pool] failed once with 93 requests served, bound more than 100.

Cause: the number that six callers send in 8 s.

Change: callers, and the ends of endpoints beside them, go on for 12 s and 24 rounds in place of 8 s and 16. More than 100 have to be served as before, and now nineteen in twenty of those that were sent. At least 30 ends in place of 20.

--- a/tests/test_repeated_requests_fleet.py
+++ b/tests/test_repeated_requests_fleet.py
@@ -5,6 +5,7 @@
 
 import re
 import time
+from collections import Counter
 from concurrent.futures import ThreadPoolExecutor
 
 import pytest
@@ -127,14 +128,15 @@
             endpoint.crashes_under = lambda request: False
             endpoint.work_seconds = 0.03
         with ThreadPoolExecutor(1) as background:
-            repeats = background.submit(fleet.repeat_at_once, kind, 8.0, 0.05)
-            for number in range(16):
+            repeats = background.submit(fleet.repeat_at_once, kind, 12.0, 0.05)
+            for number in range(24):
                 time.sleep(0.45)
                 fleet.lose_endpoints(service, 4 if number % 4 == 3 else 1)
             answers, _ = repeats.result()
-        assert len(fleet.crashed_at) >= 20
-        served = [each for each in answers if each.answer.status == 200]
-        assert len(served) > 100
+        assert len(fleet.crashed_at) >= 30
+        statuses = Counter(each.answer.status for each in answers)
+        assert statuses[200] > 100
+        assert statuses[200] >= 0.95 * statuses.total(), statuses
         for gateway in fleet.gateways:
             assert "event=requests_quarantined" not in gateway.log
 
