A stop takes fewer turns of the event loop from the close on

Cause: between the close of the connections, 7.6 s after the signal, and the kill at 8 s the loop took some 18 turns: up to eight to read what had been accepted, also if nothing had, and the rest to close the event loop.

Now the turns that only bring more of running answers are left out if the process would be late by them, as the measured turn says. What was accepted, refusals and errors that are not written have up to eight, as before. The loop isn't closed: the process ends right after its last lines.

--- a/cranberrywick/gateway/app.py
+++ b/cranberrywick/gateway/app.py
@@ -280,10 +280,16 @@
 ) -> float:
     """Run the daemon until SIGTERM or SIGINT stops it; return when it has to end.
 
-    That is a moment of `time.monotonic`. ``settings_path`` is the settings file,
-    ``output`` what the log goes to. Raises `InvalidSettings` if the file can't be used.
+    That is a moment of `time.monotonic`. The event loop isn't closed, which takes
+    several turns and waits for threads: the caller ends the process. ``settings_path``
+    is the settings file, ``output`` what the log goes to. Raises `InvalidSettings` if
+    the file can't be used.
     """
     settings = load_settings(settings_path)
     log = EventLog(daemon=settings.daemon_id)
-    with asyncio.Runner(loop_factory=new_event_loop) as runner:
+    runner = asyncio.Runner(loop_factory=new_event_loop)
+    try:
         return runner.run(_run(settings, log, output))
+    except BaseException:
+        runner.close()
+        raise
--- a/cranberrywick/gateway/graceful_stop.py
+++ b/cranberrywick/gateway/graceful_stop.py
@@ -27,8 +27,9 @@
 # answers, and for releases of memory at endpoints, once the connections are closed, in
 # seconds.
 CLOSE_SECONDS = 0.1
-# Turns of the event loop in which a connection that was accepted is read.
-ACCEPT_TURNS = 8
+# Most turns of the event loop in which a connection that was accepted is read, and a
+# request that was given up gets its error.
+SETTLE_TURNS = 8
 # Longest time in which the last requests without an answer get an error, in seconds.
 REST_SECONDS = 0.05
 
@@ -81,8 +82,7 @@
         # What was accepted before is read and served; nothing new comes.
         for ingress in self._served:
             self._step(ingress.stop_listening)
-        for _ in range(ACCEPT_TURNS):
-            await asyncio.sleep(0)
+        await self._settle(phase)
         unanswered = max(unanswered, await self._serve_rest(earliest, phase))
         # From the last look on nothing else runs until all connections are closed, or
         # nothing more is read from them.
@@ -93,6 +93,20 @@
         self._step(self._requests.record_end, unanswered)
         await self._close()
 
+    async def _settle(self, phase: LastPhase) -> None:
+        """Let what was accepted be read, and what was given up be answered.
+
+        Else these turns only bring more of the answers that run, and are left out if
+        the process would be killed for them.
+        """
+        for _ in range(SETTLE_TURNS):
+            is_needed = phase.is_refusing or any(
+                each.accepting or each.unanswered for each in self._served
+            )
+            if not is_needed and not phase.has_turn:
+                break
+            await asyncio.sleep(0)
+
     async def _serve_rest(self, earliest: float, phase: LastPhase) -> int:
         """Serve until no request is left, or until connections have to be closed.
 
--- a/cranberrywick/gateway/ingress.py
+++ b/cranberrywick/gateway/ingress.py
@@ -95,7 +95,12 @@
         for connection in self.connections:
             if connection.reads:
                 poll.register(connection.fileno(), select.POLLIN)
-        return len(poll.poll(0)) + len(self._making) + len(self._accepted)
+        return len(poll.poll(0)) + self.accepting
+
+    @property
+    def accepting(self) -> int:
+        """How many connections are accepted and not among `connections` yet."""
+        return len(self._making) + len(self._accepted)
 
     @property
     def unsent(self) -> int:
--- a/cranberrywick/gateway/last_phase.py
+++ b/cranberrywick/gateway/last_phase.py
@@ -16,7 +16,11 @@
 from cranberrywick.gateway.loop_lag import LoopLag
 from cranberrywick.gateway.turn_limit import EVENTS_PER_TURN
 from cranberrywick.logs import EventLog
-from cranberrywick.routing.drain_window import ANSWER_MARGIN_SECONDS, DrainWindow
+from cranberrywick.routing.drain_window import (
+    ANSWER_MARGIN_SECONDS,
+    STOP_MARGIN_SECONDS,
+    DrainWindow,
+)
 
 __all__ = ["LastPhase"]
 
@@ -24,6 +28,10 @@
 MAX_EARLIER_SECONDS = 2.0
 # Lag for which the window leaves time anyway, in seconds.
 COVERED_SECONDS = ANSWER_MARGIN_SECONDS / 2
+# Turns of the event loop from the close of the connections to the end of the process,
+# and the time that they may take, in seconds.
+CLOSE_TURNS = 4
+CLOSE_SECONDS = STOP_MARGIN_SECONDS * 3 / 4
 # Connections that are refused or closed in one turn of the event loop, so that answers
 # go on. That takes no longer than to serve half as many requests.
 STEPS_PER_TURN = 2 * EVENTS_PER_TURN
@@ -63,8 +71,20 @@
         self._log = log
         self._loop = asyncio.get_running_loop()
         self._has_ended = False
+        self._is_refusing = False
         self._timer: asyncio.TimerHandle | None = None
 
+    @property
+    def is_refusing(self) -> bool:
+        """Whether the end of the intake has begun and is not over."""
+        return self._is_refusing
+
+    @property
+    def has_turn(self) -> bool:
+        """Whether the process can end in time if the loop takes one more turn."""
+        needed = (CLOSE_TURNS + 1) * self._lag.expected_turn_seconds
+        return self._loop.time() + needed < self._window.close_at + CLOSE_SECONDS
+
     def refuse_from(self) -> float:
         """Return when the intake ends; from then on all that is read is refused.
 
@@ -100,7 +120,7 @@
     def end_intake(self) -> None:
         """Take nothing more in, from the next turn of the event loop on."""
         if not self._has_ended:
-            self._has_ended = True
+            self._has_ended = self._is_refusing = True
             self._loop.call_soon(self._end_intake)
 
     def refuse_rest(self) -> None:
@@ -138,5 +158,6 @@
     def _take_some(self, steps: list[Step]) -> None:
         for step in steps[:STEPS_PER_TURN]:
             self._take(step)
-        if len(steps) > STEPS_PER_TURN:
+        self._is_refusing = len(steps) > STEPS_PER_TURN
+        if self._is_refusing:
             self._loop.call_soon(self._take_some, steps[STEPS_PER_TURN:])
