--- a/tests/busy_stops.py
+++ b/tests/busy_stops.py
@@ -50,6 +50,8 @@
 BUSY_SECONDS, PAUSE_SECONDS = 2.0, 0.5
 WORK_SECONDS, EVENT_SECONDS, MOST_EVENTS = 0.06, 0.05, 60
 SCENES = ("series", "together")
+# Log lines that are shown of a gateway that was killed.
+LAST_LINES = 8
 
 BUSY_PROCESS = f"""
 import random, time
@@ -306,6 +308,17 @@
         """How many gateways did not end by themselves."""
         return sum(stop.status != 0 for stop in self.stops.values())
 
+    def describe_killed(self) -> str:
+        """Return when the gateways that were killed ended, and their last log lines."""
+        lines = []
+        for gateway in self.fleet.gateways:
+            stop = self.stops[gateway.name]
+            if stop.status != 0:
+                seconds = stop.ended_at - stop.at
+                lines.append(f"{gateway.name} {stop.status} after {seconds:.2f} s")
+                lines += gateway.log.splitlines()[-LAST_LINES:]
+        return "\n".join(lines)
+
     def describe(self, sent: Sent) -> str:
         """Return a line that tells what became of a lost request."""
         at = self.stops[sent.gateway].at
@@ -421,6 +434,8 @@
             for sent in stops.lost:
                 click.echo(f"lost: {stops.describe(sent)}")
             click.echo(f"{scene} seed {seed + number}: {stops.summary()}")
+            if stops.killed:
+                click.echo(stops.describe_killed())
             for gateway in stops.fleet.gateways:
                 for line in gateway.log.splitlines():
                     if re.search("event=(intake_ended|gateway_stopped)", line):
--- a/tests/test_busy_stops.py
+++ b/tests/test_busy_stops.py
@@ -14,5 +14,5 @@
     program = Path(__file__).parent.parent
     with busy_stops(tmp_path, CALLERS, BUSY, scene=scene, program=program) as stops:
         assert [stops.describe(each) for each in stops.lost] == []
-        assert stops.killed == 0
+        assert stops.killed == 0, stops.describe_killed()
         assert len(stops.sent) > CALLERS
