--- a/tests/cut_fleet.py
+++ b/tests/cut_fleet.py
@@ -5,14 +5,12 @@
 """
 
 import json
-import os
 import subprocess
-import sys
 from collections.abc import Iterable, Iterator
 from contextlib import contextmanager
 from pathlib import Path
 
-from gateway_fleet import ROOT, Fleet, Gateway, configuration
+from gateway_fleet import Fleet, Gateway, configuration, start_process
 
 MODES = ("hang", "refuse", "reset")
 
@@ -29,17 +27,8 @@
         return {gateway.settings["ip"]: gateway.name for gateway in self.gateways}
 
     def start_process(self, settings: Path, log: Path) -> subprocess.Popen:
-        return subprocess.Popen(
-            [sys.executable, str(ROOT / "tests" / "cut_gateway.py"), "gateway"],
-            cwd=ROOT,
-            env={
-                **os.environ,
-                "CRANBERRYWICK_CONFIG": str(settings),
-                "CUT_FILE": str(self._cut_path(settings.stem)),
-                "PYTHONPATH": str(ROOT),
-            },
-            stdout=log.open("a"),
-            stderr=subprocess.STDOUT,
+        return start_process(
+            settings, log, "cut_gateway.py", CUT_FILE=str(self._cut_path(settings.stem))
         )
 
     def cut(
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -324,12 +324,25 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
 
-def start_process(settings: Path, log: Path) -> subprocess.Popen:
-    """Start a gateway process, its output appended to ``log``."""
+def start_process(
+    settings: Path, log: Path, script: str = "", **environment: str
+) -> subprocess.Popen:
+    """Start a gateway process, its output appended to ``log``.
+
+    ``script`` is the name of one of the tests' scripts, which changes something in the
+    gateway that it runs; ``environment`` has further variables for it.
+    """
+    program = [str(ROOT / "tests" / script)] if script else ["-m", "cranberrywick"]
+    path = {"PYTHONPATH": str(ROOT)} if script else {}
     return subprocess.Popen(
-        [sys.executable, "-m", "cranberrywick", "gateway"],
+        [sys.executable, *program, "gateway"],
         cwd=ROOT,
-        env={**os.environ, "CRANBERRYWICK_CONFIG": str(settings)},
+        env={
+            **os.environ,
+            "CRANBERRYWICK_CONFIG": str(settings),
+            **path,
+            **environment,
+        },
         stdout=log.open("a"),
         stderr=subprocess.STDOUT,
     )
--- a/tests/test_slow_turns.py
+++ b/tests/test_slow_turns.py
@@ -1,12 +1,9 @@
 """Gateways that stop while each turn of their event loop takes long."""
 
-import os
-import subprocess
-import sys
 import time
 
 import pytest
-from gateway_fleet import PROMPT_HEADERS, ROOT, wait_for
+from gateway_fleet import PROMPT_HEADERS, start_process, wait_for
 from stopping_fleet import DEADLINE, GRACE_SECONDS, StoppingFleet
 
 EVENT_SECONDS = 0.05
@@ -22,18 +19,7 @@
     turn = 0.0
 
     def start_process(self, settings, log):
-        return subprocess.Popen(
-            [sys.executable, str(ROOT / "tests" / "slow_turn_gateway.py"), "gateway"],
-            cwd=ROOT,
-            env={
-                **os.environ,
-                "CRANBERRYWICK_CONFIG": str(settings),
-                "TURN": str(self.turn),
-                "PYTHONPATH": str(ROOT),
-            },
-            stdout=log.open("a"),
-            stderr=subprocess.STDOUT,
-        )
+        return start_process(settings, log, "slow_turn_gateway.py", TURN=str(self.turn))
 
 
 @pytest.fixture
--- a/tests/test_stop_failures.py
+++ b/tests/test_stop_failures.py
@@ -4,14 +4,11 @@
 """
 
 import asyncio
-import os
-import subprocess
-import sys
 import time
 from types import SimpleNamespace
 
 import pytest
-from gateway_fleet import ROOT, read_answer, request_bytes, wait_for
+from gateway_fleet import read_answer, request_bytes, start_process, wait_for
 from stopping_fleet import DEADLINE, GRACE_SECONDS, StoppingFleet, outcomes
 from test_waiting import state
 
@@ -43,18 +40,7 @@
     failing = ""
 
     def start_process(self, settings, log):
-        return subprocess.Popen(
-            [sys.executable, str(ROOT / "tests" / "failing_gateway.py"), "gateway"],
-            cwd=ROOT,
-            env={
-                **os.environ,
-                "CRANBERRYWICK_CONFIG": str(settings),
-                "FAILING": self.failing,
-                "PYTHONPATH": str(ROOT),
-            },
-            stdout=log.open("a"),
-            stderr=subprocess.STDOUT,
-        )
+        return start_process(settings, log, "failing_gateway.py", FAILING=self.failing)
 
 
 @pytest.fixture
