Test of refusals under quarantine: a trial isn't refused

test_a_refusal_names_when_to_come_back failed once beside other tests, load average 14: 200 in place of 503. Its request was the trial that a quarantine allows 1.42 s after the last crash (quarantine_trial of crashing-24, whose endpoint crashed), which comes within the 2 s of load else. The log tells a trial; the request after it has to be refused as before, with the same Retry-After.

--- a/tests/test_segment_crashes_fleet.py
+++ b/tests/test_segment_crashes_fleet.py
@@ -3,6 +3,7 @@
 Guards against a fleet that sends such prompts on until most of its engines are gone.
 """
 
+import re
 import signal
 
 import pytest
@@ -87,10 +88,14 @@
     with running_gateways(tmp_path, gateways=1, fleet_type=CrashingFleet) as fleet:
         fleet.add_engines()
         fleet.load(2.0)
-        refused = fleet.send(fleet.gateways[0], is_crashing=True).answer
-        assert refused.status == 503
-        assert float(refused.headers["retry-after"]) > 60
-        metrics = fleet.gateways[0].metrics
+        (gateway,) = fleet.gateways
+        sent = fleet.send(gateway, is_crashing=True)
+        if re.search(rf"event=quarantine_trial .*{sent.request_id} ", gateway.log):
+            # No other one is a trial so soon.
+            sent = fleet.send(gateway, is_crashing=True)
+        assert sent.answer.status == 503
+        assert float(sent.answer.headers["retry-after"]) > 60
+        metrics = gateway.metrics
         assert 'quarantined_traits{source="own"} 1.0' in metrics
         assert 'outcome="request_quarantined"' in metrics
 
